--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,22 @@
+// Command simhost hosts gateways on the simulator's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"ravensill/gateway"
+	"ravensill/internal/simwire"
+	"ravensill/logic"
+)
+
+func main() {
+	err := simwire.Serve(os.Stdin, os.Stdout, func(seed uint64, seat gateway.Seat, fronts []gateway.Frontend,
+		plans []gateway.Plan, limits gateway.Limits, cold gateway.Cold, report gateway.Report) simwire.Decider {
+		return logic.New(seed, seat, fronts, plans, limits, cold, report)
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,271 @@
+// Package simwire speaks the simulator's wire: it turns lines into rounds of package gateway and decisions
+// into lines. Wire names end here; it decides nothing.
+package simwire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"ravensill/gateway"
+)
+
+// Decider is one gateway's decisions.
+type Decider interface {
+	Round(in *gateway.Round, out gateway.Writer)
+}
+
+// Start begins a gateway that knows nothing but its settings.
+type Start func(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
+	limits gateway.Limits, cold gateway.Cold, report gateway.Report) Decider
+
+// instance is one hosted gateway; round is nil while it has no event in the batch.
+type instance struct {
+	decider Decider
+	round   *gateway.Round
+}
+
+type host struct {
+	in     *bufio.Reader
+	out    *bufio.Writer
+	start  Start
+	line   int
+	clock  int64
+	batch  bool
+	seats  map[int]*instance
+	order  []int // instances with events in this batch
+	sheets [16][]gateway.Listing
+	id     int // of the latest ON, -1 before one
+	f      fields
+}
+
+// Serve hosts gateways until in ends. A malformed line ends it with an error that names line and field.
+func Serve(in io.Reader, out io.Writer, start Start) (err error) {
+	h := &host{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<20), start: start,
+		seats: map[int]*instance{}, id: -1}
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("line %d: panic: %v", h.line, p)
+		}
+		if err != nil && h.batch && h.id >= 0 {
+			fmt.Fprintf(h.out, "SPEAKING %d\nFAULT %s\nYIELD\n", h.id, strings.ReplaceAll(err.Error(), "\n", " "))
+		}
+		err = errors.Join(err, h.out.Flush())
+	}()
+	for {
+		text, rerr := h.in.ReadString('\n')
+		if rerr == io.EOF && text == "" {
+			if h.batch {
+				return errors.New("input ended within a batch")
+			}
+			return nil
+		}
+		if rerr != nil && rerr != io.EOF {
+			return rerr
+		}
+		h.line++
+		text = strings.TrimSuffix(strings.TrimSuffix(text, "\n"), "\r")
+		if err := h.take(text); err != nil {
+			return fmt.Errorf("line %d: %w", h.line, err)
+		}
+	}
+}
+
+// take handles one line.
+func (h *host) take(text string) error {
+	word, rest, _ := strings.Cut(text, " ")
+	f := &h.f
+	f.begin(word, rest)
+	if word == "MARK" {
+		if h.batch {
+			return errors.New("MARK within a batch")
+		}
+		now := f.time("clock")
+		if f.end() == nil && now < h.clock {
+			return errors.New("MARK: clock: runs back")
+		}
+		h.batch, h.clock, h.id = true, now, -1
+		return f.end()
+	}
+	if !h.batch {
+		return fmt.Errorf("%.40q outside a batch", word)
+	}
+	switch word {
+	case "ON":
+		h.id = f.whole("i", math.MaxInt32)
+		return f.end()
+	case "INVENTORY":
+		return h.inventory(f)
+	case "YOUR_TURN":
+		if err := f.end(); err != nil {
+			return err
+		}
+		return h.reply()
+	}
+	if h.id < 0 {
+		return fmt.Errorf("%.40q before any ON", word)
+	}
+	if word == "POWER_ON" {
+		seed := f.number("init_seed")
+		env := f.tail("env")
+		if err := f.end(); err != nil {
+			return err
+		}
+		d, err := start(seed, env, h.start)
+		if err != nil {
+			return fmt.Errorf("POWER_ON: env: %w", err)
+		}
+		h.seats[h.id] = &instance{decider: d}
+		h.round()
+		return nil
+	}
+	seat := h.seats[h.id]
+	if seat == nil {
+		return fmt.Errorf("%.40q for instance %d, which is not on", word, h.id)
+	}
+	e := gateway.Event{}
+	switch word {
+	case "KILL":
+		delete(h.seats, h.id)
+		return f.end()
+	case "ARRIVAL":
+		e.Kind, e.Req = gateway.Arrived, f.text("xid")
+		e.Frontend, e.Plan = f.whole("type", math.MaxInt32), f.whole("grade_of_service", math.MaxInt32)
+		e.Customer, e.Until, e.Units = f.text("account"), f.time("deadline_us"), f.decimal("weight")
+		e.Spread, e.First = int(f.decimal("n_entries")), int(f.decimal("first"))
+		e.Again = f.whole("bits", math.MaxInt32)&2 != 0
+	case "ATTEMPT_END":
+		e.Kind, e.Req, e.Closed = gateway.Ended, f.text("xid"), f.yes("closed")
+		e.Host, e.Units = uint32(f.whole("host", math.MaxUint32)), f.decimal("billed")
+		e.Result, e.Lag = f.result("disposition"), f.time("lag_us")
+		e.Used, e.Dispatch = f.whole("metered", math.MaxInt32), f.whole("send_no", math.MaxInt32)
+		e.Load = f.row("pressure")
+	case "FIRST":
+		e.Kind, e.Req, e.Dispatch = gateway.Started, f.text("xid"), f.whole("send_no", math.MaxInt32)
+		e.Lag, e.Host = f.time("lag_us"), uint32(f.whole("host", math.MaxUint32))
+	case "CLIENT_GONE":
+		e.Kind, e.Req = gateway.Left, f.text("xid")
+	case "FROM_PEER":
+		e.Kind, e.Peer, e.Body = gateway.Heard, f.whole("sender", math.MaxInt32), f.bytes("contents")
+	case "ECHO":
+		e.Kind, e.Host = gateway.Probed, uint32(f.whole("host", math.MaxUint32))
+		e.Lag, e.Result, e.Load = f.time("lag_us"), f.result("disposition"), f.row("pressure")
+	case "TIMER":
+		f.number("nonce")
+		e.Kind = gateway.Woke
+	case "COUNTER_REPLY": // no calls are made, so none is awaited
+		return errors.New("COUNTER_REPLY without a call")
+	case "ANNOUNCE":
+		e.Kind = gateway.Listed
+		e.List = gateway.List(f.choice("kind", "incr", "total", "warm_copy", "lost"))
+		sheet := f.text("sheet")
+		f.text("gen")
+		if n, err := strconv.Atoi(sheet); err == nil && n >= 0 && n < len(h.sheets) {
+			e.Hosts = h.sheets[n]
+		} else if e.List != gateway.Lost {
+			return fmt.Errorf("ANNOUNCE: sheet: %.40q is no list number", sheet)
+		}
+		if e.List == gateway.Lost {
+			e.Hosts = nil
+		}
+	default:
+		return fmt.Errorf("unknown message %.40q", word)
+	}
+	if err := f.end(); err != nil {
+		return err
+	}
+	r := h.round()
+	r.Events = append(r.Events, e)
+	return nil
+}
+
+// round gives the present instance's round, begun with its first event in the batch.
+func (h *host) round() *gateway.Round {
+	seat := h.seats[h.id]
+	if seat.round == nil {
+		seat.round = &gateway.Round{Now: h.clock}
+		h.order = append(h.order, h.id)
+	}
+	return seat.round
+}
+
+func (h *host) inventory(f *fields) error {
+	n, count := f.whole("sheet", len(h.sheets)-1), f.whole("hosts", math.MaxInt32)
+	if err := f.end(); err != nil {
+		return err
+	}
+	var list []gateway.Listing
+	for ; count > 0; count-- {
+		text, err := h.in.ReadString('\n')
+		if err != nil {
+			return fmt.Errorf("INVENTORY: hosts: list cut short: %w", err)
+		}
+		h.line++
+		word, rest, _ := strings.Cut(strings.TrimSpace(text), " ")
+		if word != "M" {
+			return fmt.Errorf("INVENTORY: hosts: M wanted, not %.40q", word)
+		}
+		f.begin(word, rest)
+		l := gateway.Listing{Host: uint32(f.whole("host", math.MaxUint32)), Zone: f.whole("az", math.MaxInt32),
+			Machine: f.whole("class_of_host", math.MaxInt32), Cell: f.whole("pod", math.MaxInt32)}
+		l.State = gateway.State(f.choice("status", "Running", "Stopping", "Deleted"))
+		l.Share, l.Since = f.decimal("share"), f.time("since_us")
+		if err := f.end(); err != nil {
+			return err
+		}
+		list = append(list, l)
+	}
+	h.sheets[n] = list
+	return nil
+}
+
+// reply lets every instance with an event decide, and ends the batch.
+func (h *host) reply() error {
+	for _, id := range h.order {
+		seat := h.seats[id]
+		if seat == nil || seat.round == nil {
+			continue
+		}
+		h.id = id
+		w := writer{h.out, id, false}
+		seat.decider.Round(seat.round, &w)
+		seat.round = nil
+	}
+	h.order, h.batch = h.order[:0], false
+	h.out.WriteString("YIELD\n")
+	return h.out.Flush()
+}
+
+// writer writes one instance's decisions as lines.
+type writer struct {
+	out  *bufio.Writer
+	id   int
+	said bool
+}
+
+func (w *writer) line(format string, args ...any) {
+	if !w.said {
+		fmt.Fprintf(w.out, "SPEAKING %d\n", w.id)
+		w.said = true
+	}
+	fmt.Fprintf(w.out, format+"\n", args...)
+}
+
+func (w *writer) Dispatch(req string, host uint32, timeout int64) {
+	w.line("PLACE %s %d %d", req, host, timeout/us)
+}
+func (w *writer) Cancel(req string, dispatch int) { w.line("CANCEL %s %d", req, dispatch) }
+func (w *writer) Deny(req string, after int64)    { w.line("BOUNCE %s %d", req, after/us) }
+func (w *writer) Abort(req string)                { w.line("GIVE_UP %s", req) }
+func (w *writer) Probe(host uint32)               { w.line("TEST %d", host) }
+func (w *writer) Wake(after int64)                { w.line("SCHEDULE %d 0", after/us) }
+func (w *writer) Follow()                         { w.line("WATCH 1") }
+func (w *writer) Note(text string)                { w.line("NOTE_DOWN %s", text) }
+func (w *writer) Tell(peer int, body []byte) {
+	w.line("PUBLISH %d %s", peer, base64.StdEncoding.EncodeToString(body))
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,758 @@
+// Package logic holds all decisions of a quota gateway.
+//
+// To use it: New starts a gateway that knows nothing but its settings; Round is then called with all that came
+// in at one time and writes the decisions into the writer passed with it. Both speak package gateway, where the
+// interface is defined. A gateway asks for its own wake-ups and must be called when they fall due.
+//
+// The design (docs/design.md): one undivided copy of each customer's bucket in every gateway, refilled at the
+// full rate; peers' admissions, gossiped as running totals, are subtracted down to a bounded debt; a copy that
+// lacks the units refuses; so does a gateway that has heard no peer for four intervals. Beside the design stand:
+//
+//  1. parts of the hard ceiling, one for each gateway of a customer's set (customer.refill)
+//  2. the guess of a customer's dispatches out through its other gateways, for the cap on these (openRoom)
+//  3. bounded load: the customer's first host in rank that is not much busier than the least busy (fleet.pick)
+//  4. a limit on what is out at each host, moved by how its answers keep the response target (host.learn)
+//  5. setting silent hosts aside until others hear good answers, moving what they hold (fleet.watch)
+//  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
+package logic
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"ravensill/gateway"
+)
+
+const (
+	second      = int64(1e9)
+	beat        = second / 50  // wake-ups
+	interval    = second / 2   // between totals; the design's default
+	silence     = 4 * interval // no peer heard for so long: refuse
+	debt        = 1.0          // bursts that a copy may owe
+	mailShare   = 0.8          // part of what a peer takes in that its fellows use together
+	mailBytes   = 256          // longest message
+	mailVersion = 1            // first byte of a message
+	idle        = 2 * second   // a refilled customer is forgotten after so long
+	unit        = 64           // totals are told in parts of a unit
+)
+
+// Gateway decides for one gateway.
+type Gateway struct {
+	now, start int64
+	out        gateway.Writer
+	rnd        mwc
+	seat       gateway.Seat
+	fronts     []front
+	plans      []gateway.Plan
+	limits     gateway.Limits
+	customers  map[uint64]*customer
+	reqs       map[string]*req
+	peers      []*peer // by seat; nil for oneself
+	heard      int64   // last hearing of any peer
+	fleet      fleet
+	woken      int64 // next beat
+	nextTell   int64
+	nextSweep  int64
+	asked      int64 // last time the list was asked for
+	extra      float64
+}
+
+// front is a frontend and how long its answers usually take.
+type front struct {
+	gateway.Frontend
+	usual float64
+}
+
+// req is held from its arrival until it is closed and no dispatch is out.
+type req struct {
+	id       string
+	customer *customer
+	front    *front
+	units    float64
+	arrived  int64
+	until    int64 // the client gives up
+	sends    []*send
+	out      int
+	ranAt    int64 // when the first dispatch that may have run was sent, 0 none
+	ranHost  *host
+	closed   bool
+}
+
+// send is a dispatch.
+type send struct {
+	req  *req
+	host *host
+	n    int
+	at   int64
+	live bool
+}
+
+// customer is this gateway's copy of a customer's bucket, with what its peers told of it.
+type customer struct {
+	hash     uint64
+	plan     *gateway.Plan
+	level    float64
+	at       int64   // of the last refill
+	total    float64 // units admitted here
+	ceiling  float64 // this gateway's part of the ceiling store
+	ceilRate float64
+	ceilMost float64
+	open     int     // dispatches out from here
+	size     float64 // usual units of a req
+	spread   int
+	first    int
+	ties     []tie // the customer's other gateways
+}
+
+// tie is what one customer and one of its other gateways know of each other.
+type tie struct {
+	customer *customer
+	peer     *peer
+	known    bool
+	seen     uint64 // last total heard
+	seenAt   int64
+	rate     float64 // units a second it admits
+	told     uint64  // last total told
+	queued   bool
+	again    bool
+}
+
+// peer is another gateway.
+type peer struct {
+	seat  int
+	life  uint64
+	seq   uint64
+	queue []*tie
+	said  uint64 // own count of messages
+}
+
+// New starts a gateway.
+func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan, limits gateway.Limits,
+	cold gateway.Cold, report gateway.Report) *Gateway {
+	g := &Gateway{rnd: mwc(seed), seat: seat, plans: plans, limits: limits, customers: map[uint64]*customer{},
+		reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1)), start: -1}
+	for _, f := range fronts {
+		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6})
+	}
+	for i := range g.peers {
+		if i != seat.Index && seat.Messages {
+			g.peers[i] = &peer{seat: i}
+		}
+	}
+	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields}
+	return g
+}
+
+// Round takes all that came in and writes the decisions.
+func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
+	g.now, g.out = in.Now, out
+	if g.start < 0 {
+		g.start, g.heard, g.nextTell = g.now, g.now, g.now+interval
+		if g.limits.MustAsk {
+			g.ask()
+		}
+	}
+	for i := range in.Events {
+		e := &in.Events[i]
+		switch e.Kind {
+		case gateway.Arrived:
+			g.arrive(e)
+		case gateway.Ended:
+			g.ended(e)
+		case gateway.Left:
+			if r := g.reqs[e.Req]; r != nil {
+				g.close(r)
+			}
+		case gateway.Listed:
+			g.fleet.list(e.List, e.Hosts)
+			if e.List == gateway.Lost && g.limits.MustAsk {
+				g.asked = g.now
+			}
+		case gateway.Heard:
+			g.hear(e.Peer, e.Body)
+		}
+	}
+	if g.now >= g.woken {
+		g.woken = g.now + beat
+		out.Wake(beat)
+		g.tick()
+	}
+}
+
+// arrive decides a req: the ordinary path, from top to bottom.
+func (g *Gateway) arrive(e *gateway.Event) {
+	c := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First)
+	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now, until: e.Until}
+	g.reqs[r.id] = r
+	c.size += (e.Units - c.size) / 8
+	c.refill(g.now)
+
+	// No peer is heard: what they admit is unknown.
+	if len(c.ties) > 0 && g.now-g.heard > silence {
+		g.deny(r, interval)
+		return
+	}
+	// The copy lacks the units.
+	if c.plan.Rate > 0 && c.level < r.units {
+		g.deny(r, int64((r.units-c.level)/c.plan.Rate*float64(second)))
+		return
+	}
+	// This gateway's part of the ceiling lacks them.
+	if c.plan.CeilingRate > 0 && c.ceiling < r.units {
+		g.deny(r, int64((r.units-c.ceiling)/c.ceilRate*float64(second)))
+		return
+	}
+	// As many dispatches are out as the plan allows.
+	if c.plan.Open > 0 && !g.openRoom(c, r.front.usual) {
+		g.deny(r, int64(r.front.usual))
+		return
+	}
+	// No host has room: better told now than answered late.
+	h := g.fleet.pick(c.hash, g.now, nil)
+	if h == nil {
+		g.deny(r, int64(r.front.usual))
+		return
+	}
+	c.level -= r.units
+	c.ceiling -= r.units
+	c.total += r.units
+	for i := range c.ties {
+		c.ties[i].changed()
+	}
+	g.extra = min(g.extra+0.1, 10)
+	g.dispatch(r, h)
+}
+
+// dispatch sends r to h. It waits while an answer has value.
+func (g *Gateway) dispatch(r *req, h *host) {
+	timeout := int64(0)
+	if r.front.Late == 0 && !r.front.Stream {
+		timeout = max(r.arrived+r.front.Target-g.now, 1000)
+	}
+	s := &send{req: r, host: h, n: len(r.sends), at: g.now, live: true}
+	r.sends = append(r.sends, s)
+	r.out++
+	r.customer.open++
+	h.out = append(h.out, s)
+	g.fleet.sent(h, g.now)
+	g.out.Dispatch(r.id, h.id, timeout)
+}
+
+// ended takes in how a dispatch ended, and sends the req again where that may help and the rules allow it.
+func (g *Gateway) ended(e *gateway.Event) {
+	r := g.reqs[e.Req]
+	if r == nil || e.Dispatch >= len(r.sends) || !r.sends[e.Dispatch].live {
+		return
+	}
+	s := r.sends[e.Dispatch]
+	s.live = false
+	r.out--
+	r.customer.open--
+	s.host.drop(s)
+	if !e.Result.NeverRan() && r.ranAt == 0 {
+		r.ranAt, r.ranHost = s.at, s.host
+	}
+	g.fleet.learn(s, e.Result, e.Lag, e.Load, g.now)
+	if e.Result == gateway.Passed && e.Units > 0 {
+		r.customer.level += r.units - e.Units
+	}
+	if e.Closed {
+		r.closed = true
+	}
+	if r.closed {
+		g.close(r)
+		return
+	}
+	if e.Result == gateway.TimedOut || !g.again(r) {
+		g.finish(r)
+	}
+}
+
+// again sends r once more, if it may.
+func (g *Gateway) again(r *req) bool {
+	if r.out > 0 || len(r.sends) >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) {
+		return false
+	}
+	last := r.sends[len(r.sends)-1].host
+	in := func(h *host) bool { return h != last }
+	if r.ranAt > 0 {
+		if g.extra < 1 || r.front.Effect == gateway.NonReplayable {
+			return false
+		}
+		if r.front.Effect == gateway.Uniqued {
+			if g.now > r.ranAt+r.front.Window-second/5 {
+				return false
+			}
+			in = func(h *host) bool {
+				return h != last && (r.front.Group == gateway.AllHosts ||
+					h.zone == r.ranHost.zone && (r.front.Group == gateway.SameZone || h.cell == r.ranHost.cell))
+			}
+		}
+		g.extra--
+	}
+	h := g.fleet.pick(r.customer.hash, g.now, in)
+	if h == nil {
+		return false
+	}
+	g.dispatch(r, h)
+	return true
+}
+
+// finish gives r up at once: a denial where a repeat is harmless, else an abort.
+func (g *Gateway) finish(r *req) {
+	e := r.front.Effect
+	if r.ranAt == 0 || e == gateway.Replayable || e == gateway.Uniqued && r.front.Group == gateway.AllHosts {
+		g.deny(r, int64(r.front.usual))
+		return
+	}
+	g.out.Abort(r.id)
+	g.close(r)
+}
+
+// deny is the final answer that makes a repeat harmless, with the time to stay away.
+func (g *Gateway) deny(r *req, after int64) {
+	if !g.limits.RetryAfter {
+		after = 0
+	}
+	g.out.Deny(r.id, after)
+	g.close(r)
+}
+
+// close marks r as over; it is forgotten when no dispatch is out.
+func (g *Gateway) close(r *req) {
+	r.closed = true
+	if r.out == 0 {
+		delete(g.reqs, r.id)
+	}
+}
+
+// tick does what is due with time.
+func (g *Gateway) tick() {
+	if g.limits.MustAsk && g.now-g.asked > 2*second && g.asked > 0 {
+		g.asked = 0
+		g.out.Follow()
+	}
+	for _, s := range g.fleet.watch(g.now) {
+		if g.limits.Cancel && g.extra >= 1 && !s.req.closed && len(s.req.sends) < g.limits.Dispatches &&
+			s.req.front.Effect != gateway.NonReplayable {
+			g.out.Cancel(s.req.id, s.n)
+		}
+	}
+	if g.now >= g.nextTell {
+		g.nextTell = g.now + interval
+		g.tell()
+	}
+	if g.now >= g.nextSweep {
+		g.nextSweep = g.now + second
+		for hash, c := range g.customers {
+			if c.idle(g.now) {
+				delete(g.customers, hash)
+			}
+		}
+	}
+}
+
+func (g *Gateway) ask() {
+	g.asked = 0
+	g.out.Follow()
+}
+
+// customer finds a customer, or starts one with a full copy.
+func (g *Gateway) customer(hash uint64, plan, spread, first int) *customer {
+	if c := g.customers[hash]; c != nil {
+		return c
+	}
+	p := &g.plans[plan]
+	n := float64(max(min(spread, g.seat.Count), 1))
+	c := &customer{hash: hash, plan: p, level: p.Burst, at: g.now, size: 1, spread: spread, first: first,
+		ceilRate: p.CeilingRate / n, ceilMost: p.CeilingBurst / n}
+	// A former life of this gateway may have just spent its part: it starts empty and fills from the start on.
+	c.ceiling = min(c.ceilMost, c.ceilRate*seconds(g.now-g.start))
+	for i := range spread {
+		if p := g.peers[(first+i)%len(g.peers)]; p != nil {
+			c.ties = append(c.ties, tie{customer: c, peer: p})
+		}
+	}
+	g.customers[hash] = c
+	return c
+}
+
+func (c *customer) refill(now int64) {
+	t := seconds(now - c.at)
+	c.at = now
+	c.level = min(c.level+c.plan.Rate*t, c.plan.Burst)
+	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilMost)
+}
+
+func (c *customer) idle(now int64) bool {
+	if c.open > 0 || now-c.at < idle {
+		return false
+	}
+	t := seconds(now - c.at)
+	for i := range c.ties {
+		if c.ties[i].queued || now-c.ties[i].seenAt < idle {
+			return false
+		}
+	}
+	return c.level+c.plan.Rate*t >= c.plan.Burst && c.ceiling+c.ceilRate*t >= c.ceilMost
+}
+
+// openRoom tells whether a dispatch more is likelier worth than not to be within the plan's cap on dispatches
+// out, with those of the other gateways taken as a chance number about what their admissions keep out.
+func (g *Gateway) openRoom(c *customer, usual float64) bool {
+	room := c.plan.Open - c.open
+	if room <= 0 {
+		return false
+	}
+	others := 0.0
+	for i := range c.ties {
+		if t := &c.ties[i]; g.now-t.seenAt < 3*interval {
+			others += t.rate / max(c.size, 0.1) * usual / float64(second)
+		}
+	}
+	p, term := 0.0, math.Exp(-others)
+	for k := range room {
+		p += term
+		term *= others / float64(k+1)
+	}
+	return p*c.plan.Price >= (1-p)*c.plan.BeyondCost*c.plan.Price
+}
+
+func (t *tie) changed() {
+	t.again = true
+	if !t.queued {
+		t.queued = true
+		t.peer.queue = append(t.peer.queue, t)
+	}
+}
+
+// tell sends each peer the totals that changed, the largest changes first, and at least a sign of life.
+func (g *Gateway) tell() {
+	good := g.fleet.good(g.now)
+	for _, p := range g.peers {
+		if p == nil {
+			continue
+		}
+		slices.SortStableFunc(p.queue, func(a, b *tie) int {
+			return cmp.Compare(b.customer.total-float64(b.told)/unit, a.customer.total-float64(a.told)/unit)
+		})
+		room := max(1, int(g.seat.PerSecond*mailShare*float64(interval)/float64(second))/max(g.seat.Count-1, 1))
+		left := p.queue[:0]
+		msg := g.head(p, good)
+		for _, t := range p.queue {
+			c := t.customer
+			entry := binary.LittleEndian.AppendUint64(nil, c.hash)[:5]
+			entry = append(entry, byte(slices.IndexFunc(g.plans, func(q gateway.Plan) bool { return q == *c.plan })))
+			entry = append(entry, byte(c.spread)<<4|byte(c.first))
+			total := uint64(c.total * unit)
+			entry = binary.AppendUvarint(entry, total)
+			if len(msg)+len(entry) > mailBytes {
+				if room--; room <= 0 {
+					left = append(left, t)
+					room = 0
+					continue
+				}
+				g.out.Tell(p.seat, msg)
+				msg = g.head(p, nil)
+			}
+			msg = append(msg, entry...)
+			t.told, t.queued = total, t.again
+			if t.again { // once more: a last change that is lost would stay unknown
+				t.again = false
+				left = append(left, t)
+			}
+		}
+		p.queue = left
+		g.out.Tell(p.seat, msg)
+	}
+}
+
+// head begins a message: version, this life, its number, and the hosts that answered well of late.
+func (g *Gateway) head(p *peer, good []uint16) []byte {
+	p.said++
+	msg := binary.AppendUvarint([]byte{mailVersion}, uint64(g.start))
+	msg = binary.AppendUvarint(msg, p.said)
+	msg = append(msg, byte(len(good)))
+	for _, tag := range good {
+		msg = binary.LittleEndian.AppendUint16(msg, tag)
+	}
+	return msg
+}
+
+// hear takes a peer's message in: its admissions since the last total heard are subtracted from the copy.
+func (g *Gateway) hear(from int, msg []byte) {
+	if from < 0 || from >= len(g.peers) || g.peers[from] == nil || len(msg) < 4 || msg[0] != mailVersion {
+		return
+	}
+	p := g.peers[from]
+	life, n := binary.Uvarint(msg[1:])
+	if n <= 0 {
+		return
+	}
+	msg = msg[1+n:]
+	seq, n := binary.Uvarint(msg)
+	if n <= 0 || len(msg) <= n || len(msg) < n+1+2*int(msg[n]) || life < p.life {
+		return
+	}
+	hosts := int(msg[n])
+	msg = msg[n+1:]
+	g.heard = g.now
+	fresh := life > p.life
+	p.life, p.seq = life, seq
+	for range hosts {
+		g.fleet.vouched(binary.LittleEndian.Uint16(msg), g.now)
+		msg = msg[2:]
+	}
+	for len(msg) > 7 {
+		hash := binary.LittleEndian.Uint64(append(append([]byte(nil), msg[:5]...), 0, 0, 0))
+		plan, spread, first := int(msg[5]), int(msg[6]>>4), int(msg[6]&15)
+		total, n := binary.Uvarint(msg[7:])
+		if n <= 0 || plan >= len(g.plans) || spread > len(g.peers) || first >= len(g.peers) {
+			return
+		}
+		msg = msg[7+n:]
+		c := g.customer(hash, plan, spread, first)
+		for i := range c.ties {
+			if t := &c.ties[i]; t.peer == p {
+				c.refill(g.now)
+				t.hear(total, fresh, g.now)
+			}
+		}
+	}
+}
+
+// hear subtracts what the peer admitted since its last message; a first or lower total is only recorded.
+func (t *tie) hear(total uint64, fresh bool, now int64) {
+	c := t.customer
+	if t.known && total > t.seen && !fresh {
+		units := float64(total-t.seen) / unit
+		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
+		t.rate = units / max(seconds(now-t.seenAt), seconds(interval))
+	}
+	if !t.known || total != t.seen {
+		t.seenAt = now
+	}
+	t.known, t.seen = true, total
+}
+
+// fleet is the hosts.
+type fleet struct {
+	byID   map[uint32]*host
+	hosts  []*host // in a fixed order
+	cold   gateway.Cold
+	fields []gateway.Field
+	usual  float64 // of answers
+	target int64
+}
+
+// host is all that is known of a host.
+type host struct {
+	id         uint32
+	hash       uint64
+	zone, cell int
+	state      gateway.State
+	since      int64
+	out        []*send
+	pace       float64 // its answers' time against the usual
+	limit      float64 // most dispatches out from here
+	cut        int64   // when the limit was last cut
+	util       float64
+	allow      float64 // dispatches it may get while cold
+	aside      int64   // set aside until; 0 not
+	strikes    int
+	lastGood   int64
+	lastAny    int64 // last answer of any kind
+}
+
+// list takes news of the host list in.
+func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
+	if kind == gateway.Lost {
+		return
+	}
+	if kind != gateway.Changes {
+		for _, h := range f.hosts {
+			h.state = gateway.Gone
+		}
+	}
+	for _, l := range news {
+		h := f.byID[l.Host]
+		if h == nil {
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, limit: 8, since: l.Since}
+			f.byID[l.Host] = h
+			f.hosts = append(f.hosts, h)
+			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
+		}
+		if l.Since > h.since { // a new start: what was learned of the old process is void
+			h.since, h.pace, h.aside, h.strikes, h.allow, h.util = l.Since, 1, 0, 0, 0, 0
+		}
+		h.zone, h.cell, h.state = l.Zone, l.Cell, l.State
+	}
+}
+
+// warmth is the part of its capacity that a host surely has.
+func (f *fleet) warmth(h *host, now int64) float64 {
+	if h.since <= 0 || now-h.since >= f.cold.Warm || f.cold.Warm <= 0 {
+		return 1
+	}
+	return f.cold.From + (1-f.cold.From)*float64(max(now-h.since, 0))/float64(f.cold.Warm)
+}
+
+// usable tells whether h may get a dispatch now.
+func (f *fleet) usable(h *host, now int64) bool {
+	if h.state != gateway.Running || float64(len(h.out)+1) > h.limit {
+		return false
+	}
+	if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
+		return false
+	}
+	return f.warmth(h, now) >= 1 || h.allow >= 1
+}
+
+// load is how long an answer of h would take, in parts of the usual.
+func (f *fleet) load(h *host, now int64) float64 {
+	return h.pace * float64(len(h.out)+1) / f.warmth(h, now) * (1 + h.util)
+}
+
+// pick gives the customer's first host in rank that has no more than a little above the least load.
+func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
+	least := math.Inf(1)
+	for _, h := range f.hosts {
+		if f.usable(h, now) && (in == nil || in(h)) {
+			least = min(least, f.load(h, now))
+		}
+	}
+	var best *host
+	top := uint64(0)
+	for _, h := range f.hosts {
+		if f.usable(h, now) && (in == nil || in(h)) && f.load(h, now) <= least*1.2 {
+			if rank := mix(customer ^ h.hash); best == nil || rank > top {
+				best, top = h, rank
+			}
+		}
+	}
+	return best
+}
+
+// sent counts a dispatch: every cold host's allowance grows by its part of the fleet's warmth.
+func (f *fleet) sent(to *host, now int64) {
+	sum := 0.0
+	for _, h := range f.hosts {
+		if h.state == gateway.Running && h.aside == 0 {
+			sum += f.warmth(h, now)
+		}
+	}
+	for _, h := range f.hosts {
+		if w := f.warmth(h, now); w < 1 {
+			h.allow = min(h.allow+w/max(sum, 1), 1.5)
+		}
+	}
+	if f.warmth(to, now) < 1 {
+		to.allow--
+	}
+}
+
+func (h *host) drop(s *send) {
+	if i := slices.Index(h.out, s); i >= 0 {
+		h.out = slices.Delete(h.out, i, i+1)
+	}
+}
+
+// learn takes in what an ended dispatch says of its host.
+func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
+	h := s.host
+	for i, v := range load {
+		if i < len(f.fields) && f.fields[i] == gateway.BusyShare {
+			h.util = v
+		}
+	}
+	switch res {
+	case gateway.Passed:
+		fr := s.req.front
+		fr.usual += (float64(lag) - fr.usual) / 64
+		h.pace += (float64(lag)/fr.usual - h.pace) / 16
+		h.pace = max(h.pace, 0.2)
+		h.lastGood, h.lastAny = now, now
+		h.aside, h.strikes = 0, 0
+		switch {
+		case lag > fr.Target*6/10 && now-h.cut > fr.Target/2:
+			h.limit, h.cut = max(1, min(h.limit, float64(len(h.out)+1))*0.8), now
+		case float64(len(h.out)+2) > h.limit:
+			h.limit = min(h.limit+1/h.limit, 200)
+		}
+	case gateway.Busy:
+		h.lastAny = now
+		h.limit, h.cut = max(1, float64(len(h.out))*0.8), now
+	case gateway.Unreached, gateway.Broken:
+		f.setAside(h, now)
+	}
+}
+
+func (f *fleet) setAside(h *host, now int64) {
+	if now < h.aside {
+		return
+	}
+	h.strikes++
+	h.aside = now + min(second<<min(h.strikes-1, 2), 4*second)
+}
+
+// watch sets hosts aside that hold dispatches and answer nothing, and gives what they hold.
+func (f *fleet) watch(now int64) (stuck []*send) {
+	for _, h := range f.hosts {
+		if len(h.out) == 0 {
+			continue
+		}
+		fr := h.out[0].req.front
+		wait := now - max(h.out[0].at, h.lastAny)
+		if wait > max(int64(5*fr.usual*h.pace), fr.Target/2) {
+			f.setAside(h, now)
+			stuck = append(stuck, h.out...)
+			h.lastAny = now
+		}
+	}
+	return stuck
+}
+
+// good gives the tags of the hosts that answered well since the last telling.
+func (f *fleet) good(now int64) (tags []uint16) {
+	for _, h := range f.hosts {
+		if now-h.lastGood <= interval && h.lastGood > 0 {
+			tags = append(tags, uint16(h.hash))
+		}
+	}
+	return tags[:min(len(tags), 100)]
+}
+
+// vouched brings a host back that another gateway has good answers from.
+func (f *fleet) vouched(tag uint16, now int64) {
+	for _, h := range f.hosts {
+		if uint16(h.hash) == tag && h.aside > 0 {
+			h.aside, h.strikes = 0, 0
+		}
+	}
+}
+
+func seconds(t int64) float64 { return float64(t) / float64(second) }
+
+// mwc is a multiply-with-carry generator.
+type mwc uint64
+
+func (m *mwc) next() uint32 {
+	*m = mwc(uint64(uint32(*m))*4294957665 + uint64(*m)>>32)
+	return uint32(*m)
+}
+
+func hashText(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return mix(h.Sum64()) & (1<<40 - 1)
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
