--- a/logic/logic.go
+++ b/logic/logic.go
@@ -142,7 +142,8 @@
 			g.peers[i] = &peer{seat: i}
 		}
 	}
-	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields}
+	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields,
+		first: 1 + 12/float64(max(seat.Count, 1))}
 	return g
 }
 
@@ -544,8 +545,7 @@
 	hosts  []*host // in a fixed order
 	cold   gateway.Cold
 	fields []gateway.Field
-	usual  float64 // of answers
-	target int64
+	first  float64 // limit to start with
 }
 
 // host is all that is known of a host.
@@ -580,7 +580,7 @@
 	for _, l := range news {
 		h := f.byID[l.Host]
 		if h == nil {
-			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, limit: 8, since: l.Since}
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, limit: f.first, since: l.Since}
 			f.byID[l.Host] = h
 			f.hosts = append(f.hosts, h)
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
@@ -676,20 +676,28 @@
 		h.pace = max(h.pace, 0.2)
 		h.lastGood, h.lastAny = now, now
 		h.aside, h.strikes = 0, 0
-		switch {
-		case lag > fr.Target*6/10 && now-h.cut > fr.Target/2:
-			h.limit, h.cut = max(1, min(h.limit, float64(len(h.out)+1))*0.8), now
-		case float64(len(h.out)+2) > h.limit:
+		if lag > fr.Target/2 {
+			h.slower(now, fr.Target/2)
+		} else if float64(len(h.out)+2) > h.limit {
 			h.limit = min(h.limit+1/h.limit, 200)
 		}
+	case gateway.TimedOut:
+		h.slower(now, s.req.front.Target/2)
 	case gateway.Busy:
 		h.lastAny = now
-		h.limit, h.cut = max(1, float64(len(h.out))*0.8), now
+		h.slower(now, 0)
 	case gateway.Unreached, gateway.Broken:
 		f.setAside(h, now)
 	}
 }
 
+// slower cuts the limit of a host that is late, at most once in the time given.
+func (h *host) slower(now, every int64) {
+	if now-h.cut >= every {
+		h.limit, h.cut = max(1, min(h.limit, float64(len(h.out)+1))*0.8), now
+	}
+}
+
 func (f *fleet) setAside(h *host, now int64) {
 	if now < h.aside {
 		return
