A limit on dispatches out in all, beside each host's, moved by average lateness

Cause: many gateways with at least one dispatch a host each kept hosts in a queue (thrash); single answers are too varied a signal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	mailShare   = 0.8          // part of what a peer takes in that its fellows use together
 	mailBytes   = 256          // longest message
 	mailVersion = 1            // first byte of a message
+	lateness    = 0.35         // part of the response target that answers may take on average
 	idle        = 2 * second   // a refilled customer is forgotten after so long
 	unit        = 64           // totals are told in parts of a unit
 )
@@ -143,7 +144,7 @@
 		}
 	}
 	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields,
-		first: 1 + 12/float64(max(seat.Count, 1))}
+		first: 8 / float64(max(seat.Count, 1))}
 	return g
 }
 
@@ -253,6 +254,7 @@
 	r.out--
 	r.customer.open--
 	s.host.drop(s)
+	g.fleet.out--
 	if !e.Result.NeverRan() && r.ranAt == 0 {
 		r.ranAt, r.ranHost = s.at, s.host
 	}
@@ -545,7 +547,9 @@
 	hosts  []*host // in a fixed order
 	cold   gateway.Cold
 	fields []gateway.Field
-	first  float64 // limit to start with
+	first  float64 // limit of a host to start with
+	room   room    // for dispatches out from here to all hosts
+	out    int
 }
 
 // host is all that is known of a host.
@@ -557,8 +561,7 @@
 	since      int64
 	out        []*send
 	pace       float64 // its answers' time against the usual
-	limit      float64 // most dispatches out from here
-	cut        int64   // when the limit was last cut
+	room       room    // for dispatches out from here
 	util       float64
 	allow      float64 // dispatches it may get while cold
 	aside      int64   // set aside until; 0 not
@@ -580,8 +583,9 @@
 	for _, l := range news {
 		h := f.byID[l.Host]
 		if h == nil {
-			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, limit: f.first, since: l.Since}
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, room: room{limit: 1 + f.first}, since: l.Since}
 			f.byID[l.Host] = h
+			f.room.limit += f.first
 			f.hosts = append(f.hosts, h)
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 		}
@@ -602,7 +606,7 @@
 
 // usable tells whether h may get a dispatch now.
 func (f *fleet) usable(h *host, now int64) bool {
-	if h.state != gateway.Running || float64(len(h.out)+1) > h.limit {
+	if h.state != gateway.Running || float64(len(h.out)+1) > h.room.limit {
 		return false
 	}
 	if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
@@ -618,6 +622,9 @@
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
+	if float64(f.out+1) > f.room.limit {
+		return nil
+	}
 	least := math.Inf(1)
 	for _, h := range f.hosts {
 		if f.usable(h, now) && (in == nil || in(h)) {
@@ -638,6 +645,7 @@
 
 // sent counts a dispatch: every cold host's allowance grows by its part of the fleet's warmth.
 func (f *fleet) sent(to *host, now int64) {
+	f.out++
 	sum := 0.0
 	for _, h := range f.hosts {
 		if h.state == gateway.Running && h.aside == 0 {
@@ -676,25 +684,42 @@
 		h.pace = max(h.pace, 0.2)
 		h.lastGood, h.lastAny = now, now
 		h.aside, h.strikes = 0, 0
-		if lag > fr.Target/2 {
-			h.slower(now, fr.Target/2)
-		} else if float64(len(h.out)+2) > h.limit {
-			h.limit = min(h.limit+1/h.limit, 200)
-		}
+		f.late(h, lag, fr.Target, now)
 	case gateway.TimedOut:
-		h.slower(now, s.req.front.Target/2)
+		f.late(h, lag, s.req.front.Target, now)
 	case gateway.Busy:
 		h.lastAny = now
-		h.slower(now, 0)
+		h.room.cut(len(h.out), now, 0)
 	case gateway.Unreached, gateway.Broken:
 		f.setAside(h, now)
 	}
 }
 
-// slower cuts the limit of a host that is late, at most once in the time given.
-func (h *host) slower(now, every int64) {
-	if now-h.cut >= every {
-		h.limit, h.cut = max(1, min(h.limit, float64(len(h.out)+1))*0.8), now
+// late moves the limits of the host and of the fleet by how its answers keep the response target.
+func (f *fleet) late(h *host, lag, target, now int64) {
+	h.room.learn(lag, target, len(h.out), now)
+	f.room.learn(lag, target, f.out, now)
+}
+
+// room is a limit on dispatches out. It grows while answers on average take less than a part of their target,
+// and is cut once in that time while they take more: a queue that is deeper earns nothing and slows the hosts.
+type room struct {
+	limit, late float64
+	cutAt       int64
+}
+
+func (r *room) learn(lag, target int64, out int, now int64) {
+	r.late += (float64(lag)/float64(target) - r.late) / 16
+	if r.late > lateness {
+		r.cut(out+1, now, int64(lateness*float64(target)))
+	} else if float64(out+2) > r.limit {
+		r.limit += 1 / r.limit
+	}
+}
+
+func (r *room) cut(out int, now, every int64) {
+	if now-r.cutAt >= every {
+		r.limit, r.cutAt = max(1, min(r.limit, float64(out))*0.85), now
 	}
 }
 
