--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 const (
 	second      = int64(1e9)
 	beat        = second / 50  // wake-ups
-	interval    = second / 2   // between totals; the design's default
+	interval    = second / 4   // between totals
 	silence     = 4 * interval // no peer heard for so long: refuse
 	debt        = 1.0          // bursts that a copy may owe
 	mailShare   = 0.8          // part of what a peer takes in that its fellows use together
