--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	silence     = 4 * interval // no peer heard for so long: refuse
 	debt        = 1.0          // bursts that a copy may owe
 	mailShare   = 0.8          // part of what a peer takes in that its fellows use together
+	early       = 0.05         // part of a burst that goes untold before the interval is over
 	mailBytes   = 256          // longest message
 	mailVersion = 1            // first byte of a message
 	lateness    = 0.35         // part of the response target that answers may take on average
@@ -95,8 +96,11 @@
 type customer struct {
 	hash     uint64
 	plan     *gateway.Plan
+	planID   int
+	begun    int64 // start of this record
 	level    float64
 	at       int64   // of the last refill
+	moved    int64   // last admission here or heard
 	total    float64 // units admitted here
 	ceiling  float64 // this gateway's part of the ceiling store
 	ceilRate float64
@@ -112,7 +116,8 @@
 type tie struct {
 	customer *customer
 	peer     *peer
-	known    bool
+	life     uint64 // of the peer, when last heard
+	number   uint64 // of that message
 	seen     uint64 // last total heard
 	seenAt   int64
 	rate     float64 // units a second it admits
@@ -123,11 +128,12 @@
 
 // peer is another gateway.
 type peer struct {
-	seat  int
-	life  uint64
-	seq   uint64
-	queue []*tie
-	said  uint64 // own count of messages
+	seat   int
+	life   uint64 // its start by its own clock; later is newer
+	queue  []*tie // with totals to tell
+	urgent bool
+	said   uint64  // messages
+	credit float64 // messages that it can take
 }
 
 // New starts a gateway.
@@ -221,6 +227,7 @@
 	c.level -= r.units
 	c.ceiling -= r.units
 	c.total += r.units
+	c.moved = g.now
 	for i := range c.ties {
 		c.ties[i].changed()
 	}
@@ -344,9 +351,14 @@
 			g.out.Cancel(s.req.id, s.n)
 		}
 	}
-	if g.now >= g.nextTell {
+	due := g.now >= g.nextTell
+	if due {
 		g.nextTell = g.now + interval
-		g.tell()
+	}
+	for _, p := range g.peers {
+		if p != nil {
+			g.tell(p, due)
+		}
 	}
 	if g.now >= g.nextSweep {
 		g.nextSweep = g.now + second
@@ -370,8 +382,8 @@
 	}
 	p := &g.plans[plan]
 	n := float64(max(min(spread, g.seat.Count), 1))
-	c := &customer{hash: hash, plan: p, level: p.Burst, at: g.now, size: 1, spread: spread, first: first,
-		ceilRate: p.CeilingRate / n, ceilMost: p.CeilingBurst / n}
+	c := &customer{hash: hash, plan: p, planID: plan, begun: g.now, level: p.Burst, at: g.now, moved: g.now, size: 1,
+		spread: spread, first: first, ceilRate: p.CeilingRate / n, ceilMost: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it starts empty and fills from the start on.
 	c.ceiling = min(c.ceilMost, c.ceilRate*seconds(g.now-g.start))
 	for i := range spread {
@@ -390,17 +402,11 @@
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilMost)
 }
 
+// idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
 func (c *customer) idle(now int64) bool {
-	if c.open > 0 || now-c.at < idle {
-		return false
-	}
-	t := seconds(now - c.at)
-	for i := range c.ties {
-		if c.ties[i].queued || now-c.ties[i].seenAt < idle {
-			return false
-		}
-	}
-	return c.level+c.plan.Rate*t >= c.plan.Burst && c.ceiling+c.ceilRate*t >= c.ceilMost
+	c.refill(now)
+	return c.open == 0 && now-c.moved > idle && c.level >= c.plan.Burst && c.ceiling >= c.ceilMost &&
+		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
 // openRoom tells whether a dispatch more is likelier worth than not to be within the plan's cap on dispatches
@@ -424,65 +430,79 @@
 	return p*c.plan.Price >= (1-p)*c.plan.BeyondCost*c.plan.Price
 }
 
+// changed notes that the peer is to be told, early if the untold part is large.
 func (t *tie) changed() {
 	t.again = true
 	if !t.queued {
 		t.queued = true
 		t.peer.queue = append(t.peer.queue, t)
 	}
+	if t.untold() >= early*t.customer.plan.Burst {
+		t.peer.urgent = true
+	}
 }
 
-// tell sends each peer the totals that changed, the largest changes first, and at least a sign of life.
-func (g *Gateway) tell() {
-	good := g.fleet.good(g.now)
-	for _, p := range g.peers {
-		if p == nil {
+func (t *tie) untold() float64 { return t.customer.total - float64(t.told)/unit }
+
+// tell sends p the totals that changed, the largest changes first: each interval, with at least a sign of life,
+// and between if one is urgent and p can take more messages. A total is told again an interval after its last
+// change, as a lost one would stay unknown.
+func (g *Gateway) tell(p *peer, due bool) {
+	rate := g.seat.PerSecond * mailShare / float64(len(g.peers)-1)
+	p.credit = min(p.credit+rate*seconds(beat), rate)
+	if !due && (!p.urgent || p.credit < 1) {
+		return
+	}
+	slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
+	msg := g.head(p, due)
+	left := p.queue[:0]
+	for i, t := range p.queue {
+		c := t.customer
+		total := uint64(c.total * unit)
+		if !due && total == t.told {
+			left = append(left, t)
 			continue
 		}
-		slices.SortStableFunc(p.queue, func(a, b *tie) int {
-			return cmp.Compare(b.customer.total-float64(b.told)/unit, a.customer.total-float64(a.told)/unit)
-		})
-		room := max(1, int(g.seat.PerSecond*mailShare*float64(interval)/float64(second))/max(g.seat.Count-1, 1))
-		left := p.queue[:0]
-		msg := g.head(p, good)
-		for _, t := range p.queue {
-			c := t.customer
-			entry := binary.LittleEndian.AppendUint64(nil, c.hash)[:5]
-			entry = append(entry, byte(slices.IndexFunc(g.plans, func(q gateway.Plan) bool { return q == *c.plan })))
-			entry = append(entry, byte(c.spread)<<4|byte(c.first))
-			total := uint64(c.total * unit)
-			entry = binary.AppendUvarint(entry, total)
-			if len(msg)+len(entry) > mailBytes {
-				if room--; room <= 0 {
-					left = append(left, t)
-					room = 0
-					continue
-				}
-				g.out.Tell(p.seat, msg)
-				msg = g.head(p, nil)
-			}
-			msg = append(msg, entry...)
-			t.told, t.queued = total, t.again
-			if t.again { // once more: a last change that is lost would stay unknown
-				t.again = false
-				left = append(left, t)
+		entry := binary.LittleEndian.AppendUint64(nil, c.hash)[:5]
+		entry = append(entry, byte(c.planID), byte(c.spread), byte(c.first))
+		if g.now-c.begun < silence {
+			entry[7] |= 128
+		}
+		entry = binary.AppendUvarint(entry, total)
+		if len(msg)+len(entry) > mailBytes {
+			if p.credit < 2 || !due {
+				left = append(left, p.queue[i:]...)
+				break
 			}
+			g.out.Tell(p.seat, msg)
+			p.credit--
+			msg = g.head(p, false)
+		}
+		msg = append(msg, entry...)
+		t.told, t.queued = total, t.again
+		if t.again {
+			t.again = !due
+			left = append(left, t)
 		}
-		p.queue = left
-		g.out.Tell(p.seat, msg)
 	}
+	p.queue, p.urgent = left, false
+	p.credit--
+	g.out.Tell(p.seat, msg)
 }
 
-// head begins a message: version, this life, its number, and the hosts that answered well of late.
-func (g *Gateway) head(p *peer, good []uint16) []byte {
+// head begins a message: version, this life, the message's number, and once an interval the hosts that answered
+// well of late.
+func (g *Gateway) head(p *peer, hosts bool) []byte {
 	p.said++
 	msg := binary.AppendUvarint([]byte{mailVersion}, uint64(g.start))
 	msg = binary.AppendUvarint(msg, p.said)
-	msg = append(msg, byte(len(good)))
-	for _, tag := range good {
-		msg = binary.LittleEndian.AppendUint16(msg, tag)
+	var tags []byte
+	for _, h := range g.fleet.hosts {
+		if hosts && h.lastGood > 0 && g.now-h.lastGood <= interval && len(tags) < 100 {
+			tags = binary.LittleEndian.AppendUint16(tags, uint16(h.hash))
+		}
 	}
-	return msg
+	return append(append(msg, byte(len(tags)/2)), tags...)
 }
 
 // hear takes a peer's message in: its admissions since the last total heard are subtracted from the copy.
@@ -492,53 +512,58 @@
 	}
 	p := g.peers[from]
 	life, n := binary.Uvarint(msg[1:])
-	if n <= 0 {
+	number, m := binary.Uvarint(msg[1+max(n, 0):])
+	if n <= 0 || m <= 0 || len(msg) < n+m+2 || life < p.life {
 		return
 	}
-	msg = msg[1+n:]
-	seq, n := binary.Uvarint(msg)
-	if n <= 0 || len(msg) <= n || len(msg) < n+1+2*int(msg[n]) || life < p.life {
+	hosts := int(msg[n+m+1])
+	msg = msg[n+m+2:]
+	if len(msg) < 2*hosts {
 		return
 	}
-	hosts := int(msg[n])
-	msg = msg[n+1:]
-	g.heard = g.now
-	fresh := life > p.life
-	p.life, p.seq = life, seq
-	for range hosts {
-		g.fleet.vouched(binary.LittleEndian.Uint16(msg), g.now)
+	p.life, g.heard = life, g.now
+	for ; hosts > 0; hosts-- {
+		g.fleet.vouched(binary.LittleEndian.Uint16(msg))
 		msg = msg[2:]
 	}
-	for len(msg) > 7 {
-		hash := binary.LittleEndian.Uint64(append(append([]byte(nil), msg[:5]...), 0, 0, 0))
-		plan, spread, first := int(msg[5]), int(msg[6]>>4), int(msg[6]&15)
-		total, n := binary.Uvarint(msg[7:])
+	for len(msg) > 8 {
+		hash := binary.LittleEndian.Uint64(msg) & (1<<40 - 1)
+		plan, spread, first := int(msg[5]), int(msg[6]), int(msg[7]&127)
+		total, n := binary.Uvarint(msg[8:])
 		if n <= 0 || plan >= len(g.plans) || spread > len(g.peers) || first >= len(g.peers) {
 			return
 		}
-		msg = msg[7+n:]
 		c := g.customer(hash, plan, spread, first)
 		for i := range c.ties {
-			if t := &c.ties[i]; t.peer == p {
-				c.refill(g.now)
-				t.hear(total, fresh, g.now)
+			if t := &c.ties[i]; t.peer == p && (t.life != life || number > t.number) {
+				t.number = number
+				t.hear(total, msg[7] > 127, g.now)
 			}
 		}
+		msg = msg[8+n:]
 	}
 }
 
-// hear subtracts what the peer admitted since its last message; a first or lower total is only recorded.
-func (t *tie) hear(total uint64, fresh bool, now int64) {
+// hear subtracts what the peer admitted since its last message. A first or lower total is only recorded, but
+// subtracted whole where the peer says that it has counted for a short time only.
+func (t *tie) hear(total uint64, young bool, now int64) {
 	c := t.customer
-	if t.known && total > t.seen && !fresh {
-		units := float64(total-t.seen) / unit
+	c.refill(now)
+	last := t.seen
+	if t.life != t.peer.life || total < t.seen {
+		if last = total; young {
+			last = 0
+		}
+	}
+	if total > last {
+		units := float64(total-last) / unit
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
-		t.rate = units / max(seconds(now-t.seenAt), seconds(interval))
+		t.rate += (units/max(seconds(now-t.seenAt), seconds(interval)/4) - t.rate) / 2
 	}
-	if !t.known || total != t.seen {
-		t.seenAt = now
+	if total != t.seen || t.life != t.peer.life {
+		t.seenAt, c.moved = now, now
 	}
-	t.known, t.seen = true, total
+	t.life, t.seen = t.peer.life, total
 }
 
 // fleet is the hosts.
@@ -748,18 +773,8 @@
 	return stuck
 }
 
-// good gives the tags of the hosts that answered well since the last telling.
-func (f *fleet) good(now int64) (tags []uint16) {
-	for _, h := range f.hosts {
-		if now-h.lastGood <= interval && h.lastGood > 0 {
-			tags = append(tags, uint16(h.hash))
-		}
-	}
-	return tags[:min(len(tags), 100)]
-}
-
 // vouched brings a host back that another gateway has good answers from.
-func (f *fleet) vouched(tag uint16, now int64) {
+func (f *fleet) vouched(tag uint16) {
 	for _, h := range f.hosts {
 		if uint16(h.hash) == tag && h.aside > 0 {
 			h.aside, h.strikes = 0, 0
