--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,13 +196,8 @@
 	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now, until: e.Until}
 	g.reqs[r.id] = r
 	c.size += (e.Units - c.size) / 8
-	c.refill(g.now)
+	c.refill(g.now, g.alone())
 
-	// No peer is heard: what they admit is unknown.
-	if len(c.ties) > 0 && g.now-g.heard > silence {
-		g.deny(r, interval)
-		return
-	}
 	// The copy lacks the units.
 	if c.plan.Rate > 0 && c.level < r.units {
 		g.deny(r, int64((r.units-c.level)/c.plan.Rate*float64(second)))
@@ -363,7 +358,7 @@
 	if g.now >= g.nextSweep {
 		g.nextSweep = g.now + second
 		for hash, c := range g.customers {
-			if c.idle(g.now) {
+			if c.idle(g.now, g.alone()) {
 				delete(g.customers, hash)
 			}
 		}
@@ -395,16 +390,27 @@
 	return c
 }
 
-func (c *customer) refill(now int64) {
+// alone tells that no peer has been heard for four intervals, so that what they admit is unknown.
+func (g *Gateway) alone() bool { return g.now-g.heard > silence }
+
+// refill brings the copy up to now. The design refuses all while no peer is heard. But then everyone is refused
+// also when the peers are gone or the network between them is, so here the copy keeps the part that is safe in
+// any case: what it would be due if each gateway of the customer's set were as cut off as this one. It covers
+// partitions, crashes and long loss alike; it may cost up to one burst once, and most of a quota to the last alive.
+func (c *customer) refill(now int64, alone bool) {
 	t := seconds(now - c.at)
 	c.at = now
-	c.level = min(c.level+c.plan.Rate*t, c.plan.Burst)
+	part := 1.0
+	if alone {
+		part = 1 / float64(len(c.ties)+1)
+	}
+	c.level = min(c.level+c.plan.Rate*t*part, c.plan.Burst*part)
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilMost)
 }
 
 // idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
-func (c *customer) idle(now int64) bool {
-	c.refill(now)
+func (c *customer) idle(now int64, alone bool) bool {
+	c.refill(now, alone)
 	return c.open == 0 && now-c.moved > idle && c.level >= c.plan.Burst && c.ceiling >= c.ceilMost &&
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
@@ -548,7 +554,7 @@
 // subtracted whole where the peer says that it has counted for a short time only.
 func (t *tie) hear(total uint64, young bool, now int64) {
 	c := t.customer
-	c.refill(now)
+	c.refill(now, false)
 	last := t.seen
 	if t.life != t.peer.life || total < t.seen {
 		if last = total; young {
