Totals after a silence are first totals again

Cause: when the network healed, 15 s of peers' admissions were subtracted from copies whose refill had been held back.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,10 +116,10 @@
 type tie struct {
 	customer *customer
 	peer     *peer
-	life     uint64 // of the peer, when last heard
-	number   uint64 // of that message
-	seen     uint64 // last total heard
-	seenAt   int64
+	at       int64   // of the last hearing of this customer from this peer
+	number   uint64  // of that message
+	seen     uint64  // last total heard
+	seenAt   int64   // of its last change
 	rate     float64 // units a second it admits
 	told     uint64  // last total told
 	queued   bool
@@ -131,6 +131,8 @@
 	seat   int
 	life   uint64 // its start by its own clock; later is newer
 	queue  []*tie // with totals to tell
+	heard  int64
+	first  int64 // hearing of this life, or since a long silence
 	urgent bool
 	said   uint64  // messages
 	credit float64 // messages that it can take
@@ -527,7 +529,10 @@
 	if len(msg) < 2*hosts {
 		return
 	}
-	p.life, g.heard = life, g.now
+	if life != p.life || g.now-p.heard > silence { // a new life, or unheard for long: totals are first totals again
+		p.life, p.first = life, g.now
+	}
+	p.heard, g.heard = g.now, g.now
 	for ; hosts > 0; hosts-- {
 		g.fleet.vouched(binary.LittleEndian.Uint16(msg))
 		msg = msg[2:]
@@ -541,9 +546,9 @@
 		}
 		c := g.customer(hash, plan, spread, first)
 		for i := range c.ties {
-			if t := &c.ties[i]; t.peer == p && (t.life != life || number > t.number) {
-				t.number = number
+			if t := &c.ties[i]; t.peer == p && (t.at < p.first || number > t.number) {
 				t.hear(total, msg[7] > 127, g.now)
+				t.number, t.at = number, g.now
 			}
 		}
 		msg = msg[8+n:]
@@ -556,7 +561,7 @@
 	c := t.customer
 	c.refill(now, false)
 	last := t.seen
-	if t.life != t.peer.life || total < t.seen {
+	if t.at < t.peer.first || t.at == 0 || total < t.seen {
 		if last = total; young {
 			last = 0
 		}
@@ -566,10 +571,10 @@
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
 		t.rate += (units/max(seconds(now-t.seenAt), seconds(interval)/4) - t.rate) / 2
 	}
-	if total != t.seen || t.life != t.peer.life {
+	if total != t.seen {
 		t.seenAt, c.moved = now, now
 	}
-	t.life, t.seen = t.peer.life, total
+	t.seen = total
 }
 
 // fleet is the hosts.
