--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,6 @@
 	mailBytes   = 256          // longest message
 	mailVersion = 1            // first byte of a message
 	lateness    = 0.35         // part of the response target that answers may take on average
-	hold        = 0.25         // part of the response target that a req may wait under the cap on open reqs
 	idle        = 2 * second   // a refilled customer is forgotten after so long
 	unit        = 64           // totals are told in parts of a unit
 )
@@ -61,7 +60,6 @@
 	nextSweep  int64
 	asked      int64 // last time the list was asked for
 	extra      float64
-	held       []*req
 }
 
 // front is a frontend and how long its answers usually take.
@@ -83,7 +81,6 @@
 	ranAt    int64 // when the first dispatch that may have run was sent, 0 none
 	ranHost  *host
 	closed   bool
-	held     bool // for room under the cap on open reqs
 }
 
 // send is a dispatch.
@@ -195,18 +192,12 @@
 	}
 }
 
-// arrive takes a req in.
+// arrive decides a req: the ordinary path, from top to bottom.
 func (g *Gateway) arrive(e *gateway.Event) {
 	c := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First)
 	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now, until: e.Until}
 	g.reqs[r.id] = r
 	c.size += (e.Units - c.size) / 8
-	g.decide(r)
-}
-
-// decide passes, denies or holds r: the ordinary path, from top to bottom.
-func (g *Gateway) decide(r *req) {
-	c := r.customer
 	c.refill(g.now, g.alone())
 
 	// The copy lacks the units.
@@ -219,17 +210,11 @@
 		g.deny(r, int64((r.units-c.ceiling)/c.ceilRate*float64(second)))
 		return
 	}
-	// As many dispatches are out as the plan allows: one of them will soon end, or it is told to come back.
+	// As many dispatches are out as the plan allows.
 	if c.plan.Open > 0 && !g.openRoom(c, r.front.usual) {
-		if g.now-r.arrived >= int64(hold*float64(r.front.Target)) {
-			g.deny(r, int64(r.front.usual))
-		} else if !r.held {
-			r.held = true
-			g.held = append(g.held, r)
-		}
+		g.deny(r, int64(r.front.usual))
 		return
 	}
-	r.held = false
 	// No host has room: better told now than answered late.
 	h := g.fleet.pick(c.hash, g.now, nil)
 	if h == nil {
@@ -284,7 +269,6 @@
 	if e.Closed {
 		r.closed = true
 	}
-	g.release(r.customer)
 	if r.closed {
 		g.close(r)
 		return
@@ -294,18 +278,6 @@
 	}
 }
 
-// release decides held reqs anew: those of a customer, or all.
-func (g *Gateway) release(c *customer) {
-	for _, r := range g.held {
-		if c == nil || c == r.customer {
-			if !r.closed && r.held {
-				g.decide(r)
-			}
-		}
-	}
-	g.held = slices.DeleteFunc(g.held, func(r *req) bool { return r.closed || !r.held })
-}
-
 // again sends r once more, if it may.
 func (g *Gateway) again(r *req) bool {
 	if r.out > 0 || len(r.sends) >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) {
@@ -366,7 +338,6 @@
 
 // tick does what is due with time.
 func (g *Gateway) tick() {
-	g.release(nil)
 	if g.limits.MustAsk && g.now-g.asked > 2*second && g.asked > 0 {
 		g.asked = 0
 		g.out.Follow()
