--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,25 +27,26 @@
 )
 
 const (
-	second      = int64(1e9)
-	beat        = second / 50  // wake-ups
-	interval    = second / 4   // between totals
-	silence     = 4 * interval // no peer heard for so long: refuse
-	debt        = 1.0          // bursts that a copy may owe
-	mailShare   = 0.8          // part of what a peer takes in that its fellows use together
-	early       = 0.05         // part of a burst that goes untold before the interval is over
-	mailBytes   = 256          // longest message
-	mailVersion = 1            // first byte of a message
-	lateness    = 0.35         // part of the response target that answers may take on average
-	idle        = 2 * second   // a refilled customer is forgotten after so long
-	unit        = 64           // totals are told in parts of a unit
+	second    = int64(1e9)
+	beat      = second / 50  // between wake-ups
+	interval  = second / 2   // between totals; the design's default
+	silence   = 4 * interval // no peer heard for so long: alone
+	debt      = 1.0          // bursts that a copy may owe
+	early     = 0.05         // part of a burst that goes untold before the interval is over
+	mailShare = 0.8          // part of what a gateway takes in that its peers use together
+	mailBytes = 256          // longest message
+	version   = 1            // first byte of a message
+	unit      = 64           // totals are told in these parts of a unit
+	idle      = 2 * second   // a refilled customer is forgotten after so long
+	lateness  = 0.35         // part of the response target that answers may take on average
+	ample     = 1.2          // times the least load: enough for a host
+	firstOpen = 8.0          // dispatches out at a host to start with, all gateways together
 )
 
 // Gateway decides for one gateway.
 type Gateway struct {
 	now, start int64
 	out        gateway.Writer
-	rnd        mwc
 	seat       gateway.Seat
 	fronts     []front
 	plans      []gateway.Plan
@@ -55,11 +56,10 @@
 	peers      []*peer // by seat; nil for oneself
 	heard      int64   // last hearing of any peer
 	fleet      fleet
-	woken      int64 // next beat
-	nextTell   int64
-	nextSweep  int64
-	asked      int64 // last time the list was asked for
-	extra      float64
+	spare      float64 // further dispatches that may be sent where one may have run
+	rnd        mwc
+
+	nextBeat, nextTell, nextSweep, nextAsk int64
 }
 
 // front is a frontend and how long its answers usually take.
@@ -70,20 +70,18 @@
 
 // req is held from its arrival until it is closed and no dispatch is out.
 type req struct {
-	id       string
-	customer *customer
-	front    *front
-	units    float64
-	arrived  int64
-	until    int64 // the client gives up
-	sends    []*send
-	out      int
-	ranAt    int64 // when the first dispatch that may have run was sent, 0 none
-	ranHost  *host
-	closed   bool
-}
-
-// send is a dispatch.
+	id             string
+	customer       *customer
+	front          *front
+	units          float64
+	arrived, until int64
+	sends          []*send
+	ran            *send // the first dispatch that may have run
+	out            int
+	closed         bool
+}
+
+// send is a dispatch, the nth of its req.
 type send struct {
 	req  *req
 	host *host
@@ -94,54 +92,45 @@
 
 // customer is this gateway's copy of a customer's bucket, with what its peers told of it.
 type customer struct {
-	hash     uint64
-	plan     *gateway.Plan
-	planID   int
-	begun    int64 // start of this record
-	level    float64
-	at       int64   // of the last refill
-	moved    int64   // last admission here or heard
-	total    float64 // units admitted here
-	ceiling  float64 // this gateway's part of the ceiling store
-	ceilRate float64
-	ceilMost float64
-	open     int     // dispatches out from here
-	size     float64 // usual units of a req
-	spread   int
-	first    int
-	ties     []tie // the customer's other gateways
+	hash                uint64
+	plan                *gateway.Plan
+	planID              int
+	spread, first       int
+	ties                []tie // its other gateways
+	begun, at, moved    int64 // start of the record, last refill, last admission here or elsewhere
+	level, total        float64
+	ceiling             float64 // this gateway's part of the ceiling's store
+	ceilRate, ceilDepth float64
+	open                int     // dispatches out from here
+	size                float64 // usual units of a req
 }
 
 // tie is what one customer and one of its other gateways know of each other.
 type tie struct {
-	customer *customer
-	peer     *peer
-	at       int64   // of the last hearing of this customer from this peer
-	number   uint64  // of that message
-	seen     uint64  // last total heard
-	seenAt   int64   // of its last change
-	rate     float64 // units a second it admits
-	told     uint64  // last total told
-	queued   bool
-	again    bool
+	customer      *customer
+	peer          *peer
+	at, changed   int64  // of the last total heard, and of the last that differed
+	number        uint64 // of the message that told it
+	seen, told    uint64 // last total heard, last told
+	rate          float64
+	queued, again bool
 }
 
 // peer is another gateway.
 type peer struct {
-	seat   int
-	life   uint64 // its start by its own clock; later is newer
-	queue  []*tie // with totals to tell
-	heard  int64
-	first  int64 // hearing of this life, or since a long silence
-	urgent bool
-	said   uint64  // messages
-	credit float64 // messages that it can take
+	seat         int
+	life         uint64 // its start by its own clock; later is newer
+	heard, first int64  // last hearing; first of this life, or since a long silence
+	queue        []*tie // with totals to tell
+	urgent       bool
+	said         uint64  // messages
+	credit       float64 // messages that it can take
 }
 
 // New starts a gateway.
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan, limits gateway.Limits,
 	cold gateway.Cold, report gateway.Report) *Gateway {
-	g := &Gateway{rnd: mwc(seed), seat: seat, plans: plans, limits: limits, customers: map[uint64]*customer{},
+	g := &Gateway{rnd: mwc(seed | 1), seat: seat, plans: plans, limits: limits, customers: map[uint64]*customer{},
 		reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1)), start: -1}
 	for _, f := range fronts {
 		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6})
@@ -152,7 +141,7 @@
 		}
 	}
 	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields,
-		first: 8 / float64(max(seat.Count, 1))}
+		first: firstOpen / float64(max(seat.Count, 1))}
 	return g
 }
 
@@ -160,10 +149,8 @@
 func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
-		g.start, g.heard, g.nextTell = g.now, g.now, g.now+interval
-		if g.limits.MustAsk {
-			g.ask()
-		}
+		g.start, g.heard, g.nextTell = g.now, g.now, g.now+int64(g.rnd.next())%interval
+		g.nextAsk = g.now
 	}
 	for i := range in.Events {
 		e := &in.Events[i]
@@ -178,15 +165,15 @@
 			}
 		case gateway.Listed:
 			g.fleet.list(e.List, e.Hosts)
-			if e.List == gateway.Lost && g.limits.MustAsk {
-				g.asked = g.now
+			if e.List == gateway.Lost { // the subscription too is lost
+				g.nextAsk = g.now + second
 			}
 		case gateway.Heard:
 			g.hear(e.Peer, e.Body)
 		}
 	}
-	if g.now >= g.woken {
-		g.woken = g.now + beat
+	if g.now >= g.nextBeat {
+		g.nextBeat = g.now + beat
 		out.Wake(beat)
 		g.tick()
 	}
@@ -226,9 +213,9 @@
 	c.total += r.units
 	c.moved = g.now
 	for i := range c.ties {
-		c.ties[i].changed()
+		c.ties[i].note()
 	}
-	g.extra = min(g.extra+0.1, 10)
+	g.spare = min(g.spare+0.1, 10)
 	g.dispatch(r, h)
 }
 
@@ -259,21 +246,16 @@
 	r.customer.open--
 	s.host.drop(s)
 	g.fleet.out--
-	if !e.Result.NeverRan() && r.ranAt == 0 {
-		r.ranAt, r.ranHost = s.at, s.host
+	if !e.Result.NeverRan() && r.ran == nil {
+		r.ran = s
 	}
 	g.fleet.learn(s, e.Result, e.Lag, e.Load, g.now)
 	if e.Result == gateway.Passed && e.Units > 0 {
 		r.customer.level += r.units - e.Units
 	}
-	if e.Closed {
-		r.closed = true
-	}
-	if r.closed {
+	if r.closed || e.Closed {
 		g.close(r)
-		return
-	}
-	if e.Result == gateway.TimedOut || !g.again(r) {
+	} else if e.Result == gateway.TimedOut || !g.again(r) {
 		g.finish(r)
 	}
 }
@@ -285,20 +267,20 @@
 	}
 	last := r.sends[len(r.sends)-1].host
 	in := func(h *host) bool { return h != last }
-	if r.ranAt > 0 {
-		if g.extra < 1 || r.front.Effect == gateway.NonReplayable {
+	if r.ran != nil {
+		if g.spare < 1 || r.front.Effect == gateway.NonReplayable {
 			return false
 		}
 		if r.front.Effect == gateway.Uniqued {
-			if g.now > r.ranAt+r.front.Window-second/5 {
+			if g.now > r.ran.at+r.front.Window-second/5 {
 				return false
 			}
 			in = func(h *host) bool {
 				return h != last && (r.front.Group == gateway.AllHosts ||
-					h.zone == r.ranHost.zone && (r.front.Group == gateway.SameZone || h.cell == r.ranHost.cell))
+					h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 			}
 		}
-		g.extra--
+		g.spare--
 	}
 	h := g.fleet.pick(r.customer.hash, g.now, in)
 	if h == nil {
@@ -311,7 +293,7 @@
 // finish gives r up at once: a denial where a repeat is harmless, else an abort.
 func (g *Gateway) finish(r *req) {
 	e := r.front.Effect
-	if r.ranAt == 0 || e == gateway.Replayable || e == gateway.Uniqued && r.front.Group == gateway.AllHosts {
+	if r.ran == nil || e == gateway.Replayable || e == gateway.Uniqued && r.front.Group == gateway.AllHosts {
 		g.deny(r, int64(r.front.usual))
 		return
 	}
@@ -338,19 +320,19 @@
 
 // tick does what is due with time.
 func (g *Gateway) tick() {
-	if g.limits.MustAsk && g.now-g.asked > 2*second && g.asked > 0 {
-		g.asked = 0
+	if g.limits.MustAsk && g.now >= g.nextAsk {
+		g.nextAsk = math.MaxInt64
 		g.out.Follow()
 	}
 	for _, s := range g.fleet.watch(g.now) {
-		if g.limits.Cancel && g.extra >= 1 && !s.req.closed && len(s.req.sends) < g.limits.Dispatches &&
+		if g.limits.Cancel && g.spare >= 1 && !s.req.closed && len(s.req.sends) < g.limits.Dispatches &&
 			s.req.front.Effect != gateway.NonReplayable {
 			g.out.Cancel(s.req.id, s.n)
 		}
 	}
 	due := g.now >= g.nextTell
 	if due {
-		g.nextTell = g.now + interval
+		g.nextTell += interval
 	}
 	for _, p := range g.peers {
 		if p != nil {
@@ -367,11 +349,6 @@
 	}
 }
 
-func (g *Gateway) ask() {
-	g.asked = 0
-	g.out.Follow()
-}
-
 // customer finds a customer, or starts one with a full copy.
 func (g *Gateway) customer(hash uint64, plan, spread, first int) *customer {
 	if c := g.customers[hash]; c != nil {
@@ -380,9 +357,9 @@
 	p := &g.plans[plan]
 	n := float64(max(min(spread, g.seat.Count), 1))
 	c := &customer{hash: hash, plan: p, planID: plan, begun: g.now, level: p.Burst, at: g.now, moved: g.now, size: 1,
-		spread: spread, first: first, ceilRate: p.CeilingRate / n, ceilMost: p.CeilingBurst / n}
+		spread: spread, first: first, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it starts empty and fills from the start on.
-	c.ceiling = min(c.ceilMost, c.ceilRate*seconds(g.now-g.start))
+	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
 	for i := range spread {
 		if p := g.peers[(first+i)%len(g.peers)]; p != nil {
 			c.ties = append(c.ties, tie{customer: c, peer: p})
@@ -407,13 +384,13 @@
 		part = 1 / float64(len(c.ties)+1)
 	}
 	c.level = min(c.level+c.plan.Rate*t*part, c.plan.Burst*part)
-	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilMost)
+	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
 }
 
 // idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
 func (c *customer) idle(now int64, alone bool) bool {
 	c.refill(now, alone)
-	return c.open == 0 && now-c.moved > idle && c.level >= c.plan.Burst && c.ceiling >= c.ceilMost &&
+	return c.open == 0 && now-c.moved > idle && c.level >= c.plan.Burst && c.ceiling >= c.ceilDepth &&
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
@@ -426,7 +403,7 @@
 	}
 	others := 0.0
 	for i := range c.ties {
-		if t := &c.ties[i]; g.now-t.seenAt < 3*interval {
+		if t := &c.ties[i]; g.now-t.changed < 3*interval {
 			others += t.rate / max(c.size, 0.1) * usual / float64(second)
 		}
 	}
@@ -438,8 +415,8 @@
 	return p*c.plan.Price >= (1-p)*c.plan.BeyondCost*c.plan.Price
 }
 
-// changed notes that the peer is to be told, early if the untold part is large.
-func (t *tie) changed() {
+// note notes that the peer is to be told, early if the untold part is large.
+func (t *tie) note() {
 	t.again = true
 	if !t.queued {
 		t.queued = true
@@ -502,11 +479,11 @@
 // well of late.
 func (g *Gateway) head(p *peer, hosts bool) []byte {
 	p.said++
-	msg := binary.AppendUvarint([]byte{mailVersion}, uint64(g.start))
+	msg := binary.AppendUvarint([]byte{version}, uint64(g.start))
 	msg = binary.AppendUvarint(msg, p.said)
 	var tags []byte
 	for _, h := range g.fleet.hosts {
-		if hosts && h.lastGood > 0 && g.now-h.lastGood <= interval && len(tags) < 100 {
+		if hosts && h.good > 0 && g.now-h.good <= interval && len(tags) < 100 {
 			tags = binary.LittleEndian.AppendUint16(tags, uint16(h.hash))
 		}
 	}
@@ -515,7 +492,7 @@
 
 // hear takes a peer's message in: its admissions since the last total heard are subtracted from the copy.
 func (g *Gateway) hear(from int, msg []byte) {
-	if from < 0 || from >= len(g.peers) || g.peers[from] == nil || len(msg) < 4 || msg[0] != mailVersion {
+	if from < 0 || from >= len(g.peers) || g.peers[from] == nil || len(msg) < 4 || msg[0] != version {
 		return
 	}
 	p := g.peers[from]
@@ -569,10 +546,10 @@
 	if total > last {
 		units := float64(total-last) / unit
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
-		t.rate += (units/max(seconds(now-t.seenAt), seconds(interval)/4) - t.rate) / 2
+		t.rate += (units/max(seconds(now-t.changed), seconds(interval)/4) - t.rate) / 2
 	}
 	if total != t.seen {
-		t.seenAt, c.moved = now, now
+		t.changed, c.moved = now, now
 	}
 	t.seen = total
 }
@@ -594,16 +571,16 @@
 	hash       uint64
 	zone, cell int
 	state      gateway.State
-	since      int64
+	since      int64 // its last start
 	out        []*send
-	pace       float64 // its answers' time against the usual
 	room       room    // for dispatches out from here
-	util       float64
+	pace       float64 // its answers' time against the usual
+	util       float64 // told busy share of its cores
+	load       float64 // how long an answer would take, in parts of the usual
 	allow      float64 // dispatches it may get while cold
 	aside      int64   // set aside until; 0 not
-	strikes    int
-	lastGood   int64
-	lastAny    int64 // last answer of any kind
+	strikes    int     // times set aside in a row
+	good, any  int64   // last good answer, last answer
 }
 
 // list takes news of the host list in.
@@ -651,11 +628,6 @@
 	return f.warmth(h, now) >= 1 || h.allow >= 1
 }
 
-// load is how long an answer of h would take, in parts of the usual.
-func (f *fleet) load(h *host, now int64) float64 {
-	return h.pace * float64(len(h.out)+1) / f.warmth(h, now) * (1 + h.util)
-}
-
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
 	if float64(f.out+1) > f.room.limit {
@@ -663,20 +635,20 @@
 	}
 	least := math.Inf(1)
 	for _, h := range f.hosts {
+		h.load = math.Inf(1)
 		if f.usable(h, now) && (in == nil || in(h)) {
-			least = min(least, f.load(h, now))
+			h.load = h.pace * float64(len(h.out)+1) / f.warmth(h, now) * (1 + h.util)
 		}
+		least = min(least, h.load)
 	}
-	var best *host
-	top := uint64(0)
+	var first *host
 	for _, h := range f.hosts {
-		if f.usable(h, now) && (in == nil || in(h)) && f.load(h, now) <= least*1.2 {
-			if rank := mix(customer ^ h.hash); best == nil || rank > top {
-				best, top = h, rank
-			}
+		if h.load <= least*ample && !math.IsInf(least, 1) &&
+			(first == nil || mix(customer^h.hash) > mix(customer^first.hash)) {
+			first = h
 		}
 	}
-	return best
+	return first
 }
 
 // sent counts a dispatch: every cold host's allowance grows by its part of the fleet's warmth.
@@ -718,13 +690,13 @@
 		fr.usual += (float64(lag) - fr.usual) / 64
 		h.pace += (float64(lag)/fr.usual - h.pace) / 16
 		h.pace = max(h.pace, 0.2)
-		h.lastGood, h.lastAny = now, now
+		h.good, h.any = now, now
 		h.aside, h.strikes = 0, 0
 		f.late(h, lag, fr.Target, now)
 	case gateway.TimedOut:
 		f.late(h, lag, s.req.front.Target, now)
 	case gateway.Busy:
-		h.lastAny = now
+		h.any = now
 		h.room.cut(len(h.out), now, 0)
 	case gateway.Unreached, gateway.Broken:
 		f.setAside(h, now)
@@ -774,11 +746,11 @@
 			continue
 		}
 		fr := h.out[0].req.front
-		wait := now - max(h.out[0].at, h.lastAny)
+		wait := now - max(h.out[0].at, h.any)
 		if wait > max(int64(5*fr.usual*h.pace), fr.Target/2) {
 			f.setAside(h, now)
 			stuck = append(stuck, h.out...)
-			h.lastAny = now
+			h.any = now
 		}
 	}
 	return stuck
