--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,6 +20,7 @@
 	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 
@@ -38,6 +39,7 @@
 	version   = 1            // first byte of a message
 	unit      = 64           // totals are told in these parts of a unit
 	idle      = 2 * second   // a refilled customer is forgotten after so long
+	margin    = second / 5   // kept clear of the end of a uniqued req's window
 	lateness  = 0.35         // part of the response target that answers may take on average
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at a host to start with, all gateways together
@@ -175,7 +177,7 @@
 	if g.now >= g.nextBeat {
 		g.nextBeat = g.now + beat
 		out.Wake(beat)
-		g.tick()
+		g.beat()
 	}
 }
 
@@ -244,7 +246,7 @@
 	s.live = false
 	r.out--
 	r.customer.open--
-	s.host.drop(s)
+	s.host.out = slices.DeleteFunc(s.host.out, func(o *send) bool { return o == s })
 	g.fleet.out--
 	if !e.Result.NeverRan() && r.ran == nil {
 		r.ran = s
@@ -265,27 +267,21 @@
 	if r.out > 0 || len(r.sends) >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) {
 		return false
 	}
-	last := r.sends[len(r.sends)-1].host
-	in := func(h *host) bool { return h != last }
-	if r.ran != nil {
-		if g.spare < 1 || r.front.Effect == gateway.NonReplayable {
-			return false
-		}
-		if r.front.Effect == gateway.Uniqued {
-			if g.now > r.ran.at+r.front.Window-second/5 {
-				return false
-			}
-			in = func(h *host) bool {
-				return h != last && (r.front.Group == gateway.AllHosts ||
-					h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
-			}
-		}
-		g.spare--
+	last, e := r.sends[len(r.sends)-1].host, r.front.Effect
+	if r.ran != nil && (g.spare < 1 || e == gateway.NonReplayable ||
+		e == gateway.Uniqued && g.now > r.ran.at+r.front.Window-margin) {
+		return false
 	}
-	h := g.fleet.pick(r.customer.hash, g.now, in)
+	h := g.fleet.pick(r.customer.hash, g.now, func(h *host) bool {
+		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
+			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
+	})
 	if h == nil {
 		return false
 	}
+	if r.ran != nil {
+		g.spare--
+	}
 	g.dispatch(r, h)
 	return true
 }
@@ -318,34 +314,37 @@
 	}
 }
 
-// tick does what is due with time.
-func (g *Gateway) tick() {
+// beat does what is due with time.
+func (g *Gateway) beat() {
 	if g.limits.MustAsk && g.now >= g.nextAsk {
 		g.nextAsk = math.MaxInt64
 		g.out.Follow()
 	}
-	for _, s := range g.fleet.watch(g.now) {
-		if g.limits.Cancel && g.spare >= 1 && !s.req.closed && len(s.req.sends) < g.limits.Dispatches &&
-			s.req.front.Effect != gateway.NonReplayable {
-			g.out.Cancel(s.req.id, s.n)
+	for _, h := range g.fleet.hosts {
+		if !h.silent(g.now) {
+			continue
+		}
+		h.setAside(g.now)
+		h.any = g.now
+		for _, s := range h.out { // what it holds moves on when the cancel is confirmed
+			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed && len(r.sends) < g.limits.Dispatches &&
+				r.front.Effect != gateway.NonReplayable {
+				g.out.Cancel(r.id, s.n)
+			}
 		}
 	}
 	due := g.now >= g.nextTell
-	if due {
-		g.nextTell += interval
-	}
 	for _, p := range g.peers {
 		if p != nil {
 			g.tell(p, due)
 		}
 	}
+	if due {
+		g.nextTell += interval
+	}
 	if g.now >= g.nextSweep {
 		g.nextSweep = g.now + second
-		for hash, c := range g.customers {
-			if c.idle(g.now, g.alone()) {
-				delete(g.customers, hash)
-			}
-		}
+		maps.DeleteFunc(g.customers, func(_ uint64, c *customer) bool { return c.idle(g.now, g.alone()) })
 	}
 }
 
@@ -670,15 +669,9 @@
 	}
 }
 
-func (h *host) drop(s *send) {
-	if i := slices.Index(h.out, s); i >= 0 {
-		h.out = slices.Delete(h.out, i, i+1)
-	}
-}
-
 // learn takes in what an ended dispatch says of its host.
 func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
-	h := s.host
+	h, fr := s.host, s.req.front
 	for i, v := range load {
 		if i < len(f.fields) && f.fields[i] == gateway.BusyShare {
 			h.util = v
@@ -686,27 +679,19 @@
 	}
 	switch res {
 	case gateway.Passed:
-		fr := s.req.front
 		fr.usual += (float64(lag) - fr.usual) / 64
-		h.pace += (float64(lag)/fr.usual - h.pace) / 16
-		h.pace = max(h.pace, 0.2)
-		h.good, h.any = now, now
-		h.aside, h.strikes = 0, 0
-		f.late(h, lag, fr.Target, now)
-	case gateway.TimedOut:
-		f.late(h, lag, s.req.front.Target, now)
+		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
+		h.good, h.any, h.aside, h.strikes = now, now, 0, 0
 	case gateway.Busy:
 		h.any = now
 		h.room.cut(len(h.out), now, 0)
 	case gateway.Unreached, gateway.Broken:
-		f.setAside(h, now)
+		h.setAside(now)
+	}
+	if res == gateway.Passed || res == gateway.TimedOut {
+		h.room.learn(lag, fr.Target, len(h.out), now)
+		f.room.learn(lag, fr.Target, f.out, now)
 	}
-}
-
-// late moves the limits of the host and of the fleet by how its answers keep the response target.
-func (f *fleet) late(h *host, lag, target, now int64) {
-	h.room.learn(lag, target, len(h.out), now)
-	f.room.learn(lag, target, f.out, now)
 }
 
 // room is a limit on dispatches out. It grows while answers on average take less than a part of their target,
@@ -731,29 +716,21 @@
 	}
 }
 
-func (f *fleet) setAside(h *host, now int64) {
-	if now < h.aside {
-		return
+// setAside keeps new reqs from a host for a while, then one is tried, unless a peer hears well of it before.
+func (h *host) setAside(now int64) {
+	if now >= h.aside {
+		h.aside = now + second<<min(h.strikes, 2)
+		h.strikes++
 	}
-	h.strikes++
-	h.aside = now + min(second<<min(h.strikes-1, 2), 4*second)
 }
 
-// watch sets hosts aside that hold dispatches and answer nothing, and gives what they hold.
-func (f *fleet) watch(now int64) (stuck []*send) {
-	for _, h := range f.hosts {
-		if len(h.out) == 0 {
-			continue
-		}
-		fr := h.out[0].req.front
-		wait := now - max(h.out[0].at, h.any)
-		if wait > max(int64(5*fr.usual*h.pace), fr.Target/2) {
-			f.setAside(h, now)
-			stuck = append(stuck, h.out...)
-			h.any = now
-		}
+// silent tells whether the host holds dispatches and has answered nothing for much longer than usual.
+func (h *host) silent(now int64) bool {
+	if len(h.out) == 0 {
+		return false
 	}
-	return stuck
+	fr := h.out[0].req.front
+	return now-max(h.out[0].at, h.any) > max(int64(5*fr.usual*h.pace), fr.Target/2)
 }
 
 // vouched brings a host back that another gateway has good answers from.
