--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,8 +11,8 @@
 //  1. parts of the hard ceiling, one for each gateway of a customer's set (customer.refill)
 //  2. the guess of a customer's dispatches out through its other gateways, for the cap on these (openRoom)
 //  3. bounded load: the customer's first host in rank that is not much busier than the least busy (fleet.pick)
-//  4. a limit on what is out at each host, moved by how its answers keep the response target (host.learn)
-//  5. setting silent hosts aside until others hear good answers, moving what they hold (fleet.watch)
+//  4. a limit on what is out from here, moved by how answers keep the response target (fleet.limitOpen)
+//  5. setting silent hosts aside until others hear good answers, moving what they hold (host.silent)
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
 package logic
 
@@ -42,7 +42,7 @@
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
 	lateness  = 0.35         // part of the response target that answers may take on average
 	ample     = 1.2          // times the least load: enough for a host
-	firstOpen = 8.0          // dispatches out at a host to start with, all gateways together
+	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
 
 // Gateway decides for one gateway.
@@ -559,9 +559,11 @@
 	hosts  []*host // in a fixed order
 	cold   gateway.Cold
 	fields []gateway.Field
-	first  float64 // limit of a host to start with
-	room   room    // for dispatches out from here to all hosts
-	out    int
+	first  float64 // what a host adds to the limit
+	out    int     // dispatches out from here
+	limit  float64 // on these
+	late   float64 // mean part of the target that answers take
+	cutAt  int64
 }
 
 // host is all that is known of a host.
@@ -572,7 +574,6 @@
 	state      gateway.State
 	since      int64 // its last start
 	out        []*send
-	room       room    // for dispatches out from here
 	pace       float64 // its answers' time against the usual
 	util       float64 // told busy share of its cores
 	load       float64 // how long an answer would take, in parts of the usual
@@ -595,9 +596,9 @@
 	for _, l := range news {
 		h := f.byID[l.Host]
 		if h == nil {
-			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, room: room{limit: 1 + f.first}, since: l.Since}
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, since: l.Since}
 			f.byID[l.Host] = h
-			f.room.limit += f.first
+			f.limit += f.first
 			f.hosts = append(f.hosts, h)
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 		}
@@ -618,18 +619,13 @@
 
 // usable tells whether h may get a dispatch now.
 func (f *fleet) usable(h *host, now int64) bool {
-	if h.state != gateway.Running || float64(len(h.out)+1) > h.room.limit {
-		return false
-	}
-	if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
-		return false
-	}
-	return f.warmth(h, now) >= 1 || h.allow >= 1
+	return h.state == gateway.Running && (h.aside == 0 || now >= h.aside && len(h.out) == 0) &&
+		(f.warmth(h, now) >= 1 || h.allow >= 1)
 }
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
-	if float64(f.out+1) > f.room.limit {
+	if float64(f.out+1) > f.limit {
 		return nil
 	}
 	least := math.Inf(1)
@@ -684,35 +680,26 @@
 		h.good, h.any, h.aside, h.strikes = now, now, 0, 0
 	case gateway.Busy:
 		h.any = now
-		h.room.cut(len(h.out), now, 0)
+		h.pace = min(h.pace*1.5, 10)
 	case gateway.Unreached, gateway.Broken:
 		h.setAside(now)
 	}
 	if res == gateway.Passed || res == gateway.TimedOut {
-		h.room.learn(lag, fr.Target, len(h.out), now)
-		f.room.learn(lag, fr.Target, f.out, now)
-	}
-}
-
-// room is a limit on dispatches out. It grows while answers on average take less than a part of their target,
-// and is cut once in that time while they take more: a queue that is deeper earns nothing and slows the hosts.
-type room struct {
-	limit, late float64
-	cutAt       int64
-}
-
-func (r *room) learn(lag, target int64, out int, now int64) {
-	r.late += (float64(lag)/float64(target) - r.late) / 16
-	if r.late > lateness {
-		r.cut(out+1, now, int64(lateness*float64(target)))
-	} else if float64(out+2) > r.limit {
-		r.limit += 1 / r.limit
+		f.limitOpen(lag, fr.Target, now)
 	}
 }
 
-func (r *room) cut(out int, now, every int64) {
-	if now-r.cutAt >= every {
-		r.limit, r.cutAt = max(1, min(r.limit, float64(out))*0.85), now
+// limitOpen moves the limit on dispatches out from here. It grows while answers take on average less than a part
+// of their target, and is cut, once in that time, while they take more: a deeper queue earns nothing and slows
+// the hosts. It covers overload, slow dependencies and a fleet that shrank; a run of long reqs can cut it too.
+func (f *fleet) limitOpen(lag, target, now int64) {
+	f.late += (float64(lag)/float64(target) - f.late) / 16
+	if f.late <= lateness {
+		if float64(f.out+2) > f.limit {
+			f.limit += 1 / f.limit
+		}
+	} else if now-f.cutAt >= int64(lateness*float64(target)) {
+		f.limit, f.cutAt = max(1, min(f.limit, float64(f.out+1))*0.85), now
 	}
 }
 
