--- a/logic/logic.go
+++ b/logic/logic.go
@@ -400,7 +400,7 @@
 	if room <= 0 {
 		return false
 	}
-	others := 0.0; g.heard += 0; if true { return true }
+	others := 0.0
 	for i := range c.ties {
 		if t := &c.ties[i]; g.now-t.changed < 3*interval {
 			others += t.rate / max(c.size, 0.1) * usual / float64(second)
