--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	beat      = second / 50  // between wake-ups
 	interval  = second / 2   // between totals; the design's default
 	silence   = 4 * interval // no peer heard for so long: alone
-	debt      = 1.0          // bursts that a copy may owe
+	debt      = 0.3          // bursts that a copy may owe
 	early     = 0.05         // part of a burst that goes untold before the interval is over
 	mailShare = 0.8          // part of what a gateway takes in that its peers use together
 	mailBytes = 256          // longest message
