--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,18 +1,18 @@
 // Package logic holds all decisions of a quota gateway.
 //
-// To use it: New starts a gateway that knows nothing but its settings; Round is then called with all that came
-// in at one time and writes the decisions into the writer passed with it. Both speak package gateway, where the
-// interface is defined. A gateway asks for its own wake-ups and must be called when they fall due.
+// New starts a gateway that knows nothing but its settings. Round is called with all that came in at one time
+// and writes the decisions into the writer passed with it; a gateway asks for its wake-ups itself. Package
+// gateway defines the interface.
 //
-// The design (docs/design.md): one undivided copy of each customer's bucket in every gateway, refilled at the
-// full rate; peers' admissions, gossiped as running totals, are subtracted down to a bounded debt; a copy that
-// lacks the units refuses; so does a gateway that has heard no peer for four intervals. Beside the design stand:
+// The design (docs/design.md) decides each req's ordinary path: every gateway holds an undivided copy of each
+// customer's bucket, refilled at the full rate; what peers admit, gossiped as running totals, is subtracted,
+// down to a bounded debt; a copy without the units denies. Beside the design stand these mechanisms:
 //
-//  1. parts of the hard ceiling, one for each gateway of a customer's set (customer.refill)
-//  2. the guess of a customer's dispatches out through its other gateways, for the cap on these (openRoom)
-//  3. bounded load: the customer's first host in rank that is not much busier than the least busy (fleet.pick)
+//  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, customer.refill)
+//  2. a guess of what other gateways have out, for the cap on open reqs (Gateway.openRoom)
+//  3. bounded load: the customer's first host in rank that is not much busier than the least (fleet.pick)
 //  4. a limit on what is out from here, moved by how answers keep the response target (fleet.limitOpen)
-//  5. setting silent hosts aside until others hear good answers, moving what they hold (host.silent)
+//  5. silent hosts are set aside and what they hold moves, until peers hear good answers (host.setAside)
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
 package logic
 
@@ -32,7 +32,7 @@
 	beat      = second / 50  // between wake-ups
 	interval  = second / 2   // between totals; the design's default
 	silence   = 4 * interval // no peer heard for so long: alone
-	debt      = 0.3          // bursts that a copy may owe
+	debt      = 0.5          // bursts that a copy may owe
 	early     = 0.05         // part of a burst that goes untold before the interval is over
 	mailShare = 0.8          // part of what a gateway takes in that its peers use together
 	mailBytes = 256          // longest message
@@ -61,7 +61,7 @@
 	spare      float64 // further dispatches that may be sent where one may have run
 	rnd        mwc
 
-	nextBeat, nextTell, nextSweep, nextAsk int64
+	nextTell, nextSweep, nextAsk int64
 }
 
 // front is a frontend and how long its answers usually take.
@@ -130,10 +130,10 @@
 }
 
 // New starts a gateway.
-func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan, limits gateway.Limits,
-	cold gateway.Cold, report gateway.Report) *Gateway {
-	g := &Gateway{rnd: mwc(seed | 1), seat: seat, plans: plans, limits: limits, customers: map[uint64]*customer{},
-		reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1)), start: -1}
+func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
+	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
+	g := &Gateway{start: -1, seat: seat, plans: plans, limits: limits, rnd: mwc(seed | 1),
+		customers: map[uint64]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1))}
 	for _, f := range fronts {
 		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6})
 	}
@@ -142,7 +142,7 @@
 			g.peers[i] = &peer{seat: i}
 		}
 	}
-	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, fields: report.Fields,
+	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, utilAt: slices.Index(report.Fields, gateway.BusyShare),
 		first: firstOpen / float64(max(seat.Count, 1))}
 	return g
 }
@@ -153,6 +153,7 @@
 	if g.start < 0 {
 		g.start, g.heard, g.nextTell = g.now, g.now, g.now+int64(g.rnd.next())%interval
 		g.nextAsk = g.now
+		g.beat()
 	}
 	for i := range in.Events {
 		e := &in.Events[i]
@@ -166,48 +167,40 @@
 				g.close(r)
 			}
 		case gateway.Listed:
-			g.fleet.list(e.List, e.Hosts)
-			if e.List == gateway.Lost { // the subscription too is lost
+			if g.fleet.list(e.List, e.Hosts); e.List == gateway.Lost { // the subscription too
 				g.nextAsk = g.now + second
 			}
 		case gateway.Heard:
 			g.hear(e.Peer, e.Body)
+		case gateway.Woke:
+			g.beat()
 		}
 	}
-	if g.now >= g.nextBeat {
-		g.nextBeat = g.now + beat
-		out.Wake(beat)
-		g.beat()
-	}
 }
 
 // arrive decides a req: the ordinary path, from top to bottom.
 func (g *Gateway) arrive(e *gateway.Event) {
 	c := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First)
-	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now, until: e.Until}
+	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now,
+		until: e.Until}
 	g.reqs[r.id] = r
 	c.size += (e.Units - c.size) / 8
 	c.refill(g.now, g.alone())
 
-	// The copy lacks the units.
-	if c.plan.Rate > 0 && c.level < r.units {
-		g.deny(r, int64((r.units-c.level)/c.plan.Rate*float64(second)))
+	switch {
+	case c.plan.Rate > 0 && c.level < r.units: // the copy lacks the units
+		g.deny(r, (r.units-c.level)/c.plan.Rate*float64(second))
 		return
-	}
-	// This gateway's part of the ceiling lacks them.
-	if c.plan.CeilingRate > 0 && c.ceiling < r.units {
-		g.deny(r, int64((r.units-c.ceiling)/c.ceilRate*float64(second)))
+	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
+		g.deny(r, (r.units-c.ceiling)/c.ceilRate*float64(second))
 		return
-	}
-	// As many dispatches are out as the plan allows.
-	if c.plan.Open > 0 && !g.openRoom(c, r.front.usual) {
-		g.deny(r, int64(r.front.usual))
+	case c.plan.Open > 0 && !g.openRoom(c, r.front.usual): // too many are out
+		g.deny(r, r.front.usual)
 		return
 	}
-	// No host has room: better told now than answered late.
 	h := g.fleet.pick(c.hash, g.now, nil)
-	if h == nil {
-		g.deny(r, int64(r.front.usual))
+	if h == nil { // no host has room: better told now than answered late
+		g.deny(r, r.front.usual)
 		return
 	}
 	c.level -= r.units
@@ -290,19 +283,19 @@
 func (g *Gateway) finish(r *req) {
 	e := r.front.Effect
 	if r.ran == nil || e == gateway.Replayable || e == gateway.Uniqued && r.front.Group == gateway.AllHosts {
-		g.deny(r, int64(r.front.usual))
-		return
+		g.deny(r, r.front.usual)
+	} else {
+		g.out.Abort(r.id)
+		g.close(r)
 	}
-	g.out.Abort(r.id)
-	g.close(r)
 }
 
 // deny is the final answer that makes a repeat harmless, with the time to stay away.
-func (g *Gateway) deny(r *req, after int64) {
+func (g *Gateway) deny(r *req, after float64) {
 	if !g.limits.RetryAfter {
 		after = 0
 	}
-	g.out.Deny(r.id, after)
+	g.out.Deny(r.id, int64(after))
 	g.close(r)
 }
 
@@ -314,8 +307,9 @@
 	}
 }
 
-// beat does what is due with time.
+// beat does what is due with time, and asks for the next beat.
 func (g *Gateway) beat() {
+	g.out.Wake(beat)
 	if g.limits.MustAsk && g.now >= g.nextAsk {
 		g.nextAsk = math.MaxInt64
 		g.out.Follow()
@@ -327,8 +321,8 @@
 		h.setAside(g.now)
 		h.any = g.now
 		for _, s := range h.out { // what it holds moves on when the cancel is confirmed
-			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed && len(r.sends) < g.limits.Dispatches &&
-				r.front.Effect != gateway.NonReplayable {
+			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed &&
+				len(r.sends) < g.limits.Dispatches && r.front.Effect != gateway.NonReplayable {
 				g.out.Cancel(r.id, s.n)
 			}
 		}
@@ -355,9 +349,9 @@
 	}
 	p := &g.plans[plan]
 	n := float64(max(min(spread, g.seat.Count), 1))
-	c := &customer{hash: hash, plan: p, planID: plan, begun: g.now, level: p.Burst, at: g.now, moved: g.now, size: 1,
-		spread: spread, first: first, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
-	// A former life of this gateway may have just spent its part: it starts empty and fills from the start on.
+	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
+		moved: g.now, level: p.Burst, size: 1, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
+	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
 	for i := range spread {
 		if p := g.peers[(first+i)%len(g.peers)]; p != nil {
@@ -371,16 +365,15 @@
 // alone tells that no peer has been heard for four intervals, so that what they admit is unknown.
 func (g *Gateway) alone() bool { return g.now-g.heard > silence }
 
-// refill brings the copy up to now. The design refuses all while no peer is heard. But then everyone is refused
-// also when the peers are gone or the network between them is, so here the copy keeps the part that is safe in
-// any case: what it would be due if each gateway of the customer's set were as cut off as this one. It covers
-// partitions, crashes and long loss alike; it may cost up to one burst once, and most of a quota to the last alive.
+// refill brings the copy up to now. The design denies all while no peer is heard; but then everyone is denied
+// too when the peers or the network between them are gone. So the copy keeps what is safe in any case: its
+// due if every gateway of the customer's set were cut off alike. It covers partitions, crashes and long loss;
+// it may cost one burst at its start, and leaves the last gateway alive a part of each quota only.
 func (c *customer) refill(now int64, alone bool) {
-	t := seconds(now - c.at)
+	t, part := seconds(now-c.at), 1.0
 	c.at = now
-	part := 1.0
 	if alone {
-		part = 1 / float64(len(c.ties)+1)
+		part /= float64(len(c.ties) + 1)
 	}
 	c.level = min(c.level+c.plan.Rate*t*part, c.plan.Burst*part)
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
@@ -411,7 +404,7 @@
 		p += term
 		term *= others / float64(k+1)
 	}
-	return p*c.plan.Price >= (1-p)*c.plan.BeyondCost*c.plan.Price
+	return p >= (1-p)*c.plan.BeyondCost
 }
 
 // note notes that the peer is to be told, early if the untold part is large.
@@ -428,9 +421,8 @@
 
 func (t *tie) untold() float64 { return t.customer.total - float64(t.told)/unit }
 
-// tell sends p the totals that changed, the largest changes first: each interval, with at least a sign of life,
-// and between if one is urgent and p can take more messages. A total is told again an interval after its last
-// change, as a lost one would stay unknown.
+// tell sends p the totals that changed, the largest changes first: each interval, with at least a sign of
+// life, and between if one is urgent. A total is told again an interval after its last change, as it may be lost.
 func (g *Gateway) tell(p *peer, due bool) {
 	rate := g.seat.PerSecond * mailShare / float64(len(g.peers)-1)
 	p.credit = min(p.credit+rate*seconds(beat), rate)
@@ -474,8 +466,7 @@
 	g.out.Tell(p.seat, msg)
 }
 
-// head begins a message: version, this life, the message's number, and once an interval the hosts that answered
-// well of late.
+// head begins a message: version, this life, its number, and once an interval the hosts that answered well.
 func (g *Gateway) head(p *peer, hosts bool) []byte {
 	p.said++
 	msg := binary.AppendUvarint([]byte{version}, uint64(g.start))
@@ -497,15 +488,12 @@
 	p := g.peers[from]
 	life, n := binary.Uvarint(msg[1:])
 	number, m := binary.Uvarint(msg[1+max(n, 0):])
-	if n <= 0 || m <= 0 || len(msg) < n+m+2 || life < p.life {
+	if n <= 0 || m <= 0 || len(msg) < n+m+2 || len(msg) < n+m+2+2*int(msg[n+m+1]) || life < p.life {
 		return
 	}
 	hosts := int(msg[n+m+1])
 	msg = msg[n+m+2:]
-	if len(msg) < 2*hosts {
-		return
-	}
-	if life != p.life || g.now-p.heard > silence { // a new life, or unheard for long: totals are first totals again
+	if life != p.life || g.now-p.heard > silence { // its totals are first totals again
 		p.life, p.first = life, g.now
 	}
 	p.heard, g.heard = g.now, g.now
@@ -558,7 +546,7 @@
 	byID   map[uint32]*host
 	hosts  []*host // in a fixed order
 	cold   gateway.Cold
-	fields []gateway.Field
+	utilAt int     // place of the busy share in load reports, -1 none
 	first  float64 // what a host adds to the limit
 	out    int     // dispatches out from here
 	limit  float64 // on these
@@ -585,11 +573,8 @@
 
 // list takes news of the host list in.
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
-	if kind == gateway.Lost {
-		return
-	}
-	if kind != gateway.Changes {
-		for _, h := range f.hosts {
+	for _, h := range f.hosts {
+		if kind == gateway.Complete || kind == gateway.Old {
 			h.state = gateway.Gone
 		}
 	}
@@ -668,10 +653,8 @@
 // learn takes in what an ended dispatch says of its host.
 func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
 	h, fr := s.host, s.req.front
-	for i, v := range load {
-		if i < len(f.fields) && f.fields[i] == gateway.BusyShare {
-			h.util = v
-		}
+	if f.utilAt >= 0 && f.utilAt < len(load) {
+		h.util = load[f.utilAt]
 	}
 	switch res {
 	case gateway.Passed:
@@ -689,9 +672,9 @@
 	}
 }
 
-// limitOpen moves the limit on dispatches out from here. It grows while answers take on average less than a part
-// of their target, and is cut, once in that time, while they take more: a deeper queue earns nothing and slows
-// the hosts. It covers overload, slow dependencies and a fleet that shrank; a run of long reqs can cut it too.
+// limitOpen moves the limit on dispatches out from here. It grows while answers take on average less than a
+// part of their target and is cut, once in that time, while they take more: a deeper queue earns nothing and
+// slows hosts. It covers overload, slow dependencies, shrunken fleets; a run of long reqs can cut it too.
 func (f *fleet) limitOpen(lag, target, now int64) {
 	f.late += (float64(lag)/float64(target) - f.late) / 16
 	if f.late <= lateness {
@@ -713,11 +696,8 @@
 
 // silent tells whether the host holds dispatches and has answered nothing for much longer than usual.
 func (h *host) silent(now int64) bool {
-	if len(h.out) == 0 {
-		return false
-	}
-	fr := h.out[0].req.front
-	return now-max(h.out[0].at, h.any) > max(int64(5*fr.usual*h.pace), fr.Target/2)
+	return len(h.out) > 0 && now-max(h.out[0].at, h.any) >
+		max(int64(5*h.out[0].req.front.usual*h.pace), h.out[0].req.front.Target/2)
 }
 
 // vouched brings a host back that another gateway has good answers from.
