--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,7 @@
 	idle      = 2 * second   // a refilled customer is forgotten after so long
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
 	lateness  = 0.35         // part of the response target that answers may take on average
+	trial     = 2 * second   // a host set aside is tried again after so long
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -77,9 +78,8 @@
 	front          *front
 	units          float64
 	arrived, until int64
-	sends          []*send
-	ran            *send // the first dispatch that may have run
-	out            int
+	tries          int
+	out, ran       *send // the dispatch that is out, and the first that may have run
 	closed         bool
 }
 
@@ -89,7 +89,6 @@
 	host *host
 	n    int
 	at   int64
-	live bool
 }
 
 // customer is this gateway's copy of a customer's bucket, with what its peers told of it.
@@ -142,8 +141,8 @@
 			g.peers[i] = &peer{seat: i}
 		}
 	}
-	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, utilAt: slices.Index(report.Fields, gateway.BusyShare),
-		first: firstOpen / float64(max(seat.Count, 1))}
+	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, first: firstOpen / float64(len(g.peers)),
+		utilAt: slices.Index(report.Fields, gateway.BusyShare)}
 	return g
 }
 
@@ -220,11 +219,10 @@
 	if r.front.Late == 0 && !r.front.Stream {
 		timeout = max(r.arrived+r.front.Target-g.now, 1000)
 	}
-	s := &send{req: r, host: h, n: len(r.sends), at: g.now, live: true}
-	r.sends = append(r.sends, s)
-	r.out++
+	r.out = &send{req: r, host: h, n: r.tries, at: g.now}
+	r.tries++
 	r.customer.open++
-	h.out = append(h.out, s)
+	h.out = append(h.out, r.out)
 	g.fleet.sent(h, g.now)
 	g.out.Dispatch(r.id, h.id, timeout)
 }
@@ -232,12 +230,11 @@
 // ended takes in how a dispatch ended, and sends the req again where that may help and the rules allow it.
 func (g *Gateway) ended(e *gateway.Event) {
 	r := g.reqs[e.Req]
-	if r == nil || e.Dispatch >= len(r.sends) || !r.sends[e.Dispatch].live {
+	if r == nil || r.out == nil || r.out.n != e.Dispatch {
 		return
 	}
-	s := r.sends[e.Dispatch]
-	s.live = false
-	r.out--
+	s := r.out
+	r.out = nil
 	r.customer.open--
 	s.host.out = slices.DeleteFunc(s.host.out, func(o *send) bool { return o == s })
 	g.fleet.out--
@@ -250,17 +247,17 @@
 	}
 	if r.closed || e.Closed {
 		g.close(r)
-	} else if e.Result == gateway.TimedOut || !g.again(r) {
+	} else if e.Result == gateway.TimedOut || !g.again(r, s.host) {
 		g.finish(r)
 	}
 }
 
-// again sends r once more, if it may.
-func (g *Gateway) again(r *req) bool {
-	if r.out > 0 || len(r.sends) >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) {
+// again sends r once more, elsewhere, if it may.
+func (g *Gateway) again(r *req, last *host) bool {
+	if r.tries >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) {
 		return false
 	}
-	last, e := r.sends[len(r.sends)-1].host, r.front.Effect
+	e := r.front.Effect
 	if r.ran != nil && (g.spare < 1 || e == gateway.NonReplayable ||
 		e == gateway.Uniqued && g.now > r.ran.at+r.front.Window-margin) {
 		return false
@@ -302,7 +299,7 @@
 // close marks r as over; it is forgotten when no dispatch is out.
 func (g *Gateway) close(r *req) {
 	r.closed = true
-	if r.out == 0 {
+	if r.out == nil {
 		delete(g.reqs, r.id)
 	}
 }
@@ -321,8 +318,8 @@
 		h.setAside(g.now)
 		h.any = g.now
 		for _, s := range h.out { // what it holds moves on when the cancel is confirmed
-			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed &&
-				len(r.sends) < g.limits.Dispatches && r.front.Effect != gateway.NonReplayable {
+			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches &&
+				r.front.Effect != gateway.NonReplayable {
 				g.out.Cancel(r.id, s.n)
 			}
 		}
@@ -348,7 +345,7 @@
 		return c
 	}
 	p := &g.plans[plan]
-	n := float64(max(min(spread, g.seat.Count), 1))
+	n := float64(max(spread, 1))
 	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
 		moved: g.now, level: p.Burst, size: 1, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
@@ -422,7 +419,7 @@
 func (t *tie) untold() float64 { return t.customer.total - float64(t.told)/unit }
 
 // tell sends p the totals that changed, the largest changes first: each interval, with at least a sign of
-// life, and between if one is urgent. A total is told again an interval after its last change, as it may be lost.
+// life, and between if one is urgent. A total is told again an interval after its last change, lest it be lost.
 func (g *Gateway) tell(p *peer, due bool) {
 	rate := g.seat.PerSecond * mailShare / float64(len(g.peers)-1)
 	p.credit = min(p.credit+rate*seconds(beat), rate)
@@ -567,7 +564,6 @@
 	load       float64 // how long an answer would take, in parts of the usual
 	allow      float64 // dispatches it may get while cold
 	aside      int64   // set aside until; 0 not
-	strikes    int     // times set aside in a row
 	good, any  int64   // last good answer, last answer
 }
 
@@ -588,7 +584,7 @@
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 		}
 		if l.Since > h.since { // a new start: what was learned of the old process is void
-			h.since, h.pace, h.aside, h.strikes, h.allow, h.util = l.Since, 1, 0, 0, 0, 0
+			h.since, h.pace, h.aside, h.allow, h.util = l.Since, 1, 0, 0, 0
 		}
 		h.zone, h.cell, h.state = l.Zone, l.Cell, l.State
 	}
@@ -660,7 +656,7 @@
 	case gateway.Passed:
 		fr.usual += (float64(lag) - fr.usual) / 64
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
-		h.good, h.any, h.aside, h.strikes = now, now, 0, 0
+		h.good, h.any, h.aside = now, now, 0
 	case gateway.Busy:
 		h.any = now
 		h.pace = min(h.pace*1.5, 10)
@@ -689,8 +685,7 @@
 // setAside keeps new reqs from a host for a while, then one is tried, unless a peer hears well of it before.
 func (h *host) setAside(now int64) {
 	if now >= h.aside {
-		h.aside = now + second<<min(h.strikes, 2)
-		h.strikes++
+		h.aside = now + trial
 	}
 }
 
@@ -703,8 +698,8 @@
 // vouched brings a host back that another gateway has good answers from.
 func (f *fleet) vouched(tag uint16) {
 	for _, h := range f.hosts {
-		if uint16(h.hash) == tag && h.aside > 0 {
-			h.aside, h.strikes = 0, 0
+		if uint16(h.hash) == tag {
+			h.aside = 0
 		}
 	}
 }
