--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -103,14 +103,12 @@
 		"ecanceled", "skipped"))
 }
 
+// bytes reads a peer's message. One that is garbled reads as empty: it is the sender's fault, not the wire's.
 func (f *fields) bytes(name string) []byte {
 	part := f.text(name)
-	if part == "-" {
-		return nil
-	}
 	b, err := base64.StdEncoding.DecodeString(part)
-	if err != nil {
-		f.fail(name, err.Error())
+	if part == "-" || err != nil {
+		return nil
 	}
 	return b
 }
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -68,7 +68,7 @@
 }
 
 // start reads the settings text and starts a gateway with it.
-func start(seed uint64, text string, begin Start) (Decider, error) {
+func start(seed uint64, text string, begin Start) (*instance, error) {
 	if !gjson.Valid(text) || !gjson.Parse(text).IsObject() {
 		return nil, errors.New("not a JSON object")
 	}
@@ -111,10 +111,14 @@
 	for _, name := range s.obj.Get("report.names").Array() {
 		report.Fields = append(report.Fields, field(name.Str))
 	}
+	if s.err == nil && (seat.Count < 1 || seat.Index >= seat.Count) {
+		s.err = fmt.Errorf("position: %d is not below balancers", seat.Index)
+	}
 	if s.err != nil {
 		return nil, s.err
 	}
-	return begin(seed, seat, fronts, plans, limits, cold, report), nil
+	return &instance{decider: begin(seed, seat, fronts, plans, limits, cold, report),
+		fronts: len(fronts), plans: len(plans), seats: seat.Count}, nil
 }
 
 func field(name string) gateway.Field {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -26,8 +26,9 @@
 
 // instance is one hosted gateway; round is nil while it has no event in the batch.
 type instance struct {
-	decider Decider
-	round   *gateway.Round
+	decider              Decider
+	round                *gateway.Round
+	fronts, plans, seats int // how many there are
 }
 
 type host struct {
@@ -116,11 +117,11 @@
 		if err := f.end(); err != nil {
 			return err
 		}
-		d, err := start(seed, env, h.start)
+		seat, err := start(seed, env, h.start)
 		if err != nil {
 			return fmt.Errorf("POWER_ON: env: %w", err)
 		}
-		h.seats[h.id] = &instance{decider: d}
+		h.seats[h.id] = seat
 		h.round()
 		return nil
 	}
@@ -135,9 +136,9 @@
 		return f.end()
 	case "ARRIVAL":
 		e.Kind, e.Req = gateway.Arrived, f.text("xid")
-		e.Frontend, e.Plan = f.whole("type", math.MaxInt32), f.whole("grade_of_service", math.MaxInt32)
+		e.Frontend, e.Plan = f.whole("type", seat.fronts-1), f.whole("grade_of_service", seat.plans-1)
 		e.Customer, e.Until, e.Units = f.text("account"), f.time("deadline_us"), f.decimal("weight")
-		e.Spread, e.First = int(f.decimal("n_entries")), int(f.decimal("first"))
+		e.Spread, e.First = f.whole("n_entries", seat.seats), f.whole("first", seat.seats-1)
 		e.Again = f.whole("bits", math.MaxInt32)&2 != 0
 	case "ATTEMPT_END":
 		e.Kind, e.Req, e.Closed = gateway.Ended, f.text("xid"), f.yes("closed")
@@ -151,7 +152,7 @@
 	case "CLIENT_GONE":
 		e.Kind, e.Req = gateway.Left, f.text("xid")
 	case "FROM_PEER":
-		e.Kind, e.Peer, e.Body = gateway.Heard, f.whole("sender", math.MaxInt32), f.bytes("contents")
+		e.Kind, e.Peer, e.Body = gateway.Heard, f.whole("sender", seat.seats-1), f.bytes("contents")
 	case "ECHO":
 		e.Kind, e.Host = gateway.Probed, uint32(f.whole("host", math.MaxUint32))
 		e.Lag, e.Result, e.Load = f.time("lag_us"), f.result("disposition"), f.row("pressure")
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
 	lateness  = 0.35         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
+	shunned   = 16.0         // times its load, for a host set aside
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -598,12 +599,6 @@
 	return f.cold.From + (1-f.cold.From)*float64(max(now-h.since, 0))/float64(f.cold.Warm)
 }
 
-// usable tells whether h may get a dispatch now.
-func (f *fleet) usable(h *host, now int64) bool {
-	return h.state == gateway.Running && (h.aside == 0 || now >= h.aside && len(h.out) == 0) &&
-		(f.warmth(h, now) >= 1 || h.allow >= 1)
-}
-
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
 	if float64(f.out+1) > f.limit {
@@ -612,8 +607,11 @@
 	least := math.Inf(1)
 	for _, h := range f.hosts {
 		h.load = math.Inf(1)
-		if f.usable(h, now) && (in == nil || in(h)) {
-			h.load = h.pace * float64(len(h.out)+1) / f.warmth(h, now) * (1 + h.util)
+		if w := f.warmth(h, now); h.state == gateway.Running && (w >= 1 || h.allow >= 1) && (in == nil || in(h)) {
+			h.load = h.pace * float64(len(h.out)+1) / w * (1 + h.util)
+			if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
+				h.load *= shunned // not out of use: where all are set aside the cause is shared
+			}
 		}
 		least = min(least, h.load)
 	}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,342 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"ravensill/gateway"
+	"ravensill/internal/golden"
+)
+
+const ms = int64(1e6)
+
+// world is a few gateways with the decisions they wrote; messages wait until carry.
+type world struct {
+	now    int64
+	seats  []*seat
+	trace  strings.Builder
+	fronts []gateway.Frontend
+	plans  []gateway.Plan
+	limits gateway.Limits
+	cold   gateway.Cold
+}
+
+type seat struct {
+	w    *world
+	i    int
+	g    *Gateway
+	mail [][]byte // told, by receiver in turn
+	to   []int
+}
+
+func (s *seat) say(format string, args ...any) {
+	fmt.Fprintf(&s.w.trace, "%5d ms  gateway %d  %s\n", s.w.now/ms, s.i, fmt.Sprintf(format, args...))
+}
+func (s *seat) Dispatch(req string, host uint32, timeout int64) {
+	s.say("dispatch %s to host %d, timeout %d ms", req, host, timeout/ms)
+}
+func (s *seat) Cancel(req string, n int)     { s.say("cancel dispatch %d of %s", n, req) }
+func (s *seat) Deny(req string, after int64) { s.say("deny %s, come back after %d ms", req, after/ms) }
+func (s *seat) Abort(req string)             { s.say("abort %s", req) }
+func (s *seat) Probe(host uint32)            { s.say("probe host %d", host) }
+func (s *seat) Follow()                      { s.say("follow the list") }
+func (s *seat) Note(text string)             { s.say("note %s", text) }
+func (s *seat) Wake(int64)                   {}
+func (s *seat) Tell(peer int, body []byte)   { s.mail, s.to = append(s.mail, body), append(s.to, peer) }
+
+// start makes n gateways with one replayable frontend and a plan of 10 units a second, 10 at once.
+func start(n, hosts int, set func(w *world)) *world {
+	w := &world{fronts: []gateway.Frontend{{Target: 800 * ms, Timeout: 3000 * ms, Value: 1}},
+		plans:  []gateway.Plan{{Rate: 10, Burst: 10, Price: 1, BeyondCost: 0.5}},
+		limits: gateway.Limits{Dispatches: 3, Cancel: true, RetryAfter: true},
+		cold:   gateway.Cold{From: 0.2, Warm: 10 * second, Multiple: 2, Window: 2 * second}, now: 100 * second}
+	if set != nil {
+		set(w)
+	}
+	for i := range n {
+		w.seats = append(w.seats, &seat{w: w, i: i})
+		w.boot(i, hosts, n)
+	}
+	return w
+}
+
+// boot starts gateway i anew, with its last list of hosts.
+func (w *world) boot(i, hosts, n int) {
+	var list []gateway.Listing
+	for h := range hosts {
+		list = append(list, gateway.Listing{Host: uint32(h + 1), Cell: h / 2})
+	}
+	s := w.seats[i]
+	s.mail, s.to = nil, nil
+	s.g = New(uint64(i)+1, gateway.Seat{Index: i, Count: n, Messages: n > 1, PerSecond: 40}, w.fronts, w.plans,
+		w.limits, w.cold, gateway.Report{})
+	w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Old, Hosts: list})
+}
+
+func (w *world) in(i int, e ...gateway.Event) {
+	w.seats[i].g.Round(&gateway.Round{Now: w.now, Events: e}, w.seats[i])
+}
+
+// arrive lets n reqs of customer c in at gateway i, of one unit each.
+func (w *world) arrive(i int, c string, n int) {
+	for k := range n {
+		w.in(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("%s%d.%d", c, (w.now-100*second)/ms, k),
+			Customer: c, Until: w.now + 2500*ms, Units: 1, Spread: len(w.seats)})
+	}
+}
+
+// end ends the first dispatch that gateway i has out at host h, or at any host if h is 0.
+func (w *world) end(i int, h uint32, res gateway.Result, closed bool) {
+	for _, x := range w.seats[i].g.fleet.hosts {
+		if len(x.out) > 0 && (h == 0 || x.id == h) {
+			s := x.out[0]
+			w.in(i, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: x.id, Dispatch: s.n, Result: res,
+				Lag: w.now - s.at, Closed: closed})
+			return
+		}
+	}
+}
+
+// pass ends all dispatches of gateway i well.
+func (w *world) pass(i int) {
+	for w.seats[i].g.fleet.out > 0 {
+		w.end(i, 0, gateway.Passed, true)
+	}
+}
+
+// wait lets time pass, in beats; messages arrive at once if carry.
+func (w *world) wait(t int64, carry bool) {
+	for end := w.now + t; w.now < end; {
+		w.now += beat
+		for i, s := range w.seats {
+			w.in(i, gateway.Event{Kind: gateway.Woke})
+			for k, m := range s.mail {
+				if carry {
+					w.in(s.to[k], gateway.Event{Kind: gateway.Heard, Peer: i, Body: m})
+				}
+			}
+			s.mail, s.to = nil, nil
+		}
+	}
+}
+
+// levels writes the copies of customer c.
+func (w *world) levels(c string) {
+	for _, s := range w.seats {
+		if x := s.g.customers[hashText(c)]; x != nil {
+			x.refill(w.now, s.g.alone())
+			s.say("copy of %s holds %.1f units", c, x.level)
+		} else {
+			s.say("holds no copy of %s", c)
+		}
+	}
+}
+
+func TestOrdinaryPath(t *testing.T) { // spend, deny with a time to come back, refill, forget
+	w := start(2, 4, nil)
+	w.arrive(0, "a", 11)
+	w.pass(0)
+	w.wait(300*ms, true)
+	w.arrive(0, "a", 1)
+	w.pass(0)
+	w.levels("a")
+	w.wait(5*second, true)
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
+func TestDebt(t *testing.T) { // two gateways spend a burst each before they hear: one half burst of debt, then refill
+	w := start(2, 4, nil)
+	w.arrive(0, "a", 10)
+	w.arrive(1, "a", 10)
+	w.pass(0)
+	w.pass(1)
+	w.trace.Reset()
+	w.wait(40*ms, true)
+	w.levels("a")
+	w.arrive(0, "a", 1)
+	w.wait(800*ms, true)
+	w.arrive(0, "a", 1)
+	w.arrive(1, "b", 1)
+	golden.Check(t, w.trace.String())
+}
+
+func TestSilence(t *testing.T) { // no peer heard for four intervals: half of rate and burst; heard again: all
+	w := start(2, 4, nil)
+	w.wait(second, true)
+	w.wait(2*second, false)
+	w.arrive(0, "a", 6)
+	w.pass(0)
+	w.wait(400*ms, false)
+	w.levels("a")
+	w.wait(600*ms, true)
+	w.wait(400*ms, true)
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
+func TestPeerRestart(t *testing.T) { // a new life's totals start anew and are not taken for less of the old
+	w := start(2, 4, nil)
+	w.arrive(1, "a", 8)
+	w.pass(1)
+	w.wait(100*ms, true)
+	w.trace.Reset()
+	w.levels("a")
+	w.boot(1, 4, 2)
+	w.arrive(1, "a", 2)
+	w.wait(100*ms, true)
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
+func TestBadMail(t *testing.T) { // short, of another version, cut off: dropped without harm
+	w := start(2, 1, nil)
+	w.arrive(1, "a", 4)
+	w.wait(beat, false)
+	w.seats[1].g.tell(w.seats[1].g.peers[0], true)
+	good := w.seats[1].mail[0]
+	for n := range good {
+		w.in(0, gateway.Event{Kind: gateway.Heard, Peer: 1, Body: good[:n]})
+	}
+	w.in(0, gateway.Event{Kind: gateway.Heard, Peer: 1, Body: append([]byte{9}, good[1:]...)},
+		gateway.Event{Kind: gateway.Heard, Peer: 7, Body: good})
+	w.levels("a")
+	w.in(0, gateway.Event{Kind: gateway.Heard, Peer: 1, Body: good})
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
+func TestCeiling(t *testing.T) { // half the ceiling each; a started gateway owns nothing yet
+	w := start(2, 4, func(w *world) {
+		w.plans[0] = gateway.Plan{Rate: 100, Burst: 100, CeilingRate: 8, CeilingBurst: 8, Price: 1}
+	})
+	w.arrive(0, "a", 1)
+	w.wait(500*ms, true)
+	w.arrive(0, "a", 3)
+	w.wait(5*second, true)
+	w.arrive(0, "a", 5)
+	w.boot(0, 4, 2)
+	w.arrive(0, "a", 1)
+	golden.Check(t, w.trace.String())
+}
+
+func TestOpenCap(t *testing.T) { // no more out than the plan's cap, and fewer when a peer admits much
+	w := start(2, 4, func(w *world) { w.plans[0].Open, w.plans[0].Rate, w.plans[0].Burst = 2, 100, 100 })
+	w.arrive(0, "a", 3)
+	w.pass(0)
+	for range 50 {
+		w.seats[1].g.customer(hashText("a"), 0, 2, 0).total++
+	}
+	w.arrive(1, "a", 1)
+	w.wait(60*ms, true)
+	w.arrive(0, "a", 1)
+	golden.Check(t, w.trace.String())
+}
+
+func TestDrain(t *testing.T) { // nothing new to a draining or removed host, from the round it is told
+	w := start(1, 2, nil)
+	w.in(0, gateway.Event{Kind: gateway.Listed, List: gateway.Changes,
+		Hosts: []gateway.Listing{{Host: 1, State: gateway.Draining}}})
+	w.arrive(0, "a", 2)
+	w.in(0, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: []gateway.Listing{{Host: 3}}})
+	w.arrive(0, "b", 2)
+	golden.Check(t, w.trace.String())
+}
+
+func TestColdHost(t *testing.T) { // a started host gets its part of all dispatches, by its surely warm part
+	w := start(1, 3, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	w.in(0, gateway.Event{Kind: gateway.Listed, List: gateway.Changes,
+		Hosts: []gateway.Listing{{Host: 3, Since: w.now}}})
+	for s := range 6 {
+		w.trace.Reset()
+		for range 100 {
+			w.arrive(0, "a", 3)
+			w.wait(beat, true)
+			w.pass(0)
+		}
+		fmt.Fprintf(&w.trace, "%d s after its start host 3 had %d of 300 dispatches\n", 2*s+2,
+			strings.Count(w.trace.String(), "host 3,"))
+		out := w.trace.String()
+		t.Run(fmt.Sprint(2*s+2), func(t *testing.T) { golden.Check(t, out[strings.LastIndex(out[:len(out)-1], "\n")+1:]) })
+	}
+}
+
+func TestRepeats(t *testing.T) { // what each kind of frontend may do after an answer that proves nothing
+	for _, kind := range []struct {
+		name  string
+		front gateway.Frontend
+	}{
+		{"replayable", gateway.Frontend{}},
+		{"uniqued_all", gateway.Frontend{Effect: gateway.Uniqued, Window: 600 * ms}},
+		{"uniqued_cell", gateway.Frontend{Effect: gateway.Uniqued, Group: gateway.SameCell, Window: 600 * ms}},
+		{"non_replayable", gateway.Frontend{Effect: gateway.NonReplayable}},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			kind.front.Target, kind.front.Timeout = 2000*ms, 3000*ms
+			w := start(1, 4, func(w *world) { w.fronts[0] = kind.front })
+			w.seats[0].g.spare = 10
+			w.arrive(0, "a", 1)
+			w.end(0, 0, gateway.Busy, false) // it never ran: again, anywhere
+			w.end(0, 0, gateway.Errored, false)
+			w.wait(500*ms, true)
+			w.end(0, 0, gateway.Errored, false)
+			golden.Check(t, w.trace.String())
+		})
+	}
+}
+
+func TestSilentHost(t *testing.T) { // a host that answers nothing is set aside, what it holds moves, it comes back
+	w := start(2, 2, nil)
+	w.seats[0].g.spare = 10
+	w.arrive(0, "a", 4)
+	for range 2 {
+		w.wait(360*ms, true)
+		w.end(0, 2, gateway.Passed, true)
+	}
+	for range 2 {
+		w.end(0, 1, gateway.Canceled, false)
+	}
+	w.arrive(0, "b", 2)
+	w.seats[1].g.fleet.byID[1].good = w.now // the peer hears well of it
+	w.wait(600*ms, true)
+	w.arrive(0, "c", 2)
+	golden.Check(t, w.trace.String())
+}
+
+func TestAllHostsSilent(t *testing.T) { // the cause is shared: they stay in use
+	w := start(1, 2, nil)
+	w.arrive(0, "a", 2)
+	w.wait(700*ms, true)
+	w.arrive(0, "b", 2)
+	golden.Check(t, w.trace.String())
+}
+
+func TestOverload(t *testing.T) { // answers that come late cut what is out; beyond that denials are at once
+	w := start(1, 2, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	for range 40 {
+		w.arrive(0, "a", 20)
+		w.wait(700*ms, true)
+		w.pass(0)
+	}
+	w.trace.Reset()
+	w.arrive(0, "a", 4)
+	golden.Check(t, w.trace.String())
+}
+
+func TestFinalAnswers(t *testing.T) { // one final answer each: passed, late, left by the client, nowhere to go
+	w := start(1, 1, nil)
+	w.arrive(0, "a", 1)
+	w.wait(100*ms, true)
+	w.end(0, 0, gateway.Passed, true)
+	w.arrive(0, "b", 1)
+	w.wait(800*ms, true)
+	w.end(0, 0, gateway.TimedOut, false)
+	w.arrive(0, "c", 1)
+	w.in(0, gateway.Event{Kind: gateway.Left, Req: "c900.0"})
+	w.end(0, 0, gateway.Passed, true)
+	w.arrive(0, "d", 1)
+	w.end(0, 0, gateway.Unreached, false)
+	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.seats[0].g.reqs))
+	golden.Check(t, w.trace.String())
+}
