Error answers set a host aside; lateness forgets faster while little is out

Told from overload by error outcomes and answers of 2 ms. It covers hosts that refuse, break or fail fast; a host with rare errors rests up to 2 s for each.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -658,7 +658,7 @@
 	case gateway.Busy:
 		h.any = now
 		h.pace = min(h.pace*1.5, 10)
-	case gateway.Unreached, gateway.Broken:
+	case gateway.Errored, gateway.Unreached, gateway.Broken:
 		h.setAside(now)
 	}
 	if res == gateway.Passed || res == gateway.TimedOut {
@@ -670,7 +670,7 @@
 // part of their target and is cut, once in that time, while they take more: a deeper queue earns nothing and
 // slows hosts. It covers overload, slow dependencies, shrunken fleets; a run of long reqs can cut it too.
 func (f *fleet) limitOpen(lag, target, now int64) {
-	f.late += (float64(lag)/float64(target) - f.late) / 16
+	f.late += (min(float64(lag)/float64(target), 1) - f.late) / min(2+f.limit, 16)
 	if f.late <= lateness {
 		if float64(f.out+2) > f.limit {
 			f.limit += 1 / f.limit
