--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	lateness  = 0.35         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
+	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -217,7 +218,7 @@
 // dispatch sends r to h. It waits while an answer has value.
 func (g *Gateway) dispatch(r *req, h *host) {
 	timeout := int64(0)
-	if r.front.Late == 0 && !r.front.Stream {
+	if (r.front.Late == 0 || float64(g.fleet.out+1) > pressed*g.fleet.limit) && !r.front.Stream {
 		timeout = max(r.arrived+r.front.Target-g.now, 1000)
 	}
 	r.out = &send{req: r, host: h, n: r.tries, at: g.now}
