Near the limit, frontends that earn less for their time are denied first

Cause: in overload each place was given to whoever came first, though one frontend earns several times more for its time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
+	kept      = 0.7          // part of the limit that frontends of the least worth may use
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -70,9 +71,12 @@
 // front is a frontend and how long its answers usually take.
 type front struct {
 	gateway.Frontend
-	usual float64
+	usual, units float64
 }
 
+// worth is what its answers earn for the time they take.
+func (f *front) worth() float64 { return f.Value * f.units / f.usual }
+
 // req is held from its arrival until it is closed and no dispatch is out.
 type req struct {
 	id             string
@@ -136,7 +140,7 @@
 	g := &Gateway{start: -1, seat: seat, plans: plans, limits: limits, rnd: mwc(seed | 1),
 		customers: map[uint64]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1))}
 	for _, f := range fronts {
-		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6})
+		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1})
 	}
 	for i := range g.peers {
 		if i != seat.Index && seat.Messages {
@@ -186,6 +190,7 @@
 		until: e.Until}
 	g.reqs[r.id] = r
 	c.size += (e.Units - c.size) / 8
+	r.front.units += (e.Units - r.front.units) / 64
 	c.refill(g.now, g.alone())
 
 	switch {
@@ -199,7 +204,11 @@
 		g.deny(r, r.front.usual)
 		return
 	}
-	h := g.fleet.pick(c.hash, g.now, nil)
+	best := 0.0
+	for i := range g.fronts {
+		best = max(best, g.fronts[i].worth())
+	}
+	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*r.front.worth()/max(best, 1e-12), nil)
 	if h == nil { // no host has room: better told now than answered late
 		g.deny(r, r.front.usual)
 		return
@@ -264,7 +273,7 @@
 		e == gateway.Uniqued && g.now > r.ran.at+r.front.Window-margin) {
 		return false
 	}
-	h := g.fleet.pick(r.customer.hash, g.now, func(h *host) bool {
+	h := g.fleet.pick(r.customer.hash, g.now, 1, func(h *host) bool {
 		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
 			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 	})
@@ -601,8 +610,8 @@
 }
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
-func (f *fleet) pick(customer uint64, now int64, in func(*host) bool) *host {
-	if float64(f.out+1) > f.limit {
+func (f *fleet) pick(customer uint64, now int64, part float64, in func(*host) bool) *host {
+	if float64(f.out+1) > max(f.limit*part, 1) {
 		return nil
 	}
 	least := math.Inf(1)
