--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,11 +204,14 @@
 		g.deny(r, r.front.usual)
 		return
 	}
-	best := 0.0
+	best, dear := 0.0, 0.0
+	for _, p := range g.plans {
+		dear = max(dear, p.Price)
+	}
 	for i := range g.fronts {
 		best = max(best, g.fronts[i].worth())
 	}
-	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*r.front.worth()/max(best, 1e-12), nil)
+	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*r.front.worth()*c.plan.Price/max(best*dear, 1e-12), nil)
 	if h == nil { // no host has room: better told now than answered late
 		g.deny(r, r.front.usual)
 		return
