--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	unit      = 64           // totals are told in these parts of a unit
 	idle      = 2 * second   // a refilled customer is forgotten after so long
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
-	lateness  = 0.25         // part of the response target that answers may take on average
+	lateness  = 0.42         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
