--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,11 +40,11 @@
 	unit      = 64           // totals are told in these parts of a unit
 	idle      = 2 * second   // a refilled customer is forgotten after so long
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
-	lateness  = 0.42         // part of the response target that answers may take on average
+	lateness  = 0.35         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
-	kept      = 0.7          // part of the limit that frontends of the least worth may use
+	kept      = 0.7          // part of the limit that is open to reqs of any worth
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -62,21 +62,19 @@
 	peers      []*peer // by seat; nil for oneself
 	heard      int64   // last hearing of any peer
 	fleet      fleet
+	worth      float64 // usual worth of a req for the time it takes
 	spare      float64 // further dispatches that may be sent where one may have run
 	rnd        mwc
 
 	nextTell, nextSweep, nextAsk int64
 }
 
-// front is a frontend and how long its answers usually take.
+// front is a frontend, how long its answers usually take and what its reqs ask.
 type front struct {
 	gateway.Frontend
 	usual, units float64
 }
 
-// worth is what its answers earn for the time they take.
-func (f *front) worth() float64 { return f.Value * f.units / f.usual }
-
 // req is held from its arrival until it is closed and no dispatch is out.
 type req struct {
 	id             string
@@ -204,14 +202,9 @@
 		g.deny(r, r.front.usual)
 		return
 	}
-	best, dear := 0.0, 0.0
-	for _, p := range g.plans {
-		dear = max(dear, p.Price)
-	}
-	for i := range g.fronts {
-		best = max(best, g.fronts[i].worth())
-	}
-	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*r.front.worth()*c.plan.Price/max(best*dear, 1e-12), nil)
+	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
+	g.worth += (worth - g.worth) / 256
+	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth/2, 1), nil)
 	if h == nil { // no host has room: better told now than answered late
 		g.deny(r, r.front.usual)
 		return
