--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,7 +204,7 @@
 	}
 	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
 	g.worth += (worth - g.worth) / 256
-	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth/2, 1), nil)
+	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	if h == nil { // no host has room: better told now than answered late
 		g.deny(r, r.front.usual)
 		return
