--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,7 +44,7 @@
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
-	kept      = 0.7          // part of the limit that is open to reqs of any worth
+	kept      = 0.5          // part of the limit that is open to reqs of any worth
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
