--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,7 +11,7 @@
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, customer.refill)
 //  2. a guess of what other gateways have out, for the cap on open reqs (Gateway.openRoom)
 //  3. bounded load: the customer's first host in rank that is not much busier than the least (fleet.pick)
-//  4. a limit on what is out from here, moved by how answers keep the response target (fleet.limitOpen)
+//  4. a limit on what is out from here, moved by how late answers are; low worth gives way (fleet.limitOpen)
 //  5. silent hosts are set aside and what they hold moves, until peers hear good answers (host.setAside)
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
 package logic
@@ -44,7 +44,7 @@
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
-	kept      = 0.5          // part of the limit that is open to reqs of any worth
+	kept      = 0.6          // part of the limit that is open to reqs of any worth
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -106,8 +106,7 @@
 	level, total        float64
 	ceiling             float64 // this gateway's part of the ceiling's store
 	ceilRate, ceilDepth float64
-	open                int     // dispatches out from here
-	size                float64 // usual units of a req
+	open                int // dispatches out from here
 }
 
 // tie is what one customer and one of its other gateways know of each other.
@@ -187,7 +186,6 @@
 	r := &req{id: e.Req, customer: c, front: &g.fronts[e.Frontend], units: e.Units, arrived: g.now,
 		until: e.Until}
 	g.reqs[r.id] = r
-	c.size += (e.Units - c.size) / 8
 	r.front.units += (e.Units - r.front.units) / 64
 	c.refill(g.now, g.alone())
 
@@ -198,7 +196,7 @@
 	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
 		g.deny(r, (r.units-c.ceiling)/c.ceilRate*float64(second))
 		return
-	case c.plan.Open > 0 && !g.openRoom(c, r.front.usual): // too many are out
+	case c.plan.Open > 0 && !g.openRoom(c, r.front): // too many are out
 		g.deny(r, r.front.usual)
 		return
 	}
@@ -354,7 +352,7 @@
 	p := &g.plans[plan]
 	n := float64(max(spread, 1))
 	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
-		moved: g.now, level: p.Burst, size: 1, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
+		moved: g.now, level: p.Burst, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
 	for i := range spread {
@@ -392,7 +390,7 @@
 
 // openRoom tells whether a dispatch more is likelier worth than not to be within the plan's cap on dispatches
 // out, with those of the other gateways taken as a chance number about what their admissions keep out.
-func (g *Gateway) openRoom(c *customer, usual float64) bool {
+func (g *Gateway) openRoom(c *customer, fr *front) bool {
 	room := c.plan.Open - c.open
 	if room <= 0 {
 		return false
@@ -400,7 +398,7 @@
 	others := 0.0
 	for i := range c.ties {
 		if t := &c.ties[i]; g.now-t.changed < 3*interval {
-			others += t.rate / max(c.size, 0.1) * usual / float64(second)
+			others += t.rate / fr.units * fr.usual / float64(second)
 		}
 	}
 	p, term := 0.0, math.Exp(-others)
@@ -426,7 +424,7 @@
 func (t *tie) untold() float64 { return t.customer.total - float64(t.told)/unit }
 
 // tell sends p the totals that changed, the largest changes first: each interval, with at least a sign of
-// life, and between if one is urgent. A total is told again an interval after its last change, lest it be lost.
+// life, and between if one is urgent. A total is told again an interval after its change, lest it be lost.
 func (g *Gateway) tell(p *peer, due bool) {
 	rate := g.seat.PerSecond * mailShare / float64(len(g.peers)-1)
 	p.credit = min(p.credit+rate*seconds(beat), rate)
@@ -613,7 +611,8 @@
 	least := math.Inf(1)
 	for _, h := range f.hosts {
 		h.load = math.Inf(1)
-		if w := f.warmth(h, now); h.state == gateway.Running && (w >= 1 || h.allow >= 1) && (in == nil || in(h)) {
+		w := f.warmth(h, now)
+		if h.state == gateway.Running && (w >= 1 || h.allow >= 1) && (in == nil || in(h)) {
 			h.load = h.pace * float64(len(h.out)+1) / w * (1 + h.util)
 			if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
 				h.load *= shunned // not out of use: where all are set aside the cause is shared
@@ -645,9 +644,7 @@
 			h.allow = min(h.allow+w/max(sum, 1), 1.5)
 		}
 	}
-	if f.warmth(to, now) < 1 {
-		to.allow--
-	}
+	to.allow--
 }
 
 // learn takes in what an ended dispatch says of its host.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -340,3 +340,28 @@
 	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.seats[0].g.reqs))
 	golden.Check(t, w.trace.String())
 }
+
+func TestErrors(t *testing.T) { // a host that fails at once looks idle; it must not draw the reqs
+	w := start(2, 2, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	for range 3 {
+		w.arrive(0, "a", 2)
+		w.end(0, 1, gateway.Errored, false)
+		w.wait(100*ms, true)
+		w.end(0, 2, gateway.Passed, true)
+	}
+	golden.Check(t, w.trace.String())
+}
+
+func TestWorth(t *testing.T) { // near the limit, the frontend that earns less for its time is denied first
+	w := start(1, 2, func(w *world) {
+		w.plans[0].Rate, w.plans[0].Burst = 1000, 1000
+		w.fronts = append(w.fronts, gateway.Frontend{Target: 800 * ms, Value: 5})
+	})
+	for i := range 15 {
+		for f := range 2 {
+			w.in(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("worth%.0f.%d", w.fronts[f].Value, i),
+				Customer: "a", Until: w.now + 2500*ms, Units: 1, Spread: 1, Frontend: f})
+		}
+	}
+	golden.Check(t, w.trace.String())
+}
