--- a/logic/logic.go
+++ b/logic/logic.go
@@ -106,7 +106,8 @@
 	level, total        float64
 	ceiling             float64 // this gateway's part of the ceiling's store
 	ceilRate, ceilDepth float64
-	open                int // dispatches out from here
+	open                int     // dispatches out from here
+	bad                 float64 // part of its reqs that go unanswered
 }
 
 // tie is what one customer and one of its other gateways know of each other.
@@ -196,6 +197,9 @@
 	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
 		g.deny(r, (r.units-c.ceiling)/c.ceilRate*float64(second))
 		return
+	case c.bad > 0.5 && c.open > 0: // most of its reqs go unanswered: one at a time
+		g.deny(r, r.front.usual)
+		return
 	case c.plan.Open > 0 && !g.openRoom(c, r.front): // too many are out
 		g.deny(r, r.front.usual)
 		return
@@ -241,6 +245,11 @@
 	s := r.out
 	r.out = nil
 	r.customer.open--
+	if e.Result == gateway.TimedOut {
+		r.customer.bad += (1 - r.customer.bad) / 4
+	} else {
+		r.customer.bad -= r.customer.bad / 4
+	}
 	s.host.out = slices.DeleteFunc(s.host.out, func(o *send) bool { return o == s })
 	g.fleet.out--
 	if !e.Result.NeverRan() && r.ran == nil {
