--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,7 +12,7 @@
 //  2. a guess of what other gateways have out, for the cap on open reqs (Gateway.openRoom)
 //  3. bounded load: the customer's first host in rank that is not much busier than the least (fleet.pick)
 //  4. a limit on what is out from here, moved by how late answers are; low worth gives way (fleet.limitOpen)
-//  5. silent hosts are set aside and what they hold moves, until peers hear good answers (host.setAside)
+//  5. hosts that fail or fall silent are set aside (host.aside), as are customers that go unanswered
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
 package logic
 
@@ -190,25 +190,23 @@
 	r.front.units += (e.Units - r.front.units) / 64
 	c.refill(g.now, g.alone())
 
+	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
+	g.worth += (worth - g.worth) / 256
+	var h *host
+	after := r.front.usual
 	switch {
 	case c.plan.Rate > 0 && c.level < r.units: // the copy lacks the units
-		g.deny(r, (r.units-c.level)/c.plan.Rate*float64(second))
-		return
+		after = (r.units - c.level) / c.plan.Rate * float64(second)
 	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
-		g.deny(r, (r.units-c.ceiling)/c.ceilRate*float64(second))
-		return
-	case c.bad > 0.5 && c.open > 0: // most of its reqs go unanswered: one at a time
-		g.deny(r, r.front.usual)
-		return
+		after = (r.units - c.ceiling) / c.ceilRate * float64(second)
+	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
+		after = float64(second)
 	case c.plan.Open > 0 && !g.openRoom(c, r.front): // too many are out
-		g.deny(r, r.front.usual)
-		return
+	default: // no host: better told now than answered late
+		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
-	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
-	g.worth += (worth - g.worth) / 256
-	h := g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
-	if h == nil { // no host has room: better told now than answered late
-		g.deny(r, r.front.usual)
+	if h == nil {
+		g.deny(r, after)
 		return
 	}
 	c.level -= r.units
@@ -245,10 +243,9 @@
 	s := r.out
 	r.out = nil
 	r.customer.open--
+	r.customer.bad *= 0.75
 	if e.Result == gateway.TimedOut {
-		r.customer.bad += (1 - r.customer.bad) / 4
-	} else {
-		r.customer.bad -= r.customer.bad / 4
+		r.customer.bad += 0.25
 	}
 	s.host.out = slices.DeleteFunc(s.host.out, func(o *send) bool { return o == s })
 	g.fleet.out--
@@ -329,8 +326,7 @@
 		if !h.silent(g.now) {
 			continue
 		}
-		h.setAside(g.now)
-		h.any = g.now
+		h.aside, h.any = g.now+trial, g.now
 		for _, s := range h.out { // what it holds moves on when the cancel is confirmed
 			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches &&
 				r.front.Effect != gateway.NonReplayable {
@@ -671,9 +667,9 @@
 		h.any = now
 		h.pace = min(h.pace*1.5, 10)
 	case gateway.Errored, gateway.Unreached, gateway.Broken:
-		h.setAside(now)
+		h.aside = now + trial // it gets little until then, or until a peer hears well of it
 	}
-	if res == gateway.Passed || res == gateway.TimedOut {
+	if res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5 {
 		f.limitOpen(lag, fr.Target, now)
 	}
 }
@@ -692,13 +688,6 @@
 	}
 }
 
-// setAside keeps new reqs from a host for a while, then one is tried, unless a peer hears well of it before.
-func (h *host) setAside(now int64) {
-	if now >= h.aside {
-		h.aside = now + trial
-	}
-}
-
 // silent tells whether the host holds dispatches and has answered nothing for much longer than usual.
 func (h *host) silent(now int64) bool {
 	return len(h.out) > 0 && now-max(h.out[0].at, h.any) >
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -365,3 +365,22 @@
 	}
 	golden.Check(t, w.trace.String())
 }
+
+func TestUnanswered(t *testing.T) { // a customer whose reqs go unanswered holds no places; others go on
+	w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	for range 5 {
+		w.arrive(0, "poison", 2)
+		w.arrive(0, "good", 1)
+		w.wait(800*ms, true)
+		for _, h := range w.seats[0].g.fleet.hosts {
+			for len(h.out) > 0 {
+				res := gateway.TimedOut
+				if strings.HasPrefix(h.out[0].req.id, "good") {
+					res = gateway.Passed
+				}
+				w.end(0, h.id, res, res == gateway.Passed)
+			}
+		}
+	}
+	golden.Check(t, w.trace.String())
+}
