--- a/logic/logic.go
+++ b/logic/logic.go
@@ -360,9 +360,6 @@
 		moved: g.now, level: p.Burst, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
-	if g.now-g.start < silence {
-		c.level /= n
-	}
 	for i := range spread {
 		if p := g.peers[(first+i)%len(g.peers)]; p != nil {
 			c.ties = append(c.ties, tie{customer: c, peer: p})
