--- a/logic/logic.go
+++ b/logic/logic.go
@@ -421,7 +421,7 @@
 		t.queued = true
 		t.peer.queue = append(t.peer.queue, t)
 	}
-	if t.customer.plan.Open > 0 || t.untold() >= early*t.customer.plan.Burst {
+	if t.untold() >= early*t.customer.plan.Burst {
 		t.peer.urgent = true
 	}
 }
