--- a/logic/logic.go
+++ b/logic/logic.go
@@ -106,7 +106,6 @@
 	level, total        float64
 	ceiling             float64 // this gateway's part of the ceiling's store
 	ceilRate, ceilDepth float64
-	usual               float64
 	open                int     // dispatches out from here
 	bad                 float64 // part of its reqs that go unanswered
 }
@@ -118,7 +117,7 @@
 	at, changed   int64  // of the last total heard, and of the last that differed
 	number        uint64 // of the message that told it
 	seen, told    uint64 // last total heard, last told
-	rate, open    float64
+	rate          float64
 	queued, again bool
 }
 
@@ -190,7 +189,6 @@
 	g.reqs[r.id] = r
 	r.front.units += (e.Units - r.front.units) / 64
 	c.refill(g.now, g.alone())
-	c.usual = r.front.usual / 1e9
 
 	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
 	g.worth += (worth - g.worth) / 256
@@ -359,7 +357,7 @@
 	p := &g.plans[plan]
 	n := float64(max(spread, 1))
 	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
-		moved: g.now, level: p.Burst, usual: 0.1, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
+		moved: g.now, level: p.Burst, ceilRate: p.CeilingRate / n, ceilDepth: p.CeilingBurst / n}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
 	for i := range spread {
@@ -405,8 +403,7 @@
 	others := 0.0
 	for i := range c.ties {
 		if t := &c.ties[i]; g.now-t.changed < 3*interval {
-			gone := math.Exp(-seconds(g.now-t.changed) / c.usual)
-			others += (t.open*gone + t.rate*c.usual*(1-gone)) / fr.units
+			others += t.rate / fr.units * fr.usual / float64(second)
 		}
 	}
 	p, term := 0.0, math.Exp(-others)
@@ -543,10 +540,7 @@
 	if total > last {
 		units := float64(total-last) / unit
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
-		dt := max(seconds(now-t.changed), 0.01)
-		t.rate += (units/max(dt, 0.125) - t.rate) / 2
-		gone := math.Exp(-dt / c.usual)
-		t.open = t.open*gone + units*c.usual/dt*(1-gone)
+		t.rate += (units/max(seconds(now-t.changed), seconds(interval)/4) - t.rate) / 2
 	}
 	if total != t.seen {
 		t.changed, c.moved = now, now
