--- a/logic/logic.go
+++ b/logic/logic.go
@@ -661,7 +661,6 @@
 	switch res {
 	case gateway.Passed:
 		fr.usual += (float64(lag) - fr.usual) / 64
-		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
 		h.good, h.any, h.aside = now, now, 0
 	case gateway.Busy:
 		h.any = now
@@ -670,6 +669,7 @@
 		h.aside = now + trial // it gets little until then, or until a peer hears well of it
 	}
 	if res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5 {
+		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
 		f.limitOpen(lag, fr.Target, now)
 	}
 }
