--- a/logic/logic.go
+++ b/logic/logic.go
@@ -193,14 +193,9 @@
 	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
 	g.worth += (worth - g.worth) / 256
 	var h *host
-	after, unheard := r.front.usual, 0.0
-	for _, t := range c.ties {
-		if age := g.now - t.changed; age < interval+interval/4 {
-			unheard += t.rate * seconds(age)
-		}
-	}
+	after := r.front.usual
 	switch {
-	case c.plan.Rate > 0 && c.level-unheard < r.units: // the copy lacks the units
+	case c.plan.Rate > 0 && c.level < r.units: // the copy lacks the units
 		after = (r.units - c.level) / c.plan.Rate * float64(second)
 	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
 		after = (r.units - c.ceiling) / c.ceilRate * float64(second)
