What a gateway leaves of its ceiling part goes to peers that need more

Safe alone: the giver deducts first, the message's number keeps it from being taken twice, a loss only loses units.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -256,10 +256,17 @@
 	if e.Result == gateway.Passed && e.Units > 0 {
 		r.customer.level += r.units - e.Units
 	}
-	if r.closed || e.Closed {
+	fr := r.front
+	switch {
+	case r.closed || e.Closed:
+		g.close(r)
+	case e.Result != gateway.TimedOut && g.again(r, s.host):
+	case r.ran == nil || fr.Effect == gateway.Replayable ||
+		fr.Effect == gateway.Uniqued && fr.Group == gateway.AllHosts: // a repeat is harmless
+		g.deny(r, fr.usual)
+	default:
+		g.out.Abort(r.id)
 		g.close(r)
-	} else if e.Result == gateway.TimedOut || !g.again(r, s.host) {
-		g.finish(r)
 	}
 }
 
@@ -277,25 +284,11 @@
 		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
 			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 	})
-	if h == nil {
-		return false
-	}
-	if r.ran != nil {
-		g.spare--
-	}
-	g.dispatch(r, h)
-	return true
-}
-
-// finish gives r up at once: a denial where a repeat is harmless, else an abort.
-func (g *Gateway) finish(r *req) {
-	e := r.front.Effect
-	if r.ran == nil || e == gateway.Replayable || e == gateway.Uniqued && r.front.Group == gateway.AllHosts {
-		g.deny(r, r.front.usual)
-	} else {
-		g.out.Abort(r.id)
-		g.close(r)
+	if h != nil {
+		g.spare = max(g.spare-1, 0)
+		g.dispatch(r, h)
 	}
+	return h != nil
 }
 
 // deny is the final answer that makes a repeat harmless, with the time to stay away.
@@ -452,7 +445,7 @@
 			entry[7] |= 128
 		}
 		entry = binary.AppendUvarint(entry, total)
-		if len(msg)+len(entry) > mailBytes {
+		if len(msg)+len(entry)+binary.MaxVarintLen32 > mailBytes {
 			if p.credit < 2 || !due {
 				left = append(left, p.queue[i:]...)
 				break
@@ -461,7 +454,14 @@
 			p.credit--
 			msg = g.head(p, false)
 		}
-		msg = append(msg, entry...)
+		// What this gateway leaves of the ceiling goes to a peer that admits more than its part. The giver deducts
+		// first, so that a lost message only loses units.
+		gift := 0.0
+		if t.rate > c.ceilRate && g.now-t.changed < silence {
+			gift = math.Floor(max(c.ceiling-c.ceilDepth/2, 0) * unit)
+		}
+		c.ceiling -= gift / unit
+		msg = binary.AppendUvarint(append(msg, entry...), uint64(gift))
 		t.told, t.queued = total, t.again
 		if t.again {
 			t.again = !due
@@ -512,17 +512,22 @@
 		hash := binary.LittleEndian.Uint64(msg) & (1<<40 - 1)
 		plan, spread, first := int(msg[5]), int(msg[6]), int(msg[7]&127)
 		total, n := binary.Uvarint(msg[8:])
-		if n <= 0 || plan >= len(g.plans) || spread > len(g.peers) || first >= len(g.peers) {
+		gift, m := binary.Uvarint(msg[8+max(n, 0):])
+		if n <= 0 || m <= 0 || plan >= len(g.plans) || spread > len(g.peers) || first >= len(g.peers) {
 			return
 		}
 		c := g.customer(hash, plan, spread, first)
 		for i := range c.ties {
 			if t := &c.ties[i]; t.peer == p && (t.at < p.first || number > t.number) {
 				t.hear(total, msg[7] > 127, g.now)
+				c.ceiling = min(c.ceiling+float64(gift)/unit, c.ceilDepth)
+				if t.rate > c.ceilRate && c.ceilRate > 0 {
+					t.note()
+				}
 				t.number, t.at = number, g.now
 			}
 		}
-		msg = msg[8+n:]
+		msg = msg[8+n+m:]
 	}
 }
 
