--- a/logic/logic.go
+++ b/logic/logic.go
@@ -155,7 +155,6 @@
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
 		g.start, g.heard, g.nextTell = g.now, g.now, g.now+int64(g.rnd.next())%interval
-		g.nextAsk = g.now
 		g.beat()
 	}
 	for i := range in.Events {
@@ -192,8 +191,7 @@
 
 	worth := r.front.Value * r.front.units * c.plan.Price / r.front.usual
 	g.worth += (worth - g.worth) / 256
-	var h *host
-	after := r.front.usual
+	h, after := (*host)(nil), r.front.usual
 	switch {
 	case c.plan.Rate > 0 && c.level < r.units: // the copy lacks the units
 		after = (r.units - c.level) / c.plan.Rate * float64(second)
@@ -284,11 +282,14 @@
 		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
 			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 	})
-	if h != nil {
-		g.spare = max(g.spare-1, 0)
-		g.dispatch(r, h)
+	if h == nil {
+		return false
 	}
-	return h != nil
+	if r.ran != nil {
+		g.spare--
+	}
+	g.dispatch(r, h)
+	return true
 }
 
 // deny is the final answer that makes a repeat harmless, with the time to stay away.
@@ -435,10 +436,6 @@
 	for i, t := range p.queue {
 		c := t.customer
 		total := uint64(c.total * unit)
-		if !due && total == t.told {
-			left = append(left, t)
-			continue
-		}
 		entry := binary.LittleEndian.AppendUint64(nil, c.hash)[:5]
 		entry = append(entry, byte(c.planID), byte(c.spread), byte(c.first))
 		if g.now-c.begun < silence {
@@ -454,8 +451,7 @@
 			p.credit--
 			msg = g.head(p, false)
 		}
-		// What this gateway leaves of the ceiling goes to a peer that admits more than its part. The giver deducts
-		// first, so that a lost message only loses units.
+		// Spare ceiling goes to a peer that admits more than its part; deducted first, a lost message loses units.
 		gift := 0.0
 		if t.rate > c.ceilRate && g.now-t.changed < silence {
 			gift = math.Floor(max(c.ceiling-c.ceilDepth/2, 0) * unit)
@@ -668,8 +664,7 @@
 		fr.usual += (float64(lag) - fr.usual) / 64
 		h.good, h.any, h.aside = now, now, 0
 	case gateway.Busy:
-		h.any = now
-		h.pace = min(h.pace*1.5, 10)
+		h.any, h.pace = now, min(h.pace*1.5, 10)
 	case gateway.Errored, gateway.Unreached, gateway.Broken:
 		h.aside = now + trial // it gets little until then, or until a peer hears well of it
 	}
