--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,14 +31,13 @@
 	second    = int64(1e9)
 	beat      = second / 50  // between wake-ups
 	interval  = second / 2   // between totals; the design's default
-	silence   = 4 * interval // no peer heard for so long: alone
+	silence   = 4 * interval // no peer heard for so long: alone; a customer quiet for so long is forgotten
 	debt      = 0.5          // bursts that a copy may owe
 	early     = 0.05         // part of a burst that goes untold before the interval is over
 	mailShare = 0.8          // part of what a gateway takes in that its peers use together
 	mailBytes = 256          // longest message
 	version   = 1            // first byte of a message
 	unit      = 64           // totals are told in these parts of a unit
-	idle      = 2 * second   // a refilled customer is forgotten after so long
 	margin    = second / 5   // kept clear of the end of a uniqued req's window
 	lateness  = 0.35         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
@@ -87,8 +86,7 @@
 	closed         bool
 }
 
-// send is a dispatch, the nth of its req.
-type send struct {
+type send struct { // a dispatch, the nth of its req
 	req  *req
 	host *host
 	n    int
@@ -383,7 +381,7 @@
 // idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
 func (c *customer) idle(now int64, alone bool) bool {
 	c.refill(now, alone)
-	return c.open == 0 && now-c.moved > idle && c.level >= c.plan.Burst && c.ceiling >= c.ceilDepth &&
+	return c.open == 0 && now-c.moved > silence && c.level >= c.plan.Burst && c.ceiling >= c.ceilDepth &&
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
@@ -442,11 +440,12 @@
 			entry[7] |= 128
 		}
 		entry = binary.AppendUvarint(entry, total)
-		if len(msg)+len(entry)+binary.MaxVarintLen32 > mailBytes {
-			if p.credit < 2 || !due {
-				left = append(left, p.queue[i:]...)
-				break
-			}
+		full := len(msg)+len(entry)+binary.MaxVarintLen32 > mailBytes
+		if !due && (full || total == t.told) || full && p.credit < 2 { // nothing more to tell now, or no room
+			left = append(left, p.queue[i:]...)
+			break
+		}
+		if full {
 			g.out.Tell(p.seat, msg)
 			p.credit--
 			msg = g.head(p, false)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -221,6 +221,25 @@
 	golden.Check(t, w.trace.String())
 }
 
+func TestCeilingGift(t *testing.T) { // a part that is not used goes to the peer that needs it; in all never more
+	w := start(2, 4, func(w *world) {
+		w.plans[0] = gateway.Plan{Rate: 100, Burst: 100, CeilingRate: 8, CeilingBurst: 16, Price: 1}
+	})
+	w.wait(3*second, true)
+	for range 3 {
+		w.arrive(0, "a", 10)
+		w.pass(0)
+		w.wait(600*ms, true)
+		for _, s := range w.seats {
+			if c := s.g.customers[hashText("a")]; c != nil {
+				c.refill(w.now, false)
+				s.say("owns %.2f units of the ceiling", c.ceiling)
+			}
+		}
+	}
+	golden.Check(t, w.trace.String())
+}
+
 func TestOpenCap(t *testing.T) { // no more out than the plan's cap, and fewer when a peer admits much
 	w := start(2, 4, func(w *world) { w.plans[0].Open, w.plans[0].Rate, w.plans[0].Burst = 2, 100, 100 })
 	w.arrive(0, "a", 3)
