Ceiling units go to peers that admit near their part; first rates start at the record

A peer held by its part admits no more than it, so 'more than its part' rarely came true; found by the trace of gifts. A peer's first rate was measured from the clock's start and came out as nil, so its open reqs did not count; found by the same trace.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	shunned   = 16.0         // times its load, for a host set aside
 	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
 	kept      = 0.6          // part of the limit that is open to reqs of any worth
+	needy     = 0.7          // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2          // times the least load: enough for a host
 	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
@@ -452,7 +453,7 @@
 		}
 		// Spare ceiling goes to a peer that admits more than its part; deducted first, a lost message loses units.
 		gift := 0.0
-		if t.rate > c.ceilRate && g.now-t.changed < silence {
+		if t.rate > needy*c.ceilRate && g.now-t.changed < silence {
 			gift = math.Floor(max(c.ceiling-c.ceilDepth/2, 0) * unit)
 		}
 		c.ceiling -= gift / unit
@@ -516,7 +517,7 @@
 			if t := &c.ties[i]; t.peer == p && (t.at < p.first || number > t.number) {
 				t.hear(total, msg[7] > 127, g.now)
 				c.ceiling = min(c.ceiling+float64(gift)/unit, c.ceilDepth)
-				if t.rate > c.ceilRate && c.ceilRate > 0 {
+				if t.rate > needy*c.ceilRate && c.ceilRate > 0 {
 					t.note()
 				}
 				t.number, t.at = number, g.now
@@ -540,7 +541,7 @@
 	if total > last {
 		units := float64(total-last) / unit
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
-		t.rate += (units/max(seconds(now-t.changed), seconds(interval)/4) - t.rate) / 2
+		t.rate += (units/max(seconds(now-max(t.changed, c.begun)), seconds(interval)/4) - t.rate) / 2
 	}
 	if total != t.seen {
 		t.changed, c.moved = now, now
