--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	kept      = 0.6          // part of the limit that is open to reqs of any worth
 	needy     = 0.7          // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2          // times the least load: enough for a host
-	firstOpen = 20.0         // dispatches out at each host to start with, all gateways together
+	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
 )
 
 // Gateway decides for one gateway.
@@ -684,7 +684,7 @@
 			f.limit += 1 / f.limit
 		}
 	} else if now-f.cutAt >= int64(lateness*float64(target)) {
-		f.limit, f.cutAt = max(1, min(f.limit, float64(f.out+1))*0.85), now
+		f.limit, f.cutAt = max(1, f.limit*0.85), now
 	}
 }
 
