--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,7 +46,7 @@
 	kept      = 0.6          // part of the limit that is open to reqs of any worth
 	needy     = 0.7          // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2          // times the least load: enough for a host
-	firstOpen = 8.0          // dispatches out at each host to start with, all gateways together
+	firstOpen = 6.0          // dispatches out at each host to start with, all gateways together
 )
 
 // Gateway decides for one gateway.
