--- a/logic/logic.go
+++ b/logic/logic.go
@@ -404,7 +404,7 @@
 		p += term
 		term *= others / float64(k+1)
 	}
-	return 0.7*p >= (1-p)*c.plan.BeyondCost
+	return 0.4*p >= (1-p)*c.plan.BeyondCost
 }
 
 // note notes that the peer is to be told, early if the untold part is large.
