--- a/logic/logic.go
+++ b/logic/logic.go
@@ -386,8 +386,8 @@
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
-// openRoom tells whether a dispatch more is likelier worth than not to be within the plan's cap on dispatches
-// out, with those of the other gateways taken as a chance number about what their admissions keep out.
+// openRoom tells whether one more dispatch is worth the risk to pass the plan's cap on those out. Those of other
+// gateways are a chance number about what their admissions keep out; a denied req may come back and pass.
 func (g *Gateway) openRoom(c *customer, fr *front) bool {
 	room := c.plan.Open - c.open
 	if room <= 0 {
@@ -404,7 +404,7 @@
 		p += term
 		term *= others / float64(k+1)
 	}
-	return 0.4*p >= (1-p)*c.plan.BeyondCost
+	return p/2 >= (1-p)*c.plan.BeyondCost
 }
 
 // note notes that the peer is to be told, early if the untold part is large.
