Customers on plans without a ceiling or a rate are forgotten too

Cause: units were taken from a ceiling store that the plan does not have, which never refilled, so such customers stayed for ever; seen in the trace of the ordinary path, where one gateway still held a copy after 5 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -206,9 +206,7 @@
 		g.deny(r, after)
 		return
 	}
-	c.level -= r.units
-	c.ceiling -= r.units
-	c.total += r.units
+	c.level, c.ceiling, c.total = c.level-r.units, c.ceiling-r.units, c.total+r.units
 	c.moved = g.now
 	for i := range c.ties {
 		c.ties[i].note()
@@ -382,7 +380,8 @@
 // idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
 func (c *customer) idle(now int64, alone bool) bool {
 	c.refill(now, alone)
-	return c.open == 0 && now-c.moved > silence && c.level >= c.plan.Burst && c.ceiling >= c.ceilDepth &&
+	return c.open == 0 && now-c.moved > silence && (c.level >= c.plan.Burst || c.plan.Rate == 0) &&
+		(c.ceiling >= c.ceilDepth || c.ceilRate == 0) &&
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
