--- a/logic/logic.go
+++ b/logic/logic.go
@@ -200,7 +200,6 @@
 		after = float64(second)
 	case c.plan.Open > 0 && !g.openRoom(c, r.front): // too many are out
 	default: // no host: better told now than answered late
-		after *= 3
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
 	if h == nil {
