--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,7 +42,7 @@
 	lateness  = 0.35         // part of the response target that answers may take on average
 	trial     = 2 * second   // a host set aside is tried again after so long
 	shunned   = 16.0         // times its load, for a host set aside
-	pressed   = 0.8          // part of the limit from which on a late answer is not waited for
+	pressed   = 0.6          // part of the limit from which on a late answer is not waited for
 	kept      = 0.6          // part of the limit that is open to reqs of any worth
 	needy     = 0.7          // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2          // times the least load: enough for a host
