--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,7 +73,6 @@
 type front struct {
 	gateway.Frontend
 	usual, units float64
-	base         float64 // usual when hosts are least busy
 }
 
 // req is held from its arrival until it is closed and no dispatch is out.
@@ -138,7 +137,7 @@
 	g := &Gateway{start: -1, seat: seat, plans: plans, limits: limits, rnd: mwc(seed | 1),
 		customers: map[uint64]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1))}
 	for _, f := range fronts {
-		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1, float64(f.Target) / 6})
+		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1})
 	}
 	for i := range g.peers {
 		if i != seat.Index && seat.Messages {
@@ -662,7 +661,6 @@
 	switch res {
 	case gateway.Passed:
 		fr.usual += (float64(lag) - fr.usual) / 64
-		fr.base = min(fr.base*1.001, fr.usual)
 		h.good, h.any, h.aside = now, now, 0
 	case gateway.Busy:
 		h.any, h.pace = now, min(h.pace*1.5, 10)
@@ -671,7 +669,7 @@
 	}
 	if res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5 {
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
-		f.limitOpen(lag, min(fr.Target, int64(2.5/lateness*fr.base)), now)
+		f.limitOpen(lag, fr.Target, now)
 	}
 }
 
