Cold hosts get a chance part of an allowance; what lay waiting in a stall tells nothing of hosts

Now an allowance starts at a chance part of one, so all gateways together send a cold host its part at once; what was out during a stall of this gateway does not move the limit; what came in meanwhile is taken to have come evenly, and is denied where no answer could be worth anything. The limit may be passed by one, as chance brings reqs together.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	lateness  = 0.35        // part of the response target that answers may take on average
+	stall     = 5 * beat    // with no round: this gateway stood still
 	trial     = 2 * second  // a host set aside is tried again after so long
 	shunned   = 16.0        // times its load, for a host set aside
 	pressed   = 0.6         // part of the limit from which on a late answer is not waited for
@@ -47,23 +48,21 @@
 
 // Gateway decides for one gateway.
 type Gateway struct {
-	now, start, heard int64 // heard: any peer
-	out               gateway.Writer
-	seat              gateway.Seat
-	fronts            []front
-	plans             []gateway.Plan
-	limits            gateway.Limits
-	customers         map[uint32]*customer
-	reqs              map[string]*req
-	rows              int     // that the gateways stand in
-	peers             []*peer // by seat; nil for those it neither tells nor hears
-	rate, age         float64 // messages a second to each peer; usual age of a total, in seconds
-	pause, silence    int64   // between signs of life; without any, peers are gone
-	fleet             fleet
-	worth, spare      float64 // usual worth of a req for its time; dispatches to spare where one may have run
-	rnd               mwc
-
-	nextSweep, nextAsk int64
+	now, start, heard, nextSweep, nextAsk int64 // heard: any peer
+	out                                   gateway.Writer
+	seat                                  gateway.Seat
+	fronts                                []front
+	plans                                 []gateway.Plan
+	limits                                gateway.Limits
+	customers                             map[uint32]*customer
+	reqs                                  map[string]*req
+	rows                                  int     // that the gateways stand in
+	peers                                 []*peer // by seat; nil for those it neither tells nor hears
+	rate, age                             float64 // messages a second to each peer; usual seconds a total is old
+	pause, silence                        int64   // between signs of life; without any, peers are gone
+	fleet                                 fleet
+	worth, spare                          float64 // usual worth of a req for its time; repeats in stock
+	rnd                                   *mwc
 }
 
 // front is a frontend, how long its answers usually take and what its reqs ask.
@@ -84,8 +83,7 @@
 	closed         bool
 }
 
-// send is a dispatch, the nth of its req.
-type send struct {
+type send struct { // a dispatch, the nth of its req
 	req  *req
 	host *host
 	n    int
@@ -110,34 +108,30 @@
 
 // tie is what a customer's copy here and at a peer know of each other.
 type tie struct {
-	customer      *customer
-	peer          *peer
-	at, changed   int64  // of the last total heard, and of the last that differed
-	number        uint64 // of the message that told it
-	seen, told    uint64 // last total heard, last told
-	rate          float64
-	tells, queued bool
+	customer           *customer
+	peer               *peer
+	at, changed        int64  // of the last total heard, and of the last that differed
+	number, seen, told uint64 // of the message that told it; last total heard, last told
+	rate               float64
+	tells, queued      bool
 }
 
-// peer is another gateway.
 type peer struct {
-	seat         int
-	far, tells   bool      // in another row; it is to be told
-	latest       *customer // with a tie to it, the nth of the customer's
-	nth          int
-	life         uint64  // its start by its own clock; later is newer
-	heard, first int64   // last hearing; first of this life, or since a long silence
-	queue        []*tie  // with totals to tell
-	due          int64   // next sign of life
-	said         uint64  // messages
-	credit       float64 // messages that it can take
-}
-
-// New starts a gateway.
+	seat              int
+	far, tells        bool      // in another row; it is to be told
+	latest            *customer // with a tie to it, the nth of the customer's
+	nth               int
+	heard, first, due int64   // last hearing; first of this life, or since a long silence; next sign of life
+	queue             []*tie  // with totals to tell
+	life, said        uint64  // its start by its own clock, later is newer; messages to it
+	credit            float64 // messages that it can take
+}
+
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
-	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: mwc(seed | 1),
+	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
 		customers: map[uint32]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1))}
+	*g.rnd = mwc(seed | 1)
 	for _, f := range fronts {
 		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1})
 	}
@@ -149,33 +143,48 @@
 		far := g.row(i) != g.row(me)
 		tells, hears := !far || g.via(me, i) == me, !far || g.via(i, me) == i
 		if i != me && seat.Messages && (tells || hears) {
-			g.peers[i] = &peer{seat: i, far: far, tells: tells, credit: float64(g.rnd.next()) / (1 << 32)}
+			g.peers[i] = &peer{seat: i, far: far, tells: tells, credit: g.rnd.part()}
 		}
 	}
 	g.rate = max(seat.PerSecond*mailShare/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
-	g.fleet = fleet{byID: map[uint32]*host{}, cold: cold, first: firstOpen / float64(len(g.peers)),
+	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, first: firstOpen / float64(len(g.peers)),
 		utilAt: slices.Index(report.Fields, gateway.BusyShare)}
 	return g
 }
 
 // Round takes all that came in and writes the decisions.
 func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
+	late, waiting := in.Now-g.now, 0.0
+	if late <= stall || g.start < 0 {
+		late = 0
+	} else { // this gateway stood still; what came in meanwhile came evenly
+		g.fleet.woke = in.Now
+	}
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
 		g.start, g.heard = g.now, g.now
 		g.beat()
 	}
+	for i := range in.Events {
+		if in.Events[i].Kind == gateway.Arrived {
+			waiting++
+		}
+	}
+	rest := waiting
 	for i := range in.Events {
 		e := &in.Events[i]
 		switch e.Kind {
 		case gateway.Arrived:
-			g.arrive(e)
+			g.arrive(e, g.now-int64(float64(late)*rest/waiting))
+			rest--
 		case gateway.Ended:
 			g.ended(e)
 		case gateway.Left:
-			g.close(g.reqs[e.Req])
+			if r := g.reqs[e.Req]; r != nil {
+				g.close(r)
+			}
 		case gateway.Listed:
 			if g.fleet.list(e.List, e.Hosts); e.List == gateway.Lost { // the subscription too
 				g.nextAsk = g.now + second
@@ -189,13 +198,13 @@
 }
 
 // arrive decides a req: the ordinary path, from top to bottom.
-func (g *Gateway) arrive(e *gateway.Event) {
+func (g *Gateway) arrive(e *gateway.Event, at int64) {
 	c, fr := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First), &g.fronts[e.Frontend]
-	r := &req{id: e.Req, customer: c, front: fr, units: e.Units, arrived: g.now, until: e.Until}
+	r := &req{id: e.Req, customer: c, front: fr, units: e.Units, arrived: at, until: e.Until}
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
 	g.refill(c)
-	level := c.level - c.others*g.age*2*float64(g.rnd.next())/(1<<32)
+	level := c.level - c.others*g.age*2*g.rnd.part()
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
@@ -208,6 +217,7 @@
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
 		after = float64(second)
 	case c.plan.Open > 0 && !g.openRoom(c, fr): // too many are out
+	case fr.Late == 0 && float64(g.now-at)+fr.usual > float64(fr.Target): // no answer would be worth anything
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
@@ -303,9 +313,7 @@
 
 // close marks r as over; it is forgotten when no dispatch is out.
 func (g *Gateway) close(r *req) {
-	if r == nil {
-		return
-	} else if r.closed = true; r.out == nil {
+	if r.closed = true; r.out == nil {
 		delete(g.reqs, r.id)
 	}
 }
@@ -356,10 +364,9 @@
 		default:
 			c.tie(g.peers[g.via(s, me)], false)
 			if v := g.via(me, s); v != me {
-				c.tie(g.peers[v], true)
-			} else {
-				c.tie(g.peers[s], true)
+				s = v
 			}
+			c.tie(g.peers[s], true)
 		}
 	}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
@@ -378,9 +385,8 @@
 	c.ties[p.nth].tells = c.ties[p.nth].tells || tells
 }
 
-// row is where a gateway stands, in rows of even length. Where a message to each peer every interval is more
-// than they take in, each tells its own admissions to its row and its row's to its column: the totals of
-// hundreds of gateways arrive in two steps and a few dozen messages.
+// row is where a gateway stands. Where a message to each peer an interval is more than they take in, each
+// tells its own admissions to its row, and its row's to its column: two steps, few messages for any number.
 func (g *Gateway) row(seat int) int { return seat * g.rows / len(g.peers) }
 
 // via is the gateway in from's row that tells to what the row admits: the one in to's column, or the last.
@@ -495,7 +501,6 @@
 	g.out.Tell(p.seat, msg)
 }
 
-// hear takes a peer's message in.
 func (g *Gateway) hear(from int, msg []byte) {
 	if from < 0 || from >= len(g.peers) || g.peers[from] == nil {
 		return
@@ -551,34 +556,31 @@
 
 // fleet is the hosts.
 type fleet struct {
-	byID   map[uint32]*host
-	hosts  []*host // in a fixed order
-	cold   gateway.Cold
-	utilAt int     // place of the busy share in load reports, -1 none
-	first  float64 // what a host adds to the limit
-	out    int     // dispatches out from here
-	limit  float64 // on these
-	late   float64 // mean part of the target that answers take
-	cutAt  int64
+	byID        map[uint32]*host
+	hosts       []*host // in a fixed order
+	cold        gateway.Cold
+	rnd         *mwc
+	utilAt      int     // place of the busy share in load reports, -1 none
+	first       float64 // what a host adds to the limit
+	out         int     // dispatches out from here
+	limit       float64 // on these
+	late        float64 // mean part of the target that answers take
+	cutAt, woke int64   // last cut of the limit; the gateway last stood still until then
 }
 
 // host is all that is known of a host.
 type host struct {
-	id         uint32
-	hash       uint64
-	zone, cell int
-	state      gateway.State
-	since      int64 // its last start
-	out        []*send
-	pace       float64 // its answers' time against the usual
-	util       float64 // told busy share of its cores
-	load       float64 // how long an answer would take, in parts of the usual
-	allow      float64 // dispatches it may get while cold
-	aside      int64   // set aside until; 0 not
-	good, any  int64   // last good answer, last answer
-}
-
-// list takes news of the host list in.
+	id               uint32
+	hash             uint64
+	zone, cell       int
+	state            gateway.State
+	since            int64 // its last start
+	out              []*send
+	pace, util       float64 // its answers' time against the usual; told busy share
+	load, allow      float64 // how long an answer would take; dispatches it may get while cold
+	good, any, aside int64   // last good answer, last answer; set aside until, 0 not
+}
+
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
 	for _, h := range f.hosts {
 		if kind == gateway.Complete || kind == gateway.Old {
@@ -588,14 +590,14 @@
 	for _, l := range news {
 		h := f.byID[l.Host]
 		if h == nil {
-			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, since: l.Since}
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, since: l.Since, allow: f.rnd.part()}
 			f.byID[l.Host] = h
 			f.limit += f.first
 			f.hosts = append(f.hosts, h)
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 		}
 		if l.Since > h.since { // a new start: what was learned of the old process is void
-			h.since, h.pace, h.aside, h.allow, h.util = l.Since, 1, 0, 0, 0
+			h.since, h.pace, h.aside, h.allow, h.util = l.Since, 1, 0, f.rnd.part(), 0
 		}
 		h.zone, h.cell, h.state = l.Zone, l.Cell, l.State
 	}
@@ -611,15 +613,14 @@
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint32, now int64, part float64, in func(*host) bool) *host {
-	if float64(f.out+1) > max(f.limit*part, 1) {
+	if float64(f.out) > f.limit*part { // one more than the limit, as chance brings reqs together
 		return nil
 	}
 	least := math.Inf(1)
 	for _, h := range f.hosts {
 		h.load = math.Inf(1)
-		w := f.warmth(h, now)
-		if h.state == gateway.Running && (w >= 1 || h.allow >= 1) && (in == nil || in(h)) {
-			h.load = h.pace * float64(len(h.out)+1) / w * (1 + h.util)
+		if h.state == gateway.Running && (f.warmth(h, now) >= 1 || h.allow >= 1) && (in == nil || in(h)) {
+			h.load = h.pace * float64(len(h.out)+1) * (1 + h.util)
 			if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
 				h.load *= shunned // not out of use: where all are set aside the cause is shared
 			}
@@ -627,9 +628,9 @@
 		least = min(least, h.load)
 	}
 	var first *host
-	rank := func(h *host) uint64 { return mix(uint64(customer) ^ h.hash) }
 	for _, h := range f.hosts {
-		if h.load <= least*ample && !math.IsInf(least, 1) && (first == nil || rank(h) > rank(first)) {
+		if h.load <= least*ample && least < math.MaxFloat64 &&
+			(first == nil || mix(uint64(customer)^h.hash) > mix(uint64(customer)^first.hash)) {
 			first = h
 		}
 	}
@@ -656,7 +657,7 @@
 // learn takes in what an ended dispatch says of its host.
 func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
 	h, fr := s.host, s.req.front
-	if f.utilAt >= 0 && f.utilAt < len(load) {
+	if uint(f.utilAt) < uint(len(load)) {
 		h.util = load[f.utilAt]
 	}
 	switch res {
@@ -668,15 +669,15 @@
 	case gateway.Errored, gateway.Unreached, gateway.Broken:
 		h.aside = now + trial // it gets little until then, or until a peer hears well of it
 	}
-	if res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5 {
+	// What was out while this gateway stood still tells nothing: answers lay waiting for it.
+	if s.at >= f.woke && (res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5) {
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
 		f.limitOpen(lag, fr.Target, now)
 	}
 }
 
 // limitOpen moves the limit on dispatches out from here. It grows while answers take on average less than a
-// part of their target and is cut, once in that time, while they take more: a deeper queue earns nothing and
-// slows hosts. It covers overload, slow dependencies, shrunken fleets; a run of long reqs can cut it too.
+// part of their target, and is cut, once in that time, while they take more: a deeper queue earns nothing.
 func (f *fleet) limitOpen(lag, target, now int64) {
 	f.late += (min(float64(lag)/float64(target), 1) - f.late) / min(2+f.limit, 16)
 	if f.late <= lateness {
@@ -705,12 +706,12 @@
 
 func seconds(t int64) float64 { return float64(t) / float64(second) }
 
-// mwc is a multiply-with-carry generator.
+// mwc is a multiply-with-carry generator; part a chance number from 0 to 1.
 type mwc uint64
 
-func (m *mwc) next() uint32 {
+func (m *mwc) part() float64 {
 	*m = mwc(uint64(uint32(*m))*4294957665 + uint64(*m)>>32)
-	return uint32(*m)
+	return float64(uint32(*m)) / (1 << 32)
 }
 
 func hashText(s string) uint32 {
