Margins by what is asked, debt of one burst, dispatches cut at the target, links in a list

Cause, by profile: each beat looked at all seats, and each new record worked out its ways anew.

Sends beyond quotas come nearly all from customers that ask far more than their quota: all their gateways open at once and close at once, a second late. The chance margin for what peers have likely admitted now grows with what is asked here against what is admitted, up to half a burst, and the open cap is held more strictly for such customers, who lose nothing by it. Debt is one burst again, as the design starts with. Dispatches are always cut at the target (one setting less).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	beat      = second / 50 // between wake-ups
 	interval  = second / 2  // between totals, longer where a gateway may not take in that much
 	silent    = 4           // intervals with no peer heard: alone; quiet for so long, a customer is forgotten
-	debt      = 0.5         // bursts that a copy may owe
+	debt      = 1.0         // bursts that a copy may owe; the design's default
 	mailShare = 0.8         // part of what a gateway takes in that its peers use together
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
@@ -39,14 +39,12 @@
 	stall     = 5 * beat    // with no round: this gateway stood still
 	trial     = 2 * second  // a host set aside is tried again after so long
 	shunned   = 16.0        // times its load, for a host set aside
-	pressed   = 0.6         // part of the limit from which on a late answer is not waited for
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	needy     = 0.7         // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2         // times the least load: enough for a host
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
-// Gateway decides for one gateway.
 type Gateway struct {
 	now, start, heard, nextSweep, nextAsk int64 // heard: any peer
 	out                                   gateway.Writer
@@ -57,7 +55,8 @@
 	customers                             map[uint32]*customer
 	reqs                                  map[string]*req
 	rows                                  int     // that the gateways stand in
-	peers                                 []*peer // by seat; nil for those it neither tells nor hears
+	links                                 []*peer // the gateways that it tells or hears
+	peers, to, from                       []*peer // by seat: it, if linked; the link on the way there, and back
 	rate, age                             float64 // messages a second to each peer; usual seconds a total is old
 	pause, silence                        int64   // between signs of life; without any, peers are gone
 	fleet                                 fleet
@@ -65,8 +64,7 @@
 	rnd                                   *mwc
 }
 
-// front is a frontend, how long its answers usually take and what its reqs ask.
-type front struct {
+type front struct { // with how long its answers usually take and what its reqs ask
 	gateway.Frontend
 	usual, units float64
 }
@@ -99,6 +97,7 @@
 	ties                []tie   // the peers that tell or are told of it
 	begun, at, moved    int64   // start of the record, last refill, last admission here or elsewhere
 	level, others       float64 // units; units a second that the peers admit
+	ask, got            float64 // units lately asked and admitted here
 	total, sum          float64 // admitted here; here and at the others of the row
 	ceiling             float64 // this gateway's part of the ceiling's store
 	ceilRate, ceilDepth float64
@@ -130,7 +129,8 @@
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
 	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
-		customers: map[uint32]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1))}
+		customers: map[uint32]*customer{}, reqs: map[string]*req{}, peers: make([]*peer, max(seat.Count, 1)),
+		to: make([]*peer, max(seat.Count, 1)), from: make([]*peer, max(seat.Count, 1))}
 	*g.rnd = mwc(seed | 1)
 	for _, f := range fronts {
 		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1})
@@ -139,11 +139,21 @@
 	if float64(n-1) > seat.PerSecond*mailShare*seconds(interval) {
 		g.rows = int(math.Sqrt(float64(n)) + 0.5)
 	}
+	hop := func(from, to, i int) *peer { // the other end of the step from or to here, on the way between the two
+		v := g.via(from, to)
+		if v == me {
+			v = i
+		}
+		if g.peers[v] == nil {
+			g.peers[v] = &peer{seat: v, far: g.row(v) != g.row(me), credit: g.rnd.part()}
+			g.links = append(g.links, g.peers[v])
+		}
+		return g.peers[v]
+	}
 	for i := range g.peers {
-		far := g.row(i) != g.row(me)
-		tells, hears := !far || g.via(me, i) == me, !far || g.via(i, me) == i
-		if i != me && seat.Messages && (tells || hears) {
-			g.peers[i] = &peer{seat: i, far: far, tells: tells, credit: g.rnd.part()}
+		if i != me && seat.Messages {
+			g.to[i], g.from[i] = hop(me, i, i), hop(i, me, i)
+			g.to[i].tells = true
 		}
 	}
 	g.rate = max(seat.PerSecond*mailShare/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
@@ -204,7 +214,10 @@
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
 	g.refill(c)
-	level := c.level - c.others*g.age*2*g.rnd.part()
+	c.ask += r.units
+	greed := (1 + c.ask) / (1 + c.got)
+	// What peers have admitted within a total's age is a chance number; the more is asked, the more it sways.
+	level := c.level - min(2*g.rnd.part()*c.others*g.age*greed, c.plan.Burst/2)
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
@@ -216,7 +229,7 @@
 		after = (r.units - c.ceiling) / c.ceilRate * float64(second)
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
 		after = float64(second)
-	case c.plan.Open > 0 && !g.openRoom(c, fr): // too many are out
+	case c.plan.Open > 0 && !g.openRoom(c, fr, greed): // too many are out
 	case fr.Late == 0 && float64(g.now-at)+fr.usual > float64(fr.Target): // no answer would be worth anything
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
@@ -226,16 +239,16 @@
 		return
 	}
 	c.level, c.ceiling, c.total, c.sum = c.level-r.units, c.ceiling-r.units, c.total+r.units, c.sum+r.units
-	c.moved = g.now
+	c.got, c.moved = c.got+r.units, g.now
 	c.note(true)
 	g.spare = min(g.spare+0.1, 10)
 	g.dispatch(r, h)
 }
 
-// dispatch sends r to h. It waits while an answer has value.
+// dispatch sends r to h. It waits until the response target: a late answer keeps places from reqs in time.
 func (g *Gateway) dispatch(r *req, h *host) {
 	timeout := int64(0)
-	if (r.front.Late == 0 || float64(g.fleet.out+1) > pressed*g.fleet.limit) && !r.front.Stream {
+	if !r.front.Stream {
 		timeout = max(r.arrived+r.front.Target-g.now, 1000)
 	}
 	r.out = &send{req: r, host: h, n: r.tries, at: g.now}
@@ -280,7 +293,6 @@
 	}
 }
 
-// again sends r once more, elsewhere, if it may.
 func (g *Gateway) again(r *req, last *host) bool {
 	e := r.front.Effect
 	if r.tries >= g.limits.Dispatches || g.now >= min(r.until, r.arrived+r.front.Target) ||
@@ -337,7 +349,7 @@
 			}
 		}
 	}
-	for _, p := range g.peers {
+	for _, p := range g.links {
 		g.tell(p)
 	}
 	if g.now >= g.nextSweep {
@@ -353,21 +365,15 @@
 	}
 	p := &g.plans[plan]
 	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
-		moved: g.now, level: p.Burst, ceilDepth: p.CeilingBurst / float64(max(spread, 1))}
-	me := g.seat.Index
+		ties: make([]tie, 0, min(spread, len(g.links))), moved: g.now, level: p.Burst,
+		ceilDepth: p.CeilingBurst / float64(max(spread, 1))}
 	for i := range spread {
-		switch s := (first + i) % len(g.peers); {
-		case s == me:
+		s := (first + i) % len(g.peers)
+		if s == g.seat.Index {
 			c.ceilRate = p.CeilingRate / float64(spread)
-		case g.row(s) == g.row(me):
-			c.tie(g.peers[s], true)
-		default:
-			c.tie(g.peers[g.via(s, me)], false)
-			if v := g.via(me, s); v != me {
-				s = v
-			}
-			c.tie(g.peers[s], true)
 		}
+		c.tie(g.from[s], false)
+		c.tie(g.to[s], true)
 	}
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
@@ -399,9 +405,8 @@
 	return min(head(g.row(from))+to-head(g.row(to)), head(g.row(from)+1)-1)
 }
 
-// refill brings a copy up to now. Where no peer is heard the design denies all, also when the peers are gone.
-// So the copy keeps its due if every gateway of the customer's set were cut off alike: safe in any case, but
-// the last gateway alive serves a part of each quota only, and one burst may be spent twice.
+// refill brings a copy up to now. Where no peer is heard the design denies all. The copy keeps its due as if
+// all of the customer's gateways were cut off alike: safe, but the last one alive serves a part only.
 func (g *Gateway) refill(c *customer) {
 	t, part := seconds(g.now-c.at), 1.0
 	c.at = g.now
@@ -410,10 +415,10 @@
 	}
 	c.level = min(c.level+c.plan.Rate*t*part, c.plan.Burst*part)
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
-	c.others *= math.Exp(-t / seconds(g.silence))
+	fade := math.Exp(-t / seconds(g.silence))
+	c.others, c.ask, c.got = c.others*fade, c.ask*fade, c.got*fade
 }
 
-// idle tells whether the customer has been quiet and refilled, so that the record holds nothing.
 func (g *Gateway) idle(c *customer) bool {
 	g.refill(c)
 	return c.open == 0 && g.now-c.moved > g.silence && (c.level >= c.plan.Burst || c.plan.Rate == 0) &&
@@ -423,7 +428,7 @@
 
 // openRoom tells whether a dispatch is worth the risk to pass the plan's cap on those out. Others have a
 // chance number out, about what their admissions keep; a denied req may come back and pass.
-func (g *Gateway) openRoom(c *customer, fr *front) bool {
+func (g *Gateway) openRoom(c *customer, fr *front, greed float64) bool {
 	room := c.plan.Open - c.open
 	if room <= 0 {
 		return false
@@ -434,7 +439,7 @@
 		p += term
 		term *= others / float64(k+1)
 	}
-	return p/2 >= (1-p)*c.plan.BeyondCost
+	return p/2 >= (1-p)*c.plan.BeyondCost*greed
 }
 
 // note queues the customer for the peers that are to be told: of admissions here all, else the column.
@@ -446,8 +451,7 @@
 	}
 }
 
-// total is what the peer is to know: what was admitted here; in another row, what all of this one admitted.
-func (t *tie) total() float64 {
+func (t *tie) total() float64 { // what the peer is to know
 	if t.peer.far {
 		return t.customer.sum
 	}
@@ -459,12 +463,9 @@
 // tell sends p the totals that changed, the largest changes first, as soon as it can take a message, and each
 // interval at least a sign of life, with the hosts that answered well.
 func (g *Gateway) tell(p *peer) {
-	if p == nil || !p.tells {
-		return
-	}
 	p.credit = min(p.credit+g.rate*seconds(beat), max(g.rate, 1))
 	due := g.now >= p.due
-	if p.credit < 1 || !due && len(p.queue) == 0 {
+	if !p.tells || p.credit < 1 || !due && len(p.queue) == 0 {
 		return
 	}
 	var tags []uint16
@@ -554,8 +555,7 @@
 	}
 }
 
-// fleet is the hosts.
-type fleet struct {
+type fleet struct { // the hosts
 	byID        map[uint32]*host
 	hosts       []*host // in a fixed order
 	cold        gateway.Cold
