The limit grows by a part of its start, is a chance under one; slim records

Growth is now the same for the fleet whatever the number of gateways, and a limit under one lets a dispatch go by chance. Ties hold less, overtaken messages are passed over whole, totals are sorted only where they may not all fit.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"ravensill/gateway"
 	"ravensill/internal/simwire"
@@ -11,6 +12,7 @@
 )
 
 func main() {
+	debug.SetGCPercent(400) // records come and go in great number
 	err := simwire.Serve(os.Stdin, os.Stdout, func(seed uint64, seat gateway.Seat, fronts []gateway.Frontend,
 		plans []gateway.Plan, limits gateway.Limits, cold gateway.Cold, report gateway.Report) simwire.Decider {
 		return logic.New(seed, seat, fronts, plans, limits, cold, report)
--- a/internal/mail/mail.go
+++ b/internal/mail/mail.go
@@ -7,6 +7,7 @@
 const (
 	version = 2
 	Most    = 256 // bytes in a message
+	Least   = 8   // bytes of a total
 	Tags    = 100 // hosts in a message
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	needy     = 0.7         // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2         // times the least load: enough for a host
+	growth    = 0.05        // part of its start that the limit grows by in a round trip
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
@@ -107,23 +108,23 @@
 
 // tie is what a customer's copy here and at a peer know of each other.
 type tie struct {
-	customer           *customer
-	peer               *peer
-	at, changed        int64  // of the last total heard, and of the last that differed
-	number, seen, told uint64 // of the message that told it; last total heard, last told
-	rate               float64
-	tells, queued      bool
+	customer      *customer
+	peer          *peer
+	at            int64  // of the last total heard
+	seen, told    uint64 // last total heard, last told
+	rate          float64
+	tells, queued bool
 }
 
 type peer struct {
-	seat              int
-	far, tells        bool      // in another row; it is to be told
-	latest            *customer // with a tie to it, the nth of the customer's
-	nth               int
-	heard, first, due int64   // last hearing; first of this life, or since a long silence; next sign of life
-	queue             []*tie  // with totals to tell
-	life, said        uint64  // its start by its own clock, later is newer; messages to it
-	credit            float64 // messages that it can take
+	seat               int
+	far, tells         bool      // in another row; it is to be told
+	latest             *customer // with a tie to it, the nth of the customer's
+	nth                int
+	heard, first, due  int64   // last hearing; first of this life, or since a long silence; next sign of life
+	queue              []*tie  // with totals to tell
+	life, number, said uint64  // its start by its own clock, later is newer; its last message; messages to it
+	credit             float64 // messages that it can take
 }
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
@@ -338,7 +339,7 @@
 		g.out.Follow()
 	}
 	for _, h := range g.fleet.hosts {
-		if !h.silent(g.now) {
+		if g.fleet.out == 0 || !h.silent(g.now) {
 			continue
 		}
 		h.aside, h.any = g.now+trial, g.now
@@ -480,13 +481,15 @@
 	p.said++
 	p.credit--
 	msg := mail.Head(uint64(g.start/1e6), p.said, tags)
-	slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
+	if len(p.queue)*mail.Least > mail.Most { // they may not all fit
+		slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
+	}
 	n := 0
 	for _, t := range p.queue {
 		c := t.customer
 		total, gift := uint64(t.total()*unit), 0.0
 		// Spare ceiling goes to a peer that admits more than its part; deducted first, a lost message loses units.
-		if t.rate > needy*c.ceilRate && g.now-t.changed < g.silence {
+		if t.rate > needy*c.ceilRate && g.now-t.at < g.silence {
 			gift = math.Floor(max(c.ceiling-c.ceilDepth/2, 0) * unit)
 		}
 		entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, uint64(gift), g.now-c.begun < g.silence)
@@ -506,26 +509,26 @@
 	if from < 0 || from >= len(g.peers) || g.peers[from] == nil {
 		return
 	}
-	p, number := g.peers[from], uint64(0)
-	mail.Read(msg, len(g.plans), len(g.peers), func(life, n uint64) bool {
-		if life < p.life {
+	p := g.peers[from]
+	mail.Read(msg, len(g.plans), len(g.peers), func(life, number uint64) bool {
+		if life < p.life || life == p.life && number <= p.number { // overtaken
 			return false
 		}
 		if life != p.life || g.now-p.heard > g.silence { // its totals are first totals again
 			p.life, p.first = life, g.now
 		}
-		p.heard, g.heard, number = g.now, g.now, n
+		p.heard, g.heard, p.number = g.now, g.now, number
 		return true
 	}, g.fleet.vouched, func(hash uint32, plan, spread, first int, total, gift uint64, young bool) {
-		g.told(p, g.customer(hash, plan, spread, first), number, total, gift, young)
+		g.told(p, g.customer(hash, plan, spread, first), total, gift, young)
 	})
 }
 
 // told subtracts what a peer admitted since its last message, and passes it on to the other rows. A first or
 // lower total is only recorded, but subtracted whole where the peer has counted for a short time only.
-func (g *Gateway) told(p *peer, c *customer, number, total, gift uint64, young bool) {
+func (g *Gateway) told(p *peer, c *customer, total, gift uint64, young bool) {
 	i := slices.IndexFunc(c.ties, func(t tie) bool { return t.peer == p })
-	if i < 0 || c.ties[i].at >= p.first && number <= c.ties[i].number {
+	if i < 0 {
 		return
 	}
 	g.refill(c)
@@ -539,16 +542,13 @@
 	if units := float64(total-last) / unit; units > 0 {
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
 		c.others += units / seconds(g.silence)
-		t.rate += (units/max(seconds(g.now-max(t.changed, c.begun)), seconds(interval)/4) - t.rate) / 2
+		t.rate += (units/max(seconds(g.now-max(t.at, c.begun)), seconds(interval)/4) - t.rate) / 2
 		if !p.far {
 			c.sum += units
 			c.note(false)
 		}
 	}
-	if total != t.seen {
-		t.changed, c.moved = g.now, g.now
-	}
-	t.seen, t.number, t.at = total, number, g.now
+	t.seen, t.at, c.moved = total, g.now, g.now
 	c.ceiling = min(c.ceiling+float64(gift)/unit, c.ceilDepth)
 	if t.rate > needy*c.ceilRate && c.ceilRate > 0 { // it may be in want of what is spare here
 		c.note(true)
@@ -613,7 +613,8 @@
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint32, now int64, part float64, in func(*host) bool) *host {
-	if float64(f.out) > f.limit*part { // one more than the limit, as chance brings reqs together
+	// Chance brings reqs together, so one more may go than the limit; under one, a limit is a chance.
+	if l := f.limit * part; float64(f.out+1) > l+f.rnd.part()*(1+min(l, 1)) {
 		return nil
 	}
 	least := math.Inf(1)
@@ -682,10 +683,10 @@
 	f.late += (min(float64(lag)/float64(target), 1) - f.late) / min(2+f.limit, 16)
 	if f.late <= lateness {
 		if float64(f.out+2) > f.limit {
-			f.limit += 1 / f.limit
+			f.limit += min(f.limit, growth*f.first*float64(len(f.hosts))/f.limit)
 		}
 	} else if now-f.cutAt >= int64(lateness*float64(target)) {
-		f.limit, f.cutAt = max(1, f.limit*0.85), now
+		f.limit, f.cutAt = max(0.05, f.limit*0.85), now
 	}
 }
 
@@ -695,8 +696,7 @@
 		max(int64(5*h.out[0].req.front.usual*h.pace), h.out[0].req.front.Target/2)
 }
 
-// vouched brings a host back that another gateway has good answers from.
-func (f *fleet) vouched(tag uint16) {
+func (f *fleet) vouched(tag uint16) { // another gateway has good answers of it: a host set aside comes back
 	for _, h := range f.hosts {
 		if uint16(h.hash) == tag {
 			h.aside = 0
