--- a/logic/logic.go
+++ b/logic/logic.go
@@ -171,7 +171,7 @@
 	if late <= stall || g.start < 0 {
 		late = 0
 	} else { // this gateway stood still; what came in meanwhile came evenly
-		g.fleet.woke = in.Now
+		g.fleet.woke, g.fleet.stood = in.Now, late
 	}
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
@@ -230,8 +230,8 @@
 		after = (r.units - c.ceiling) / c.ceilRate * float64(second)
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
 		after = float64(second)
-	case c.plan.Open > 0 && !g.openRoom(c, fr, greed): // too many are out
 	case fr.Late == 0 && float64(g.now-at)+fr.usual > float64(fr.Target): // no answer would be worth anything
+	case c.plan.Open > 0 && !g.openRoom(c, fr, greed): // too many are out
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
@@ -324,14 +324,12 @@
 	g.close(r)
 }
 
-// close marks r as over; it is forgotten when no dispatch is out.
 func (g *Gateway) close(r *req) {
 	if r.closed = true; r.out == nil {
 		delete(g.reqs, r.id)
 	}
 }
 
-// beat does what is due with time, and asks for the next beat.
 func (g *Gateway) beat() {
 	g.out.Wake(beat)
 	if g.limits.MustAsk && g.now >= g.nextAsk {
@@ -461,8 +459,7 @@
 
 func (t *tie) untold() float64 { return t.total() - float64(t.told)/unit }
 
-// tell sends p the totals that changed, the largest changes first, as soon as it can take a message, and each
-// interval at least a sign of life, with the hosts that answered well.
+// tell sends p the totals that changed, as soon as it can take a message, and signs of life with hosts' tags.
 func (g *Gateway) tell(p *peer) {
 	p.credit = min(p.credit+g.rate*seconds(beat), max(g.rate, 1))
 	due := g.now >= p.due
@@ -556,16 +553,16 @@
 }
 
 type fleet struct { // the hosts
-	byID        map[uint32]*host
-	hosts       []*host // in a fixed order
-	cold        gateway.Cold
-	rnd         *mwc
-	utilAt      int     // place of the busy share in load reports, -1 none
-	first       float64 // what a host adds to the limit
-	out         int     // dispatches out from here
-	limit       float64 // on these
-	late        float64 // mean part of the target that answers take
-	cutAt, woke int64   // last cut of the limit; the gateway last stood still until then
+	byID               map[uint32]*host
+	hosts              []*host // in a fixed order
+	cold               gateway.Cold
+	rnd                *mwc
+	utilAt             int     // place of the busy share in load reports, -1 none
+	first              float64 // what a host adds to the limit
+	out                int     // dispatches out from here
+	limit              float64 // on these
+	late               float64 // mean part of the target that answers take
+	cutAt, woke, stood int64   // last cut of the limit; the gateway last stood still until then, and how long
 }
 
 // host is all that is known of a host.
@@ -614,6 +611,9 @@
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(customer uint32, now int64, part float64, in func(*host) bool) *host {
 	// Chance brings reqs together, so one more may go than the limit; under one, a limit is a chance.
+	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
+		part *= 2
+	}
 	if l := f.limit * part; float64(f.out+1) > l+f.rnd.part()*(1+min(l, 1)) {
 		return nil
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -203,13 +203,14 @@
 	w.in(0, gateway.Event{Kind: gateway.Heard, Peer: 1, Body: append([]byte{9}, good[1:]...)},
 		gateway.Event{Kind: gateway.Heard, Peer: 7, Body: good})
 	w.levels("a")
+	w.boot(0, 1, 2) // it has taken one cut right behind the head for a sign of life
 	w.in(0, gateway.Event{Kind: gateway.Heard, Peer: 1, Body: good})
 	w.levels("a")
 	golden.Check(t, w.trace.String())
 }
 
 func TestHundreds(t *testing.T) { // 300 gateways: totals reach all of a set in two steps, and none twice
-	w := start(300, 4, func(w *world) { w.plans[0].Rate = 0.001 })
+	w := start(300, 300, func(w *world) { w.plans[0].Rate = 0.001 })
 	w.arrive(290, "a", 3)
 	w.arrive(5, "a", 2)
 	w.trace.Reset()
