--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -425,3 +425,57 @@
 	}
 	golden.Check(t, w.trace.String())
 }
+
+func TestStall(t *testing.T) { // a gateway that stood still: the longest waits are denied, late answers cut no limit
+	w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 100, 100 })
+	w.arrive(0, "a", 2)
+	limit := w.seats[0].g.fleet.limit
+	w.now += 2 * second
+	var in []gateway.Event
+	for _, h := range w.seats[0].g.fleet.hosts {
+		for _, s := range h.out {
+			in = append(in, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: h.id, Lag: 2 * second, Closed: true})
+		}
+	}
+	for k := range 6 {
+		in = append(in, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint("late", k), Customer: "b", Units: 1, Spread: 1,
+			Until: w.now + 2*second})
+	}
+	w.in(0, in...)
+	w.seats[0].say("limit moved by %.1f", w.seats[0].g.fleet.limit-limit)
+	golden.Check(t, w.trace.String())
+}
+
+func TestSmallLimit(t *testing.T) { // under one, a limit lets some reqs go, one at a time
+	w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	said := ""
+	for _, limit := range []float64{0.05, 0.5, 2} {
+		sent := 0
+		for range 200 {
+			w.seats[0].g.fleet.limit = limit
+			w.arrive(0, "a", 1)
+			sent += w.seats[0].g.fleet.out
+			w.wait(beat, true)
+			w.pass(0)
+		}
+		said += fmt.Sprintf("limit %.2f: %d of 200 reqs sent\n", limit, sent)
+	}
+	golden.Check(t, said)
+}
+
+func TestGreed(t *testing.T) { // a customer that asks five times its rate at 100 gateways, with totals a second old
+	w := start(100, 100, nil)
+	said := ""
+	for s := range 8 {
+		w.trace.Reset()
+		for i := range 100 {
+			w.arrive(i, "a", 1)
+			w.wait(beat/2, true)
+			for k := range w.seats {
+				w.pass(k)
+			}
+		}
+		said += fmt.Sprintf("2 s from %d: %d of 100 reqs sent, the rate holds 20\n", 2*s, strings.Count(w.trace.String(), "dispatch a"))
+	}
+	golden.Check(t, said)
+}
