Sends are charged at their chance to be within the open cap

A send beyond the open cap takes nothing from the true quota, but all copies charged it, so the copies of a customer that asks much stayed empty beside a full store. Now it is charged at its chance to be within. What is left on the grown deployments: a burst of three units is spent by five gateways at once, then all copies are in debt while the true store refills.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,7 +8,7 @@
 // down to a bounded debt; a copy without the units denies. Beside the design stand these mechanisms:
 //
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, Gateway.refill)
-//  2. a guess of what other gateways have out, for the cap on open reqs (Gateway.openRoom)
+//  2. a guess of what other gateways have out, for the cap on open reqs (customer.openChance)
 //  3. bounded load: the customer's first host in rank that is not much busier than the least (fleet.pick)
 //  4. a limit on what is out from here, moved by how late answers are; low worth gives way (fleet.limitOpen)
 //  5. hosts that fail or fall silent are set aside (host.aside), as are customers that go unanswered
@@ -222,7 +222,7 @@
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
-	h, after := (*host)(nil), fr.usual
+	h, after, inCap := (*host)(nil), fr.usual, c.openChance(fr)
 	switch {
 	case c.plan.Rate > 0 && level < r.units: // the copy lacks the units
 		after = (r.units - level) / c.plan.Rate * float64(second)
@@ -231,7 +231,7 @@
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
 		after = float64(second)
 	case fr.Late == 0 && float64(g.now-at)+fr.usual > float64(fr.Target): // no answer would be worth anything
-	case c.plan.Open > 0 && !g.openRoom(c, fr, greed): // too many are out
+	case inCap == 0 || inCap/2 < (1-inCap)*c.plan.BeyondCost*greed: // too many are out; it may come back
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
@@ -239,7 +239,8 @@
 		g.deny(r, after)
 		return
 	}
-	c.level, c.ceiling, c.total, c.sum = c.level-r.units, c.ceiling-r.units, c.total+r.units, c.sum+r.units
+	taken := r.units * inCap // what is beyond the cap takes nothing from the quota
+	c.level, c.ceiling, c.total, c.sum = c.level-taken, c.ceiling-r.units, c.total+taken, c.sum+taken
 	c.got, c.moved = c.got+r.units, g.now
 	c.note(true)
 	g.spare = min(g.spare+0.1, 10)
@@ -425,20 +426,19 @@
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
-// openRoom tells whether a dispatch is worth the risk to pass the plan's cap on those out. Others have a
-// chance number out, about what their admissions keep; a denied req may come back and pass.
-func (g *Gateway) openRoom(c *customer, fr *front, greed float64) bool {
-	room := c.plan.Open - c.open
-	if room <= 0 {
-		return false
+// openChance is the chance that one more dispatch keeps to the plan's cap on those out: others have a chance
+// number out, about what their admissions keep.
+func (c *customer) openChance(fr *front) float64 {
+	if c.plan.Open == 0 {
+		return 1
 	}
 	others := c.others / fr.units * fr.usual / float64(second)
 	p, term := 0.0, math.Exp(-others)
-	for k := range room {
+	for k := range max(c.plan.Open-c.open, 0) {
 		p += term
 		term *= others / float64(k+1)
 	}
-	return p/2 >= (1-p)*c.plan.BeyondCost*greed
+	return p
 }
 
 // note queues the customer for the peers that are to be told: of admissions here all, else the column.
