--- a/internal/simwire/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,5 @@
-package simwire
+// Package config reads, checks and gives defaults to all that a gateway is told. Messages name the faulty key.
+package config
 
 import (
 	"errors"
@@ -67,58 +68,76 @@
 	}
 }
 
-// start reads the settings text and starts a gateway with it.
-func start(seed uint64, text string, begin Start) (*instance, error) {
+// Settings is what a deployment tells each of its gateways, on every wire.
+type Settings struct {
+	Seat   gateway.Seat
+	Fronts []gateway.Frontend
+	Plans  []gateway.Plan
+	Limits gateway.Limits
+	Cold   gateway.Cold
+	Report gateway.Report
+
+	FrontNames, PlanNames, ReportNames, Zones, Machines []string // by index
+	ConnIdle, ConnectTimeout                            int64    // of connections to hosts
+}
+
+// Decode reads the settings object.
+func Decode(text string) (*Settings, error) {
 	if !gjson.Valid(text) || !gjson.Parse(text).IsObject() {
 		return nil, errors.New("not a JSON object")
 	}
-	s := &settings{obj: gjson.Parse(text)}
-	var fronts []gateway.Frontend
+	s, d := &settings{obj: gjson.Parse(text)}, &Settings{}
 	s.each("profiles", func(p string) {
-		fronts = append(fronts, gateway.Frontend{
+		d.FrontNames = append(d.FrontNames, s.at(p+".name", gjson.String).Str)
+		d.Fronts = append(d.Fronts, gateway.Frontend{
 			Effect: gateway.Effect(s.word(p+".effect", "safe", "keyed", "unsafe")),
 			Group:  gateway.Group(s.word(p+".group", "all", "zone", "cell")),
 			Window: s.time(p + ".window_us"), Target: s.time(p + ".target_us"), Timeout: s.time(p + ".hard_limit_us"),
 			Value: s.num(p + ".points"), Late: s.num(p + ".late_worth"), Stream: s.yes(p + ".stream"),
 		})
 	})
-	var plans []gateway.Plan
 	s.each("plans", func(p string) {
-		plans = append(plans, gateway.Plan{
+		d.PlanNames = append(d.PlanNames, s.at(p+".name", gjson.String).Str)
+		d.Plans = append(d.Plans, gateway.Plan{
 			Rate: s.num(p + ".rate"), Burst: s.num(p + ".burst"), Open: s.whole(p + ".parallel"),
 			CeilingRate: s.num(p + ".ceiling_rate"), CeilingBurst: s.num(p + ".cap_depth"),
 			Slack: s.num(p + ".ceiling_slack"), Price: s.num(p + ".worth_factor"),
 			BeyondValue: s.num(p + ".extra_worth"), BeyondCost: s.num(p + ".beyond_costs"),
 		})
 	})
-	seat := gateway.Seat{
+	d.Seat = gateway.Seat{
 		Index: s.whole("position"), Count: s.whole("balancers"), Zone: s.whole("locality"),
 		Messages: s.yes("limits.peer_messages"), PerSecond: s.num("family_info.mail_per_s"),
 	}
-	limits := gateway.Limits{
+	d.Limits = gateway.Limits{
 		Dispatches: s.whole("limits.max_attempts"), Two: s.yes("limits.parallel_tries"),
 		Cancel: s.yes("limits.cancelling"), Probes: s.yes("limits.probes"),
 		RetryAfter: s.yes("limits.retry_after"), LongestAdvice: s.time("limits.max_retry_after_us"),
 		MustAsk: s.word("membership_mode", "pushed", "on_request") == 1,
 		Settles: s.yes("family_info.settles"),
 	}
-	cold := gateway.Cold{
+	d.Cold = gateway.Cold{
 		From: s.num("rules.start_capacity"), Warm: s.time("rules.warm_up_us"),
 		Multiple: s.num("rules.fall_multiple"), Window: s.time("rules.fall_us"),
 	}
 	how := s.word("report.how", "off", "inline", "on_probe")
-	report := gateway.Report{Answers: how == 1, Probes: how == 2}
-	for _, name := range s.obj.Get("report.names").Array() {
-		report.Fields = append(report.Fields, field(name.Str))
+	d.Report = gateway.Report{Answers: how == 1, Probes: how == 2}
+	d.ReportNames, d.Zones, d.Machines = s.names("report.names"), s.names("zones"), s.names("skus")
+	for _, name := range d.ReportNames {
+		d.Report.Fields = append(d.Report.Fields, field(name))
 	}
-	if s.err == nil && (seat.Count < 1 || seat.Index >= seat.Count) {
-		s.err = fmt.Errorf("position: %d is not below balancers", seat.Index)
+	d.ConnIdle, d.ConnectTimeout = s.time("limits.conn_idle_us"), s.time("limits.connect_timeout_us")
+	if s.err == nil && (d.Seat.Count < 1 || d.Seat.Index >= d.Seat.Count) {
+		s.err = fmt.Errorf("position: %d is not below balancers", d.Seat.Index)
 	}
-	if s.err != nil {
-		return nil, s.err
+	return d, s.err
+}
+
+func (s *settings) names(path string) (names []string) {
+	for _, n := range s.at(path, gjson.JSON).Array() {
+		names = append(names, n.Str)
 	}
-	return &instance{decider: begin(seed, seat, fronts, plans, limits, cold, report),
-		fronts: len(fronts), plans: len(plans), seats: seat.Count}, nil
+	return names
 }
 
 func field(name string) gateway.Field {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -13,8 +13,11 @@
 	"strings"
 
 	"ravensill/gateway"
+	"ravensill/internal/config"
 )
 
+const us = 1000 // nanoseconds
+
 // Decider is one gateway's decisions.
 type Decider interface {
 	Round(in *gateway.Round, out gateway.Writer)
@@ -117,11 +120,12 @@
 		if err := f.end(); err != nil {
 			return err
 		}
-		seat, err := start(seed, env, h.start)
+		s, err := config.Decode(env)
 		if err != nil {
 			return fmt.Errorf("POWER_ON: env: %w", err)
 		}
-		h.seats[h.id] = seat
+		h.seats[h.id] = &instance{decider: h.start(seed, s.Seat, s.Fronts, s.Plans, s.Limits, s.Cold, s.Report),
+			fronts: len(s.Fronts), plans: len(s.Plans), seats: s.Seat.Count}
 		h.round()
 		return nil
 	}
