--- /dev/null
+++ b/cmd/ravensill/main.go
@@ -0,0 +1,42 @@
+// Command ravensill is one gateway on sockets.
+package main
+
+import (
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"ravensill/internal/config"
+	"ravensill/internal/node"
+	"ravensill/logic"
+)
+
+func main() {
+	log.SetFlags(log.LUTC | log.Ldate | log.Ltime | log.Lmicroseconds)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Printf("event=start_failed error=%q", err)
+		os.Exit(2)
+	}
+	runtime.GOMAXPROCS(1) // the loop and the connections take turns on the one core
+	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
+	debug.SetGCPercent(400)
+	stop := make(chan struct{})
+	go func() {
+		calls := make(chan os.Signal, 2)
+		signal.Notify(calls, syscall.SIGTERM, syscall.SIGINT)
+		<-calls
+		close(stop)
+		<-calls // called twice: at once
+		log.Printf("event=stopped_at_once")
+		os.Exit(1)
+	}()
+	n := node.New(cfg, logic.New(cfg.Seed, cfg.Seat, cfg.Fronts, cfg.Plans, cfg.Limits, cfg.Cold, cfg.Report))
+	if err := n.Run(stop); err != nil {
+		log.Printf("event=failed error=%q", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,197 @@
+// Package clients speaks with those who send reqs: commands in, answers out in the commands' order. Wire names
+// end here; it decides nothing.
+package clients
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"ravensill/internal/resp"
+	"ravensill/internal/ring"
+)
+
+// Words are the names that commands use, by index.
+type Words struct {
+	Fronts, Plans []string
+	Replayable    []bool // by frontend
+	Seats         int
+}
+
+// Door is where decoded commands go. Spans of bytes hold until the call returns.
+type Door interface {
+	// Arrive hands in a req. wait is how long its client waits. before and after are its list of names and
+	// values round the number of d; body is nil where there is none.
+	Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int, again bool,
+		verb, before, after, body []byte)
+	Ping()
+	Refuse(why error) // a command that can't be understood
+}
+
+// Commands is the state machine of the bytes that a client sends.
+type Commands struct {
+	words  *Words
+	parser resp.Parser
+}
+
+// Next hands the next whole command to the door and tells whether there was one. After an error the stream
+// can't be trusted further.
+func (c *Commands) Next(in *ring.Ring, door Door) (bool, error) {
+	v, ok, err := c.parser.Next(in)
+	if err != nil || !ok {
+		return false, err
+	}
+	if v.Kind != '*' {
+		return false, errors.New("commands are arrays of bulk strings")
+	}
+	if err := c.command(v.Parts, door); err != nil {
+		door.Refuse(err)
+	}
+	return true, nil
+}
+
+func (c *Commands) command(parts [][]byte, door Door) error {
+	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
+		return errors.New("null in a command")
+	}
+	var get bool
+	switch string(parts[0]) {
+	case "PING":
+		door.Ping()
+		return nil
+	case "CALL.GET":
+		get = true
+	case "CALL.POST":
+	default:
+		return fmt.Errorf("unknown command %.40q", parts[0])
+	}
+	if len(parts) < 4 || len(parts) > 5 {
+		return fmt.Errorf("%s: %d words, not 4 or 5", parts[0], len(parts))
+	}
+	customer, id, list := parts[1], parts[2], parts[3]
+	if len(customer) != 16 || bytes.ContainsFunc(customer, func(r rune) bool {
+		return (r < '0' || r > '9') && (r < 'a' || r > 'f')
+	}) {
+		return fmt.Errorf("customer: %.40q is not 16 hex digits", customer)
+	}
+	if len(id) == 0 || len(id) > 64 {
+		return errors.New("id: 1 to 64 bytes wanted")
+	}
+	front, plan, spread, first, again := -1, -1, -1, -1, false
+	wait, units, cut, end := int64(-1), -1.0, 0, 0
+	for at := 0; at < len(list); {
+		n := bytes.IndexByte(list[at:], ',')
+		if n < 0 {
+			n = len(list) - at
+		}
+		name, value, _ := bytes.Cut(list[at:at+n], []byte{'='})
+		switch string(name) {
+		case "c":
+			front = slices.Index(c.words.Fronts, string(value))
+		case "t":
+			plan = slices.Index(c.words.Plans, string(value))
+		case "d":
+			if ms, err := strconv.ParseUint(string(value), 10, 31); err == nil {
+				wait, cut, end = int64(ms)*1e6, at+2, at+n
+			}
+		case "units":
+			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x >= 0 && x <= 1e9 {
+				units = x
+			}
+		case "spread":
+			spread = whole(value, c.words.Seats)
+		case "first":
+			first = whole(value, c.words.Seats-1)
+		case "r":
+			again = string(value) == "1"
+		}
+		at += n + 1
+	}
+	for _, f := range []struct {
+		name string
+		ok   bool
+	}{{"c", front >= 0}, {"t", plan >= 0}, {"d", wait >= 0}, {"units", units >= 0}, {"spread", spread >= 0},
+		{"first", first >= 0}} {
+		if !f.ok {
+			return fmt.Errorf("%s: missing, or its value is none that is known", f.name)
+		}
+	}
+	if get != c.words.Replayable[front] {
+		return fmt.Errorf("c: %s is not served by %s", c.words.Fronts[front], parts[0])
+	}
+	var body []byte
+	if len(parts) == 5 {
+		body = parts[4]
+	}
+	door.Arrive(id, customer, front, plan, wait, units, spread, first, again, parts[0], list[:cut], list[end:], body)
+	return nil
+}
+
+func whole(text []byte, most int) int {
+	if n, err := strconv.ParseUint(string(text), 10, 31); err == nil && int(n) <= most {
+		return int(n)
+	}
+	return -1
+}
+
+// Answer is the place of one command's answer in the order of its connection.
+type Answer struct {
+	line *Line
+	conn *Conn
+	text []byte
+	done bool
+	Left func() // called if the client goes away before the answer
+}
+
+// Line keeps the answers of one connection in the order of its commands.
+type Line struct {
+	out  *ring.Ring
+	wait []*Answer
+	full bool // an answer did not fit: the client reads too slowly
+}
+
+func (l *Line) Add() *Answer {
+	a := &Answer{line: l}
+	l.wait = append(l.wait, a)
+	return a
+}
+
+// give sets the answer, and lets out all that no earlier command holds back.
+func (a *Answer) give(text []byte) (let int) {
+	if a.done {
+		return 0
+	}
+	a.text, a.done, a.Left = text, true, nil
+	l := a.line
+	for len(l.wait) > let && l.wait[let].done {
+		l.full = l.full || !l.out.Write(l.wait[let].text)
+		let++
+	}
+	l.wait = slices.Delete(l.wait, 0, let)
+	return let
+}
+
+// Passed, Denied and Aborted are the three final answers.
+func passed(value []byte) []byte {
+	return resp.Bulk(make([]byte, 0, len(value)+16), value)
+}
+
+func denied(after int64) []byte {
+	if after <= 0 {
+		return []byte("-BUSY\r\n")
+	}
+	ms := (after + 999_999) / 1_000_000 // rounded up: earlier would be in vain
+	return append(strconv.AppendInt([]byte("-BUSY "), ms, 10), '\r', '\n')
+}
+
+func refused(why string) []byte {
+	clean := bytes.Map(func(r rune) rune {
+		if r < ' ' {
+			return ' '
+		}
+		return r
+	}, []byte(why))
+	return append(append([]byte("-ERR "), clean...), '\r', '\n')
+}
--- /dev/null
+++ b/internal/clients/server.go
@@ -0,0 +1,244 @@
+package clients
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"ravensill/internal/resp"
+	"ravensill/internal/ring"
+)
+
+const (
+	mostOpen = 256 // commands of one connection that wait for answers; more are read later
+	linger   = 2 * time.Second
+	mostOut  = 256 << 10 // bytes that wait for a client that reads slowly
+)
+
+// Arrive is called on the loop for each req that comes in, with when it came. The command to pass on is head,
+// before, the time to wait, after, tail.
+type Arrive func(a *Answer, came int64, id, customer string, front, plan int, until int64, units float64,
+	spread, first int, again bool, head, before, after, tail []byte)
+
+// Server holds all client connections. Its fields belong to the loop that do brings work to.
+type Server struct {
+	words    Words
+	do       func(func())
+	now      func() int64
+	arrive   Arrive
+	conns    map[*Conn]bool
+	dirty    []*Conn
+	listener net.Listener
+	retiring bool
+}
+
+func NewServer(words Words, do func(func()), now func() int64, arrive Arrive) *Server {
+	return &Server{words: words, do: do, now: now, arrive: arrive, conns: map[*Conn]bool{}}
+}
+
+// Conn is one client connection.
+type Conn struct {
+	server *Server
+	link   *ring.Link
+	Line
+	slots  chan struct{} // one for each command that waits for its answer
+	came   int64         // when the bytes now read had come
+	marked bool          // among the dirty
+	ending bool          // nothing more is sent after what is waiting
+	closed bool
+}
+
+// Listen takes in connections until Retire.
+func (s *Server) Listen(l net.Listener) {
+	s.listener = l
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil { // out of descriptors: those waiting are taken in when some are free
+				log.Printf("event=accept_failed error=%q", err)
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			link, err := ring.NewLink(conn.(*net.TCPConn), resp.Most, mostOut)
+			if err != nil {
+				conn.Close()
+				continue
+			}
+			c := &Conn{server: s, link: link, Line: Line{out: link.Out}, slots: make(chan struct{}, mostOpen)}
+			go c.run()
+		}
+	}()
+}
+
+// run reads the connection; what it reads goes to the loop.
+func (c *Conn) run() {
+	s := c.server
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=client error=%q stack=%q", p, debug.Stack())
+		}
+		s.do(func() { c.end() })
+	}()
+	s.do(func() {
+		s.conns[c] = true
+		c.retireIfIdle()
+	})
+	commands := Commands{words: &s.words}
+	for {
+		if err := c.link.Read(); err != nil {
+			if err != io.EOF && !errors.Is(err, net.ErrClosed) {
+				s.do(func() { c.fault(err) })
+			}
+			return
+		}
+		c.came = s.now()
+		for {
+			ok, err := commands.Next(c.link.In, c)
+			if err != nil {
+				c.Refuse(err)
+				s.do(func() { c.fault(err) })
+				c.link.Discard(linger)
+				return
+			}
+			if !ok {
+				break
+			}
+		}
+	}
+}
+
+func (c *Conn) Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int,
+	again bool, verb, before, after, body []byte) {
+	words, came := 4, c.came
+	if body != nil {
+		words = 5
+	}
+	text := make([]byte, 0, len(verb)+len(customer)+len(id)+len(before)+len(after)+len(body)+64)
+	text = resp.Bulk(resp.Bulk(resp.Bulk(resp.Array(text, words), verb), customer), id)
+	cut1 := len(text)
+	text = append(text, before...)
+	cut2 := len(text)
+	text = append(text, after...)
+	cut3 := len(text)
+	if body != nil {
+		text = resp.Bulk(text, body)
+	}
+	reqID, owner := string(id), string(customer)
+	c.ask(func(a *Answer) {
+		c.server.arrive(a, came, reqID, owner, front, plan, came+wait, units, spread, first, again,
+			text[:cut1], text[cut1:cut2], text[cut2:cut3], text[cut3:])
+	})
+}
+
+func (c *Conn) Ping() { c.ask(func(a *Answer) { a.say([]byte("+PONG\r\n")) }) }
+
+func (c *Conn) Refuse(why error) { c.ask(func(a *Answer) { a.say(refused(why.Error())) }) }
+
+// ask brings a command to the loop, with the place of its answer.
+func (c *Conn) ask(f func(*Answer)) {
+	c.slots <- struct{}{}
+	c.server.do(func() {
+		if c.closed || c.ending { // the close crossed the command: the client sends it again elsewhere
+			<-c.slots
+			return
+		}
+		a := c.Add()
+		a.conn = c
+		f(a)
+	})
+}
+
+func (a *Answer) Passed(value []byte) { a.say(passed(value)) }
+func (a *Answer) Denied(after int64)  { a.say(denied(after)) }
+func (a *Answer) Aborted(why string)  { a.say(refused(why)) }
+
+func (a *Answer) say(text []byte) {
+	c := a.conn
+	if c.closed {
+		return
+	}
+	for n := a.give(text); n > 0; n-- {
+		<-c.slots
+	}
+	if c.full {
+		c.fault(errors.New("answers are read too slowly"))
+		c.end()
+		return
+	}
+	if !c.marked {
+		c.marked = true
+		c.server.dirty = append(c.server.dirty, c)
+	}
+}
+
+// Flush writes all answers given since the last call, one write a connection. It tells whether any had to
+// stay behind.
+func (s *Server) Flush() bool {
+	s.dirty = slices.DeleteFunc(s.dirty, func(c *Conn) bool {
+		if !c.closed {
+			if err := c.link.Flush(); err != nil {
+				c.end()
+			} else if c.out.Len() > 0 {
+				return false
+			}
+			c.retireIfIdle()
+		}
+		c.marked = false
+		return true
+	})
+	return len(s.dirty) > 0
+}
+
+// Retire stops taking in connections, and ends each one once it owes nothing.
+func (s *Server) Retire() {
+	s.retiring = true
+	s.listener.Close()
+	for c := range s.conns {
+		c.retireIfIdle()
+	}
+}
+
+// Count gives the number of connections.
+func (s *Server) Count() int { return len(s.conns) }
+
+// retireIfIdle half-closes, so that neither the last answer nor a command on its way is reset away.
+func (c *Conn) retireIfIdle() {
+	if (c.server.retiring || c.ending) && !c.closed && len(c.wait) == 0 && c.out.Len() == 0 {
+		c.ending = true
+		c.link.CloseWrite()
+	}
+}
+
+// fault ends the connection after the answers it is owed.
+func (c *Conn) fault(err error) {
+	if !c.closed {
+		log.Printf("event=client_fault error=%q open=%d", err, len(c.wait))
+		c.ending = true
+		c.retireIfIdle()
+	}
+}
+
+// end forgets a connection; its client is gone.
+func (c *Conn) end() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.link.Close()
+	delete(c.server.conns, c)
+	for _, a := range c.wait {
+		if a.Left != nil {
+			a.Left()
+		}
+	}
+	for len(c.slots) > 0 { // its reader may wait for one
+		<-c.slots
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+)
+
+// Config is all that one gateway on sockets is told.
+type Config struct {
+	Name       string
+	Listen     netip.AddrPort // where clients connect
+	Discovery  string
+	Seed       uint64
+	Memory     int64 // bytes
+	Sockets    int   // descriptors
+	PeerListen netip.AddrPort
+	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
+	Known      string           // the list as last had; may be empty
+	*Settings
+}
+
+// Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
+func Load(getenv func(string) string) (*Config, error) {
+	file := getenv("GW_CONFIG")
+	if file == "" {
+		return nil, errors.New("GW_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
+		return nil, fmt.Errorf("GW_CONFIG: %s: not a JSON object", file)
+	}
+	s := &settings{obj: gjson.ParseBytes(text)}
+	word := func(key, env, def string) string {
+		if v := getenv(env); env != "" && v != "" {
+			return v
+		}
+		if v := s.at(key, gjson.String).Str; v != "" {
+			return v
+		}
+		return def
+	}
+	fail := func(key string, err error) {
+		if s.err == nil && err != nil {
+			s.err = fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	addr := func(key, text string) netip.AddrPort {
+		if text == "" {
+			fail(key, errors.New("missing"))
+			return netip.AddrPort{}
+		}
+		a, err := netip.ParseAddrPort(text)
+		fail(key, err)
+		return a
+	}
+	number := func(key string, least, def float64) float64 {
+		v := s.num(key)
+		if v == 0 {
+			return def
+		}
+		if v < least {
+			fail(key, fmt.Errorf("%v is below %v", v, least))
+		}
+		return v
+	}
+	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: s.at("known", gjson.JSON).Raw}
+	c.Listen = addr("listen", word("listen", "GW_LISTEN", ""))
+	c.Discovery = addr("discovery", word("discovery", "GW_DISCOVERY", "")).String()
+	c.Memory = int64(number("limits.memory_mb", 32, 192)) << 20
+	c.Sockets = int(number("limits.sockets", 64, 1024))
+	if seed := word("seed", "", "1"); s.err == nil {
+		var err error
+		c.Seed, err = strconv.ParseUint(seed, 16, 64)
+		fail("seed", err)
+	}
+	c.Settings, err = Decode(s.at("settings", gjson.JSON).Raw)
+	fail("settings", err)
+	if s.err == nil && c.Seat.Messages && c.Seat.Count > 1 {
+		c.PeerListen = addr("peer_listen", word("peer_listen", "", ""))
+		for i, p := range s.at("peers", gjson.JSON).Array() {
+			c.Peers = append(c.Peers, addr(fmt.Sprintf("peers.%d", i), p.Str))
+		}
+		if len(c.Peers) != c.Seat.Count {
+			fail("peers", fmt.Errorf("%d addresses for %d gateways", len(c.Peers), c.Seat.Count))
+		}
+	}
+	return c, s.err
+}
--- /dev/null
+++ b/internal/discovery/watch.go
@@ -0,0 +1,58 @@
+package discovery
+
+import (
+	"fmt"
+	"log"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"ravensill/internal/ring"
+)
+
+const (
+	connect = time.Second
+	quiet   = 15 * time.Second // an empty line comes every 2 s: after so long without, the watch is asked for anew
+)
+
+// Watch follows the list after a version until its connection ends, and tells why it did. news is called for
+// each line that is not empty.
+func Watch(addr string, after int64, news func(line []byte)) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
+			err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	conn, err := net.DialTimeout("tcp4", addr, connect)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	link, err := ring.NewLink(conn.(*net.TCPConn), 64<<10, 4<<10)
+	if err != nil {
+		return err
+	}
+	link.Out.Write(fmt.Appendf(nil, "GET /v1/servers?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", after, addr))
+	if err := link.Flush(); err != nil {
+		return err
+	}
+	var stream Stream
+	for {
+		conn.SetReadDeadline(time.Now().Add(quiet))
+		if err := link.Read(); err != nil {
+			return err
+		}
+		for link.In.Len() > 0 {
+			p := link.In.Head()
+			if err := stream.Feed(p, func(line []byte) {
+				if len(line) > 1 {
+					news(line)
+				}
+			}); err != nil {
+				return err
+			}
+			link.In.Drop(len(p))
+		}
+	}
+}
--- /dev/null
+++ b/internal/hosts/fleet.go
@@ -0,0 +1,336 @@
+package hosts
+
+import (
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"time"
+
+	"ravensill/internal/resp"
+	"ravensill/internal/ring"
+)
+
+const mostOut = 160 << 10 // a command with the largest body, and to spare
+
+var (
+	errUnasked = errors.New("answer to nothing")
+	errRoom    = errors.New("no descriptor free")
+)
+
+// Fleet holds all connections to hosts. Its fields belong to the loop that do brings work to.
+type Fleet struct {
+	do             func(func())
+	now            func() int64
+	names          []string // of load reports
+	connectTimeout int64
+	idle           int64 // a connection is kept for so long
+	most, count    int   // connections
+	hosts          map[uint32]*Host
+	dirty          []*conn
+}
+
+// Host is one host's connections.
+type Host struct {
+	fleet   *Fleet
+	addr    netip.AddrPort
+	free    []*conn // the last used last
+	waiting []*Send // for a connection
+	dialing int
+}
+
+// Send is one dispatch on its way.
+type Send struct {
+	host   *Host
+	conn   *conn // nil while it waits
+	text   []byte
+	over   bool
+	result func(r Reply, failure *Failure, came int64)
+}
+
+type conn struct {
+	host   *Host
+	link   *ring.Link
+	send   *Send // the one it carries
+	freed  int64
+	marked bool
+	closed bool
+}
+
+func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
+	return &Fleet{do: do, now: now, names: names, connectTimeout: connectTimeout, idle: idle, most: most,
+		hosts: map[uint32]*Host{}}
+}
+
+// Place tells where a host listens; connections to another address end once they are free.
+func (f *Fleet) Place(id uint32, addr netip.AddrPort) {
+	h := f.hosts[id]
+	if h == nil {
+		h = &Host{fleet: f}
+		f.hosts[id] = h
+	}
+	if h.addr != addr {
+		h.addr = addr
+		h.Drop()
+	}
+}
+
+// Drop closes a host's free connections.
+func (f *Fleet) Drop(id uint32) {
+	if h := f.hosts[id]; h != nil {
+		h.Drop()
+	}
+}
+
+func (h *Host) Drop() {
+	for len(h.free) > 0 {
+		h.free[0].close()
+	}
+}
+
+// Dispatch sends a command: head, before, the time it will wait, after, tail. result is called once.
+func (f *Fleet) Dispatch(id uint32, head, before, after, tail []byte, wait int64,
+	result func(r Reply, failure *Failure, came int64)) *Send {
+	ms := strconv.AppendInt(nil, max((wait+999_999)/1_000_000, 1), 10)
+	text := make([]byte, 0, len(head)+len(before)+len(after)+len(tail)+32)
+	text = append(text, head...)
+	text = append(strconv.AppendInt(append(text, '$'), int64(len(before)+len(ms)+len(after)), 10), '\r', '\n')
+	text = append(append(append(append(text, before...), ms...), after...), '\r', '\n')
+	text = append(text, tail...)
+	h := f.hosts[id]
+	s := &Send{host: h, text: text, result: result}
+	if n := len(h.free); n > 0 {
+		h.free[n-1].carry(s)
+		return s
+	}
+	h.waiting = append(h.waiting, s)
+	h.dial()
+	return s
+}
+
+// dial opens as many connections as there are sends without one.
+func (h *Host) dial() {
+	for h.dialing < len(h.waiting) {
+		if !h.fleet.room() {
+			n := len(h.waiting) - 1
+			s := h.waiting[n]
+			h.waiting = h.waiting[:n]
+			s.fail(&Failure{Connecting, errRoom})
+			continue
+		}
+		h.dialing++
+		h.fleet.count++
+		c := &conn{host: h}
+		go c.run(h.addr)
+	}
+}
+
+// room tells whether one more connection may be opened, and closes the one free the longest if not.
+func (f *Fleet) room() bool {
+	if f.count < f.most {
+		return true
+	}
+	var oldest *conn
+	for _, h := range f.hosts {
+		if len(h.free) > 0 && (oldest == nil || h.free[0].freed < oldest.freed) {
+			oldest = h.free[0]
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
+// run opens the connection and reads it; what it reads goes to the loop.
+func (c *conn) run(addr netip.AddrPort) {
+	f := c.host.fleet
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=host error=%q stack=%q", p, debug.Stack())
+			f.do(func() { c.fail(errors.New("panic")) })
+		}
+	}()
+	d := net.Dialer{Timeout: time.Duration(f.connectTimeout), KeepAlive: -1}
+	sock, err := d.Dial("tcp4", addr.String())
+	if err != nil {
+		f.do(func() { c.undialed(err) })
+		return
+	}
+	link, err := ring.NewLink(sock.(*net.TCPConn), resp.Most, mostOut)
+	if err != nil {
+		sock.Close()
+		f.do(func() { c.undialed(err) })
+		return
+	}
+	f.do(func() { c.up(link, addr) })
+	var parser resp.Parser
+	for {
+		if err := link.Read(); err != nil {
+			f.do(func() { c.fail(err) })
+			return
+		}
+		came := f.now()
+		for {
+			v, ok, err := parser.Next(link.In)
+			var r Reply
+			if ok && err == nil {
+				r, err = read(v, f.names)
+			}
+			if err != nil {
+				f.do(func() { c.fail(err) })
+				return
+			}
+			if !ok {
+				break
+			}
+			r.Value = slices.Clone(r.Value)
+			f.do(func() { c.answered(r, came) })
+		}
+	}
+}
+
+func (c *conn) undialed(err error) {
+	h := c.host
+	h.dialing--
+	h.fleet.count--
+	if len(h.waiting) > h.dialing { // nothing is left that could carry the first
+		s := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		s.fail(&Failure{Connecting, err})
+	}
+}
+
+func (c *conn) up(link *ring.Link, addr netip.AddrPort) {
+	c.link = link
+	c.host.dialing--
+	if addr != c.host.addr {
+		c.close()
+		c.host.dial()
+		return
+	}
+	c.release()
+}
+
+// release gives the connection to the send that has waited longest, or keeps it.
+func (c *conn) release() {
+	h := c.host
+	if len(h.waiting) > 0 {
+		s := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		c.carry(s)
+		return
+	}
+	c.freed = h.fleet.now()
+	h.free = append(h.free, c)
+}
+
+func (c *conn) carry(s *Send) {
+	if i := slices.Index(c.host.free, c); i >= 0 {
+		c.host.free = slices.Delete(c.host.free, i, i+1)
+	}
+	c.send, s.conn = s, c
+	c.link.Out.Write(s.text)
+	s.text = nil
+	if !c.marked {
+		c.marked = true
+		c.host.fleet.dirty = append(c.host.fleet.dirty, c)
+	}
+}
+
+func (c *conn) answered(r Reply, came int64) {
+	s := c.send
+	if s == nil || c.link.Out.Len() > 0 {
+		c.fail(errUnasked)
+		return
+	}
+	c.send = nil
+	s.over = true
+	c.release()
+	s.result(r, nil, came)
+}
+
+// fail ends the connection, and the send it carries.
+func (c *conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	if err == io.EOF && c.send == nil {
+		err = nil // the host closed an idle connection: as it may
+	}
+	stage := Writing
+	if c.link != nil && c.link.Out.Len() == 0 {
+		stage = Sent
+	}
+	s := c.send
+	c.send = nil
+	c.close()
+	if s != nil {
+		s.fail(&Failure{stage, err})
+	}
+}
+
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.host.fleet.count--
+	c.link.Close()
+	if i := slices.Index(c.host.free, c); i >= 0 {
+		c.host.free = slices.Delete(c.host.free, i, i+1)
+	}
+}
+
+func (s *Send) fail(failure *Failure) {
+	if !s.over {
+		s.over = true
+		s.result(Reply{}, failure, s.host.fleet.now())
+	}
+}
+
+// Stop gives the dispatch up from here, with why.
+func (s *Send) Stop(why error) {
+	if s.over {
+		return
+	}
+	if s.conn != nil {
+		s.conn.fail(why)
+		return
+	}
+	h := s.host
+	h.waiting = slices.DeleteFunc(h.waiting, func(w *Send) bool { return w == s })
+	s.fail(&Failure{Connecting, why})
+}
+
+// Flush writes all that was dispatched since the last call, one write a connection. It tells whether any had
+// to stay behind.
+func (f *Fleet) Flush() bool {
+	f.dirty = slices.DeleteFunc(f.dirty, func(c *conn) bool {
+		if !c.closed {
+			if err := c.link.Flush(); err != nil {
+				c.fail(err)
+			} else if c.link.Out.Len() > 0 {
+				return false
+			}
+		}
+		c.marked = false
+		return true
+	})
+	return len(f.dirty) > 0
+}
+
+// Tidy closes connections that have been free for too long: the host's machine closes them soon after, and
+// a req on its way then ends as one that may have run.
+func (f *Fleet) Tidy() {
+	now := f.now()
+	for _, h := range f.hosts {
+		for len(h.free) > 0 && now-h.free[0].freed > f.idle {
+			h.free[0].close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,359 @@
+// Package node is one gateway on sockets: a loop that hands the module all that came in and carries out what
+// it decides. It decides nothing.
+package node
+
+import (
+	"log"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"ravensill/gateway"
+	"ravensill/internal/clients"
+	"ravensill/internal/config"
+	"ravensill/internal/discovery"
+	"ravensill/internal/hosts"
+	"ravensill/internal/peers"
+)
+
+const (
+	inbox     = 1024                   // pieces of work that wait; who brings more waits too
+	keep      = 0.5                    // part of the host machines' idle time that a connection is kept
+	retry     = 5 * time.Millisecond   // until bytes that a socket did not take are tried again
+	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
+	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
+	mostWait  = 2 * time.Second
+)
+
+// Decider is the module.
+type Decider interface {
+	Round(in *gateway.Round, out gateway.Writer)
+}
+
+// Node is one gateway. All its fields belong to the loop.
+type Node struct {
+	cfg     *config.Config
+	module  Decider
+	work    chan func()
+	epoch   time.Time // and its Unix time: now is counted from there and never runs back
+	unix    int64
+	reqs    map[string]*req
+	events  []gateway.Event // since the last round
+	news    []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
+	round   gateway.Round
+	wakeAt  int64 // 0: no wake-up is due
+	dueAt   int64 // when the first dispatch of open times out at the earliest
+	open    []*dispatch
+	clients *clients.Server
+	fleet   *hosts.Fleet
+	book    *discovery.Book
+	post    *peers.Post
+	pause   time.Duration // before the list is asked for again
+	dropped int           // datagrams of strangers
+	stopAt  int64         // accepting ends then; 0 not called to stop
+	stopped bool
+}
+
+// req is held until it is answered and no dispatch is out.
+type req struct {
+	node                      *Node
+	id                        string
+	answer                    *clients.Answer
+	front                     *gateway.Frontend
+	until                     int64
+	head, before, after, tail []byte
+	sends                     []*dispatch // by their numbers
+	out                       int
+	closed                    bool
+}
+
+type dispatch struct {
+	req     *req
+	host    uint32
+	n       int
+	at, due int64
+	send    *hosts.Send
+	over    bool
+}
+
+// New makes a gateway that is not yet reachable.
+func New(cfg *config.Config, module Decider) *Node {
+	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
+		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
+	n.unix = n.epoch.UnixNano()
+	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count}
+	for _, f := range cfg.Fronts {
+		words.Replayable = append(words.Replayable, f.Effect == gateway.Replayable)
+	}
+	n.clients = clients.NewServer(words, n.do, n.now, n.arrive)
+	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
+		cfg.Sockets*2/5)
+	return n
+}
+
+func (n *Node) do(f func()) { n.work <- f }
+
+func (n *Node) now() int64 { return n.unix + int64(time.Since(n.epoch)) }
+
+// Run serves until it is called to stop and owes nothing more.
+func (n *Node) Run(stop <-chan struct{}) error {
+	if len(n.cfg.Peers) > 0 {
+		post, err := peers.Open(n.cfg.PeerListen, n.cfg.Peers)
+		if err != nil {
+			return err
+		}
+		defer post.Close()
+		n.post = post
+	}
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
+	if err != nil {
+		return err
+	}
+	defer listener.Close()
+	if n.cfg.Known != "" {
+		n.listed([]byte(n.cfg.Known), true)
+	} else {
+		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
+	}
+	n.turn() // the first round
+	if n.post != nil {
+		go n.post.Listen(func(seat int, body []byte) {
+			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
+		}, func() { n.do(func() { n.dropped++ }) })
+	}
+	if !n.cfg.Limits.MustAsk {
+		n.Follow()
+	}
+	n.clients.Listen(listener)
+	log.Printf("event=serving name=%s listen=%s hosts_version=%d", n.cfg.Name, n.cfg.Listen, n.book.Version)
+	timer := time.NewTimer(0)
+	for !n.stopped || n.clients.Count() > 0 {
+		select {
+		case f := <-n.work:
+			f()
+		case <-timer.C:
+		case <-stop:
+			stop = nil
+			n.stopAt = n.now() + int64(accepting)
+			log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
+		}
+		for k := len(n.work); k > 0; k-- {
+			(<-n.work)()
+		}
+		timer.Reset(n.turn())
+	}
+	log.Printf("event=stopped")
+	return nil
+}
+
+// turn does what is due, lets the module decide on what came in, and carries it out. It tells how long
+// nothing more is due.
+func (n *Node) turn() time.Duration {
+	now := n.now()
+	if n.stopAt > 0 && now >= n.stopAt && !n.stopped {
+		n.stopped = true
+		n.clients.Retire()
+	}
+	n.expire(now)
+	if n.wakeAt > 0 && now >= n.wakeAt {
+		n.wakeAt = 0
+		n.fleet.Tidy()
+		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
+	}
+	left := false
+	for len(n.events)+len(n.news) > 0 {
+		n.round.Now = n.now()
+		n.round.Events, n.events = append(n.news, n.events...), n.events[:0]
+		n.news = nil
+		n.decide()
+		left = n.clients.Flush()
+		left = n.fleet.Flush() || left
+	}
+	wait := time.Hour
+	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt} {
+		if at > 0 && !(at == n.stopAt && n.stopped) {
+			wait = min(wait, time.Duration(at-n.now()))
+		}
+	}
+	if left {
+		wait = min(wait, retry)
+	}
+	return max(wait, 0)
+}
+
+// decide calls the module. A panic in it must not take all other reqs along.
+func (n *Node) decide() {
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=module error=%q stack=%q", p, debug.Stack())
+			n.Wake(int64(retry))
+		}
+	}()
+	n.module.Round(&n.round, n)
+}
+
+// expire ends the dispatches whose time is up.
+func (n *Node) expire(now int64) {
+	if n.dueAt == 0 || now < n.dueAt {
+		return
+	}
+	var due []*dispatch
+	n.dueAt = 0
+	for _, d := range n.open {
+		if d.due <= now {
+			due = append(due, d)
+		} else if n.dueAt == 0 || d.due < n.dueAt {
+			n.dueAt = d.due
+		}
+	}
+	for _, d := range due {
+		d.send.Stop(hosts.ErrTimedOut)
+	}
+}
+
+// arrive takes in a req.
+func (n *Node) arrive(a *clients.Answer, came int64, id, customer string, front, plan int, until int64,
+	units float64, spread, first int, again bool, head, before, after, tail []byte) {
+	if n.reqs[id] != nil {
+		a.Aborted("id: in use")
+		return
+	}
+	r := &req{node: n, id: id, answer: a, front: &n.cfg.Fronts[front], until: until, head: head, before: before,
+		after: after, tail: tail}
+	n.reqs[id] = r
+	a.Left = func() {
+		r.answer = nil
+		n.events = append(n.events, gateway.Event{Kind: gateway.Left, Req: id})
+		r.close()
+	}
+	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Frontend: front,
+		Plan: plan, Until: until, Units: units, Spread: spread, First: first, Again: again})
+}
+
+func (r *req) close() {
+	r.closed = true
+	if r.out == 0 {
+		delete(r.node.reqs, r.id)
+	}
+}
+
+// Dispatch sends a req to a host.
+func (n *Node) Dispatch(id string, host uint32, timeout int64) {
+	r := n.reqs[id]
+	if r == nil {
+		return
+	}
+	now := n.round.Now
+	d := &dispatch{req: r, host: host, n: len(r.sends), at: now, due: r.until}
+	if timeout > 0 {
+		d.due = min(d.due, now+timeout)
+	}
+	r.sends = append(r.sends, d)
+	r.out++
+	n.open = append(n.open, d)
+	if n.dueAt == 0 || d.due < n.dueAt {
+		n.dueAt = d.due
+	}
+	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, d.due-now, d.ended)
+}
+
+// ended takes in how a dispatch ended. The first good answer goes to the client at once.
+func (d *dispatch) ended(reply hosts.Reply, failure *hosts.Failure, came int64) {
+	r, n := d.req, d.req.node
+	d.over = true
+	r.out--
+	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
+	if failure != nil {
+		reply.Result = failure.Result()
+	}
+	if reply.Result == gateway.Passed && !r.closed {
+		r.answer.Passed(reply.Value)
+		r.closed = true
+	}
+	if r.closed {
+		r.close()
+	}
+	n.events = append(n.events, gateway.Event{Kind: gateway.Ended, Req: r.id, Closed: r.closed, Host: d.host,
+		Dispatch: d.n, Result: reply.Result, Lag: came - d.at, Used: reply.Used, Units: reply.Units, Load: reply.Load})
+}
+
+func (n *Node) Cancel(id string, dispatch int) {
+	if r := n.reqs[id]; r != nil && dispatch < len(r.sends) {
+		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
+	}
+}
+
+func (n *Node) Deny(id string, after int64) {
+	if r := n.reqs[id]; r != nil && !r.closed {
+		r.answer.Denied(after)
+		r.close()
+	}
+}
+
+func (n *Node) Abort(id string) {
+	if r := n.reqs[id]; r != nil && !r.closed {
+		r.answer.Aborted("aborted")
+		r.close()
+	}
+}
+
+func (n *Node) Tell(peer int, body []byte) {
+	if n.post != nil {
+		n.post.Tell(peer, body)
+	}
+}
+
+func (n *Node) Probe(host uint32) {}
+
+func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
+
+func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
+
+// Follow watches the list from the version had last.
+func (n *Node) Follow() {
+	after, addr := n.book.Version, n.cfg.Discovery
+	go func() {
+		err := discovery.Watch(addr, after, func(line []byte) {
+			line = slices.Clone(line)
+			n.do(func() {
+				n.pause = 0
+				n.listed(line, false)
+			})
+		})
+		n.do(func() { n.lost(err) })
+	}()
+}
+
+// lost takes in the end of a watch. Where the list only comes when asked for, the module asks.
+func (n *Node) lost(err error) {
+	log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
+	if n.cfg.Limits.MustAsk {
+		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		return
+	}
+	n.pause = min(max(2*n.pause, again), mostWait)
+	time.AfterFunc(n.pause, func() { n.do(n.Follow) })
+}
+
+// listed takes in a list or changes of it.
+func (n *Node) listed(text []byte, old bool) {
+	kind, list, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
+	if err != nil {
+		log.Printf("event=list_dropped error=%q", err)
+		return
+	}
+	if old {
+		kind = gateway.Old
+	}
+	for _, l := range list {
+		if l.State != gateway.Running {
+			log.Printf("event=host id=%s state=%d version=%d", n.book.Name(l.Host), l.State, n.book.Version)
+		}
+		if l.State == gateway.Gone {
+			n.fleet.Drop(l.Host)
+		}
+	}
+	n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,60 @@
+// Package peers carries messages between gateways as datagrams. It decides nothing.
+package peers
+
+import (
+	"errors"
+	"log"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+
+	"ravensill/internal/mail"
+)
+
+// Post is this gateway's place in the exchange.
+type Post struct {
+	conn  *net.UDPConn
+	peers []netip.AddrPort
+}
+
+// Open listens at the address; peers are those of the tier, by seat.
+func Open(listen netip.AddrPort, peers []netip.AddrPort) (*Post, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
+	return &Post{conn, peers}, err
+}
+
+// Listen hands on each datagram of a peer, known by its address, until Close. Others are dropped; dropped is
+// called for each.
+func (p *Post) Listen(heard func(seat int, body []byte), dropped func()) {
+	defer func() {
+		if e := recover(); e != nil {
+			log.Printf("event=panic where=peers error=%q stack=%q", e, debug.Stack())
+		}
+	}()
+	buf := make([]byte, mail.Most+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // such as a refusal told of an earlier message to a peer that is down
+			continue
+		}
+		seat := slices.Index(p.peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if seat < 0 || n > mail.Most {
+			dropped()
+			continue
+		}
+		heard(seat, slices.Clone(buf[:n]))
+	}
+}
+
+// Tell sends a message; it may be lost.
+func (p *Post) Tell(seat int, body []byte) {
+	if seat >= 0 && seat < len(p.peers) && len(body) <= mail.Most {
+		p.conn.WriteToUDPAddrPort(body, p.peers[seat])
+	}
+}
+
+func (p *Post) Close() { p.conn.Close() }
