--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 
 const (
 	second    = int64(1e9)
-	beat      = second / 50 // between wake-ups
+	beat      = second / 25 // between wake-ups
 	interval  = second / 2  // between totals, longer where a gateway may not take in that much
 	silent    = 4           // intervals with no peer heard: alone; quiet for so long, a customer is forgotten
 	debt      = 1.0         // bursts that a copy may owe; the design's default
@@ -36,7 +36,7 @@
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	lateness  = 0.35        // part of the response target that answers may take on average
-	stall     = 5 * beat    // with no round: this gateway stood still
+	stall     = second / 10 // with no round: this gateway stood still
 	trial     = 2 * second  // a host set aside is tried again after so long
 	shunned   = 16.0        // times its load, for a host set aside
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
