Parsers tested cut at every position and fuzzed; probes, room for clients, panics stopped

Client connections keep to half of the descriptors: the longest idle makes room. A panic in the module aborts what the round left undecided.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,8 @@
 	Gone
 )
 
+func (s State) String() string { return [...]string{"running", "draining", "gone"}[s] }
+
 // Listing is one host of a list.
 type Listing struct {
 	Host       uint32
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,105 @@
+package clients
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"ravensill/internal/golden"
+	"ravensill/internal/resp"
+	"ravensill/internal/ring"
+)
+
+var words = Words{Fronts: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Replayable: []bool{true, false}, Seats: 3}
+
+// book writes down what commands say.
+type book struct{ strings.Builder }
+
+func (b *book) Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int, again bool,
+	verb, before, after, body []byte) {
+	fmt.Fprintf(b, "%s of %s, %s: frontend %d, plan %d, %d ms, %g units, %d from %d, again %t; pass on %q %q %q\n", id, customer,
+		verb, front, plan, wait/1e6, units, spread, first, again, before, after, body)
+}
+func (b *book) Ping()            { b.WriteString("ping\n") }
+func (b *book) Refuse(err error) { fmt.Fprintln(b, err) }
+
+func read(pieces ...string) string {
+	var b book
+	in, c := ring.New(resp.Most), Commands{words: &words}
+	for _, p := range pieces {
+		in.Write([]byte(p))
+		for ok := true; ok; {
+			var err error
+			if ok, err = c.Next(in, &b); err != nil {
+				return b.String() + "ended: " + err.Error() + "\n"
+			}
+		}
+	}
+	return b.String()
+}
+
+// command is words as an array of bulks.
+func command(words ...string) string {
+	text := resp.Array(nil, len(words))
+	for _, w := range words {
+		text = resp.Bulk(text, w)
+	}
+	return string(text)
+}
+
+const get, list = "00000000b4d65521", "c=lookup,t=team,d=480,units=2,spread=3,first=1"
+
+var stream = command("CALL.GET", get, "9b1f03aa5c7e2d41", list) + command("PING") + command("CALL.POST", get, "a", "d=20,c=order,k=5c0f,x,t=basic,units=1.5,spread=0,first=0,r=1", "BO\r\nDY")
+
+func TestCommands(t *testing.T) { // also cut at every byte
+	whole := read(stream)
+	golden.Check(t, whole)
+	for i := range stream {
+		if got := read(stream[:i], stream[i:]); got != whole {
+			t.Errorf("cut at %d: %s", i, got)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) { // the connection goes on after all but those of the stream
+	var all strings.Builder
+	for _, s := range []string{command("EVAL", "x"), command("CALL.GET", get, "a"), command("CALL.GET", "B4D65521", "a", list),
+		command("CALL.GET", get, "", list), command("CALL.POST", get, "a", list), command("CALL.GET", get, "a", strings.Replace(list, "lookup", "order", 1)),
+		command("CALL.GET", get, "a", strings.Replace(list, "team", "gold", 1)), command("CALL.GET", get, "a", strings.Replace(list, "480", "-1", 1)),
+		command("CALL.GET", get, "a", strings.Replace(list, "units=2", "units=NaN", 1)), command("CALL.GET", get, "a", strings.Replace(list, "=3", "=4", 1)),
+		command("CALL.GET", get, "a", strings.Replace(list, "first=1", "first=3", 1)), command("CALL.GET", get, "a", "c=lookup"),
+		"*1\r\n$-1\r\n", "+PING\r\n", "PING\r\n", "*4\r\n$8\r\nCALL.GET\r\n$70000\r\n"} {
+		fmt.Fprintf(&all, "%.60q\n  %s", s, read(s, command("PING")))
+	}
+	golden.Check(t, all.String())
+}
+
+func FuzzCommands(f *testing.F) {
+	f.Add(stream, 100)
+	f.Add(command("CALL.GET", get, "a", "d=,c==,,t"), 30)
+	f.Fuzz(func(t *testing.T, s string, at int) {
+		if at < 0 || at > len(s) || len(s) > resp.MostBulk {
+			return
+		}
+		if whole, cut := read(s), read(s[:at], s[at:]); whole != cut {
+			t.Errorf("whole %q, cut at %d %q", whole, at, cut)
+		}
+	})
+}
+
+func TestOrder(t *testing.T) { // answers come in the order of the commands, each once
+	l := Line{out: ring.New(64)}
+	a, b, c := l.Add(), l.Add(), l.Add()
+	b.give(denied(1_000_001))
+	c.give(refused("no\r\n+such"))
+	if l.out.Len() > 0 {
+		t.Error("an answer went before its turn")
+	}
+	a.give(passed([]byte("v\r\n")))
+	a.give(denied(0))
+	golden.Check(t, string(l.out.Span(0, l.out.Len())))
+	if l.Add().give(make([]byte, 65)); !l.full {
+		t.Error(errors.New("an answer that does not fit is not told"))
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"log"
 	"net"
 	"runtime/debug"
@@ -27,6 +26,7 @@
 // Server holds all client connections. Its fields belong to the loop that do brings work to.
 type Server struct {
 	words    Words
+	places   chan struct{} // one for each connection: more wait to be taken in
 	do       func(func())
 	now      func() int64
 	arrive   Arrive
@@ -36,8 +36,9 @@
 	retiring bool
 }
 
-func NewServer(words Words, do func(func()), now func() int64, arrive Arrive) *Server {
-	return &Server{words: words, do: do, now: now, arrive: arrive, conns: map[*Conn]bool{}}
+func NewServer(words Words, most int, do func(func()), now func() int64, arrive Arrive) *Server {
+	return &Server{words: words, places: make(chan struct{}, most), do: do, now: now, arrive: arrive,
+		conns: map[*Conn]bool{}}
 }
 
 // Conn is one client connection.
@@ -48,7 +49,9 @@
 	slots  chan struct{} // one for each command that waits for its answer
 	came   int64         // when the bytes now read had come
 	marked bool          // among the dirty
-	ending bool          // nothing more is sent after what is waiting
+	said   int64         // when it was last given an answer
+	ending bool          // nothing more is taken; it ends when nothing is owed
+	half   bool          // half-closed: nothing was owed
 	closed bool
 }
 
@@ -57,18 +60,24 @@
 	s.listener = l
 	go func() {
 		for {
+			select {
+			case s.places <- struct{}{}:
+			default: // descriptors are few: the longest idle one makes room, or the next that ends
+				s.do(s.makeRoom)
+				s.places <- struct{}{}
+			}
 			conn, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			if err != nil { // out of descriptors: those waiting are taken in when some are free
-				log.Printf("event=accept_failed error=%q", err)
-				time.Sleep(10 * time.Millisecond)
-				continue
+			var link *ring.Link
+			if err == nil {
+				link, err = ring.NewLink(conn.(*net.TCPConn), resp.Most, mostOut)
 			}
-			link, err := ring.NewLink(conn.(*net.TCPConn), resp.Most, mostOut)
 			if err != nil {
-				conn.Close()
+				log.Printf("event=accept_failed error=%q", err)
+				<-s.places
+				time.Sleep(10 * time.Millisecond)
 				continue
 			}
 			c := &Conn{server: s, link: link, Line: Line{out: link.Out}, slots: make(chan struct{}, mostOpen)}
@@ -77,6 +86,20 @@
 	}()
 }
 
+func (s *Server) makeRoom() {
+	var idlest *Conn
+	for c := range s.conns {
+		if c.idle() && !c.ending && (idlest == nil || c.said < idlest.said) {
+			idlest = c
+		}
+	}
+	log.Printf("event=clients_full clients=%d room_made=%t", len(s.conns), idlest != nil)
+	if idlest != nil {
+		idlest.ending = true
+		idlest.retireIfIdle()
+	}
+}
+
 // run reads the connection; what it reads goes to the loop.
 func (c *Conn) run() {
 	s := c.server
@@ -84,7 +107,7 @@
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=client error=%q stack=%q", p, debug.Stack())
 		}
-		s.do(func() { c.end() })
+		s.do(c.end)
 	}()
 	s.do(func() {
 		s.conns[c] = true
@@ -93,10 +116,7 @@
 	commands := Commands{words: &s.words}
 	for {
 		if err := c.link.Read(); err != nil {
-			if err != io.EOF && !errors.Is(err, net.ErrClosed) {
-				s.do(func() { c.fault(err) })
-			}
-			return
+			return // its client is gone, or it was ended here
 		}
 		c.came = s.now()
 		for {
@@ -172,6 +192,7 @@
 		c.end()
 		return
 	}
+	c.said = c.server.now()
 	if !c.marked {
 		c.marked = true
 		c.server.dirty = append(c.server.dirty, c)
@@ -208,11 +229,13 @@
 // Count gives the number of connections.
 func (s *Server) Count() int { return len(s.conns) }
 
+func (c *Conn) idle() bool { return len(c.wait) == 0 && c.out.Len() == 0 }
+
 // retireIfIdle half-closes, so that neither the last answer nor a command on its way is reset away.
 func (c *Conn) retireIfIdle() {
-	if (c.server.retiring || c.ending) && !c.closed && len(c.wait) == 0 && c.out.Len() == 0 {
-		c.ending = true
-		c.link.CloseWrite()
+	if (c.server.retiring || c.ending) && !c.closed && !c.half && c.idle() {
+		c.ending, c.half = true, true
+		c.link.CloseWrite(linger)
 	}
 }
 
@@ -233,6 +256,7 @@
 	c.closed = true
 	c.link.Close()
 	delete(c.server.conns, c)
+	<-c.server.places
 	for _, a := range c.wait {
 		if a.Left != nil {
 			a.Left()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -185,6 +185,9 @@
 // Name gives a host's id for the log.
 func (b *Book) Name(host uint32) string { return b.ids[host] }
 
+// Count gives how many hosts were ever listed.
+func (b *Book) Count() int { return len(b.ids) }
+
 // number is the same for a host at all gateways and in all their lives, since hosts are ranked by it: it
 // follows from the id alone, but where two ids meet on one.
 func (b *Book) number(id string) uint32 {
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -2,7 +2,6 @@
 package golden
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,13 +9,14 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-var update = flag.Bool("update", false, "write the traces to testdata")
-
-// Check compares got with testdata/NAME.txt.
+// Check compares got with testdata/NAME.txt; with UPDATE=1 in the environment it writes that file anew.
 func Check(t *testing.T, got string) {
 	t.Helper()
 	file := filepath.Join("testdata", t.Name()+".txt")
-	if *update {
+	if os.Getenv("UPDATE") == "1" {
+		if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+			t.Fatal(err)
+		}
 		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"ravensill/gateway"
 	"ravensill/internal/resp"
 	"ravensill/internal/ring"
 )
@@ -49,6 +50,7 @@
 	conn   *conn // nil while it waits
 	text   []byte
 	over   bool
+	probe  bool
 	result func(r Reply, failure *Failure, came int64)
 }
 
@@ -68,25 +70,27 @@
 
 // Place tells where a host listens; connections to another address end once they are free.
 func (f *Fleet) Place(id uint32, addr netip.AddrPort) {
+	if h := f.host(id); h.addr != addr {
+		h.addr = addr
+		h.drop()
+	}
+}
+
+func (f *Fleet) host(id uint32) *Host {
 	h := f.hosts[id]
 	if h == nil {
 		h = &Host{fleet: f}
 		f.hosts[id] = h
 	}
-	if h.addr != addr {
-		h.addr = addr
-		h.Drop()
-	}
+	return h
 }
 
 // Drop closes a host's free connections.
 func (f *Fleet) Drop(id uint32) {
-	if h := f.hosts[id]; h != nil {
-		h.Drop()
-	}
+	f.host(id).drop()
 }
 
-func (h *Host) Drop() {
+func (h *Host) drop() {
 	for len(h.free) > 0 {
 		h.free[0].close()
 	}
@@ -100,8 +104,18 @@
 	text = append(text, head...)
 	text = append(strconv.AppendInt(append(text, '$'), int64(len(before)+len(ms)+len(after)), 10), '\r', '\n')
 	text = append(append(append(append(text, before...), ms...), after...), '\r', '\n')
-	text = append(text, tail...)
-	h := f.hosts[id]
+	return f.send(id, append(text, tail...), result)
+}
+
+// Probe asks a host for its load.
+func (f *Fleet) Probe(id uint32, result func(r Reply, failure *Failure, came int64)) *Send {
+	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), result)
+	s.probe = true
+	return s
+}
+
+func (f *Fleet) send(id uint32, text []byte, result func(r Reply, failure *Failure, came int64)) *Send {
+	h := f.host(id)
 	s := &Send{host: h, text: text, result: result}
 	if n := len(h.free); n > 0 {
 		h.free[n-1].carry(s)
@@ -248,6 +262,10 @@
 		c.fail(errUnasked)
 		return
 	}
+	if r.Result == gateway.Passed && r.probe != s.probe {
+		c.fail(errReply)
+		return
+	}
 	c.send = nil
 	s.over = true
 	c.release()
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -61,6 +61,7 @@
 	Used   int       // 1 + percent; 0 none
 	Units  float64   // settled; 0 none
 	Load   []float64 // by the report's fields; nil none
+	probe  bool      // it answers a probe
 }
 
 var errReply = errors.New("malformed answer")
@@ -68,6 +69,12 @@
 // read makes out an answer. names are those of the load report's fields.
 func read(v resp.Value, names []string) (r Reply, err error) {
 	switch v.Kind {
+	case '$':
+		if v.Parts[0] == nil {
+			return r, errReply
+		}
+		r.probe = true
+		return r, r.report(v.Parts[0], names)
 	case '*':
 		if v.Parts[0] == nil || len(v.Parts) > 3 {
 			return r, errReply
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"fmt"
 	"log"
 	"net"
 	"net/netip"
@@ -25,6 +26,7 @@
 	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
 	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
 	mostWait  = 2 * time.Second
+	probeWait = int64(time.Second)
 )
 
 // Decider is the module.
@@ -51,7 +53,8 @@
 	book    *discovery.Book
 	post    *peers.Post
 	pause   time.Duration // before the list is asked for again
-	dropped int           // datagrams of strangers
+	strange int           // datagrams dropped since the last line on them
+	lineAt  int64         // of that line
 	stopAt  int64         // accepting ends then; 0 not called to stop
 	stopped bool
 }
@@ -69,13 +72,14 @@
 	closed                    bool
 }
 
+// dispatch is one that is out. A probe has no req.
 type dispatch struct {
+	node    *Node
 	req     *req
 	host    uint32
 	n       int
 	at, due int64
 	send    *hosts.Send
-	over    bool
 }
 
 // New makes a gateway that is not yet reachable.
@@ -87,7 +91,7 @@
 	for _, f := range cfg.Fronts {
 		words.Replayable = append(words.Replayable, f.Effect == gateway.Replayable)
 	}
-	n.clients = clients.NewServer(words, n.do, n.now, n.arrive)
+	n.clients = clients.NewServer(words, cfg.Sockets/2, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		cfg.Sockets*2/5)
 	return n
@@ -121,18 +125,19 @@
 	if n.post != nil {
 		go n.post.Listen(func(seat int, body []byte) {
 			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
-		}, func() { n.do(func() { n.dropped++ }) })
+		}, func() { n.do(func() { n.strange++ }) })
 	}
 	if !n.cfg.Limits.MustAsk {
 		n.Follow()
 	}
 	n.clients.Listen(listener)
-	log.Printf("event=serving name=%s listen=%s hosts_version=%d", n.cfg.Name, n.cfg.Listen, n.book.Version)
+	log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
+		n.post.Addr(), n.book.Count(), n.book.Version)
 	timer := time.NewTimer(0)
 	for !n.stopped || n.clients.Count() > 0 {
 		select {
 		case f := <-n.work:
-			f()
+			n.guard("loop", f)
 		case <-timer.C:
 		case <-stop:
 			stop = nil
@@ -140,7 +145,7 @@
 			log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
 		}
 		for k := len(n.work); k > 0; k-- {
-			(<-n.work)()
+			n.guard("loop", <-n.work)
 		}
 		timer.Reset(n.turn())
 	}
@@ -160,6 +165,10 @@
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
 		n.fleet.Tidy()
+		if n.strange > 0 && now-n.lineAt > int64(time.Second) {
+			log.Printf("event=datagrams_dropped count=%d", n.strange)
+			n.strange, n.lineAt = 0, now
+		}
 		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
 	}
 	left := false
@@ -183,15 +192,33 @@
 	return max(wait, 0)
 }
 
-// decide calls the module. A panic in it must not take all other reqs along.
+// decide calls the module. Should it panic, what it left without a decision is aborted: a fault must not hold
+// a req until its client gives up, nor take the others along.
 func (n *Node) decide() {
+	n.guard("module", func() {
+		defer func() {
+			if p := recover(); p != nil {
+				n.Wake(int64(retry))
+				for _, e := range n.round.Events {
+					if r := n.reqs[e.Req]; r != nil && r.out == 0 {
+						n.Abort(e.Req)
+					}
+				}
+				panic(p)
+			}
+		}()
+		n.module.Round(&n.round, n)
+	})
+}
+
+// guard keeps a panic from ending the program.
+func (n *Node) guard(where string, f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			log.Printf("event=panic where=module error=%q stack=%q", p, debug.Stack())
-			n.Wake(int64(retry))
+			log.Printf("event=panic where=%s error=%q stack=%q", where, fmt.Sprint(p), debug.Stack())
 		}
 	}()
-	n.module.Round(&n.round, n)
+	f()
 }
 
 // expire ends the dispatches whose time is up.
@@ -208,7 +235,7 @@
 			n.dueAt = d.due
 		}
 	}
-	for _, d := range due {
+	for _, d := range due { // each ends at once, and none ends another
 		d.send.Stop(hosts.ErrTimedOut)
 	}
 }
@@ -245,42 +272,61 @@
 	if r == nil {
 		return
 	}
-	now := n.round.Now
-	d := &dispatch{req: r, host: host, n: len(r.sends), at: now, due: r.until}
+	wait := r.until - n.round.Now
 	if timeout > 0 {
-		d.due = min(d.due, now+timeout)
+		wait = min(wait, timeout)
 	}
+	d := n.sent(r, host, wait)
 	r.sends = append(r.sends, d)
 	r.out++
+	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, d.ended)
+}
+
+func (n *Node) Probe(host uint32) {
+	d := n.sent(nil, host, probeWait)
+	d.send = n.fleet.Probe(host, d.ended)
+}
+
+// sent notes a dispatch that is to end within a time.
+func (n *Node) sent(r *req, host uint32, wait int64) *dispatch {
+	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait}
+	if r != nil {
+		d.n = len(r.sends)
+	}
 	n.open = append(n.open, d)
 	if n.dueAt == 0 || d.due < n.dueAt {
 		n.dueAt = d.due
 	}
-	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, d.due-now, d.ended)
+	return d
 }
 
 // ended takes in how a dispatch ended. The first good answer goes to the client at once.
 func (d *dispatch) ended(reply hosts.Reply, failure *hosts.Failure, came int64) {
-	r, n := d.req, d.req.node
-	d.over = true
-	r.out--
+	r, n := d.req, d.node
 	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
 	if failure != nil {
 		reply.Result = failure.Result()
 	}
-	if reply.Result == gateway.Passed && !r.closed {
-		r.answer.Passed(reply.Value)
-		r.closed = true
-	}
-	if r.closed {
-		r.close()
+	e := gateway.Event{Kind: gateway.Ended, Host: d.host, Dispatch: d.n, Result: reply.Result, Lag: came - d.at,
+		Used: reply.Used, Units: reply.Units, Load: reply.Load}
+	if r == nil {
+		e.Kind = gateway.Probed
+	} else {
+		r.out--
+		if reply.Result == gateway.Passed && !r.closed {
+			r.answer.Passed(reply.Value)
+			r.closed = true
+		}
+		if r.closed {
+			r.close()
+		}
+		e.Req, e.Closed = r.id, r.closed
 	}
-	n.events = append(n.events, gateway.Event{Kind: gateway.Ended, Req: r.id, Closed: r.closed, Host: d.host,
-		Dispatch: d.n, Result: reply.Result, Lag: came - d.at, Used: reply.Used, Units: reply.Units, Load: reply.Load})
+	n.events = append(n.events, e)
 }
 
 func (n *Node) Cancel(id string, dispatch int) {
-	if r := n.reqs[id]; r != nil && dispatch < len(r.sends) {
+	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
 		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
 	}
 }
@@ -305,8 +351,6 @@
 	}
 }
 
-func (n *Node) Probe(host uint32) {}
-
 func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
 
 func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
@@ -349,7 +393,7 @@
 	}
 	for _, l := range list {
 		if l.State != gateway.Running {
-			log.Printf("event=host id=%s state=%d version=%d", n.book.Name(l.Host), l.State, n.book.Version)
+			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
 		}
 		if l.State == gateway.Gone {
 			n.fleet.Drop(l.Host)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -57,4 +57,12 @@
 	}
 }
 
+// Addr gives where this gateway listens, "none" where gateways do not message each other.
+func (p *Post) Addr() string {
+	if p == nil {
+		return "none"
+	}
+	return p.conn.LocalAddr().String()
+}
+
 func (p *Post) Close() { p.conn.Close() }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -3,6 +3,7 @@
 package resp
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 
@@ -66,24 +67,27 @@
 			p.body = false
 			p.left--
 		} else {
+			if r.Len() == p.at {
+				return v, false, nil
+			}
+			first := r.At(p.at)
+			if p.kind == 0 && bytes.IndexByte([]byte("+-:*$"), first) < 0 {
+				return v, false, ErrKind
+			}
+			if p.kind != 0 && first != '$' {
+				return v, false, ErrNest
+			}
 			n, err := line(r, p.at)
 			if n < 0 || err != nil {
 				return v, false, err
 			}
-			first, text := r.At(p.at), r.Span(p.at+1, n-1)
+			text := r.Span(p.at+1, n-1)
+			if first != '*' && first != '$' {
+				p.done, p.at = n+2, 0
+				return Value{Kind: first, Line: text}, true, nil
+			}
 			if p.kind == 0 {
-				switch first {
-				case '+', '-', ':':
-					p.done = n + 2
-					p.at = 0
-					return Value{Kind: first, Line: text}, true, nil
-				case '*', '$':
-					p.kind, p.left = first, 1
-				default:
-					return v, false, ErrKind
-				}
-			} else if first != '$' {
-				return v, false, ErrNest
+				p.kind, p.left = first, 1
 			}
 			count, ok := number(text)
 			switch p.at += n + 2; {
--- a/internal/ring/link.go
+++ b/internal/ring/link.go
@@ -77,8 +77,11 @@
 	return true
 }
 
-// CloseWrite ends the sending; the peer can still be read.
-func (l *Link) CloseWrite() error { return l.conn.CloseWrite() }
+// CloseWrite ends the sending; the peer is read for a while longer.
+func (l *Link) CloseWrite(limit time.Duration) {
+	l.conn.CloseWrite()
+	l.conn.SetReadDeadline(time.Now().Add(limit))
+}
 
 // Close ends the connection; a waiting Read returns.
 func (l *Link) Close() { l.conn.Close() }
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,85 @@
+package ring
+
+import (
+	"bytes"
+	"net"
+	"testing"
+)
+
+func TestWrap(t *testing.T) { // what is written comes out in order, over the end and while growing
+	r := New(4 * least)
+	var want, got []byte
+	for i := 0; len(want) < 40*least; i++ {
+		p := bytes.Repeat([]byte{byte(i)}, 1+i*37%1500)
+		if !r.Write(p) {
+			t.Fatalf("no room for %d beside %d", len(p), r.Len())
+		}
+		want = append(want, p...)
+		for r.Len() > 2*least {
+			n := min(r.Len(), 1+i*53%700)
+			span := r.Span(0, n)
+			if at := r.At(n - 1); at != span[n-1] {
+				t.Fatalf("At %d, Span %d", at, span[n-1])
+			}
+			got = append(got, span...)
+			r.Drop(n)
+			r.Loosen()
+		}
+	}
+	for r.Len() > 0 {
+		p := r.Head()
+		got = append(got, p...)
+		r.Drop(len(p))
+	}
+	if !bytes.Equal(got, want) {
+		t.Error("bytes changed on the way")
+	}
+	if r.Write(make([]byte, 4*least+1)) || r.Len() != 0 {
+		t.Error("took more than its most")
+	}
+	if !r.Write(make([]byte, 4*least)) || r.Room() != nil {
+		t.Error("gave room when full")
+	}
+}
+
+// A peer that reads nothing must not hold up the loop: Flush returns, and what is left goes out later.
+func TestSlowPeer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	link, err := NewLink(near.(*net.TCPConn), 1<<20, 64<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := bytes.Repeat([]byte("ravensill"), 4<<20)
+	link.Out.Write(want)
+	if err := link.Flush(); err != nil || link.Out.Len() == 0 {
+		t.Fatalf("left %d, error %v", link.Out.Len(), err)
+	}
+	got := make([]byte, 0, len(want))
+	for buf := make([]byte, 1<<20); len(got) < len(want); {
+		n, err := far.Read(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, buf[:n]...)
+		if err := link.Flush(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !bytes.Equal(got, want) {
+		t.Error("bytes changed on the way")
+	}
+}
