Program started and spoken to over sockets in tests; configuration checked, keys named

Stand-ins for hosts, discovery and peers in cmd/ravensill: order and bytes of answers, what may follow each end of a dispatch, drains told, a broken watch, SIGTERM with reqs open, quotas across two gateways, few descriptors. Found on the way: idle and connect times absent from the settings read as 0 and would have closed every connection at once; they have defaults now, and frontends or plans without what a gateway needs end the start.

--- /dev/null
+++ b/cmd/ravensill/main_test.go
@@ -0,0 +1,585 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ravensill/internal/mail"
+)
+
+// The tests start the program itself: this test binary, which runs main where this is set.
+const asProgram = "RAVENSILL_PROGRAM"
+
+const patience = 20 * time.Second // for what must happen; no test passes by waiting
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) == "1" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// words reads one RESP value as the words of an array, or as one line or bulk.
+func words(r *bufio.Reader) ([]string, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	n, _ := strconv.Atoi(line[1:])
+	switch line[0] {
+	case '*':
+		var all []string
+		for range n {
+			w, err := words(r)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, w...)
+		}
+		return all, nil
+	case '$':
+		b := make([]byte, n+2)
+		_, err := io.ReadFull(r, b)
+		return []string{string(b[:n])}, err
+	}
+	return []string{line}, nil
+}
+
+func array(words ...string) string {
+	s := fmt.Sprintf("*%d\r\n", len(words))
+	for _, w := range words {
+		s += bulk(w)
+	}
+	return s
+}
+
+func bulk(s string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(s), s) }
+
+func passed(value string) string {
+	return "*3\r\n" + bulk(value) + bulk("used=3") + bulk("utilization=0.5")
+}
+
+// host stands in for one of the back end. answer gives the bytes to write; with "close" at their end the
+// connection ends after them.
+type host struct {
+	net.Listener
+	answer func(cmd []string) string
+	mu     sync.Mutex
+	cmds   [][]string
+	conns  int
+	closed chan struct{} // a connection was ended by the gateway
+}
+
+func newHost(t *testing.T, answer func(cmd []string) string) *host {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{Listener: l, answer: answer, closed: make(chan struct{}, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.conns++
+			h.mu.Unlock()
+			go h.serve(c)
+		}
+	}()
+	return h
+}
+
+func (h *host) serve(c net.Conn) {
+	defer c.Close()
+	for r := bufio.NewReader(c); ; {
+		cmd, err := words(r)
+		if err != nil {
+			h.closed <- struct{}{}
+			return
+		}
+		h.mu.Lock()
+		h.cmds = append(h.cmds, cmd)
+		h.mu.Unlock()
+		go func() {
+			a, end := strings.CutSuffix(h.answer(cmd), "close")
+			if io.WriteString(c, a); end {
+				c.Close()
+			}
+		}()
+	}
+}
+
+// got gives the commands that came since the last call.
+func (h *host) got() [][]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cmds := h.cmds
+	h.cmds = nil
+	return cmds
+}
+
+// world is one program with all that it speaks to.
+type world struct {
+	*testing.T
+	cmd        *exec.Cmd
+	addr, peer string // where it listens
+	agent      net.Listener
+	watches    chan net.Conn // discovery's, past the head of the answer
+	asked      chan string   // by these
+	log        chan string
+	exit       chan error
+}
+
+func entry(id, addr, state string) map[string]any {
+	return map[string]any{"id": id, "addr": addr, "zone": "a", "kind": "m", "cell": 0, "state": state, "weight": 1, "started_ms": 0}
+}
+
+func start(t *testing.T, set func(cfg, settings map[string]any), hosts ...*host) *world {
+	agent, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, agent: agent, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
+	t.Cleanup(func() { agent.Close() })
+	go w.discover()
+	front := func(name, effect string, target int) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
+	}
+	settings := map[string]any{"balancers": 1, "position": 0, "zones": []string{"a"}, "skus": []string{"m"},
+		"limits":   map[string]any{"max_attempts": 3, "cancelling": true, "retry_after": true, "conn_idle_us": 30000000, "connect_timeout_us": 250000, "peer_messages": true},
+		"profiles": []any{front("lookup", "safe", 4000000), front("order", "keyed", 4000000), front("pay", "unsafe", 4000000), front("quick", "safe", 300000)},
+		"plans":    []any{map[string]any{"name": "team", "rate": 0.01, "burst": 8, "worth_factor": 1}},
+		"report":   map[string]any{"how": "inline", "names": []string{"utilization"}}, "family_info": map[string]any{"mail_per_s": 40}}
+	var known []any
+	for i, h := range hosts {
+		known = append(known, entry(fmt.Sprint("h", i), h.Addr().String(), "active"))
+	}
+	cfg := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": agent.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": map[string]any{"version": 41, "full": true, "servers": known}, "settings": settings}
+	if set != nil {
+		set(cfg, settings)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	text, _ := json.Marshal(cfg)
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd = exec.Command(os.Args[0])
+	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+file, "GORACE=halt_on_error=1")
+	out, err := w.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			if w.log <- s.Text(); strings.Contains(s.Text(), "event=panic") {
+				w.cmd.Process.Kill()
+			}
+		}
+		w.exit <- w.cmd.Wait()
+		close(w.log)
+	}()
+	t.Cleanup(func() { w.cmd.Process.Kill() })
+	line := w.line("event=")
+	if strings.Contains(line, "event=start_failed") {
+		w.addr = line
+	} else {
+		fmt.Sscanf(line[strings.Index(line, "listen="):], "listen=%s peer_listen=%s", &w.addr, &w.peer)
+	}
+	return w
+}
+
+func (w *world) discover() {
+	for {
+		c, err := w.agent.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		ask, _ := r.ReadString('\n')
+		for line := ask; len(line) > 2; {
+			line, _ = r.ReadString('\n')
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		w.asked <- ask
+		w.watches <- c
+	}
+}
+
+// list tells the program news, in two chunks.
+func list(c net.Conn, version int, entries ...any) {
+	text, _ := json.Marshal(map[string]any{"version": version, "full": false, "servers": entries})
+	fmt.Fprintf(c, "%x\r\n%s\r\n%x\r\n%s\n\r\n", 5, text[:5], len(text)-4, text[5:])
+}
+
+// line waits for a line of the log that holds text.
+func (w *world) line(text string) string {
+	for limit := time.After(patience); ; {
+		select {
+		case l, ok := <-w.log:
+			if !ok {
+				w.Fatalf("the program ended before saying %q", text)
+			}
+			if strings.Contains(l, text) {
+				return l
+			}
+		case <-limit:
+			w.Fatalf("never said %q", text)
+		}
+	}
+}
+
+func take[T any](w *world, c chan T) T {
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		w.Fatal("nothing came")
+		panic("")
+	}
+}
+
+type client struct {
+	*world
+	net.Conn
+	r *bufio.Reader
+}
+
+func (w *world) client() *client {
+	c, err := net.Dial("tcp4", w.addr)
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{w, c, bufio.NewReader(c)}
+}
+
+func (c *client) send(cmds ...string) { io.WriteString(c.Conn, strings.Join(cmds, "")) }
+
+func (c *client) answer() string {
+	v, err := words(c.r)
+	if err != nil {
+		return err.Error()
+	}
+	return v[0]
+}
+
+func (c *client) ask(cmd string) string {
+	c.send(cmd)
+	return c.answer()
+}
+
+var ids int
+
+// call is a command of customer n.
+func call(front string, n int, body ...string) string {
+	ids++
+	verb := "CALL.POST"
+	if front == "lookup" || front == "quick" {
+		verb = "CALL.GET"
+	}
+	return array(append([]string{verb, fmt.Sprintf("%016x", n), fmt.Sprint("id", ids), "c=" + front + ",t=team,d=3000,k=00ff,units=1,spread=1,first=0"}, body...)...)
+}
+
+// Many commands on one connection: answers in their order, values byte for byte, denials with a time to come back.
+func TestServe(t *testing.T) {
+	gate := make(chan struct{})
+	h := newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			<-gate // the first is answered last
+		} else if cmd[1] == "0000000000000002" {
+			defer close(gate)
+		}
+		return passed("of " + cmd[1] + "\r\n\x00$-1\r\n")
+	})
+	w := start(t, nil, h)
+	c := w.client()
+	if a := c.ask(array("PING")); a != "+PONG" {
+		t.Fatal(a)
+	}
+	c.send(call("lookup", 1), array("EVAL", "x"), call("order", 2, "BO\r\nDY"), array("PING"))
+	for _, want := range []string{"of 0000000000000001\r\n\x00$-1\r\n", `-ERR unknown command "EVAL"`, "of 0000000000000002\r\n\x00$-1\r\n", "+PONG"} {
+		if a := c.answer(); a != want {
+			t.Errorf("%q, not %q", a, want)
+		}
+	}
+	for _, cmd := range h.got() {
+		if cmd[0] == "CALL.POST" && (len(cmd) != 5 || cmd[4] != "BO\r\nDY" || cmd[3] != "c=order,t=team,d=3000,k=00ff,units=1,spread=1,first=0") {
+			t.Errorf("passed on as %q", cmd)
+		}
+	}
+	for i := range 8 {
+		if a := c.ask(call("lookup", 3)); !strings.HasPrefix(a, "of ") {
+			t.Errorf("req %d inside the quota: %s", i, a)
+		}
+	}
+	var ms int
+	if a := c.ask(call("lookup", 3)); !strings.HasPrefix(a, "-BUSY ") || len(h.got()) != 8 {
+		t.Errorf("beyond the quota: %s", a)
+	} else if fmt.Sscanf(a, "-BUSY %d", &ms); ms < 1000 {
+		t.Errorf("come back after %d ms", ms)
+	}
+	if h.conns > 2 {
+		t.Errorf("%d connections for two reqs at once", h.conns)
+	}
+	bad := w.client()
+	bad.send("*1\r\n:9\r\n", call("lookup", 4))
+	if a, end := bad.answer(), bad.answer(); !strings.HasPrefix(a, "-ERR") || end != "EOF" {
+		t.Errorf("stream that can't be trusted: %q, then %q", a, end)
+	}
+	if a := c.ask(array("PING")); a != "+PONG" {
+		t.Errorf("another client's rubbish cost this one: %s", a)
+	}
+}
+
+// What a host does to a dispatch, and what may follow: a repeat only where nothing ran or a repeat is harmless.
+func TestDispatches(t *testing.T) {
+	for _, x := range []struct {
+		front, first, want string
+		dispatches         int
+	}{
+		{"pay", "-BUSY\r\n", "value", 2},               // never ran: the next host
+		{"pay", "-ERR failed\r\n", "-ERR", 1},          // may have run
+		{"pay", "close", "-ERR", 1},                    // so may this
+		{"pay", "%3\r\n", "-ERR", 1},                   // malformed
+		{"pay", passed("v")[:20] + "close", "-ERR", 1}, // cut short
+		{"lookup", "close", "-BUSY", 1},                // harmless, but no repeat in stock yet
+		{"quick", "", "-BUSY", 1},                      // no answer by the response target
+		{"order", "$-1\r\n", "-BUSY", 1},               // null is no value; keyed for all hosts
+		{"pay", "*1\r\n$-1\r\n", "-ERR", 1},            // nor here
+		{"pay", "-BUSY used=9 x=2\r\n", "value", 2},    // figures in an error line
+	} {
+		var mu sync.Mutex
+		n := 0
+		answer := func(cmd []string) string {
+			mu.Lock()
+			defer mu.Unlock()
+			if n++; n > 1 {
+				return passed("value")
+			}
+			return x.first
+		}
+		a, b := newHost(t, answer), newHost(t, answer)
+		w := start(t, nil, a, b)
+		c := w.client()
+		if got := c.ask(call(x.front, 1)); !strings.HasPrefix(got, x.want) {
+			t.Errorf("%s, %q: %s", x.front, x.first, got)
+		}
+		if got := len(a.got()) + len(b.got()); got != x.dispatches {
+			t.Errorf("%s, %q: %d dispatches", x.front, x.first, got)
+		}
+		if x.first == "" {
+			select { // a dispatch given up ends its connection: the host may stop its work
+			case <-a.closed:
+			case <-b.closed:
+			case <-time.After(patience):
+				t.Error("given up, but its connection stays")
+			}
+		}
+	}
+}
+
+// A drain told is kept, whatever else comes on the watch; a broken watch is asked for anew from where it was.
+func TestList(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b, c := newHost(t, answer), newHost(t, answer), newHost(t, answer)
+	w := start(t, nil, a, b)
+	if ask := take(w, w.asked); !strings.HasPrefix(ask, "GET /v1/servers?watch=1&after=41 HTTP/1.1") {
+		t.Errorf("asked for the list with %q", ask)
+	}
+	watch := take(w, w.watches)
+	io.WriteString(watch, "1\r\n\n\r\n7\r\n{\"no\":\n\r\n")
+	w.line("event=list_dropped")
+	list(watch, 43, entry("h0", a.Addr().String(), "leaving"), entry("h2", c.Addr().String(), "active"))
+	w.line("event=host id=h0 state=draining version=43")
+	ask := func() {
+		for i := range 8 {
+			if got := w.client().ask(call("lookup", 100+i)); got != "v" {
+				t.Fatal(got)
+			}
+		}
+	}
+	ask()
+	if len(a.got()) > 0 || len(b.got())+len(c.got()) != 8 {
+		t.Error("the drain was not kept")
+	}
+	watch.Close()
+	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
+		t.Errorf("asked for the list with %q", ask)
+	}
+	list(take(w, w.watches), 44, entry("h1", "", "left"))
+	w.line("event=host id=h1 state=gone version=44")
+	ask()
+	if len(c.got()) != 8 || len(b.got()) > 0 {
+		t.Error("the host that is gone got more")
+	}
+}
+
+// Called to stop, it goes on taking in for a while, answers what it has, and ends each connection after that.
+func TestStop(t *testing.T) {
+	came, gate := make(chan struct{}), make(chan struct{})
+	h := newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			close(came)
+			<-gate
+		}
+		return passed("v")
+	})
+	w := start(t, nil, h)
+	idle, busy := w.client(), w.client()
+	idle.ask(array("PING"))
+	busy.send(call("order", 1))
+	take(w, came)
+	called := time.Now()
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	w.line("event=stopping")
+	if c, err := net.Dial("tcp4", w.addr); err == nil {
+		defer c.Close()
+		late := &client{w, c, bufio.NewReader(c)}
+		if a := late.ask(call("lookup", 2)); a != "v" && time.Since(called) < 300*time.Millisecond {
+			t.Errorf("new after the call to stop: %s", a)
+		}
+	} else if time.Since(called) < 300*time.Millisecond { // a machine that stood still tells nothing
+		t.Error(err)
+	}
+	if a := idle.answer(); a != "EOF" {
+		t.Errorf("idle connection: %s", a)
+	}
+	busy.send(call("lookup", 3)) // taken in while the one before is open
+	close(gate)
+	for _, want := range []string{"v", "v", "EOF"} {
+		if a := busy.answer(); a != want {
+			t.Errorf("%q, not %q", a, want)
+		}
+	}
+	if err := take(w, w.exit); err != nil {
+		t.Error(err)
+	}
+}
+
+// Called a second time, it ends at once.
+func TestStopTwice(t *testing.T) {
+	w := start(t, nil, newHost(t, func([]string) string { return "" }))
+	w.client().ask(array("PING"))
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	w.line("event=stopping")
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	var exit *exec.ExitError
+	if err := take(w, w.exit); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Error(err)
+	}
+}
+
+// The quota holds across gateways: what one admits, the other hears of and denies. Strangers are not heard.
+func TestPeers(t *testing.T) {
+	h := newHost(t, func([]string) string { return passed("v") })
+	var ends [2]*net.UDPConn // ends[i] stands for gateway i to its peer
+	var addrs []string
+	for i := range ends {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		ends[i], addrs = c, append(addrs, c.LocalAddr().String())
+	}
+	var w [2]*world
+	for i := range w {
+		w[i] = start(t, func(cfg, settings map[string]any) {
+			settings["balancers"], settings["position"] = 2, i
+			cfg["peer_listen"], cfg["peers"] = "127.0.0.1:0", addrs
+		}, h)
+	}
+	far, _ := net.ResolveUDPAddr("udp4", w[1].peer)
+	told := make(chan struct{}, 99)
+	go func() { // from 0 to 1; nothing goes back
+		buf := make([]byte, 300)
+		for {
+			n, err := ends[1].Read(buf)
+			if err != nil {
+				return
+			}
+			ends[0].WriteToUDP(buf[:n], far)
+			mail.Read(buf[:n], 1, 2, func(uint64, uint64) bool { return true }, func(uint16) {},
+				func(_ uint32, _, _, _ int, total, _ uint64, _ bool) {
+					if total == 8*16 { // all of it, in parts of a unit
+						told <- struct{}{}
+					}
+				})
+		}
+	}()
+	spread := func(cmd string) string { return strings.Replace(cmd, "spread=1", "spread=2", 1) }
+	c := w[0].client()
+	for range 8 {
+		if a := c.ask(spread(call("lookup", 5))); a != "v" {
+			t.Fatal(a)
+		}
+	}
+	take(w[0], told)
+	stranger, err := net.Dial("udp4", w[1].peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write([]byte("hello"))
+	w[1].line("event=datagrams_dropped count=1")
+	if a := w[1].client().ask(spread(call("lookup", 5))); !strings.HasPrefix(a, "-BUSY") {
+		t.Errorf("spent at the peer, yet %s", a)
+	}
+}
+
+// Descriptors are few: the longest idle client makes room for the next.
+func TestRoom(t *testing.T) {
+	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
+		newHost(t, func([]string) string { return "" }))
+	first := w.client()
+	first.ask(array("PING"))
+	for range 31 {
+		w.client().ask(array("PING"))
+	}
+	next := w.client()
+	next.send(array("PING"))
+	if a := first.answer(); a != "EOF" {
+		t.Errorf("the longest idle: %s", a)
+	}
+	first.Close()
+	if a := next.answer(); a != "+PONG" {
+		t.Errorf("the next: %s", a)
+	}
+}
+
+// A faulty configuration ends the start with a message that names the key.
+func TestFaultyConfig(t *testing.T) {
+	w := start(t, func(_, settings map[string]any) {
+		settings["plans"] = []any{map[string]any{"rate": "many"}}
+	}, newHost(t, nil))
+	if !strings.Contains(w.addr, "settings: plans.0.rate: unexpected value") {
+		t.Errorf("the line does not name the key: %s", w.addr)
+	}
+	var exit *exec.ExitError
+	if err := take(w, w.exit); !errors.As(err, &exit) || exit.ExitCode() != 2 {
+		t.Error(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/tidwall/gjson"
 )
@@ -35,7 +36,7 @@
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
 	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
-		return nil, fmt.Errorf("GW_CONFIG: %s: not a JSON object", file)
+		return nil, errors.New("GW_CONFIG: the file holds no JSON object")
 	}
 	s := &settings{obj: gjson.ParseBytes(text)}
 	word := func(key, env, def string) string {
@@ -83,6 +84,9 @@
 	}
 	c.Settings, err = Decode(s.at("settings", gjson.JSON).Raw)
 	fail("settings", err)
+	if s.err == nil {
+		fail("settings", c.check())
+	}
 	if s.err == nil && c.Seat.Messages && c.Seat.Count > 1 {
 		c.PeerListen = addr("peer_listen", word("peer_listen", "", ""))
 		for i, p := range s.at("peers", gjson.JSON).Array() {
@@ -94,3 +98,27 @@
 	}
 	return c, s.err
 }
+
+// check looks for what a gateway on sockets can't do without, and gives defaults.
+func (s *Settings) check() error {
+	if len(s.Fronts) == 0 || len(s.Plans) == 0 {
+		return errors.New("profiles, plans: one of each wanted at least")
+	}
+	for i, f := range s.Fronts {
+		if s.FrontNames[i] == "" || f.Target <= 0 || f.Timeout <= 0 {
+			return fmt.Errorf("profiles.%d: name, target_us and hard_limit_us wanted", i)
+		}
+	}
+	for i, name := range s.PlanNames {
+		if name == "" {
+			return fmt.Errorf("plans.%d.name: missing", i)
+		}
+	}
+	if s.ConnIdle == 0 {
+		s.ConnIdle = int64(30 * time.Second)
+	}
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = int64(250 * time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,98 @@
+package discovery
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"ravensill/internal/golden"
+)
+
+func feed(pieces ...string) string {
+	var said strings.Builder
+	var s Stream
+	for _, p := range pieces {
+		if err := s.Feed([]byte(p), func(line []byte) { fmt.Fprintf(&said, "%q\n", line) }); err != nil {
+			return said.String() + err.Error() + "\n"
+		}
+	}
+	return said.String()
+}
+
+const head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nTRANSFER-encoding: Chunked\r\n\r\n"
+
+func TestStream(t *testing.T) { // also cut at every byte
+	answer := head + "4\r\n{\"a\"\r\nA;x=1\r\n:1}\n\n{\"b\":\r\n3\r\n2}\n\r\n1\r\n\n\r\n0\r\n"
+	whole := feed(answer)
+	golden.Check(t, whole)
+	for i := range answer {
+		if got := feed(answer[:i], answer[i:]); got != whole {
+			t.Errorf("cut at %d: %s", i, got)
+		}
+	}
+	if got := feed("HTTP/1.0 200 OK\r\n\r\n{}\n", "\n[]\n"); got != "\"{}\"\n\"\"\n\"[]\"\n" {
+		t.Errorf("without chunks: %s", got)
+	}
+}
+
+func TestStreamFaults(t *testing.T) {
+	var all strings.Builder
+	for _, s := range []string{"HTTP/1.1 503 Gone\r\n", "SSH-2.0\r\n", head + "x\r\n", head + "-1\r\n", head + "2\r\n{}}", head + "2\r\n{}}\r\n",
+		head + "0\r\n\r\n", head + "fffffffff\r\n", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("y", mostRow)} {
+		fmt.Fprintf(&all, "%.40q %s", strings.TrimPrefix(s, head), feed(s))
+	}
+	golden.Check(t, all.String())
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(head+"4\r\n{}\n\n\r\n", 90)
+	f.Fuzz(func(t *testing.T, s string, at int) {
+		if at < 0 || at > len(s) {
+			return
+		}
+		if whole, cut := feed(s), feed(s[:at], s[at:]); whole != cut {
+			t.Errorf("whole %q, cut at %d %q", whole, at, cut)
+		}
+	})
+}
+
+func server(id, addr, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"b","kind":"m2","cell":3,"state":%q,"weight":1.5,"started_ms":1700000000123,"new":[]}`, id, addr, state)
+}
+
+func TestBook(t *testing.T) { // lists in house words; nothing of a broken one
+	b := NewBook([]string{"a", "b"}, []string{"m1", "m2"})
+	var all strings.Builder
+	for _, s := range []string{
+		`{"version":41,"full":true,"servers":[` + server("s-5be2a07c", "10.1.0.18:6379", "active") + "," + server("s-2", "10.1.0.19:6379", "leaving") + `]}`,
+		`{"version":42,"full":false,"servers":[` + server("s-2", "", "left") + `]}`,
+		`{"version":43,"full":false,"servers":[` + server("s-3", "10.1.0.20:6379", "active") + "," + server("s-2", "10.1.0.19", "active") + `]}`,
+		`{"version":43,"full":false,"servers":[` + server("", "10.1.0.20:6379", "active") + `]}`,
+		`{"version":43,"full":false,"servers":[` + server("s-4", "10.1.0.20:6379", "resting") + `]}`,
+		`{"version":43,"full":"no","servers":[]}`, `{"full":true}`, `{"version":`, `[]`,
+	} {
+		kind, hosts, err := b.Read([]byte(s), func(host uint32, addr netip.AddrPort) { fmt.Fprintf(&all, "%d at %s\n", host, addr) })
+		fmt.Fprintf(&all, "list %d of version %d: %+v %v\n", kind, b.Version, hosts, err)
+	}
+	golden.Check(t, all.String())
+}
+
+// Hosts are ranked by number: it follows from the id, in whatever order hosts are seen; ids that meet on one
+// number are kept apart.
+func TestNumbers(t *testing.T) {
+	x, y := NewBook(nil, nil), NewBook(nil, nil)
+	for i := range 100 {
+		x.number(fmt.Sprint("s-", i))
+		y.number(fmt.Sprint("s-", 99-i))
+	}
+	for i := range 100 {
+		if id := fmt.Sprint("s-", i); x.number(id) != y.number(id) || x.Name(x.number(id)) != id {
+			t.Errorf("%s has numbers %d and %d", id, x.number(id), y.number(id))
+		}
+	}
+	a, b := x.number("costarring"), x.number("liquid") // these meet under FNV-1a
+	if a == b || x.Name(a) != "costarring" || x.Name(b) != "liquid" || b != a+1 {
+		t.Errorf("numbers %d and %d", a, b)
+	}
+}
--- /dev/null
+++ b/internal/hosts/hosts_test.go
@@ -0,0 +1,163 @@
+package hosts
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"ravensill/internal/golden"
+	"ravensill/internal/resp"
+	"ravensill/internal/ring"
+)
+
+func reply(text string) string {
+	in, p := ring.New(resp.Most), resp.Parser{}
+	in.Write([]byte(text))
+	v, ok, err := p.Next(in)
+	if err != nil || !ok {
+		return fmt.Sprintf("whole %t, %v", ok, err)
+	}
+	r, err := read(v, []string{"outstanding", "utilization"})
+	return fmt.Sprintf("%+v %v", r, err)
+}
+
+func TestReplies(t *testing.T) {
+	var all strings.Builder
+	for _, s := range []string{"*3\r\n$2\r\nab\r\n$14\r\nused=37,cost=4\r\n$30\r\noutstanding=7,utilization=0.61\r\n",
+		"*3\r\n$2\r\nab\r\n$-1\r\n$-1\r\n", "*1\r\n$0\r\n\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*2\r\n$1\r\na\r\n$4\r\nused\r\n",
+		"*2\r\n$1\r\na\r\n$7\r\nused=-1\r\n", "*4\r\n$1\r\na\r\n$-1\r\n$-1\r\n$-1\r\n", "-ERR failed\r\n", "-ERR failed used=120 utilization=1\r\n",
+		"-ERR failed utilization=x\r\n", "-BUSY\r\n", "-BUSY used=5 outstanding=9\r\n", "-SYNTAX no\r\n", "$16\r\nutilization=0.25\r\n", "$-1\r\n",
+		"+PONG\r\n", ":1\r\n", "*3\r\n$2\r\nab\r\n$-1\r\n"} {
+		fmt.Fprintf(&all, "%q\n  %s\n", s, reply(s))
+	}
+	golden.Check(t, all.String())
+}
+
+func FuzzReplies(f *testing.F) {
+	f.Add("*3\r\n$2\r\nab\r\n$14\r\nused=37,cost=4\r\n$16\r\nutilization=0.61\r\n")
+	f.Add("-ERR failed used=1 utilization=0.1\r\n")
+	f.Fuzz(func(t *testing.T, s string) { reply(s) })
+}
+
+func TestResults(t *testing.T) { // how far it had come tells whether it may have run
+	var all strings.Builder
+	for _, why := range []error{errReply, io.EOF, ErrTimedOut, ErrCanceled} {
+		for stage := Connecting; stage <= Sent; stage++ {
+			f := &Failure{stage, why}
+			fmt.Fprintf(&all, "%v: result %d, never ran %t\n", f, f.Result(), f.Result().NeverRan())
+		}
+	}
+	golden.Check(t, all.String())
+}
+
+// desk is a loop of a fleet of one host, and what came of its sends.
+type desk struct {
+	*testing.T
+	*Fleet
+	work chan func()
+	now  int64
+	out  []string
+}
+
+func newDesk(t *testing.T, addr string, most int) *desk {
+	d := &desk{T: t, work: make(chan func(), 99)}
+	d.Fleet = NewFleet(func(f func()) { d.work <- f }, func() int64 { return 0 }, nil, 250e6, 1e9, most)
+	d.Fleet.now = func() int64 { return d.now }
+	d.Place(1, netip.MustParseAddrPort(addr))
+	return d
+}
+
+func (d *desk) send() *Send {
+	s := d.Dispatch(1, []byte("*2\r\n"), []byte("d="), nil, nil, 2e6, func(r Reply, f *Failure, _ int64) {
+		if f != nil {
+			d.out = append(d.out, fmt.Sprintf("%v, unwrapped %t", f.Stage, errors.Is(f, f.Err)))
+		} else {
+			d.out = append(d.out, string(r.Value))
+		}
+	})
+	d.Flush()
+	return s
+}
+
+// until runs the loop until n sends ended.
+func (d *desk) until(n int) {
+	for len(d.out) < n {
+		select {
+		case f := <-d.work:
+			f()
+			d.Flush()
+		case <-time.After(20 * time.Second):
+			d.Fatalf("only %q ended", d.out)
+		}
+	}
+}
+
+// A connection carries one send at a time, serves the next, and ends before the host's machine would end it.
+func TestConnections(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conns := make(chan net.Conn, 9)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			go func() {
+				for buf := make([]byte, 99); ; {
+					if n, err := c.Read(buf); err != nil || string(buf[:n]) != "*2\r\n$3\r\nd=2\r\n" {
+						c.Close()
+						return
+					}
+					io.WriteString(c, "*1\r\n$1\r\nv\r\n")
+				}
+			}()
+		}
+	}()
+	d := newDesk(t, l.Addr().String(), 2)
+	d.send()
+	d.send()
+	d.send() // no descriptor is left for it: it never ran
+	d.until(3)
+	d.send()
+	d.until(4)
+	if len(conns) != 2 || d.count != 2 || len(d.host(1).free) != 2 {
+		t.Errorf("%d connections, %d counted, %d free", len(conns), d.count, len(d.host(1).free))
+	}
+	d.now = 2e9
+	d.Tidy()
+	if d.count != 0 {
+		t.Errorf("%d connections kept for too long", d.count)
+	}
+	golden.Check(t, strings.Join(d.out, "\n")+"\n")
+}
+
+// What was given up before it had a connection never ran, and the connection serves another.
+func TestStopWhileConnecting(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDesk(t, l.Addr().String(), 9)
+	s := d.send()
+	s.Stop(ErrTimedOut)
+	s.Stop(ErrTimedOut) // once only
+	(<-d.work)()
+	if len(d.host(1).free) != 1 {
+		t.Error("its connection was not kept")
+	}
+	d.Fleet.Drop(1)
+	l.Close()
+	d.send()
+	d.until(2)
+	golden.Check(t, strings.Join(d.out, "\n")+"\n")
+}
