--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -583,3 +583,17 @@
 		t.Error(err)
 	}
 }
+
+// A host that refuses connections costs no req, not even one that must not run twice.
+func TestRefused(t *testing.T) {
+	a, b := newHost(t, nil), newHost(t, func([]string) string { return passed("v") })
+	a.Close()
+	w := start(t, nil, a, b)
+	c := w.client()
+	for i := range 20 {
+		if got := c.ask(call("pay", i)); got != "v" {
+			t.Fatal(got)
+		}
+	}
+	w.line("event=host_failing addr=" + a.Addr().String() + " stage=connecting")
+}
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/netip"
@@ -42,8 +41,13 @@
 	free    []*conn // the last used last
 	waiting []*Send // for a connection
 	dialing int
+	failing bool // its last dispatch failed, and not for want of time
 }
 
+// Ended takes in how a dispatch or probe ended, and when: e holds the result and the figures that came along,
+// value what a host answered.
+type Ended func(e gateway.Event, value []byte, came int64)
+
 // Send is one dispatch on its way.
 type Send struct {
 	host   *Host
@@ -51,7 +55,7 @@
 	text   []byte
 	over   bool
 	probe  bool
-	result func(r Reply, failure *Failure, came int64)
+	result Ended
 }
 
 type conn struct {
@@ -97,8 +101,7 @@
 }
 
 // Dispatch sends a command: head, before, the time it will wait, after, tail. result is called once.
-func (f *Fleet) Dispatch(id uint32, head, before, after, tail []byte, wait int64,
-	result func(r Reply, failure *Failure, came int64)) *Send {
+func (f *Fleet) Dispatch(id uint32, head, before, after, tail []byte, wait int64, result Ended) *Send {
 	ms := strconv.AppendInt(nil, max((wait+999_999)/1_000_000, 1), 10)
 	text := make([]byte, 0, len(head)+len(before)+len(after)+len(tail)+32)
 	text = append(text, head...)
@@ -108,13 +111,13 @@
 }
 
 // Probe asks a host for its load.
-func (f *Fleet) Probe(id uint32, result func(r Reply, failure *Failure, came int64)) *Send {
+func (f *Fleet) Probe(id uint32, result Ended) *Send {
 	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), result)
 	s.probe = true
 	return s
 }
 
-func (f *Fleet) send(id uint32, text []byte, result func(r Reply, failure *Failure, came int64)) *Send {
+func (f *Fleet) send(id uint32, text []byte, result Ended) *Send {
 	h := f.host(id)
 	s := &Send{host: h, text: text, result: result}
 	if n := len(h.free); n > 0 {
@@ -191,9 +194,10 @@
 		came := f.now()
 		for {
 			v, ok, err := parser.Next(link.In)
-			var r Reply
+			var e gateway.Event
+			var value []byte
 			if ok && err == nil {
-				r, err = read(v, f.names)
+				value, err = read(v, f.names, &e)
 			}
 			if err != nil {
 				f.do(func() { c.fail(err) })
@@ -202,8 +206,8 @@
 			if !ok {
 				break
 			}
-			r.Value = slices.Clone(r.Value)
-			f.do(func() { c.answered(r, came) })
+			value = slices.Clone(value)
+			f.do(func() { c.answered(e, value, came) })
 		}
 	}
 }
@@ -256,20 +260,24 @@
 	}
 }
 
-func (c *conn) answered(r Reply, came int64) {
+func (c *conn) answered(e gateway.Event, value []byte, came int64) {
 	s := c.send
 	if s == nil || c.link.Out.Len() > 0 {
 		c.fail(errUnasked)
 		return
 	}
-	if r.Result == gateway.Passed && r.probe != s.probe {
+	if e.Result == gateway.Passed && (value == nil) != s.probe {
 		c.fail(errReply)
 		return
 	}
 	c.send = nil
 	s.over = true
+	if c.host.failing {
+		c.host.failing = false
+		log.Printf("event=host_answers addr=%s", c.host.addr)
+	}
 	c.release()
-	s.result(r, nil, came)
+	s.result(e, value, came)
 }
 
 // fail ends the connection, and the send it carries.
@@ -277,11 +285,13 @@
 	if c.closed {
 		return
 	}
-	if err == io.EOF && c.send == nil {
-		err = nil // the host closed an idle connection: as it may
+	if c.link == nil {
+		c.closed = true
+		c.undialed(err)
+		return
 	}
 	stage := Writing
-	if c.link != nil && c.link.Out.Len() == 0 {
+	if c.link.Out.Len() == 0 {
 		stage = Sent
 	}
 	s := c.send
@@ -305,9 +315,13 @@
 }
 
 func (s *Send) fail(failure *Failure) {
-	if !s.over {
+	if h := s.host; !s.over {
 		s.over = true
-		s.result(Reply{}, failure, s.host.fleet.now())
+		if !h.failing && !errors.Is(failure, ErrTimedOut) && !errors.Is(failure, ErrCanceled) {
+			h.failing = true
+			log.Printf("event=host_failing addr=%s stage=%s error=%q", h.addr, failure.Stage, failure.Err)
+		}
+		s.result(gateway.Event{Result: failure.Result()}, nil, h.fleet.now())
 	}
 }
 
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -54,78 +54,66 @@
 	return gateway.Broken
 }
 
-// Reply is what a host answers. Its value holds as long as the bytes that it was read from.
-type Reply struct {
-	Result gateway.Result
-	Value  []byte
-	Used   int       // 1 + percent; 0 none
-	Units  float64   // settled; 0 none
-	Load   []float64 // by the report's fields; nil none
-	probe  bool      // it answers a probe
-}
-
 var errReply = errors.New("malformed answer")
 
-// read makes out an answer. names are those of the load report's fields.
-func read(v resp.Value, names []string) (r Reply, err error) {
+// read makes out an answer: its value, nil where it has none, and into e the result and the figures that came
+// along. names are those of the load report's fields. The value holds as long as the bytes it was read from.
+func read(v resp.Value, names []string, e *gateway.Event) (value []byte, err error) {
 	switch v.Kind {
-	case '$':
-		if v.Parts[0] == nil {
-			return r, errReply
-		}
-		r.probe = true
-		return r, r.report(v.Parts[0], names)
 	case '*':
 		if v.Parts[0] == nil || len(v.Parts) > 3 {
-			return r, errReply
+			return nil, errReply
 		}
-		r.Value = v.Parts[0]
 		if len(v.Parts) > 1 {
-			err = r.figures(v.Parts[1])
+			err = usage(v.Parts[1], e)
 		}
 		if len(v.Parts) > 2 && err == nil {
-			err = r.report(v.Parts[2], names)
+			err = load(v.Parts[2], names, e)
+		}
+		return v.Parts[0], err
+	case '$': // of a probe
+		if v.Parts[0] == nil {
+			return nil, errReply
 		}
-		return r, err
+		return nil, load(v.Parts[0], names, e)
 	case '-':
-		r.Result = gateway.Errored
 		words := bytes.Split(v.Line, []byte{' '})
-		if string(words[0]) == "BUSY" {
-			r.Result = gateway.Busy
+		if e.Result = gateway.Errored; string(words[0]) == "BUSY" {
+			e.Result = gateway.Busy
 		}
 		for _, w := range words[1:] {
 			if bytes.HasPrefix(w, []byte("used=")) || bytes.HasPrefix(w, []byte("cost=")) {
-				err = r.figures(w)
+				err = usage(w, e)
 			} else if bytes.IndexByte(w, '=') > 0 {
-				err = r.report(w, names)
+				err = load(w, names, e)
 			}
 			if err != nil {
-				return r, err
+				return nil, err
 			}
 		}
-		return r, nil
+		return nil, nil
 	}
-	return r, errReply
+	return nil, errReply
 }
 
-func (r *Reply) figures(text []byte) error {
+func usage(text []byte, e *gateway.Event) error {
 	return pairs(text, func(name string, x float64) {
 		switch name {
 		case "used":
-			r.Used = 1 + int(x)
+			e.Used = 1 + int(x)
 		case "cost":
-			r.Units = x
+			e.Units = x
 		}
 	})
 }
 
-func (r *Reply) report(text []byte, names []string) error {
+func load(text []byte, names []string, e *gateway.Event) error {
 	return pairs(text, func(name string, x float64) {
 		if i := slices.Index(names, name); i >= 0 {
-			if r.Load == nil {
-				r.Load = make([]float64, len(names))
+			if e.Load == nil {
+				e.Load = make([]float64, len(names))
 			}
-			r.Load[i] = x
+			e.Load[i] = x
 		}
 	})
 }
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -1,7 +1,6 @@
 package hosts
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"ravensill/gateway"
 	"ravensill/internal/golden"
 	"ravensill/internal/resp"
 	"ravensill/internal/ring"
@@ -22,8 +22,9 @@
 	if err != nil || !ok {
 		return fmt.Sprintf("whole %t, %v", ok, err)
 	}
-	r, err := read(v, []string{"outstanding", "utilization"})
-	return fmt.Sprintf("%+v %v", r, err)
+	var e gateway.Event
+	value, err := read(v, []string{"outstanding", "utilization"}, &e)
+	return fmt.Sprintf("result %d, value %q, null %t, used %d, %g units, load %v, %v", e.Result, value, value == nil, e.Used, e.Units, e.Load, err)
 }
 
 func TestReplies(t *testing.T) {
@@ -73,12 +74,8 @@
 }
 
 func (d *desk) send() *Send {
-	s := d.Dispatch(1, []byte("*2\r\n"), []byte("d="), nil, nil, 2e6, func(r Reply, f *Failure, _ int64) {
-		if f != nil {
-			d.out = append(d.out, fmt.Sprintf("%v, unwrapped %t", f.Stage, errors.Is(f, f.Err)))
-		} else {
-			d.out = append(d.out, string(r.Value))
-		}
+	s := d.Dispatch(1, []byte("*2\r\n"), []byte("d="), nil, nil, 2e6, func(e gateway.Event, value []byte, _ int64) {
+		d.out = append(d.out, fmt.Sprintf("result %d, value %q", e.Result, value))
 	})
 	d.Flush()
 	return s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,8 +174,8 @@
 	left := false
 	for len(n.events)+len(n.news) > 0 {
 		n.round.Now = n.now()
-		n.round.Events, n.events = append(n.news, n.events...), n.events[:0]
-		n.news = nil
+		n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
+		n.news, n.events = n.news[:0], n.events[:0]
 		n.decide()
 		left = n.clients.Flush()
 		left = n.fleet.Flush() || left
@@ -301,20 +301,16 @@
 }
 
 // ended takes in how a dispatch ended. The first good answer goes to the client at once.
-func (d *dispatch) ended(reply hosts.Reply, failure *hosts.Failure, came int64) {
+func (d *dispatch) ended(e gateway.Event, value []byte, came int64) {
 	r, n := d.req, d.node
 	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
-	if failure != nil {
-		reply.Result = failure.Result()
-	}
-	e := gateway.Event{Kind: gateway.Ended, Host: d.host, Dispatch: d.n, Result: reply.Result, Lag: came - d.at,
-		Used: reply.Used, Units: reply.Units, Load: reply.Load}
+	e.Kind, e.Host, e.Dispatch, e.Lag = gateway.Ended, d.host, d.n, came-d.at
 	if r == nil {
 		e.Kind = gateway.Probed
 	} else {
 		r.out--
-		if reply.Result == gateway.Passed && !r.closed {
-			r.answer.Passed(reply.Value)
+		if e.Result == gateway.Passed && !r.closed {
+			r.answer.Passed(value)
 			r.closed = true
 		}
 		if r.closed {
