--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -103,3 +103,21 @@
 		t.Error(errors.New("an answer that does not fit is not told"))
 	}
 }
+
+func BenchmarkCommands(b *testing.B) {
+	in, c, one := ring.New(resp.Most), Commands{words: &words}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
+	b.ReportAllocs()
+	for b.Loop() {
+		in.Write(one)
+		if ok, err := c.Next(in, nobody{}); !ok || err != nil {
+			b.Fatal(ok, err)
+		}
+	}
+}
+
+type nobody struct{}
+
+func (nobody) Arrive([]byte, []byte, int, int, int64, float64, int, int, bool, []byte, []byte, []byte, []byte) {
+}
+func (nobody) Ping()            {}
+func (nobody) Refuse(err error) { panic(err) }
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -1,6 +1,7 @@
 package ring
 
 import (
+	"bufio"
 	"bytes"
 	"net"
 	"testing"
@@ -83,3 +84,48 @@
 		t.Error("bytes changed on the way")
 	}
 }
+
+// The operators ask for bufio and for one ring a direction: this tells what both together would cost. A
+// thousand commands of 120 bytes are read from a socket, in writes of one command.
+func BenchmarkReading(b *testing.B) {
+	command := bytes.Repeat([]byte("c"), 120)
+	for _, buffered := range []bool{false, true} {
+		b.Run(map[bool]string{false: "ring", true: "bufio and ring"}[buffered], func(b *testing.B) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			near, err := net.Dial("tcp4", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer near.Close()
+			far, err := l.Accept()
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer far.Close()
+			link, err := NewLink(far.(*net.TCPConn), 1<<16, 1<<16)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := bufio.NewReaderSize(far, 4096)
+			b.ReportAllocs()
+			for b.Loop() {
+				near.Write(command)
+				for link.In.Len() < len(command) {
+					if !buffered {
+						link.Read()
+						continue
+					}
+					r.Peek(1)
+					p, _ := r.Peek(r.Buffered())
+					link.In.Write(p)
+					r.Discard(len(p))
+				}
+				link.In.Drop(link.In.Len())
+			}
+		})
+	}
+}
