Answers go out also in a turn without a decision: PING waited up to 40 ms for a wake-up

Seen while reading Node.turn: the flush stood inside the loop over rounds, so an answer that needs no round (PING, -ERR), and bytes a socket had refused, left with the next round only. Other causes not looked for: with a module that never wakes, PING was never answered (TestModulePanics), and is now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,11 +172,14 @@
 		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
 	}
 	left := false
-	for len(n.events)+len(n.news) > 0 {
-		n.round.Now = n.now()
-		n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
-		n.news, n.events = n.news[:0], n.events[:0]
-		n.decide()
+	for more := true; more; more = len(n.events)+len(n.news) > 0 { // a write that fails is an event, too
+		if len(n.events)+len(n.news) > 0 {
+			n.round.Now = n.now()
+			n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
+			n.news, n.events = n.news[:0], n.events[:0]
+			n.decide()
+		}
+		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
 		left = n.fleet.Flush() || left
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -67,7 +67,12 @@
 		t.Fatal(err)
 	}
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	var got []byte
+	// The module here never asks to be woken: PING is answered all the same.
+	io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+	got := make([]byte, 7)
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
 	for i, customer := range []string{"a", "f", "b"} {
 		fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n000000000000000%s\r\n$1\r\n%d\r\n$46\r\nc=lookup,t=team,d=999,units=1,spread=1,first=0\r\n", customer, i)
 		buf := make([]byte, 99)
@@ -77,7 +82,7 @@
 		}
 		got = append(got, buf[:n]...)
 	}
-	if want := "-BUSY\r\n-ERR aborted\r\n-BUSY\r\n"; !bytes.Equal(got, []byte(want)) {
+	if want := "+PONG\r\n-BUSY\r\n-ERR aborted\r\n-BUSY\r\n"; !bytes.Equal(got, []byte(want)) {
 		t.Errorf("%q, not %q", got, want)
 	}
 	c.Close()
