--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -426,10 +426,12 @@
 		t.Error("the drain was not kept")
 	}
 	watch.Close()
+	w.line("event=watch_lost")
 	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
 		t.Errorf("asked for the list with %q", ask)
 	}
 	list(take(w, w.watches), 44, entry("h1", "", "left"))
+	w.line("event=watch_back")
 	w.line("event=host id=h1 state=gone version=44")
 	ask()
 	if len(c.got()) != 8 || len(b.got()) > 0 {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -16,7 +16,7 @@
 )
 
 // Watch follows the list after a version until its connection ends, and tells why it did. news is called for
-// each line that is not empty.
+// each line, also the empty ones that come while nothing changes.
 func Watch(addr string, after int64, news func(line []byte)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -45,11 +45,7 @@
 		}
 		for link.In.Len() > 0 {
 			p := link.In.Head()
-			if err := stream.Feed(p, func(line []byte) {
-				if len(line) > 1 {
-					news(line)
-				}
-			}); err != nil {
+			if err := stream.Feed(p, news); err != nil {
 				return err
 			}
 			link.In.Drop(len(p))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	fleet   *hosts.Fleet
 	book    *discovery.Book
 	post    *peers.Post
-	pause   time.Duration // before the list is asked for again
+	pause   time.Duration // before the list is asked for again; 0 while it is watched
 	strange int           // datagrams dropped since the last line on them
 	lineAt  int64         // of that line
 	stopAt  int64         // accepting ends then; 0 not called to stop
@@ -361,8 +361,12 @@
 		err := discovery.Watch(addr, after, func(line []byte) {
 			line = slices.Clone(line)
 			n.do(func() {
-				n.pause = 0
-				n.listed(line, false)
+				if n.pause > 0 {
+					log.Printf("event=watch_back")
+				}
+				if n.pause = 0; len(line) > 1 {
+					n.listed(line, false)
+				}
 			})
 		})
 		n.do(func() { n.lost(err) })
@@ -371,12 +375,14 @@
 
 // lost takes in the end of a watch. Where the list only comes when asked for, the module asks.
 func (n *Node) lost(err error) {
-	log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
+	if n.pause == 0 { // once, not with every try
+		log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
+	}
+	n.pause = min(max(2*n.pause, again), mostWait)
 	if n.cfg.Limits.MustAsk {
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
 		return
 	}
-	n.pause = min(max(2*n.pause, again), mostWait)
 	time.AfterFunc(n.pause, func() { n.do(n.Follow) })
 }
 
