A client gone with commands on their way no longer hangs the loop

Seen while reading Conn.end: it drained the slots of commands that waited, and the pieces of work already on their way to the loop then waited for theirs for ever, and with them every other client. At fault: the receive in Conn.ask and the drain in Conn.end (internal/clients/server.go). Now the end is told by a closed channel, and the loop waits for no slot. Answers no longer know their connection: Line tells it by a call.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -136,10 +136,9 @@
 	return -1
 }
 
-// Answer is the place of one command's answer in the order of its connection.
+// Answer is the place of one command's answer in the order of its connection. The first one given counts.
 type Answer struct {
 	line *Line
-	conn *Conn
 	text []byte
 	done bool
 	Left func() // called if the client goes away before the answer
@@ -149,7 +148,8 @@
 type Line struct {
 	out  *ring.Ring
 	wait []*Answer
-	full bool // an answer did not fit: the client reads too slowly
+	full bool      // an answer did not fit: the client reads too slowly
+	let  func(int) // told how many answers went out with the one just given
 }
 
 func (l *Line) Add() *Answer {
@@ -158,22 +158,37 @@
 	return a
 }
 
+func (a *Answer) Passed(value []byte) { a.give(passed(value)) }
+func (a *Answer) Denied(after int64)  { a.give(denied(after)) }
+func (a *Answer) Aborted(why string)  { a.give(refused(why)) }
+
 // give sets the answer, and lets out all that no earlier command holds back.
-func (a *Answer) give(text []byte) (let int) {
+func (a *Answer) give(text []byte) {
 	if a.done {
-		return 0
+		return
 	}
 	a.text, a.done, a.Left = text, true, nil
-	l := a.line
-	for len(l.wait) > let && l.wait[let].done {
-		l.full = l.full || !l.out.Write(l.wait[let].text)
-		let++
+	l, n := a.line, 0
+	for n < len(l.wait) && l.wait[n].done {
+		l.full = l.full || !l.out.Write(l.wait[n].text)
+		n++
+	}
+	l.wait = slices.Delete(l.wait, 0, n)
+	l.let(n)
+}
+
+// end forgets the line: its client is gone.
+func (l *Line) end() {
+	wait := l.wait
+	l.wait = nil
+	for _, a := range wait {
+		a.done = true
+		if a.Left != nil {
+			a.Left()
+		}
 	}
-	l.wait = slices.Delete(l.wait, 0, let)
-	return let
 }
 
-// Passed, Denied and Aborted are the three final answers.
 func passed(value []byte) []byte {
 	return resp.Bulk(make([]byte, 0, len(value)+16), value)
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -1,10 +1,11 @@
 package clients
 
 import (
-	"errors"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"ravensill/internal/golden"
 	"ravensill/internal/resp"
@@ -89,7 +90,8 @@
 }
 
 func TestOrder(t *testing.T) { // answers come in the order of the commands, each once
-	l := Line{out: ring.New(64)}
+	var let []int
+	l := Line{out: ring.New(64), let: func(n int) { let = append(let, n) }}
 	a, b, c := l.Add(), l.Add(), l.Add()
 	b.give(denied(1_000_001))
 	c.give(refused("no\r\n+such"))
@@ -98,9 +100,9 @@
 	}
 	a.give(passed([]byte("v\r\n")))
 	a.give(denied(0))
-	golden.Check(t, string(l.out.Span(0, l.out.Len())))
+	golden.Check(t, fmt.Sprintf("%sanswers let out: %v\n", l.out.Span(0, l.out.Len()), let))
 	if l.Add().give(make([]byte, 65)); !l.full {
-		t.Error(errors.New("an answer that does not fit is not told"))
+		t.Error("an answer that does not fit is not told")
 	}
 }
 
@@ -121,3 +123,38 @@
 }
 func (nobody) Ping()            {}
 func (nobody) Refuse(err error) { panic(err) }
+
+// A connection that ends while its commands are on the way to the loop must not hold up the loop.
+func TestGoneWhileAsked(t *testing.T) {
+	work := make(chan func(), 99)
+	s := NewServer(words, 9, func(f func()) { work <- f }, func() int64 { return 0 }, nil)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s.Listen(l)
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte(command("PING") + command("PING")))
+	(<-work)() // it is known
+	asked := []func(){<-work, <-work}
+	for c := range s.conns {
+		c.end()
+	}
+	done := make(chan struct{})
+	go func() {
+		for _, f := range append(asked, <-work) { // the last: its reader ended
+			f()
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("the loop hangs")
+	}
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -47,6 +47,7 @@
 	link   *ring.Link
 	Line
 	slots  chan struct{} // one for each command that waits for its answer
+	gone   chan struct{} // closed when the connection has ended: nobody waits for a slot then
 	came   int64         // when the bytes now read had come
 	marked bool          // among the dirty
 	said   int64         // when it was last given an answer
@@ -80,7 +81,9 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			c := &Conn{server: s, link: link, Line: Line{out: link.Out}, slots: make(chan struct{}, mostOpen)}
+			c := &Conn{server: s, link: link, Line: Line{out: link.Out}, slots: make(chan struct{}, mostOpen),
+				gone: make(chan struct{})}
+			c.let = c.given
 			go c.run()
 		}
 	}()
@@ -157,34 +160,32 @@
 	})
 }
 
-func (c *Conn) Ping() { c.ask(func(a *Answer) { a.say([]byte("+PONG\r\n")) }) }
+func (c *Conn) Ping() { c.ask(func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
 
-func (c *Conn) Refuse(why error) { c.ask(func(a *Answer) { a.say(refused(why.Error())) }) }
+func (c *Conn) Refuse(why error) { c.ask(func(a *Answer) { a.give(refused(why.Error())) }) }
 
 // ask brings a command to the loop, with the place of its answer.
 func (c *Conn) ask(f func(*Answer)) {
-	c.slots <- struct{}{}
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.gone:
+		return
+	}
 	c.server.do(func() {
-		if c.closed || c.ending { // the close crossed the command: the client sends it again elsewhere
-			<-c.slots
+		if !c.closed && !c.ending {
+			f(c.Add())
 			return
 		}
-		a := c.Add()
-		a.conn = c
-		f(a)
+		select { // the close crossed the command: the client sends it again elsewhere
+		case <-c.slots:
+		default: // the loop must never wait here: nothing else could free it
+		}
 	})
 }
 
-func (a *Answer) Passed(value []byte) { a.say(passed(value)) }
-func (a *Answer) Denied(after int64)  { a.say(denied(after)) }
-func (a *Answer) Aborted(why string)  { a.say(refused(why)) }
-
-func (a *Answer) say(text []byte) {
-	c := a.conn
-	if c.closed {
-		return
-	}
-	for n := a.give(text); n > 0; n-- {
+// given sees to it that n answers are written, and that as many commands may follow.
+func (c *Conn) given(n int) {
+	for ; n > 0; n-- {
 		<-c.slots
 	}
 	if c.full {
@@ -257,12 +258,6 @@
 	c.link.Close()
 	delete(c.server.conns, c)
 	<-c.server.places
-	for _, a := range c.wait {
-		if a.Left != nil {
-			a.Left()
-		}
-	}
-	for len(c.slots) > 0 { // its reader may wait for one
-		<-c.slots
-	}
+	c.Line.end()
+	close(c.gone)
 }
