A connection that was busy when its host moved to another address is not kept

Seen while reading Fleet.Place: it dropped the free connections only; release in internal/hosts/fleet.go kept a busy one afterwards and would have sent the next req to the old address. TestConnections showed one kept.

--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -60,6 +60,7 @@
 
 type conn struct {
 	host   *Host
+	addr   netip.AddrPort
 	link   *ring.Link
 	send   *Send // the one it carries
 	freed  int64
@@ -141,8 +142,8 @@
 		}
 		h.dialing++
 		h.fleet.count++
-		c := &conn{host: h}
-		go c.run(h.addr)
+		c := &conn{host: h, addr: h.addr}
+		go c.run()
 	}
 }
 
@@ -164,7 +165,7 @@
 }
 
 // run opens the connection and reads it; what it reads goes to the loop.
-func (c *conn) run(addr netip.AddrPort) {
+func (c *conn) run() {
 	f := c.host.fleet
 	defer func() {
 		if p := recover(); p != nil {
@@ -173,7 +174,7 @@
 		}
 	}()
 	d := net.Dialer{Timeout: time.Duration(f.connectTimeout), KeepAlive: -1}
-	sock, err := d.Dial("tcp4", addr.String())
+	sock, err := d.Dial("tcp4", c.addr.String())
 	if err != nil {
 		f.do(func() { c.undialed(err) })
 		return
@@ -184,7 +185,11 @@
 		f.do(func() { c.undialed(err) })
 		return
 	}
-	f.do(func() { c.up(link, addr) })
+	f.do(func() {
+		c.link = link
+		c.host.dialing--
+		c.release()
+	})
 	var parser resp.Parser
 	for {
 		if err := link.Read(); err != nil {
@@ -223,20 +228,14 @@
 	}
 }
 
-func (c *conn) up(link *ring.Link, addr netip.AddrPort) {
-	c.link = link
-	c.host.dialing--
-	if addr != c.host.addr {
-		c.close()
-		c.host.dial()
-		return
-	}
-	c.release()
-}
-
 // release gives the connection to the send that has waited longest, or keeps it.
 func (c *conn) release() {
 	h := c.host
+	if c.addr != h.addr { // the host has moved
+		c.close()
+		h.dial()
+		return
+	}
 	if len(h.waiting) > 0 {
 		s := h.waiting[0]
 		h.waiting = h.waiting[1:]
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -130,6 +130,15 @@
 	if len(conns) != 2 || d.count != 2 || len(d.host(1).free) != 2 {
 		t.Errorf("%d connections, %d counted, %d free", len(conns), d.count, len(d.host(1).free))
 	}
+	d.send()
+	d.Place(1, netip.MustParseAddrPort("127.0.0.1:1")) // it moved: what is out there ends, and nothing follows
+	d.until(5)
+	if d.count != 0 {
+		t.Errorf("%d connections to where the host was", d.count)
+	}
+	d.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	d.send()
+	d.until(6)
 	d.now = 2e9
 	d.Tidy()
 	if d.count != 0 {
