--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -599,3 +599,19 @@
 	}
 	w.line("event=host_failing addr=" + a.Addr().String() + " stage=connecting")
 }
+
+// A client that reads nothing is cut off once too much waits for it, and costs no other client anything.
+func TestSlowClient(t *testing.T) {
+	large := passed(strings.Repeat("v", 60<<10))
+	w := start(t, nil, newHost(t, func([]string) string { return large }))
+	slow := w.client()
+	go func() {
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(slow.Conn, strings.Replace(call("lookup", 1), "units=1", "units=0", 1))
+		}
+	}()
+	w.line(`event=client_fault error="answers are read too slowly"`)
+	if a := w.client().ask(array("PING")); a != "+PONG" {
+		t.Error(a)
+	}
+}
