--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -586,6 +586,29 @@
 	}
 }
 
+// A client that goes away is owed nothing; its dispatch ends as it ends, and others are served.
+func TestLeft(t *testing.T) {
+	came, gate := make(chan struct{}), make(chan struct{})
+	h := newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			close(came)
+			<-gate
+		}
+		return passed("v")
+	})
+	w := start(t, nil, h)
+	c := w.client()
+	c.send(call("order", 1), call("lookup", 2))
+	take(w, came)
+	c.Close()
+	close(gate)
+	for i := range 5 {
+		if a := w.client().ask(call("lookup", 10+i)); a != "v" {
+			t.Error(a)
+		}
+	}
+}
+
 // A host that refuses connections costs no req, not even one that must not run twice.
 func TestRefused(t *testing.T) {
 	a, b := newHost(t, nil), newHost(t, func([]string) string { return passed("v") })
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -167,3 +167,59 @@
 	d.until(2)
 	golden.Check(t, strings.Join(d.out, "\n")+"\n")
 }
+
+// one takes one connection in, reads its first command, and answers it with text, if any.
+func one(t *testing.T, text string) (addr string, read, ended chan struct{}) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	read, ended = make(chan struct{}), make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buf := make([]byte, 99)
+		c.Read(buf)
+		io.WriteString(c, text)
+		close(read)
+		c.Read(buf)
+		close(ended)
+	}()
+	return l.Addr().String(), read, ended
+}
+
+func TestCanceled(t *testing.T) { // a dispatch called off may have run, and the host is told by its connection's end
+	addr, read, ended := one(t, "")
+	d := newDesk(t, addr, 9)
+	s := d.send()
+	(<-d.work)()
+	d.Flush()
+	<-read
+	s.Stop(ErrCanceled)
+	<-ended
+	golden.Check(t, strings.Join(d.out, "\n")+"\n")
+}
+
+func TestProbe(t *testing.T) { // a probe tells the load; a value is no answer to it, nor a load report one to a req
+	var all strings.Builder
+	for _, x := range []string{"$16\r\nutilization=0.25\r\n", "*1\r\n$1\r\nv\r\n", "-NOPERM\r\n"} {
+		for _, probe := range []bool{true, false} {
+			addr, _, _ := one(t, x)
+			d := newDesk(t, addr, 9)
+			d.names = []string{"utilization"}
+			if probe {
+				d.Probe(1, func(e gateway.Event, value []byte, _ int64) {
+					d.out = append(d.out, fmt.Sprintf("result %d, load %v", e.Result, e.Load))
+				})
+			} else {
+				d.send()
+			}
+			d.until(1)
+			fmt.Fprintf(&all, "%q, probe %t: %s\n", x, probe, d.out)
+		}
+	}
+	golden.Check(t, all.String())
+}
