--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -549,8 +549,12 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	stranger.Write([]byte("hello"))
-	w[1].line("event=datagrams_dropped count=1")
+	stranger.Write(mail.Head(1, 1, nil)) // sound, but from nowhere known
+	ends[0].WriteToUDP([]byte("hello"), far)
+	for n, all := 0, 0; all < 2; all += n {
+		l := w[1].line("event=datagrams_dropped")
+		fmt.Sscanf(l[strings.Index(l, "count="):], "count=%d", &n)
+	}
 	if a := w[1].client().ask(spread(call("lookup", 5))); !strings.HasPrefix(a, "-BUSY") {
 		t.Errorf("spent at the peer, yet %s", a)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	book    *discovery.Book
 	post    *peers.Post
 	pause   time.Duration // before the list is asked for again; 0 while it is watched
+	broken  int           // lists dropped
 	strange int           // datagrams dropped since the last line on them
 	lineAt  int64         // of that line
 	stopAt  int64         // accepting ends then; 0 not called to stop
@@ -104,7 +105,7 @@
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) error {
 	if len(n.cfg.Peers) > 0 {
-		post, err := peers.Open(n.cfg.PeerListen, n.cfg.Peers)
+		post, err := peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
 		if err != nil {
 			return err
 		}
@@ -390,7 +391,8 @@
 func (n *Node) listed(text []byte, old bool) {
 	kind, list, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
 	if err != nil {
-		log.Printf("event=list_dropped error=%q", err)
+		n.broken++
+		log.Printf("event=list_dropped error=%q count=%d", err, n.broken)
 		return
 	}
 	if old {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,16 +16,17 @@
 type Post struct {
 	conn  *net.UDPConn
 	peers []netip.AddrPort
+	plans int
 }
 
-// Open listens at the address; peers are those of the tier, by seat.
-func Open(listen netip.AddrPort, peers []netip.AddrPort) (*Post, error) {
+// Open listens at the address; peers are those of the tier, by seat, and plans is how many there are.
+func Open(listen netip.AddrPort, peers []netip.AddrPort, plans int) (*Post, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
-	return &Post{conn, peers}, err
+	return &Post{conn, peers, plans}, err
 }
 
-// Listen hands on each datagram of a peer, known by its address, until Close. Others are dropped; dropped is
-// called for each.
+// Listen hands on each sound message of a peer, known by its address, until Close. Others are dropped;
+// dropped is called for each.
 func (p *Post) Listen(heard func(seat int, body []byte), dropped func()) {
 	defer func() {
 		if e := recover(); e != nil {
@@ -42,7 +43,12 @@
 			continue
 		}
 		seat := slices.Index(p.peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
-		if seat < 0 || n > mail.Most {
+		sound := false
+		mail.Read(buf[:n], p.plans, len(p.peers), func(uint64, uint64) bool {
+			sound = true
+			return false
+		}, nil, nil)
+		if seat < 0 || !sound {
 			dropped()
 			continue
 		}
