SIGHUP reads the configuration anew and follows the new discovery address

Now: signals are asked for before serving; internal/config reads and checks the file in its one place, the file's discovery before GW_DISCOVERY, which is of the start; node.Follow ends the watch before and only the newest one's lines and end count; a faulty file is one line that names the key.

Test: TestReload starts the program, and fails without the change as the signal ends it.

--- a/cmd/ravensill/main.go
+++ b/cmd/ravensill/main.go
@@ -25,8 +25,9 @@
 	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
 	debug.SetGCPercent(400)
 	stop := make(chan struct{})
-	calls := make(chan os.Signal, 2)
+	calls, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(calls, syscall.SIGTERM, syscall.SIGINT) // before it serves: a call to stop may come at once
+	signal.Notify(reloads, syscall.SIGHUP)                // not asked for, it would end the program
 	go func() {
 		<-calls
 		close(stop)
@@ -35,6 +36,11 @@
 		os.Exit(1)
 	}()
 	n := node.New(cfg, logic.New(cfg.Seed, cfg.Seat, cfg.Fronts, cfg.Plans, cfg.Limits, cfg.Cold, cfg.Report))
+	go func() {
+		for range reloads { // those that come while the file is read are one more
+			n.Reload(config.Reload(os.Getenv))
+		}
+	}()
 	if err := n.Run(stop); err != nil {
 		log.Printf("event=failed error=%q", err)
 		os.Exit(1)
--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -140,8 +140,9 @@
 type world struct {
 	*testing.T
 	cmd        *exec.Cmd
-	addr, peer string // where it listens
-	agent      net.Listener
+	file       string
+	cfg        map[string]any
+	addr, peer string        // where it listens
 	watches    chan net.Conn // discovery's, past the head of the answer
 	asked      chan string   // by these
 	log        chan string
@@ -157,9 +158,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, agent: agent, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
+	w := &world{T: t, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
 	t.Cleanup(func() { agent.Close() })
-	go w.discover()
+	go w.discover(agent)
 	front := func(name, effect string, target int) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
 	}
@@ -177,13 +178,10 @@
 	if set != nil {
 		set(cfg, settings)
 	}
-	file := filepath.Join(t.TempDir(), "config.json")
-	text, _ := json.Marshal(cfg)
-	if err := os.WriteFile(file, text, 0o644); err != nil {
-		t.Fatal(err)
-	}
+	w.file, w.cfg = filepath.Join(t.TempDir(), "config.json"), cfg
+	w.write()
 	w.cmd = exec.Command(os.Args[0])
-	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+file, "GORACE=halt_on_error=1")
+	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+agent.Addr().String(), "GORACE=halt_on_error=1")
 	out, err := w.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -210,9 +208,17 @@
 	return w
 }
 
-func (w *world) discover() {
+// write makes the configuration file anew.
+func (w *world) write() {
+	text, _ := json.Marshal(w.cfg)
+	if err := os.WriteFile(w.file, text, 0o644); err != nil {
+		w.Fatal(err)
+	}
+}
+
+func (w *world) discover(agent net.Listener) {
 	for {
-		c, err := w.agent.Accept()
+		c, err := agent.Accept()
 		if err != nil {
 			return
 		}
@@ -439,6 +445,69 @@
 	}
 }
 
+// SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
+// the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
+func TestReload(t *testing.T) {
+	came, gate := make(chan struct{}), make(chan struct{})
+	a := newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			close(came)
+			<-gate
+		}
+		return passed("v")
+	})
+	b := newHost(t, func([]string) string { return passed("of b") })
+	w := start(t, nil, a)
+	take(w, w.asked)
+	old := take(w, w.watches)
+	c := w.client()
+	c.send(call("order", 1))
+	take(w, came)
+	good := w.cfg["discovery"]
+	for _, bad := range []any{"nowhere", 7} {
+		w.cfg["discovery"] = bad
+		w.write()
+		w.cmd.Process.Signal(syscall.SIGHUP)
+		if l := w.line("event=reload_failed"); !strings.Contains(l, `error="discovery: `) {
+			t.Errorf("the line does not name the key: %s", l)
+		}
+	}
+	next, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	go w.discover(next)
+	w.cfg["discovery"] = next.Addr().String()
+	w.write()
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.line("event=reloaded discovery=" + next.Addr().String() + " version=41 others_changed=false")
+	if ask := take(w, w.asked); !strings.Contains(ask, "after=41 ") {
+		t.Errorf("asked for the list with %q", ask)
+	}
+	watch := take(w, w.watches)
+	list(old, 42, entry("h0", "", "left"))
+	list(watch, 43, entry("h0", a.Addr().String(), "leaving"), entry("h1", b.Addr().String(), "active"))
+	if l := w.line("event=host id="); !strings.Contains(l, "id=h0 state=draining version=43") {
+		t.Errorf("the old address was heard: %s", l)
+	}
+	if a := w.client().ask(call("lookup", 2)); a != "of b" {
+		t.Errorf("after the list came from the new address: %s", a)
+	}
+	close(gate)
+	if a := c.answer(); a != "v" {
+		t.Errorf("open during the reload: %s", a)
+	}
+	w.cfg["discovery"] = good
+	w.cfg["limits"] = map[string]any{"memory_mb": 64}
+	w.write()
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.line("others_changed=true")
+	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
+		t.Errorf("asked for the list with %q", ask)
+	}
+}
+
 // Called to stop, it goes on taking in for a while, answers what it has, and ends each connection after that.
 func TestStop(t *testing.T) {
 	came, later, gate := make(chan struct{}), make(chan struct{}), make(chan struct{})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"os"
 	"strconv"
@@ -22,11 +23,18 @@
 	PeerListen netip.AddrPort
 	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
 	Known      string           // the list as last had; may be empty
+	Fixed      uint64           // a hash of the keys that count from the start on only
 	*Settings
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return read(getenv, false) }
+
+// Reload reads the file anew, while running. GW_DISCOVERY tells where discovery was at the start: now it only
+// stands in for a key that the file lacks.
+func Reload(getenv func(string) string) (*Config, error) { return read(getenv, true) }
+
+func read(getenv func(string) string, again bool) (*Config, error) {
 	file := getenv("GW_CONFIG")
 	if file == "" {
 		return nil, errors.New("GW_CONFIG: not set; it names the configuration file")
@@ -74,7 +82,11 @@
 	}
 	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: s.at("known", gjson.JSON).Raw}
 	c.Listen = addr("listen", word("listen", "GW_LISTEN", ""))
-	c.Discovery = addr("discovery", word("discovery", "GW_DISCOVERY", "")).String()
+	if at := word("discovery", "", ""); again && at != "" {
+		c.Discovery = addr("discovery", at).String()
+	} else {
+		c.Discovery = addr("discovery", word("discovery", "GW_DISCOVERY", "")).String()
+	}
 	c.Memory = int64(number("limits.memory_mb", 32, 192)) << 20
 	c.Sockets = int(number("limits.sockets", 64, 1024))
 	if seed := word("seed", "", "1"); s.err == nil {
@@ -82,6 +94,14 @@
 		c.Seed, err = strconv.ParseUint(seed, 16, 64)
 		fail("seed", err)
 	}
+	fixed := fnv.New64a()
+	s.obj.ForEach(func(key, value gjson.Result) bool {
+		if k := key.Str; k != "discovery" && k != "known" && k != "seed" {
+			fmt.Fprintln(fixed, k, value.Raw)
+		}
+		return true
+	})
+	c.Fixed = fixed.Sum64()
 	c.Settings, err = Decode(s.at("settings", gjson.JSON).Raw)
 	fail("settings", err)
 	if s.err == nil {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"log"
 	"net"
@@ -15,20 +16,22 @@
 	quiet   = 15 * time.Second // an empty line comes every 2 s: after so long without, the watch is asked for anew
 )
 
-// Watch follows the list after a version until its connection ends, and tells why it did. news is called for
-// each line, also the empty ones that come while nothing changes.
-func Watch(addr string, after int64, news func(line []byte)) (err error) {
+// Watch follows the list after a version until its connection or the context ends, and tells why it did. news
+// is called for each line, also the empty ones that come while nothing changes.
+func Watch(ctx context.Context, addr string, after int64, news func(line []byte)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
-	conn, err := net.DialTimeout("tcp4", addr, connect)
+	d := net.Dialer{Timeout: connect}
+	conn, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	link, err := ring.NewLink(conn.(*net.TCPConn), 64<<10, 4<<10)
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"log"
 	"net"
@@ -52,6 +53,7 @@
 	fleet   *hosts.Fleet
 	book    *discovery.Book
 	post    *peers.Post
+	watch   *watch
 	pause   time.Duration // before the list is asked for again; 0 while it is watched
 	broken  int           // lists dropped
 	strange int           // datagrams dropped since the last line on them
@@ -60,6 +62,9 @@
 	stopped bool
 }
 
+// watch is one try to follow the list; only what the newest brings counts.
+type watch struct{ stop context.CancelFunc }
+
 // req is held until it is answered and no dispatch is out.
 type req struct {
 	node                      *Node
@@ -355,13 +360,22 @@
 
 func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
 
-// Follow watches the list from the version had last.
+// Follow watches the list from the version had last. A watch that still runs ends.
 func (n *Node) Follow() {
+	if n.watch != nil {
+		n.watch.stop()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watch{stop}
+	n.watch = w
 	after, addr := n.book.Version, n.cfg.Discovery
 	go func() {
-		err := discovery.Watch(addr, after, func(line []byte) {
+		err := discovery.Watch(ctx, addr, after, func(line []byte) {
 			line = slices.Clone(line)
 			n.do(func() {
+				if n.watch != w {
+					return
+				}
 				if n.pause > 0 {
 					log.Printf("event=watch_back")
 				}
@@ -370,12 +384,37 @@
 				}
 			})
 		})
-		n.do(func() { n.lost(err) })
+		stop()
+		n.do(func() { n.lost(w, err) })
 	}()
 }
 
+// Reload takes in the configuration file as it is now: it read it as cfg, or failed to. Only where discovery is
+// can change while the gateway runs; its list, reqs and connections stay as they are.
+func (n *Node) Reload(cfg *config.Config, err error) {
+	n.do(func() {
+		if err != nil {
+			log.Printf("event=reload_failed error=%q", err)
+			return
+		}
+		log.Printf("event=reloaded discovery=%s version=%d others_changed=%t", cfg.Discovery, n.book.Version,
+			n.cfg.Fixed != cfg.Fixed) // these count from the next start on
+		if cfg.Discovery == n.cfg.Discovery {
+			return
+		}
+		n.cfg.Discovery = cfg.Discovery
+		if n.watch != nil { // at once: the old address answers no more, and what the new one has counts as told
+			n.pause = 0
+			n.Follow()
+		}
+	})
+}
+
 // lost takes in the end of a watch. Where the list only comes when asked for, the module asks.
-func (n *Node) lost(err error) {
+func (n *Node) lost(w *watch, err error) {
+	if n.watch != w { // another has taken its place
+		return
+	}
 	if n.pause == 0 { // once, not with every try
 		log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
 	}
@@ -384,7 +423,13 @@
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
 		return
 	}
-	time.AfterFunc(n.pause, func() { n.do(n.Follow) })
+	time.AfterFunc(n.pause, func() {
+		n.do(func() {
+			if n.watch == w {
+				n.Follow()
+			}
+		})
+	})
 }
 
 // listed takes in a list or changes of it.
