Bad commands end before the module; silent and unfinished clients are turned away in 2 s

A probe (a log line for each error answer and each refused command, taken out again) showed what passed: customers of 2^33 and more, units=0 and spread=0. Hosts answered -ERR, so each set up to three hosts aside for 2 s. Clients that say nothing were closed only because 192 places were full; with places left they stayed for ever. Lines at fault: clients.command took any 16 hex digits, x >= 0 and spread 0; Conn.run read without a limit of time; makeRoom took any of those that never asked and then waited 2 s for it, once an accept; Discard ended the connection after 2 s although answers of earlier reqs could be owed, and read 60 MB at full speed. Ruled out: classes, plans and deadlines that don't exist were refused before; floods of 600 commands cost little.

--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"ravensill/internal/resp"
@@ -13,9 +14,20 @@
 )
 
 const (
-	mostOpen = 256 // commands of one connection that wait for answers; more are read later
-	linger   = 2 * time.Second
-	mostOut  = 256 << 10 // bytes that wait for a client that reads slowly
+	mostOpen = 256                           // commands of one connection that wait for answers; more are read later
+	mostBad  = 16                            // commands in a row that can't be understood: then the connection ends
+	mostOut  = 256 << 10                     // bytes that wait for a client that reads slowly
+	linger   = time.Second                   // a client is read after its last answer
+	unasked  = int64(2 * time.Second)        // until a first command is whole, and from any command's first byte to its last
+	quiet    = int64(10 * time.Second)       // idle for more, it ends
+	grace    = int64(100 * time.Millisecond) // idle for less, a connection never makes room
+	retry    = 20 * time.Millisecond         // until a place is looked for again
+	lines    = int64(time.Second)            // between log lines of one kind
+)
+
+var (
+	errUnfinished = errors.New("no whole command came in time")
+	errBad        = errors.New("too many commands that can't be understood")
 )
 
 // Arrive is called on the loop for each req that comes in, with when it came. The command to pass on is head,
@@ -34,6 +46,25 @@
 	dirty    []*Conn
 	listener net.Listener
 	retiring bool
+	tidied   int64
+	faults   tally
+	fulls    tally
+}
+
+// tally keeps lines that anybody can cause by the thousand from filling the log: it counts what is not told.
+type tally struct {
+	n  int
+	at int64 // of the last line
+}
+
+func (t *tally) due(now int64) bool {
+	t.n++
+	return t.at == 0 || now-t.at >= lines
+}
+
+func (t *tally) told(now int64) (n int) {
+	n, t.n, t.at = t.n, 0, now
+	return n
 }
 
 func NewServer(words Words, most int, do func(func()), now func() int64, arrive Arrive) *Server {
@@ -49,8 +80,11 @@
 	slots  chan struct{} // one for each command that waits for its answer
 	gone   chan struct{} // closed when the connection has ended: nobody waits for a slot then
 	came   int64         // when the bytes now read had come
+	bad    int           // commands in a row that can't be understood
+	since  atomic.Int64  // when the command that is not yet whole began to come; 0 none is
 	marked bool          // among the dirty
-	said   int64         // when it was last given an answer
+	asked  bool          // a whole command came
+	said   int64         // when it was last given an answer; at first, when it connected
 	ending bool          // nothing more is taken; it ends when nothing is owed
 	half   bool          // half-closed: nothing was owed
 	closed bool
@@ -63,9 +97,15 @@
 		for {
 			select {
 			case s.places <- struct{}{}:
-			default: // descriptors are few: the longest idle one makes room, or the next that ends
-				s.do(s.makeRoom)
-				s.places <- struct{}{}
+			default:
+				for full := true; full; {
+					s.do(s.makeRoom)
+					select {
+					case s.places <- struct{}{}:
+						full = false
+					case <-time.After(retry):
+					}
+				}
 			}
 			conn, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
@@ -89,17 +129,52 @@
 	}()
 }
 
+// makeRoom ends a connection where descriptors are few. Those that connect and say nothing could take all
+// places from those that ask: they go first, at once, and so does one that is only read to its end. Else the
+// one idle the longest goes.
 func (s *Server) makeRoom() {
-	var idlest *Conn
+	now := s.now()
+	var first *Conn
 	for c := range s.conns {
-		if c.idle() && !c.ending && (idlest == nil || c.said < idlest.said) {
-			idlest = c
+		if wait := now - c.said; c.idle() && wait > grace && (c.useless() || !c.ending) &&
+			(first == nil || c.useless() && !first.useless() || c.useless() == first.useless() && c.said < first.said) {
+			first = c
 		}
 	}
-	log.Printf("event=clients_full clients=%d room_made=%t", len(s.conns), idlest != nil)
-	if idlest != nil {
-		idlest.ending = true
-		idlest.retireIfIdle()
+	if s.fulls.due(now) {
+		log.Printf("event=clients_full clients=%d room_made=%t count=%d", len(s.conns), first != nil, s.fulls.told(now))
+	}
+	switch {
+	case first == nil:
+	case first.useless():
+		first.end()
+	default:
+		first.ending = true
+		first.retireIfIdle()
+	}
+}
+
+func (c *Conn) useless() bool { return c.half || !c.asked }
+
+// Tidy turns away who has not asked anything whole in time, and ends connections that stand idle: some clients
+// connect, or ask once, and keep what they have for ever.
+func (s *Server) Tidy() {
+	now := s.now()
+	late := now-s.tidied > lines // this gateway stood still: what came meanwhile is not read yet
+	s.tidied = now
+	if late {
+		return
+	}
+	for c := range s.conns {
+		since := c.since.Load()
+		switch {
+		case c.ending:
+		case !c.asked && now-c.said > unasked, since > 0 && now-since > unasked:
+			c.turnAway(errUnfinished)
+		case c.idle() && since == 0 && now-c.said > quiet:
+			c.ending = true
+			c.retireIfIdle()
+		}
 	}
 }
 
@@ -114,6 +189,7 @@
 	}()
 	s.do(func() {
 		s.conns[c] = true
+		c.said = s.now()
 		c.retireIfIdle()
 	})
 	commands := Commands{words: &s.words}
@@ -124,16 +200,24 @@
 		c.came = s.now()
 		for {
 			ok, err := commands.Next(c.link.In, c)
+			if err == nil && c.bad >= mostBad {
+				err = errBad
+			}
 			if err != nil {
 				c.Refuse(err)
 				s.do(func() { c.fault(err) })
-				c.link.Discard(linger)
+				c.link.Discard()
 				return
 			}
 			if !ok {
 				break
 			}
 		}
+		if c.link.In.Len() == 0 {
+			c.since.Store(0)
+		} else if c.since.Load() == 0 {
+			c.since.Store(c.came)
+		}
 	}
 }
 
@@ -153,6 +237,7 @@
 	if body != nil {
 		text = resp.Bulk(text, body)
 	}
+	c.bad = 0
 	reqID, owner := string(id), string(customer)
 	c.ask(func(a *Answer) {
 		c.server.arrive(a, came, reqID, owner, front, plan, came+wait, units, spread, first, again,
@@ -162,16 +247,21 @@
 
 func (c *Conn) Ping() { c.ask(func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
 
-func (c *Conn) Refuse(why error) { c.ask(func(a *Answer) { a.give(refused(why.Error())) }) }
+func (c *Conn) Refuse(why error) {
+	c.bad++
+	c.ask(func(a *Answer) { a.give(refused(why.Error())) })
+}
 
 // ask brings a command to the loop, with the place of its answer.
 func (c *Conn) ask(f func(*Answer)) {
+	c.since.Store(0)
 	select {
 	case c.slots <- struct{}{}:
 	case <-c.gone:
 		return
 	}
 	c.server.do(func() {
+		c.asked = true
 		if !c.closed && !c.ending {
 			f(c.Add())
 			return
@@ -243,12 +333,24 @@
 // fault ends the connection after the answers it is owed.
 func (c *Conn) fault(err error) {
 	if !c.closed {
-		log.Printf("event=client_fault error=%q open=%d", err, len(c.wait))
+		if s, now := c.server, c.server.now(); s.faults.due(now) {
+			log.Printf("event=client_fault error=%q open=%d count=%d", err, len(c.wait), s.faults.told(now))
+		}
 		c.ending = true
 		c.retireIfIdle()
 	}
 }
 
+// turnAway ends the connection with an error line behind the answers it is owed.
+func (c *Conn) turnAway(why error) {
+	select {
+	case c.slots <- struct{}{}:
+		c.Add().give(refused(why.Error()))
+	default: // more of its commands wait than may
+	}
+	c.fault(why)
+}
+
 // end forgets a connection; its client is gone.
 func (c *Conn) end() {
 	if c.closed {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,9 +93,16 @@
 	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
 		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.unix = n.epoch.UnixNano()
-	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count}
+	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
 	for _, f := range cfg.Fronts {
-		words.Replayable = append(words.Replayable, f.Effect == gateway.Replayable)
+		words.Effects = append(words.Effects, f.Effect)
+	}
+	for _, p := range cfg.Plans {
+		most := p.Burst
+		if p.Rate == 0 {
+			most = 0
+		}
+		words.Most = append(words.Most, most)
 	}
 	n.clients = clients.NewServer(words, cfg.Sockets/2, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
@@ -171,6 +178,7 @@
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
 		n.fleet.Tidy()
+		n.clients.Tidy()
 		if n.strange > 0 && now-n.lineAt > int64(time.Second) {
 			log.Printf("event=datagrams_dropped count=%d", n.strange)
 			n.strange, n.lineAt = 0, now
--- a/internal/ring/link.go
+++ b/internal/ring/link.go
@@ -67,11 +67,15 @@
 	}
 }
 
-// Discard takes in what still comes, unseen, until the peer closes or time is up: a close over unread bytes
-// would reset away the last answer.
-func (l *Link) Discard(limit time.Duration) {
-	l.conn.SetReadDeadline(time.Now().Add(limit))
-	io.Copy(io.Discard, l.conn)
+// Discard takes in what still comes, unseen, until the peer closes or the time that CloseWrite gives is up: a
+// close over unread bytes would reset away the last answer. It reads slowly: a peer with 60 MB to send must not
+// cost the others their part of the core.
+func (l *Link) Discard() {
+	for buf := make([]byte, 16<<10); ; time.Sleep(2 * time.Millisecond) {
+		if _, err := l.conn.Read(buf); err != nil {
+			return
+		}
+	}
 }
 
 // Flush writes what the socket takes at once and never waits: a slow peer must not hold up the loop that
