Peers tell a restarted gateway what its full copies lack

Lines at fault: Gateway.customer starts a full copy in each life, and told only records a first total. Ruled out: the list after a restart (version and hosts are right in the log), reloads (the price rises at restarts only). Now a message's entry carries what a copy that hears it first owes: the whole total of a young sender as before, else, to a peer whose new life was heard within four intervals, the sender's part of what its copy lacks. Message form 3.

--- a/internal/mail/mail.go
+++ b/internal/mail/mail.go
@@ -5,14 +5,14 @@
 import "encoding/binary"
 
 const (
-	version = 2
+	version = 3
 	Most    = 256 // bytes in a message
 	Least   = 8   // bytes of a total
 	Tags    = 100 // hosts in a message
 )
 
 // flags of a total, below its plan
-const young, given = 1, 2
+const owing, given = 1, 2
 
 // Head begins a message.
 func Head(life, number uint64, tags []uint16) []byte {
@@ -23,17 +23,17 @@
 	return msg
 }
 
-// Total is a customer's entry.
-func Total(hash uint32, plan, spread, first int, total, gift uint64, isYoung bool) []byte {
-	flags := uint64(plan) << 2
-	if isYoung {
-		flags |= young
+// Total is a customer's entry. owed is what a copy that hears it as its first takes off, gift what it adds.
+func Total(hash uint32, plan, spread, first int, total, owed, gift uint64) []byte {
+	flags, rest := uint64(plan)<<2, []uint64(nil)
+	if owed > 0 {
+		flags, rest = flags|owing, append(rest, owed)
 	}
-	e := binary.LittleEndian.AppendUint32(nil, hash)
 	if gift > 0 {
-		return numbers(e, flags|given, uint64(spread), uint64(first), total, gift)
+		flags, rest = flags|given, append(rest, gift)
 	}
-	return numbers(e, flags, uint64(spread), uint64(first), total)
+	e := numbers(binary.LittleEndian.AppendUint32(nil, hash), flags, uint64(spread), uint64(first), total)
+	return numbers(e, rest...)
 }
 
 func numbers(msg []byte, xs ...uint64) []byte {
@@ -46,7 +46,7 @@
 // Read hands the parts of a message to head, tag and total in turn. It hands on nothing of one that is
 // cut, of another version, or names a plan or seat that is not there, nor after a head that says false.
 func Read(msg []byte, plans, seats int, head func(life, number uint64) bool, tag func(uint16),
-	total func(hash uint32, plan, spread, first int, total, gift uint64, young bool)) {
+	total func(hash uint32, plan, spread, first int, total, owed, gift uint64)) {
 	if len(msg) == 0 || len(msg) > Most || msg[0] != version {
 		return
 	}
@@ -59,7 +59,10 @@
 	for _, act := range []bool{false, true} { // once to see whether all of it is sound
 		for r.rest = totals; len(r.rest) > 0; {
 			hash, flags, spread, first, sum := r.hash(), r.number(), r.number(), r.number(), r.number()
-			gift := uint64(0)
+			owed, gift := uint64(0), uint64(0)
+			if flags&owing > 0 {
+				owed = r.number()
+			}
 			if flags&given > 0 {
 				gift = r.number()
 			}
@@ -67,7 +70,7 @@
 				return
 			}
 			if act {
-				total(hash, int(flags>>2), int(spread), int(first), sum, gift, flags&young > 0)
+				total(hash, int(flags>>2), int(spread), int(first), sum, owed, gift)
 			}
 		}
 		if !act {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -115,14 +115,13 @@
 }
 
 type peer struct {
-	seat               int
-	far, tells         bool      // in another row; it is to be told
-	latest             *customer // with a tie to it, the nth of the customer's
-	nth                int
-	heard, first, due  int64   // last hearing; first of this life, or since a long silence; next sign of life
-	queue              []*tie  // with totals to tell
-	life, number, said uint64  // its start by its own clock, later is newer; its last message; messages to it
-	credit             float64 // messages that it can take
+	seat, nth               int
+	far, tells              bool      // in another row; it is to be told
+	latest                  *customer // with a tie to it, the nth of the customer's
+	heard, first, born, due int64     // last hearing; first after silence, and of this life; next sign of life
+	queue                   []*tie    // with totals to tell
+	life, number, said      uint64    // its start by its own clock; its last message; messages to it
+	credit                  float64   // messages that it can take
 }
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
@@ -165,7 +164,7 @@
 
 // Round takes all that came in and writes the decisions.
 func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
-	late, waiting := in.Now-g.now, 0.0
+	late, n := in.Now-g.now, int64(len(in.Events))
 	if late <= stall || g.start < 0 {
 		late = 0
 	} else { // this gateway stood still; what came in meanwhile came evenly
@@ -176,18 +175,11 @@
 		g.start, g.heard = g.now, g.now
 		g.beat()
 	}
-	for i := range in.Events {
-		if in.Events[i].Kind == gateway.Arrived {
-			waiting++
-		}
-	}
-	rest := waiting
 	for i := range in.Events {
 		e := &in.Events[i]
 		switch e.Kind {
 		case gateway.Arrived:
-			g.arrive(e, g.now-int64(float64(late)*rest/waiting))
-			rest--
+			g.arrive(e, g.now-late*(n-int64(i))/n)
 		case gateway.Ended:
 			g.ended(e)
 		case gateway.Left:
@@ -424,8 +416,7 @@
 		!slices.ContainsFunc(c.ties, func(t tie) bool { return t.queued })
 }
 
-// openChance is the chance that one more dispatch keeps to the plan's cap on those out: others have a chance
-// number out, about what their admissions keep.
+// openChance is the chance to keep to the cap: others have a chance number out, as their admissions keep.
 func (c *customer) openChance(fr *front) float64 {
 	if c.plan.Open == 0 {
 		return 1
@@ -487,7 +478,14 @@
 		if t.rate > needy*c.ceilRate && g.now-t.at < g.silence {
 			gift = math.Floor(max(c.ceiling-c.ceilDepth/2, 0) * unit)
 		}
-		entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, uint64(gift), g.now-c.begun < g.silence)
+		owed := uint64(0) // what a copy there that has not heard of these admissions is to lose
+		if g.now-c.begun < g.silence {
+			owed = total
+		} else if g.now-p.born < g.silence { // a new life has full copies: each peer tells its part of what is gone
+			g.refill(c)
+			owed = uint64(max(c.plan.Burst-c.level, 0) / float64(len(c.ties)) * unit)
+		}
+		entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, owed, uint64(gift))
 		if len(msg)+len(entry) > mail.Most {
 			break
 		}
@@ -509,19 +507,25 @@
 		if life < p.life || life == p.life && number <= p.number { // overtaken
 			return false
 		}
+		if life != p.life {
+			p.born = g.now
+			for _, hash := range slices.Sorted(maps.Keys(g.customers)) {
+				g.customers[hash].note(true)
+			}
+		}
 		if life != p.life || g.now-p.heard > g.silence { // its totals are first totals again
 			p.life, p.first = life, g.now
 		}
 		p.heard, g.heard, p.number = g.now, g.now, number
 		return true
-	}, g.fleet.vouched, func(hash uint32, plan, spread, first int, total, gift uint64, young bool) {
-		g.told(p, g.customer(hash, plan, spread, first), total, gift, young)
+	}, g.fleet.vouched, func(hash uint32, plan, spread, first int, total, owed, gift uint64) {
+		g.told(p, g.customer(hash, plan, spread, first), total, owed, gift)
 	})
 }
 
-// told subtracts what a peer admitted since its last message, and passes it on to the other rows. A first or
-// lower total is only recorded, but subtracted whole where the peer has counted for a short time only.
-func (g *Gateway) told(p *peer, c *customer, total, gift uint64, young bool) {
+// told subtracts what a peer admitted since its last message, and passes it on to the other rows. Of a first
+// or lower total it subtracts what the peer says this copy owes; the rest is only recorded.
+func (g *Gateway) told(p *peer, c *customer, total, owed, gift uint64) {
 	i := slices.IndexFunc(c.ties, func(t tie) bool { return t.peer == p })
 	if i < 0 {
 		return
@@ -530,9 +534,7 @@
 	t := &c.ties[i]
 	last := t.seen
 	if t.at < p.first || t.at == 0 || total < last {
-		if last = total; young {
-			last = 0
-		}
+		last = total - owed
 	}
 	if units := float64(total-last) / unit; units > 0 {
 		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
@@ -555,9 +557,8 @@
 	hosts              []*host // in a fixed order
 	cold               gateway.Cold
 	rnd                *mwc
-	utilAt             int     // place of the busy share in load reports, -1 none
 	first              float64 // what a host adds to the limit
-	out                int     // dispatches out from here
+	utilAt, out        int     // place of the busy share in load reports, -1 none; dispatches out from here
 	limit, late        float64 // on these; mean part of the target that answers take
 	cutAt, woke, stood int64   // last cut of the limit; the gateway last stood still until then, and how long
 }
@@ -678,8 +679,7 @@
 	}
 }
 
-// limitOpen moves the limit on dispatches out from here. It grows while answers take on average less than a
-// part of their target, and is cut, once in that time, while they take more: a deeper queue earns nothing.
+// limitOpen moves the limit by the mean part of their target that answers take: a deep queue earns nothing.
 func (f *fleet) limitOpen(lag, target, now int64) {
 	f.late += (min(float64(lag)/float64(target), 1) - f.late) / min(2+f.limit, 16)
 	if f.late <= lateness {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -190,6 +190,23 @@
 	golden.Check(t, w.trace.String())
 }
 
+func TestNewLife(t *testing.T) { // a restarted gateway hears from both peers what its full copy lacks, and takes it off once
+	w := start(3, 4, func(w *world) { w.plans[0].Rate = 1 })
+	w.arrive(0, "a", 8)
+	w.pass(0)
+	w.wait(3*second, true) // no record is young
+	w.trace.Reset()
+	w.boot(2, 4, 3)
+	w.arrive(2, "a", 1) // it can't know
+	w.levels("a")
+	w.wait(200*ms, true)
+	w.levels("a")
+	w.arrive(1, "a", 1)
+	w.wait(200*ms, true)
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
 func TestBadMail(t *testing.T) { // short, of another version, cut off: dropped without harm
 	w := start(2, 1, nil)
 	w.arrive(1, "a", 4)
