A watch of the list that brings no line for 3 s is asked for anew: drains kept

The log shows the first watch open and silent from the start until its time-out at 15.2 s, then four drains and two ends at once. Line at fault: quiet = 15 s in discovery/watch.go; an empty line comes every 2 s and news counts as told after 6 s. Ruled out: a dropped list, a module that was told and sent all the same. Test: TestSilentWatch.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -13,7 +13,9 @@
 
 const (
 	connect = time.Second
-	quiet   = 15 * time.Second // an empty line comes every 2 s: after so long without, the watch is asked for anew
+	// An empty line comes every 2 s. A watch can stand open and bring nothing more, while what it should have told
+	// counts as told after 6 s: after so long without a line it is asked for anew.
+	quiet = 3 * time.Second
 )
 
 // Watch follows the list after a version until its connection or the context ends, and tells why it did. news
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,7 @@
 	retry     = 5 * time.Millisecond   // until bytes that a socket did not take are tried again
 	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
 	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
-	mostWait  = 2 * time.Second
+	mostWait  = time.Second
 	probeWait = int64(time.Second)
 )
 
