A connection that makes room ends at once; one with a command unread is not idle

Seen: with all places taken by clients that asked once and stayed, new connections were taken in at 46 a second (room_made count of the log). Lines at fault: makeRoom half-closed its choice, which such a client does not answer; the place came free only with the next try, 20 ms later.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -678,6 +679,24 @@
 	}
 }
 
+// Many more clients than places ask once, stay, and don't close when the gateway does: none waits for another's end.
+func TestStayingCrowd(t *testing.T) {
+	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
+		newHost(t, func([]string) string { return passed("v") }))
+	var waits []time.Duration
+	for i := range 150 {
+		began := time.Now()
+		if a := w.client().ask(call("lookup", i)); a != "v" {
+			t.Fatal(a)
+		}
+		waits = append(waits, time.Since(began))
+	}
+	slices.Sort(waits)
+	if d := waits[75]; d > 15*time.Millisecond { // the first 32 find places, the next 32 wait for these to be idle for a while
+		t.Errorf("half of them waited %v and more", d)
+	}
+}
+
 // Silent clients take all places: they make room for one that asks, and it is served at once.
 func TestSilentCrowd(t *testing.T) {
 	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -130,27 +130,24 @@
 }
 
 // makeRoom ends a connection where descriptors are few. Those that connect and say nothing could take all
-// places from those that ask: they go first, at once, and so does one that is only read to its end. Else the
-// one idle the longest goes.
+// places from those that ask: they go first, and so does one that is only read to its end. Else the one idle
+// the longest goes. It goes at once: a client that stays would hold a place that is only half-closed, and each
+// new one would wait for that. One whose next command lies unread is not idle.
 func (s *Server) makeRoom() {
 	now := s.now()
 	var first *Conn
 	for c := range s.conns {
-		if wait := now - c.said; c.idle() && wait > grace && (c.useless() || !c.ending) &&
-			(first == nil || c.useless() && !first.useless() || c.useless() == first.useless() && c.said < first.said) {
+		if c.idle() && now-c.said > grace && (c.useless() || !c.ending) &&
+			(first == nil || c.useless() && !first.useless() || c.useless() == first.useless() && c.said < first.said) &&
+			(c.half || c.link.Quiet()) {
 			first = c
 		}
 	}
 	if s.fulls.due(now) {
 		log.Printf("event=clients_full clients=%d room_made=%t count=%d", len(s.conns), first != nil, s.fulls.told(now))
 	}
-	switch {
-	case first == nil:
-	case first.useless():
+	if first != nil {
 		first.end()
-	default:
-		first.ending = true
-		first.retireIfIdle()
 	}
 }
 
