Clients that ask once and stay give way: idle connections end after 2 s, a third of descriptors

Clients may hold a third of the descriptors, and those that stay count. Lines at fault: node.New gave clients half of the descriptors; server.Tidy left idle connections for 10 s; makeRoom chose only by the time idle, so that in a burst of 460 a second usual clients' connections went first.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -692,11 +692,29 @@
 		waits = append(waits, time.Since(began))
 	}
 	slices.Sort(waits)
-	if d := waits[75]; d > 15*time.Millisecond { // the first 32 find places, the next 32 wait for these to be idle for a while
+	if d := waits[75]; d > 15*time.Millisecond { // none waits for another to close
 		t.Errorf("half of them waited %v and more", d)
 	}
 }
 
+// One that asked before is kept when a crowd asks once and stays; left idle, each connection ends.
+func TestRegularClient(t *testing.T) {
+	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
+		newHost(t, func([]string) string { return passed("v") }))
+	regular := w.client()
+	regular.ask(array("PING"))
+	regular.ask(array("PING"))
+	for i := range 60 { // three times the places
+		w.client().ask(call("lookup", i))
+	}
+	if a := regular.ask(call("lookup", 100)); a != "v" {
+		t.Errorf("gave way to the crowd: %s", a)
+	}
+	if a := regular.answer(); a != "EOF" { // without a line
+		t.Errorf("left idle: %s", a)
+	}
+}
+
 // Silent clients take all places: they make room for one that asks, and it is served at once.
 func TestSilentCrowd(t *testing.T) {
 	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -19,8 +19,8 @@
 	mostOut  = 256 << 10                     // bytes that wait for a client that reads slowly
 	linger   = time.Second                   // a client is read after its last answer
 	unasked  = int64(2 * time.Second)        // until a first command is whole, and from any command's first byte to its last
-	quiet    = int64(10 * time.Second)       // idle for more, it ends
-	grace    = int64(100 * time.Millisecond) // idle for less, a connection never makes room
+	quiet    = int64(2 * time.Second)        // idle for more, it ends
+	grace    = int64(100 * time.Millisecond) // for its first command to come; until then a connection makes no room
 	retry    = 20 * time.Millisecond         // until a place is looked for again
 	lines    = int64(time.Second)            // between log lines of one kind
 )
@@ -83,7 +83,7 @@
 	bad    int           // commands in a row that can't be understood
 	since  atomic.Int64  // when the command that is not yet whole began to come; 0 none is
 	marked bool          // among the dirty
-	asked  bool          // a whole command came
+	asked  int           // whole commands that came
 	said   int64         // when it was last given an answer; at first, when it connected
 	ending bool          // nothing more is taken; it ends when nothing is owed
 	half   bool          // half-closed: nothing was owed
@@ -130,15 +130,15 @@
 }
 
 // makeRoom ends a connection where descriptors are few. Those that connect and say nothing could take all
-// places from those that ask: they go first, and so does one that is only read to its end. Else the one idle
-// the longest goes. It goes at once: a client that stays would hold a place that is only half-closed, and each
+// places from those that ask: they go first, and so does one that is only read to its end. Then those go that
+// asked once, else the one idle the longest. It goes at once: a client that stays would hold a place that is only half-closed, and each
 // new one would wait for that. One whose next command lies unread is not idle.
 func (s *Server) makeRoom() {
 	now := s.now()
 	var first *Conn
 	for c := range s.conns {
-		if c.idle() && now-c.said > grace && (c.useless() || !c.ending) &&
-			(first == nil || c.useless() && !first.useless() || c.useless() == first.useless() && c.said < first.said) &&
+		if c.idle() && (c.asked > 0 || now-c.said > grace) && (c.half || !c.ending) &&
+			(first == nil || c.use() < first.use() || c.use() == first.use() && c.said < first.said) &&
 			(c.half || c.link.Quiet()) {
 			first = c
 		}
@@ -151,10 +151,17 @@
 	}
 }
 
-func (c *Conn) useless() bool { return c.half || !c.asked }
+// use is low for a connection that can be done without.
+func (c *Conn) use() int {
+	if c.half {
+		return 0
+	}
+	return min(c.asked, 2)
+}
 
 // Tidy turns away who has not asked anything whole in time, and ends connections that stand idle: some clients
-// connect, or ask once, and keep what they have for ever.
+// connect, or ask once, and keep what they have for ever. It does not wait until places are short: clients may
+// hold a third of the descriptors only, and those that stay keep the others from opening theirs.
 func (s *Server) Tidy() {
 	now := s.now()
 	late := now-s.tidied > lines // this gateway stood still: what came meanwhile is not read yet
@@ -166,11 +173,10 @@
 		since := c.since.Load()
 		switch {
 		case c.ending:
-		case !c.asked && now-c.said > unasked, since > 0 && now-since > unasked:
+		case c.asked == 0 && now-c.said > unasked, since > 0 && now-since > unasked:
 			c.turnAway(errUnfinished)
-		case c.idle() && since == 0 && now-c.said > quiet:
-			c.ending = true
-			c.retireIfIdle()
+		case c.idle() && since == 0 && now-c.said > quiet && c.link.Quiet():
+			c.end()
 		}
 	}
 }
@@ -258,7 +264,7 @@
 		return
 	}
 	c.server.do(func() {
-		c.asked = true
+		c.asked++
 		if !c.closed && !c.ending {
 			f(c.Add())
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 		}
 		words.Most = append(words.Most, most)
 	}
-	n.clients = clients.NewServer(words, cfg.Sockets/2, n.do, n.now, n.arrive)
+	n.clients = clients.NewServer(words, cfg.Sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		cfg.Sockets*2/5)
 	return n
