Reads are counted where they are made: a second copy can't slip by between read and count

By reading: the reader of a host connection counted a read after the system call had emptied the socket, so a look at the socket in between found it clean. ring.Link marks the call and counts in it; Quiet looks at the socket, then the mark, then the count.

--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -139,7 +139,7 @@
 	for c := range s.conns {
 		if c.idle() && (c.asked > 0 || now-c.said > grace) && (c.half || !c.ending) &&
 			(first == nil || c.use() < first.use() || c.use() == first.use() && c.said < first.said) &&
-			(c.half || c.link.Quiet()) {
+			(c.half || c.link.Quiet(c.link.Reads())) {
 			first = c
 		}
 	}
@@ -175,7 +175,7 @@
 		case c.ending:
 		case c.asked == 0 && now-c.said > unasked, since > 0 && now-since > unasked:
 			c.turnAway(errUnfinished)
-		case c.idle() && since == 0 && now-c.said > quiet && c.link.Quiet():
+		case c.idle() && since == 0 && now-c.said > quiet && c.link.Quiet(c.link.Reads()):
 			c.end()
 		}
 	}
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"ravensill/gateway"
@@ -69,8 +68,7 @@
 	link   *ring.Link
 	send   *Send // the one it carries
 	freed  int64
-	reads  atomic.Int64 // by its reader
-	read   int64        // of these, up to the last answer
+	read   int64 // of the link's Reads, those up to the last answer
 	marked bool
 	closed bool
 }
@@ -160,7 +158,7 @@
 	for i := len(h.free) - 1; i >= 0; i-- {
 		switch c := h.free[i]; {
 		case now-c.freed < settle:
-		case c.reads.Load() != c.read || !c.link.Quiet():
+		case !c.link.Quiet(c.read):
 			c.close()
 		default:
 			return c
@@ -239,7 +237,7 @@
 			f.do(func() { c.fail(err) })
 			return
 		}
-		reads, came := c.reads.Add(1), f.now()
+		reads, came := link.Reads(), f.now()
 		v, ok, err := parser.Next(link.In)
 		if !ok && err == nil {
 			if !begun && link.In.Len() > 0 {
--- a/internal/ring/link.go
+++ b/internal/ring/link.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -19,6 +20,8 @@
 	read    func(fd uintptr) bool
 	peek    func(fd uintptr)
 	quiet   bool
+	reads   atomic.Int64
+	pulling atomic.Bool
 	room    []byte // of In, while reading
 	got     int
 	readErr error
@@ -51,6 +54,8 @@
 // idle spell, it wakes its watching thread, and it takes the processor away from one that lasts (a write to
 // loopback does). That was a sixth to a third of all CPU.
 func (l *Link) pull(fd uintptr) bool {
+	l.pulling.Store(true)
+	defer l.pulling.Store(false)
 	for {
 		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(&l.room[0])), uintptr(len(l.room)))
 		switch {
@@ -65,16 +70,20 @@
 		default:
 			l.got, l.readErr = int(n), nil
 		}
+		l.reads.Add(1)
 		return true
 	}
 }
 
-// Quiet tells whether the socket holds nothing that is to be read, neither bytes nor an end. It may be asked
-// while a Read waits.
-func (l *Link) Quiet() bool {
-	return l.raw.Control(l.peek) == nil && l.quiet
+// Quiet tells whether nothing came since the first so many Reads, neither bytes nor an end. It may be asked while
+// a Read waits. The order counts: what the socket no longer holds is either being counted or has been.
+func (l *Link) Quiet(reads int64) bool {
+	return l.raw.Control(l.peek) == nil && l.quiet && !l.pulling.Load() && l.reads.Load() == reads
 }
 
+// Reads counts the Reads that brought something.
+func (l *Link) Reads() int64 { return l.reads.Load() }
+
 func (l *Link) look(fd uintptr) {
 	var b [1]byte
 	_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
