--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,14 +62,14 @@
 	*testing.T
 	*Fleet
 	work chan func()
-	now  int64
+	now  atomic.Int64
 	out  []string
 }
 
 func newDesk(t *testing.T, addr string, most int) *desk {
 	d := &desk{T: t, work: make(chan func(), 99)}
 	d.Fleet = NewFleet(func(f func()) { d.work <- f }, func() int64 { return 0 }, nil, 250e6, 1e9, most)
-	d.Fleet.now = func() int64 { return d.now }
+	d.Fleet.now = func() int64 { return d.now.Load() }
 	d.Place(1, netip.MustParseAddrPort(addr))
 	return d
 }
@@ -123,7 +124,7 @@
 	d.send()
 	d.send() // no descriptor is left for it: it never ran
 	d.until(3)
-	d.now += settle
+	d.now.Add(settle)
 	d.send()
 	d.until(4)
 	for d.host(1).dialing > 0 { // the first may have served all before the second was up
@@ -132,7 +133,7 @@
 	if d.count != 2 || len(d.host(1).free) != 2 {
 		t.Errorf("%d connections, %d free", d.count, len(d.host(1).free))
 	}
-	d.now += settle
+	d.now.Add(settle)
 	d.send()
 	d.Place(1, netip.MustParseAddrPort("127.0.0.1:1")) // it moved: what is out there ends, and nothing follows
 	d.until(5)
@@ -142,7 +143,7 @@
 	d.Place(1, netip.MustParseAddrPort(l.Addr().String()))
 	d.send()
 	d.until(6)
-	d.now += 2e9
+	d.now.Add(2e9)
 	d.Tidy()
 	if d.count != 0 {
 		t.Errorf("%d connections kept for too long", d.count)
@@ -220,7 +221,7 @@
 			close(first)
 			<-written
 		}
-		d.now += settle
+		d.now.Add(settle)
 		d.send()
 		d.until(2)
 		fmt.Fprintf(&all, "%.60q\n  %s\n", x, strings.Join(d.out, "; "))
