--- /dev/null
+++ b/cmd/ravensill/deploy_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// deployBuild is the build line of deploy/balancer.toml, as .ci/run reads it.
+func deployBuild(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^build = "(.*)".*$`).FindStringSubmatch(string(text))
+	if m == nil {
+		t.Fatal("deploy/balancer.toml has no build line")
+	}
+	return m[1]
+}
+
+// TestDeployBuild holds the deploy file to what the mass bench requires: cgo on and the external linker, so
+// that the program is linked dynamically against the C library, and CI runs that very line.
+func TestDeployBuild(t *testing.T) {
+	build := deployBuild(t)
+	for _, want := range []string{"CGO_ENABLED=1", "-ldflags=-linkmode=external", "./cmd/..."} {
+		if !strings.Contains(build, want) {
+			t.Errorf("build line %q lacks %q", build, want)
+		}
+	}
+	ci, err := os.ReadFile("../../.ci/run")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(ci), `sed -n 's/^build = "\(.*\)".*$/\1/p' deploy/balancer.toml`) {
+		t.Error(".ci/run does not run the build line of deploy/balancer.toml")
+	}
+}
+
+// TestDynamicallyLinked builds the gateway with the deploy file's flags and reads the result: it must ask for
+// the system's dynamic loader and need the C library.
+func TestDynamicallyLinked(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the program")
+	}
+	if _, err := exec.LookPath("gcc"); err != nil {
+		t.Skip("no C compiler here: the deploy build cannot run either")
+	}
+	flags := regexp.MustCompile(`-ldflags=\S+`).FindString(deployBuild(t))
+	out := filepath.Join(t.TempDir(), "ravensill")
+	cmd := exec.Command("go", "build", flags, "-o", out, ".")
+	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if text, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("go build %s: %v\n%s", flags, err, text)
+	}
+	f, err := elf.Open(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Error("no program interpreter: the binary is linked statically")
+	}
+	libs, err := f.ImportedLibraries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(libs, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("needed libraries %v lack libc", libs)
+	}
+}
+
+// TestNoChildPrograms keeps out what the mass bench refuses: the program starts no other program.
+func TestNoChildPrograms(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, dep := range strings.Fields(string(out)) {
+		if dep == "os/exec" || dep == "plugin" {
+			t.Errorf("the gateway imports %s", dep)
+		}
+	}
+}
