Each gateway sends to a subset of the hosts, chosen by weighted rendezvous hashing

Change: package subset (I/O-free): weighted rendezvous subsetting, about 12 gateways a host, at least 6 hosts a gateway, all hosts where gateways are few (three gateways: unchanged). fleet.list keeps the subset of the running hosts; pick counts hosts outside it at 16 times their load, as it does hosts set aside, so they serve only where the subset will not do; cold hosts' allowances grow within the subset.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,6 +12,7 @@
 //  4. a limit on what is out from here, moved by how late answers are; low worth gives way (fleet.limitOpen)
 //  5. hosts that fail or fall silent are set aside (host.aside), as are customers that go unanswered
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
+//  7. a subset of the hosts for each gateway, where there are many gateways (package subset, fleet.list)
 package logic
 
 import (
@@ -23,6 +24,7 @@
 
 	"ravensill/gateway"
 	"ravensill/internal/mail"
+	"ravensill/subset"
 )
 
 const (
@@ -157,7 +159,7 @@
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
 	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, first: firstOpen / float64(len(g.peers)),
-		utilAt: slices.Index(report.Fields, gateway.BusyShare)}
+		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: seat.Index, seats: len(g.peers)}
 	return g
 }
 
@@ -556,6 +558,7 @@
 	rnd                *mwc
 	first              float64 // what a host adds to the limit
 	utilAt, out        int     // place of the busy share in load reports, -1 none; dispatches out from here
+	seat, seats        int     // where this gateway stands, among so many: for its subset
 	limit, late        float64 // on these; mean part of the target that answers take
 	cutAt, woke, stood int64   // last cut of the limit; the gateway last stood still until then, and how long
 }
@@ -565,7 +568,9 @@
 	hash                     uint64
 	zone, cell               int
 	state                    gateway.State
-	since                    int64 // its last start
+	share                    float64 // weight in the list
+	in                       bool    // of this gateway's subset
+	since                    int64   // its last start
 	out                      []*send
 	pace, util               float64 // its answers' time against the usual; told busy share
 	load, allow              float64 // how long an answer would take; dispatches it may get while cold
@@ -590,10 +595,20 @@
 		if l.Since > h.since { // a new start: what was learned of the old process is void
 			h.since, h.pace, h.aside, h.allow, h.util = l.Since, 1, 0, f.rnd.part(), 0
 		}
-		h.zone, h.cell, h.state = l.Zone, l.Cell, l.State
+		h.zone, h.cell, h.state, h.share = l.Zone, l.Cell, l.State, l.Share
 	}
 	f.hosts = slices.DeleteFunc(f.hosts, gone) // a record ends with its host, as does its part of the limit
 	maps.DeleteFunc(f.byID, func(_ uint32, h *host) bool { return gone(h) })
+	var running []*host // the subset is chosen among these; the others are used where none of it will do
+	var keys []subset.Host
+	for _, h := range f.hosts {
+		if h.in = false; h.state == gateway.Running {
+			running, keys = append(running, h), append(keys, subset.Host{Key: h.hash, Weight: h.share})
+		}
+	}
+	for _, i := range subset.Choose(f.seat, keys, subset.Size(f.seats, len(running))) {
+		running[i].in = true
+	}
 	if f.limit *= float64(len(f.hosts)) / max(were, 1); were == 0 {
 		f.limit = f.first * float64(len(f.hosts))
 	}
@@ -621,8 +636,8 @@
 		h.load = math.Inf(1)
 		if h.state == gateway.Running && (f.warmth(h, now) >= 1 || h.allow >= 1) && (in == nil || in(h)) {
 			h.load = h.pace * float64(len(h.out)+1) * (1 + h.util)
-			if h.aside > 0 && (now < h.aside || len(h.out) > 0) {
-				h.load *= shunned // not out of use: where all are set aside the cause is shared
+			if h.aside > 0 && (now < h.aside || len(h.out) > 0) || !h.in {
+				h.load *= shunned // still of use: where all are set aside the cause is shared; others of the subset go first
 			}
 		}
 		least = min(least, h.load)
@@ -642,12 +657,12 @@
 	f.out++
 	sum := 0.0
 	for _, h := range f.hosts {
-		if h.state == gateway.Running && h.aside == 0 {
+		if h.state == gateway.Running && h.aside == 0 && h.in {
 			sum += f.warmth(h, now)
 		}
 	}
 	for _, h := range f.hosts {
-		if w := f.warmth(h, now); w < 1 {
+		if w := f.warmth(h, now); w < 1 && h.in {
 			h.allow = min(h.allow+w/max(sum, 1), 1.5)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 
 	"ravensill/gateway"
 	"ravensill/internal/golden"
+	"ravensill/subset"
 )
 
 const ms = int64(1e6)
@@ -552,3 +554,28 @@
 	}
 	golden.Check(t, w.trace.String())
 }
+
+// TestSubsetAtScale: among 300 gateways and 180 hosts each gateway sends to its own few hosts, so that each host
+// holds connections of a few gateways, not of all. Without subsets 200 customers' reqs reach nearly every host.
+func TestSubsetAtScale(t *testing.T) {
+	w := start(300, 180, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	used := map[int]map[uint32]bool{}
+	for _, i := range []int{0, 137, 299} {
+		used[i] = map[uint32]bool{}
+		for c := range 200 {
+			w.arrive(i, fmt.Sprintf("c%d", c), 1)
+			for _, h := range w.seats[i].g.fleet.hosts {
+				if len(h.out) > 0 {
+					used[i][h.id] = true
+				}
+			}
+			w.pass(i)
+		}
+		if n, k := len(used[i]), subset.Size(300, 180); n > k || n < 2 {
+			t.Errorf("gateway %d sent to %d hosts, subset of %d", i, n, k)
+		}
+	}
+	if maps.Equal(used[0], used[137]) && maps.Equal(used[0], used[299]) {
+		t.Error("three gateways use the same hosts: the load is not spread")
+	}
+}
