Limit on dispatches out moves to package limit; hosts' busy share lets it open at once

Seen: in the fleet model (lab/fleetsim, 60 gateways, 39 hosts near 55% busy, no customer over quota) 18% of reqs were denied while their buckets had room; all of it went with hosts four times faster or four times as many, so it was the limit on what is out, not the quotas. Change: the limit's AIMD goes to package limit (I/O-free, tested beside logic), unchanged; where answers tell the hosts' busy share, the limit is kept at least at 0.85/busy times the mean out from here. Every gateway scales its part alike, so together they fill hosts to 0.85. logic.Gauges tells limit, lateness and counts for metrics and the laboratory.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,7 +9,7 @@
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, Gateway.refill)
 //  2. a guess of what other gateways have out, for the cap on open reqs (customer.openChance)
 //  3. bounded load: the customer's first host in rank that is not much busier than the least (fleet.pick)
-//  4. a limit on what is out from here, moved by how late answers are; low worth gives way (fleet.limitOpen)
+//  4. a limit on what is out from here, moved by how late answers are; low worth gives way (package limit)
 //  5. hosts that fail or fall silent are set aside (host.aside), as are customers that go unanswered
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
 //  7. a subset of the hosts for each gateway, where there are many gateways (package subset, fleet.list)
@@ -24,6 +24,7 @@
 
 	"ravensill/gateway"
 	"ravensill/internal/mail"
+	"ravensill/limit"
 	"ravensill/subset"
 )
 
@@ -36,14 +37,12 @@
 	mailShare = 0.8         // part of what a gateway takes in that its peers use together
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
-	lateness  = 0.35        // part of the response target that answers may take on average
 	stall     = second / 10 // with no round: this gateway stood still
 	trial     = 2 * second  // a host set aside is tried again after so long
 	shunned   = 16.0        // times its load, for a host set aside
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	needy     = 0.7         // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2         // times the least load: enough for a host
-	growth    = 0.05        // part of its start that the limit grows by in a round trip
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
@@ -158,11 +157,21 @@
 	g.rate = max(seat.PerSecond*mailShare/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
-	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, first: firstOpen / float64(len(g.peers)),
+	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, limit: limit.Out{Start: firstOpen / float64(len(g.peers))},
 		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: seat.Index, seats: len(g.peers)}
 	return g
 }
 
+// Gauges are figures of what the module holds, for metrics and the laboratory; nothing is decided by them.
+type Gauges struct {
+	Limit, Late          float64 // on dispatches out from here; mean part of the target that answers take
+	Out, Customers, Reqs int
+}
+
+func (g *Gateway) Gauges() Gauges {
+	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs)}
+}
+
 // Round takes all that came in and writes the decisions.
 func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
 	late, n := in.Now-g.now, int64(len(in.Events))
@@ -552,15 +561,14 @@
 }
 
 type fleet struct { // the hosts
-	byID               map[uint32]*host
-	hosts              []*host // in a fixed order
-	cold               gateway.Cold
-	rnd                *mwc
-	first              float64 // what a host adds to the limit
-	utilAt, out        int     // place of the busy share in load reports, -1 none; dispatches out from here
-	seat, seats        int     // where this gateway stands, among so many: for its subset
-	limit, late        float64 // on these; mean part of the target that answers take
-	cutAt, woke, stood int64   // last cut of the limit; the gateway last stood still until then, and how long
+	byID        map[uint32]*host
+	hosts       []*host // in a fixed order
+	cold        gateway.Cold
+	rnd         *mwc
+	utilAt, out int       // place of the busy share in load reports, -1 none; dispatches out from here
+	seat, seats int       // where this gateway stands, among so many: for its subset
+	limit       limit.Out // on these
+	woke, stood int64     // the gateway last stood still until then, and how long
 }
 
 type host struct {
@@ -578,7 +586,7 @@
 }
 
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
-	were, gone := float64(len(f.hosts)), func(h *host) bool { return h.state == gateway.Gone }
+	gone := func(h *host) bool { return h.state == gateway.Gone }
 	for _, h := range f.hosts {
 		if kind == gateway.Complete || kind == gateway.Old {
 			h.state = gateway.Gone
@@ -609,9 +617,7 @@
 	for _, i := range subset.Choose(f.seat, keys, subset.Size(f.seats, len(running))) {
 		running[i].in = true
 	}
-	if f.limit *= float64(len(f.hosts)) / max(were, 1); were == 0 {
-		f.limit = f.first * float64(len(f.hosts))
-	}
+	f.limit.Hosts(len(f.hosts))
 }
 
 // warmth is the part of its capacity that a host surely has.
@@ -628,7 +634,7 @@
 	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
 		part *= 2
 	}
-	if l := f.limit * part; float64(f.out+1) > l+f.rnd.part()*(1+min(l, 1)) {
+	if !f.limit.Allows(f.out, part, f.rnd.part()) {
 		return nil
 	}
 	least := math.Inf(1)
@@ -671,9 +677,10 @@
 
 // learn takes in what an ended dispatch says of its host.
 func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
-	h, fr := s.host, s.req.front
+	h, fr, busy := s.host, s.req.front, -1.0
 	if uint(f.utilAt) < uint(len(load)) {
 		h.util = min(load[f.utilAt], 1)
+		busy = h.util
 	}
 	switch res {
 	case gateway.Passed:
@@ -690,19 +697,7 @@
 	// What was out while this gateway stood still tells nothing: answers lay waiting for it.
 	if s.at >= f.woke && (res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5) {
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
-		f.limitOpen(lag, fr.Target, now)
-	}
-}
-
-// limitOpen moves the limit by the mean part of their target that answers take: a deep queue earns nothing.
-func (f *fleet) limitOpen(lag, target, now int64) {
-	f.late += (min(float64(lag)/float64(target), 1) - f.late) / min(2+f.limit, 16)
-	if f.late <= lateness {
-		if float64(f.out+2) > f.limit {
-			f.limit += min(f.limit, growth*f.first*float64(len(f.hosts))/f.limit)
-		}
-	} else if now-f.cutAt >= int64(lateness*float64(target)) {
-		f.limit, f.cutAt = max(0.05, f.limit*0.85), now
+		f.limit.Answered(lag, fr.Target, now, f.out, busy)
 	}
 }
 
