--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
 	mostWait  = time.Second
 	probeWait = int64(time.Second)
+	tallyEach = int64(5 * time.Second) // between lines of the module's decisions
 )
 
 // Decider is the module.
@@ -35,6 +36,12 @@
 	Round(in *gateway.Round, out gateway.Writer)
 }
 
+// Tallier is a module that counts its decisions; the node logs them every tallyEach, for on-call and for
+// counting over a fleet from the logs.
+type Tallier interface {
+	Tally() string
+}
+
 // Node is one gateway. All its fields belong to the loop.
 type Node struct {
 	cfg     *config.Config
@@ -58,6 +65,7 @@
 	broken  int           // lists dropped
 	strange int           // datagrams dropped since the last line on them
 	lineAt  int64         // of that line
+	tallyAt int64         // of the last line of decisions
 	stopAt  int64         // accepting ends then; 0 not called to stop
 	stopped bool
 }
@@ -184,6 +192,10 @@
 			n.strange, n.lineAt = 0, now
 		}
 		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
+		if t, ok := n.module.(Tallier); ok && now-n.tallyAt >= tallyEach {
+			n.tallyAt = now
+			log.Printf("event=decisions %s", t.Tally())
+		}
 	}
 	left := false
 	for more := true; more; more = len(n.events)+len(n.news) > 0 { // a write that fails is an event, too
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -46,6 +47,20 @@
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
+// Why a req was denied, counted in Gauges.
+const (
+	ByQuota = iota // the copy lacks the units
+	ByCeiling
+	ByUnanswered // most of the customer's reqs go unanswered
+	ByLate       // no answer could come in time
+	ByCap        // too many of the customer's are out
+	ByHosts      // the limit on what is out, or no host will do
+	ByFailure    // its dispatch failed and a repeat is harmless
+	Reasons
+)
+
+var reasonNames = [Reasons]string{"quota", "ceiling", "unanswered", "late", "cap", "hosts", "failure"}
+
 type Gateway struct {
 	now, start, heard, nextSweep, nextAsk int64 // heard: any peer
 	out                                   gateway.Writer
@@ -63,6 +78,8 @@
 	fleet                                 fleet
 	worth, spare                          float64 // usual worth of a req for its time; repeats in stock
 	rnd                                   *mwc
+	passed                                int
+	denied                                [Reasons]int
 }
 
 type front struct { // with how long its answers usually take and what its reqs ask
@@ -166,10 +183,22 @@
 type Gauges struct {
 	Limit, Late          float64 // on dispatches out from here; mean part of the target that answers take
 	Out, Customers, Reqs int
+	Passed               int          // reqs sent on, since the start
+	Denied               [Reasons]int // reqs denied, since the start, by reason (ByQuota...)
 }
 
 func (g *Gateway) Gauges() Gauges {
-	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs)}
+	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs),
+		g.passed, g.denied}
+}
+
+// Tally gives the decisions since the start as words for the log: passed=N, then denied by reason.
+func (g *Gateway) Tally() string {
+	text := fmt.Sprintf("passed=%d", g.passed)
+	for i, n := range g.denied {
+		text += fmt.Sprintf(" %s=%d", reasonNames[i], n)
+	}
+	return text
 }
 
 // Round takes all that came in and writes the decisions.
@@ -222,23 +251,27 @@
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
-	h, after, inCap := (*host)(nil), fr.usual, c.openChance(fr)
+	h, after, inCap, why := (*host)(nil), fr.usual, c.openChance(fr), ByHosts
 	switch {
 	case c.plan.Rate > 0 && level < r.units: // the copy lacks the units
-		after = (r.units - level) / c.plan.Rate * float64(second)
+		after, why = (r.units-level)/c.plan.Rate*float64(second), ByQuota
 	case c.plan.CeilingRate > 0 && c.ceiling < r.units: // so does this gateway's part of the ceiling
-		after = (r.units - c.ceiling) / c.ceilRate * float64(second)
+		after, why = (r.units-c.ceiling)/c.ceilRate*float64(second), ByCeiling
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
-		after = float64(second)
+		after, why = float64(second), ByUnanswered
 	case fr.Late == 0 && float64(g.now-at)+fr.usual > float64(fr.Target): // no answer would be worth anything
+		why = ByLate
 	case inCap == 0 || inCap/2 < (1-inCap)*c.plan.BeyondCost*greed: // too many are out; it may come back
+		why = ByCap
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
 	if h == nil {
+		g.denied[why]++
 		g.deny(r, after)
 		return
 	}
+	g.passed++
 	taken := r.units * inCap // what is beyond the cap takes nothing from the quota
 	c.level, c.ceiling, c.total, c.sum = c.level-taken, c.ceiling-r.units, c.total+taken, c.sum+taken
 	c.got, c.moved = c.got+r.units, g.now
@@ -287,6 +320,7 @@
 	case e.Result != gateway.TimedOut && g.again(r, s.host):
 	case r.ran == nil || fr.Effect == gateway.Replayable ||
 		fr.Effect == gateway.Uniqued && fr.Group == gateway.AllHosts: // a repeat is harmless
+		g.denied[ByFailure]++
 		g.deny(r, fr.usual)
 	default:
 		g.out.Abort(r.id)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -562,3 +562,17 @@
 		t.Error("three gateways use the same hosts: the load is not spread")
 	}
 }
+
+func TestTally(t *testing.T) { // each deny is counted under its reason, each send once
+	w := start(1, 2, nil)
+	w.arrive(0, "a", 12) // a burst of 10: two lack the units
+	g := w.seats[0].g
+	if got, want := g.Tally(), "passed=10 quota=2 ceiling=0 unanswered=0 late=0 cap=0 hosts=0 failure=0"; got != want {
+		t.Fatalf("tally %q, want %q", got, want)
+	}
+	w.end(0, 0, gateway.Unreached, false) // never ran: sent again, not denied
+	w.end(0, 0, gateway.Errored, false)
+	if x := g.Gauges(); x.Passed != 10 || x.Denied[ByQuota] != 2 || x.Denied[ByFailure]+x.Denied[ByQuota] > 3 {
+		t.Fatalf("gauges %+v", x)
+	}
+}
