A lost list is asked for again after doubling waits drawn by chance, not 1 s at once

Seen (herd+vast, 80 logs): membership_mode is on_request, so the module asks for the list. Checked and ruled out: the node's own back-off is not used in this mode; no list was dropped as unreadable; memory and descriptors far from limits. At fault, logic.go: g.nextAsk = g.now + second: every gateway that lost the list asked again one second later, so those that lost it together asked together, each for a whole list. Change: waits of 0.5 to 1.5 s, then 1 to 3 s, then 2 to 6 s, drawn by chance; a list that comes ends the doubling. TestAskApart fails on the old line (20 gateways asked in one beat).

--- /dev/null
+++ b/logic/gauges.go
@@ -0,0 +1,39 @@
+package logic
+
+import "fmt"
+
+// Why a req was denied, counted in Gauges.
+const (
+	ByQuota = iota // the copy lacks the units
+	ByCeiling
+	ByUnanswered // most of the customer's reqs go unanswered
+	ByLate       // no answer could come in time
+	ByCap        // too many of the customer's are out
+	ByHosts      // the limit on what is out, or no host will do
+	ByFailure    // its dispatch failed and a repeat is harmless
+	Reasons
+)
+
+var reasonNames = [Reasons]string{"quota", "ceiling", "unanswered", "late", "cap", "hosts", "failure"}
+
+// Gauges are figures of what the module holds, for metrics and the laboratory; nothing is decided by them.
+type Gauges struct {
+	Limit, Late          float64 // on dispatches out from here; mean part of the target that answers take
+	Out, Customers, Reqs int
+	Passed               int          // reqs sent on, since the start
+	Denied               [Reasons]int // reqs denied, since the start, by reason (ByQuota...)
+}
+
+func (g *Gateway) Gauges() Gauges {
+	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs),
+		g.passed, g.denied}
+}
+
+// Tally gives the decisions since the start as words for the log: passed=N, then denied by reason.
+func (g *Gateway) Tally() string {
+	text := fmt.Sprintf("passed=%d", g.passed)
+	for i, n := range g.denied {
+		text += fmt.Sprintf(" %s=%d", reasonNames[i], n)
+	}
+	return text
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,7 +17,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
@@ -47,20 +46,6 @@
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
-// Why a req was denied, counted in Gauges.
-const (
-	ByQuota = iota // the copy lacks the units
-	ByCeiling
-	ByUnanswered // most of the customer's reqs go unanswered
-	ByLate       // no answer could come in time
-	ByCap        // too many of the customer's are out
-	ByHosts      // the limit on what is out, or no host will do
-	ByFailure    // its dispatch failed and a repeat is harmless
-	Reasons
-)
-
-var reasonNames = [Reasons]string{"quota", "ceiling", "unanswered", "late", "cap", "hosts", "failure"}
-
 type Gateway struct {
 	now, start, heard, nextSweep, nextAsk int64 // heard: any peer
 	out                                   gateway.Writer
@@ -78,7 +63,7 @@
 	fleet                                 fleet
 	worth, spare                          float64 // usual worth of a req for its time; repeats in stock
 	rnd                                   *mwc
-	passed                                int
+	passed, asks                          int // reqs sent on; lists lost in a row
 	denied                                [Reasons]int
 }
 
@@ -179,28 +164,6 @@
 	return g
 }
 
-// Gauges are figures of what the module holds, for metrics and the laboratory; nothing is decided by them.
-type Gauges struct {
-	Limit, Late          float64 // on dispatches out from here; mean part of the target that answers take
-	Out, Customers, Reqs int
-	Passed               int          // reqs sent on, since the start
-	Denied               [Reasons]int // reqs denied, since the start, by reason (ByQuota...)
-}
-
-func (g *Gateway) Gauges() Gauges {
-	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs),
-		g.passed, g.denied}
-}
-
-// Tally gives the decisions since the start as words for the log: passed=N, then denied by reason.
-func (g *Gateway) Tally() string {
-	text := fmt.Sprintf("passed=%d", g.passed)
-	for i, n := range g.denied {
-		text += fmt.Sprintf(" %s=%d", reasonNames[i], n)
-	}
-	return text
-}
-
 // Round takes all that came in and writes the decisions.
 func (g *Gateway) Round(in *gateway.Round, out gateway.Writer) {
 	late, n := in.Now-g.now, int64(len(in.Events))
@@ -226,8 +189,11 @@
 				g.close(r)
 			}
 		case gateway.Listed:
-			if g.fleet.list(e.List, e.Hosts); e.List == gateway.Lost { // the subscription too
-				g.nextAsk = g.now + second
+			if g.fleet.list(e.List, e.Hosts); e.List != gateway.Lost {
+				g.asks = 0
+			} else { // asked for again after a wait that doubles, by chance: a fleet that lost it together asks apart
+				g.asks = min(g.asks+1, 3)
+				g.nextAsk = g.now + int64((0.5+g.rnd.part())*float64(second<<(g.asks-1)))
 			}
 		case gateway.Heard:
 			g.hear(e.Peer, e.Body)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -615,3 +615,64 @@
 		t.Fatalf("a gateway sends %.1f datagrams a second: totals don't go out", perSecond)
 	}
 }
+
+// asker records when a gateway asks for the list.
+type asker struct {
+	*seat
+	at []int64
+}
+
+func (a *asker) Follow() { a.at = append(a.at, a.w.now) }
+
+// TestAskApart: in on_request mode, a fleet that loses the list at once (discovery overbooked) asks again after
+// waits that double and are drawn by chance, not all in the same beat; a list that comes ends the doubling.
+func TestAskApart(t *testing.T) {
+	w := start(20, 4, func(w *world) { w.limits.MustAsk = true })
+	askers := make([]*asker, 20)
+	for i, s := range w.seats {
+		askers[i] = &asker{seat: s}
+	}
+	round := func(i int, e gateway.Event) {
+		w.seats[i].g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{e}}, askers[i])
+	}
+	lose := func() int64 {
+		for i := range askers {
+			askers[i].at = nil
+			round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		}
+		return w.now
+	}
+	beats := func(d int64) {
+		for end := w.now + d; w.now < end; {
+			w.now += beat
+			for i := range askers {
+				round(i, gateway.Event{Kind: gateway.Woke})
+			}
+		}
+	}
+	for k, span := range [][2]int64{{500 * ms, 1500 * ms}, {1000 * ms, 3000 * ms}, {2000 * ms, 6000 * ms}} {
+		t0 := lose()
+		beats(span[1] + beat)
+		distinct := map[int64]bool{}
+		for i, a := range askers {
+			if len(a.at) != 1 || a.at[0]-t0 < span[0] || a.at[0]-t0 > span[1]+beat {
+				t.Fatalf("loss %d: gateway %d asked at %v (lost at %d), want once within %d to %d ms after", k+1, i,
+					a.at, t0, span[0]/ms, span[1]/ms)
+			}
+			distinct[a.at[0]] = true
+		}
+		if len(distinct) < 8 {
+			t.Fatalf("loss %d: 20 gateways asked in %d beats only", k+1, len(distinct))
+		}
+	}
+	for i := range askers { // a list comes: the next loss waits the shortest again
+		round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes})
+	}
+	t0 := lose()
+	beats(1500*ms + beat)
+	for i, a := range askers {
+		if len(a.at) != 1 || a.at[0]-t0 > 1500*ms+beat {
+			t.Fatalf("after a list: gateway %d asked %d times, first %v", i, len(a.at), a.at)
+		}
+	}
+}
