Tests: world.wait counts what it carries; the tally test checks every count exactly

Need: reading the whole change, TestDatagramShare copied the loop of world.wait to count datagrams, and TestTally's second check allowed a range where the counts are known. Change: wait returns how many messages were sent; TestDatagramShare calls it. TestTally ends every dispatch with a failure and wants exactly 2 quota and 10 failure denials, none left open.

--- a/lab/fleetsim/fleetsim_test.go
+++ b/lab/fleetsim/fleetsim_test.go
@@ -40,7 +40,7 @@
 	if os.Getenv("FLEETSIM") != "1" {
 		t.Skip("set FLEETSIM=1 to play the mass day")
 	}
-	for _, n := range []int{3, 60, 273} {
+	for _, n := range []int{3, 60, 80, 273} { // 80: the fleet-growth days
 		start := time.Now()
 		r := Run(Mass(n, max(10, n*179/273), 20*time.Second, 3))
 		t.Logf("%d gateways (%.1f s): %v", n, time.Since(start).Seconds(), r)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -107,12 +107,13 @@
 	}
 }
 
-// wait lets time pass, in beats; messages arrive at once if carry.
-func (w *world) wait(t int64, carry bool) {
+// wait lets time pass, in beats; messages arrive at once if carry. It tells how many were sent.
+func (w *world) wait(t int64, carry bool) (sent int) {
 	for end := w.now + t; w.now < end; {
 		w.now += beat
 		for i, s := range w.seats {
 			w.in(i, gateway.Event{Kind: gateway.Woke})
+			sent += len(s.mail)
 			for k, m := range s.mail {
 				if carry {
 					w.in(s.to[k], gateway.Event{Kind: gateway.Heard, Peer: i, Body: m})
@@ -121,6 +122,7 @@
 			s.mail, s.to = nil, nil
 		}
 	}
+	return sent
 }
 
 // levels writes the copies of customer c.
@@ -571,9 +573,14 @@
 		t.Fatalf("tally %q, want %q", got, want)
 	}
 	w.end(0, 0, gateway.Unreached, false) // never ran: sent again, not denied
-	w.end(0, 0, gateway.Errored, false)
-	if x := g.Gauges(); x.Passed != 10 || x.Denied[ByQuota] != 2 || x.Denied[ByFailure]+x.Denied[ByQuota] > 3 {
-		t.Fatalf("gauges %+v", x)
+	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2} || x.Out != 10 {
+		t.Fatalf("after a dispatch that never ran: %+v", x)
+	}
+	for k := 0; g.fleet.out > 0 && k < 40; k++ { // every dispatch fails: each req ends denied, once
+		w.end(0, 0, gateway.Errored, false)
+	}
+	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2, ByFailure: 10} || x.Reqs != 0 {
+		t.Fatalf("after failures: %+v", x)
 	}
 }
 
@@ -588,24 +595,11 @@
 		}
 	}
 	w.wait(2*second, true)
-	for _, s := range w.seats {
-		s.mail, s.to = nil, nil
-	}
 	for range 10 { // 5 s in all, with new admissions
 		for k := range 40 {
 			w.arrive((k*13)%80, fmt.Sprintf("c%d", k), 1)
 		}
-		for end := w.now + second/2; w.now < end; {
-			w.now += beat
-			for i, s := range w.seats {
-				w.in(i, gateway.Event{Kind: gateway.Woke})
-				sent += len(s.mail)
-				for k, m := range s.mail {
-					w.in(s.to[k], gateway.Event{Kind: gateway.Heard, Peer: i, Body: m})
-				}
-				s.mail, s.to = nil, nil
-			}
-		}
+		sent += w.wait(second/2, true)
 	}
 	perSecond := float64(sent) / 80 / 5
 	if budget := 0.4 * 40.0; perSecond > budget*1.1 {
