TestAskApart uses the test world's wait and rounds: a seat records when it asks

Need: reading the change, TestAskApart wrapped each seat in a writer of its own and copied the loops of world.in and world.wait to drive rounds with it. Change: the test seat notes the time of each Follow; the test calls w.in and w.wait. Same assertions: once within 0.5 to 1.5, 1 to 3, 2 to 6 s, in at least 8 beats, and the shortest wait again after a list. Measured: tests only; no change to the program.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -25,11 +25,12 @@
 }
 
 type seat struct {
-	w    *world
-	i    int
-	g    *Gateway
-	mail [][]byte // told, by receiver in turn
-	to   []int
+	w     *world
+	i     int
+	g     *Gateway
+	mail  [][]byte // told, by receiver in turn
+	to    []int
+	asked []int64 // when it asked for the list
 }
 
 func (s *seat) say(format string, args ...any) {
@@ -42,7 +43,7 @@
 func (s *seat) Deny(req string, after int64) { s.say("deny %s, come back after %d ms", req, after/ms) }
 func (s *seat) Abort(req string)             { s.say("abort %s", req) }
 func (s *seat) Probe(host uint32)            { s.say("probe host %d", host) }
-func (s *seat) Follow()                      { s.say("follow the list") }
+func (s *seat) Follow()                      { s.say("follow the list"); s.asked = append(s.asked, s.w.now) }
 func (s *seat) Note(text string)             { s.say("note %s", text) }
 func (s *seat) Wake(int64)                   {}
 func (s *seat) Tell(peer int, body []byte)   { s.mail, s.to = append(s.mail, body), append(s.to, peer) }
@@ -610,63 +611,40 @@
 	}
 }
 
-// asker records when a gateway asks for the list.
-type asker struct {
-	*seat
-	at []int64
-}
-
-func (a *asker) Follow() { a.at = append(a.at, a.w.now) }
-
 // TestAskApart: in on_request mode, a fleet that loses the list at once (discovery overbooked) asks again after
 // waits that double and are drawn by chance, not all in the same beat; a list that comes ends the doubling.
 func TestAskApart(t *testing.T) {
 	w := start(20, 4, func(w *world) { w.limits.MustAsk = true })
-	askers := make([]*asker, 20)
-	for i, s := range w.seats {
-		askers[i] = &asker{seat: s}
-	}
-	round := func(i int, e gateway.Event) {
-		w.seats[i].g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{e}}, askers[i])
-	}
 	lose := func() int64 {
-		for i := range askers {
-			askers[i].at = nil
-			round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		for i, s := range w.seats {
+			s.asked = nil
+			w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
 		}
 		return w.now
 	}
-	beats := func(d int64) {
-		for end := w.now + d; w.now < end; {
-			w.now += beat
-			for i := range askers {
-				round(i, gateway.Event{Kind: gateway.Woke})
-			}
-		}
-	}
 	for k, span := range [][2]int64{{500 * ms, 1500 * ms}, {1000 * ms, 3000 * ms}, {2000 * ms, 6000 * ms}} {
 		t0 := lose()
-		beats(span[1] + beat)
+		w.wait(span[1]+beat, false)
 		distinct := map[int64]bool{}
-		for i, a := range askers {
-			if len(a.at) != 1 || a.at[0]-t0 < span[0] || a.at[0]-t0 > span[1]+beat {
+		for i, s := range w.seats {
+			if len(s.asked) != 1 || s.asked[0]-t0 < span[0] || s.asked[0]-t0 > span[1]+beat {
 				t.Fatalf("loss %d: gateway %d asked at %v (lost at %d), want once within %d to %d ms after", k+1, i,
-					a.at, t0, span[0]/ms, span[1]/ms)
+					s.asked, t0, span[0]/ms, span[1]/ms)
 			}
-			distinct[a.at[0]] = true
+			distinct[s.asked[0]] = true
 		}
 		if len(distinct) < 8 {
 			t.Fatalf("loss %d: 20 gateways asked in %d beats only", k+1, len(distinct))
 		}
 	}
-	for i := range askers { // a list comes: the next loss waits the shortest again
-		round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes})
+	for i := range w.seats { // a list comes: the next loss waits the shortest again
+		w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes})
 	}
 	t0 := lose()
-	beats(1500*ms + beat)
-	for i, a := range askers {
-		if len(a.at) != 1 || a.at[0]-t0 > 1500*ms+beat {
-			t.Fatalf("after a list: gateway %d asked %d times, first %v", i, len(a.at), a.at)
+	w.wait(1500*ms+beat, false)
+	for i, s := range w.seats {
+		if len(s.asked) != 1 || s.asked[0]-t0 > 1500*ms+beat {
+			t.Fatalf("after a list: gateway %d asked %d times, first %v", i, len(s.asked), s.asked)
 		}
 	}
 }
