--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,9 +14,10 @@
 	Heard               // a message of another gateway
 	Probed              // a probe ended
 	Woke                // a wake-up fell due
+	Counted             // the shared counter answered a call, or did not
 )
 
-// Result tells how a dispatch or a probe ended.
+// Result tells how a dispatch, a probe or a call of the counter ended.
 type Result int
 
 const (
@@ -88,6 +89,8 @@
 	Hosts    []Listing
 	Peer     int
 	Body     []byte
+	Name     uint64  // of a Counted: the number's,
+	Total    float64 // and what it holds after the call; Result Passed only
 }
 
 // Round is all that came in at one gateway at one time, in order. Times are nanoseconds of the gateway's clock.
@@ -107,6 +110,10 @@
 	Wake(after int64)
 	Follow()          // asks for the list and its changes
 	Note(text string) // a line for the operators
+
+	// Count adds an amount, 0 or below 0 too, to a number that all gateways share; it ends in one Counted. One that
+	// is new starts at 0 and is forgotten after life.
+	Count(name uint64, amount float64, life int64)
 }
 
 // Effect tells whether a frontend's reqs may run again.
@@ -164,6 +171,8 @@
 	LongestAdvice int64 // clients heed a retry-after up to this
 	MustAsk       bool  // the list comes only when asked for
 	Settles       bool  // units are settled by the answer
+	Counter       bool  // there is a shared counter
+	CounterWait   int64 // a call of it is given up after so long
 }
 
 // Cold are the figures for hosts that have just started.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -114,7 +114,8 @@
 		Cancel: s.yes("limits.cancelling"), Probes: s.yes("limits.probes"),
 		RetryAfter: s.yes("limits.retry_after"), LongestAdvice: s.time("limits.max_retry_after_us"),
 		MustAsk: s.word("membership_mode", "pushed", "on_request") == 1,
-		Settles: s.yes("family_info.settles"),
+		Settles: s.yes("family_info.settles"), Counter: s.yes("family_info.shared_counter"),
+		CounterWait: s.time("family_info.count_wait_us"),
 	}
 	d.Cold = gateway.Cold{
 		From: s.num("rules.start_capacity"), Warm: s.time("rules.warm_up_us"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,6 +376,8 @@
 	}
 }
 
+func (n *Node) Count(name uint64, amount float64, life int64) {}
+
 func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
 
 func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -55,8 +55,12 @@
 	return f.rest
 }
 
-// value reads a number that may be absent ("-" reads as 0).
+// value reads a number from 0 on that may be absent ("-" reads as 0).
 func (f *fields) value(name string, most float64, whole bool) float64 {
+	return f.between(name, 0, most, whole)
+}
+
+func (f *fields) between(name string, least, most float64, whole bool) float64 {
 	part := f.text(name)
 	if part == "-" || f.err != nil {
 		return 0
@@ -65,7 +69,7 @@
 	switch {
 	case err != nil || math.IsNaN(v) || whole && v != math.Trunc(v):
 		f.fail(name, fmt.Sprintf("%.40q is no number of its kind", part))
-	case v < 0 || v > most:
+	case v < least || v > most:
 		f.fail(name, fmt.Sprintf("%.40s is out of range", part))
 	default:
 		return v
@@ -75,6 +79,7 @@
 
 func (f *fields) whole(name string, most int) int { return int(f.value(name, float64(most), true)) }
 func (f *fields) decimal(name string) float64     { return f.value(name, 1e15, false) }
+func (f *fields) signed(name string) float64      { return f.between(name, -1e15, 1e15, false) }
 func (f *fields) time(name string) int64          { return int64(f.value(name, math.MaxInt64/us/2, true)) * us }
 func (f *fields) yes(name string) bool            { return f.whole(name, 1) == 1 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -163,8 +163,9 @@
 	case "TIMER":
 		f.number("nonce")
 		e.Kind = gateway.Woke
-	case "COUNTER_REPLY": // no calls are made, so none is awaited
-		return errors.New("COUNTER_REPLY without a call")
+	case "COUNTER_REPLY":
+		e.Kind, e.Result, e.Name = gateway.Counted, f.result("disposition"), f.number("name")
+		e.Total, e.Lag = f.signed("total"), f.time("lag_us")
 	case "ANNOUNCE":
 		e.Kind = gateway.Listed
 		e.List = gateway.List(f.choice("kind", "incr", "total", "warm_copy", "lost"))
@@ -270,7 +271,10 @@
 func (w *writer) Probe(host uint32)               { w.line("TEST %d", host) }
 func (w *writer) Wake(after int64)                { w.line("SCHEDULE %d 0", after/us) }
 func (w *writer) Follow()                         { w.line("WATCH 1") }
-func (w *writer) Note(text string)                { w.line("NOTE_DOWN %s", text) }
+func (w *writer) Count(name uint64, amount float64, life int64) {
+	w.line("INCR %d %s %d", life/us, strconv.FormatFloat(amount, 'g', -1, 64), name)
+}
+func (w *writer) Note(text string) { w.line("NOTE_DOWN %s", text) }
 func (w *writer) Tell(peer int, body []byte) {
 	w.line("PUBLISH %d %s", peer, base64.StdEncoding.EncodeToString(body))
 }
--- a/lab/fleetsim/fleetsim.go
+++ b/lab/fleetsim/fleetsim.go
@@ -542,5 +542,6 @@
 	s.push(&event{at: at, kind: wake, gw: w.i})
 }
 
-func (w writer) Follow()     {}
-func (w writer) Note(string) {}
+func (w writer) Follow()                      {}
+func (w writer) Count(uint64, float64, int64) {}
+func (w writer) Note(string)                  {}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -46,6 +46,7 @@
 func (s *seat) Follow()                      { s.say("follow the list"); s.asked = append(s.asked, s.w.now) }
 func (s *seat) Note(text string)             { s.say("note %s", text) }
 func (s *seat) Wake(int64)                   {}
+func (s *seat) Count(uint64, float64, int64) {}
 func (s *seat) Tell(peer int, body []byte)   { s.mail, s.to = append(s.mail, body), append(s.to, peer) }
 
 // start makes n gateways with one replayable frontend and a plan of 10 units a second, 10 at once.
