--- a/logic/logic.go
+++ b/logic/logic.go
@@ -427,7 +427,7 @@
 		delete(g.calls, e.Name)
 	}
 	// A crowded counter answers late, and then no longer: what is told to it gets coarser until it has room.
-	if e.Result == gateway.Passed && e.Lag < g.limits.CounterWait/4 {
+	if e.Result == gateway.Passed && e.Lag < g.limits.CounterWait/2 {
 		g.coarse, g.unheard = max(g.coarse*0.97, 0.02), 0
 	} else if g.coarse = min(g.coarse*1.3, 4); e.Result != gateway.Passed {
 		if g.unheard++; g.unheard >= 4 {
