--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,6 +39,7 @@
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	stall     = second / 10 // with no round: this gateway stood still
 	trial     = 2 * second  // a host set aside is tried again after so long
+	doubtful  = 0.3         // part unanswered from which a host's silence is its own
 	shunned   = 16.0        // times its load, for a host set aside
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	needy     = 0.7         // part of its ceiling part that a peer must admit to be given more
@@ -73,6 +74,7 @@
 
 type front struct { // with how long its answers usually take and what its reqs ask
 	gateway.Frontend
+	nth          int
 	usual, units float64
 }
 
@@ -94,6 +96,8 @@
 	host *host
 	n    int
 	at   int64
+	// it was called off since its host is silent
+	moved bool
 }
 
 // customer is this gateway's copy of a customer's bucket, with what its peers told of it.
@@ -141,8 +145,8 @@
 		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*call{}, peers: make([]*peer, max(seat.Count, 1)),
 		to: make([]*peer, max(seat.Count, 1)), from: make([]*peer, max(seat.Count, 1))}
 	*g.rnd = mwc(seed | 1)
-	for _, f := range fronts {
-		g.fronts = append(g.fronts, front{f, float64(f.Target) / 6, 1})
+	for i, f := range fronts {
+		g.fronts = append(g.fronts, front{f, i, float64(f.Target) / 6, 1})
 	}
 	n, me := len(g.peers), seat.Index
 	if float64(n-1) > seat.PerSecond*mailShare*seconds(interval) {
@@ -169,7 +173,7 @@
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
 	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, limit: limit.Out{Start: firstOpen / float64(len(g.peers))},
-		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: seat.Index, seats: len(g.peers)}
+		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: seat.Index, seats: len(g.peers), fronts: len(fronts)}
 	return g
 }
 
@@ -267,7 +271,7 @@
 	case inCap == 0 || inCap/2 < (1-inCap)*c.plan.BeyondCost*greed: // too many are out; it may come back
 		why = ByCap
 	default: // no host: better told now than answered late
-		h = g.fleet.pick(c.hash, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
+		h = g.fleet.pick(c.hash, fr, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
 	if why == ByQuota || h != nil {
 		defer g.count(c)
@@ -344,7 +348,7 @@
 			e == gateway.Uniqued && g.now > r.ran.at+r.front.Window-margin) {
 		return false
 	}
-	h := g.fleet.pick(r.customer.hash, g.now, 1, func(h *host) bool {
+	h := g.fleet.pick(r.customer.hash, r.front, g.now, 1, func(h *host) bool {
 		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
 			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 	})
@@ -482,13 +486,15 @@
 		g.out.Follow()
 	}
 	for _, h := range g.fleet.hosts {
-		if g.fleet.out == 0 || !h.silent(g.now) {
-			continue
-		}
-		h.aside, h.any = g.now+trial, g.now
-		for _, s := range h.out { // what it holds moves on when the cancel is confirmed
-			if r := s.req; g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches &&
+		for _, s := range h.out { // what a silent host holds moves on when the cancel is confirmed
+			r, of := s.req, h.of(s.req.front)
+			if !h.silent(s, g.now) {
+				continue
+			}
+			of.aside = g.now + trial
+			if !s.moved && g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches &&
 				r.front.Effect != gateway.NonReplayable {
+				s.moved = true
 				g.out.Cancel(r.id, s.n)
 			}
 		}
@@ -614,8 +620,10 @@
 	}
 	var tags []uint16
 	for _, h := range g.fleet.hosts {
-		if due && h.good > 0 && g.now-h.good <= g.pause && len(tags) < mail.Tags {
-			tags = append(tags, uint16(h.hash))
+		for i, of := range h.fronts {
+			if due && of.good > 0 && g.now-of.good <= g.pause && of.bad < doubtful && len(tags) < mail.Tags {
+				tags = append(tags, h.tag(i))
+			}
 		}
 	}
 	if due {
@@ -715,24 +723,44 @@
 	rnd         *mwc
 	utilAt, out int       // place of the busy share in load reports, -1 none; dispatches out from here
 	seat, seats int       // where this gateway stands, among so many: for its subset
+	fronts      int       // how many there are
 	limit       limit.Out // on these
 	woke, stood int64     // the gateway last stood still until then, and how long
 }
 
 type host struct {
-	id                       uint32
-	hash                     uint64
-	zone, cell               int
-	state                    gateway.State
-	share                    float64 // weight in the list
-	in                       bool    // of this gateway's subset
-	since                    int64   // its last start
-	out                      []*send
-	pace, util               float64 // its answers' time against the usual; told busy share
-	load, allow              float64 // how long an answer would take; dispatches it may get while cold
+	id          uint32
+	hash        uint64
+	zone, cell  int
+	state       gateway.State
+	share       float64 // weight in the list
+	in          bool    // of this gateway's subset
+	since       int64   // its last start
+	out         []*send
+	pace, util  float64 // its answers' time against the usual; told busy share
+	load, allow float64 // how long an answer would take; dispatches it may get while cold
+	fronts      []health
+}
+
+// health is how a host serves a frontend: it may fail one and serve the others.
+type health struct {
 	good, any, failed, aside int64   // last good answer, last answer, last failure; set aside until, 0 not
+	bad                      float64 // part of the dispatches that go unanswered,
+	at                       int64   // as it was then
+}
+
+func (h *host) of(fr *front) *health { return &h.fronts[fr.nth] }
+
+// doubt is the part of its dispatches that likely go unanswered; it wears off, so that the host is tried again.
+func (o *health) doubt(now int64) float64 {
+	if o.bad == 0 {
+		return 0
+	}
+	return o.bad * math.Exp(-float64(now-o.at)/float64(4*trial))
 }
 
+func (h *host) tag(front int) uint16 { return uint16(h.hash>>16)*uint16(front) + uint16(h.hash) }
+
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
 	gone := func(h *host) bool { return h.state == gateway.Gone }
 	for _, h := range f.hosts {
@@ -743,13 +771,14 @@
 	for _, l := range news {
 		h := f.byID[l.Host]
 		if h == nil {
-			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, since: l.Since, allow: f.rnd.part()}
+			h = &host{id: l.Host, hash: mix(uint64(l.Host) + 1), pace: 1, since: l.Since, allow: f.rnd.part(),
+				fronts: make([]health, f.fronts)}
 			f.byID[l.Host] = h
 			f.hosts = append(f.hosts, h)
 			slices.SortFunc(f.hosts, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
 		}
 		if l.Since > h.since { // a new start: what was learned of the old process is void
-			h.since, h.pace, h.aside, h.allow, h.util = l.Since, 1, 0, f.rnd.part(), 0
+			h.since, h.pace, h.allow, h.util, h.fronts = l.Since, 1, f.rnd.part(), 0, make([]health, f.fronts)
 		}
 		h.zone, h.cell, h.state, h.share = l.Zone, l.Cell, l.State, l.Share
 	}
@@ -777,7 +806,7 @@
 }
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
-func (f *fleet) pick(customer uint32, now int64, part float64, in func(*host) bool) *host {
+func (f *fleet) pick(customer uint32, fr *front, now int64, part float64, in func(*host) bool) *host {
 	// Chance brings reqs together, so one more may go than the limit; under one, a limit is a chance.
 	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
 		part *= 2
@@ -790,9 +819,11 @@
 		h.load = math.Inf(1)
 		if h.state == gateway.Running && (f.warmth(h, now) >= 1 || h.allow >= 1) && (in == nil || in(h)) {
 			h.load = h.pace * float64(len(h.out)+1) * (1 + h.util)
-			if h.aside > 0 && (now < h.aside || len(h.out) > 0) || !h.in {
+			of := h.of(fr)
+			if of.aside > 0 && (now < of.aside || len(h.out) > 0) || !h.in {
 				h.load *= shunned // still of use: where all are set aside the cause is shared; others of the subset go first
 			}
+			h.load *= 1 + shunned*of.doubt(now)
 		}
 		least = min(least, h.load)
 	}
@@ -811,7 +842,7 @@
 	f.out++
 	sum := 0.0
 	for _, h := range f.hosts {
-		if h.state == gateway.Running && h.aside == 0 && h.in {
+		if h.state == gateway.Running && h.in && h.of(to.out[len(to.out)-1].req.front).aside == 0 {
 			sum += f.warmth(h, now)
 		}
 	}
@@ -826,6 +857,8 @@
 // learn takes in what an ended dispatch says of its host.
 func (f *fleet) learn(s *send, res gateway.Result, lag int64, load []float64, now int64) {
 	h, fr, busy := s.host, s.req.front, -1.0
+	of := h.of(fr)
+	of.bad, of.at = of.doubt(now), now
 	if uint(f.utilAt) < uint(len(load)) {
 		h.util = min(load[f.utilAt], 1)
 		busy = h.util
@@ -833,32 +866,39 @@
 	switch res {
 	case gateway.Passed:
 		fr.usual += (float64(lag) - fr.usual) / 64
-		h.good, h.any, h.aside = now, now, 0
+		of.good, of.any, of.aside = now, now, 0
+		of.bad *= 0.8
 	case gateway.Busy:
-		h.any, h.pace = now, min(h.pace*1.5, 10)
+		of.any, h.pace = now, min(h.pace*1.5, 10)
+	case gateway.TimedOut, gateway.Canceled:
+		if s.at >= f.woke && s.req.customer.bad <= 0.5 {
+			of.bad += (1 - of.bad) / 4
+		}
 	case gateway.Errored, gateway.Unreached, gateway.Broken, gateway.Spoilt:
-		if h.failed >= h.good { // none went well since: little until then, or until a peer hears well of it
-			h.aside = now + trial
+		if of.failed >= of.good { // none went well since: little until then, or until a peer hears well of it
+			of.aside = now + trial
 		}
-		h.failed = now
+		of.failed = now
 	}
 	// What was out while this gateway stood still tells nothing: answers lay waiting for it.
-	if s.at >= f.woke && (res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5) {
+	if s.at >= f.woke && (res == gateway.Passed || res == gateway.TimedOut && s.req.customer.bad <= 0.5 && of.bad < doubtful) {
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/16, 0.2)
 		f.limit.Answered(lag, fr.Target, now, f.out, busy)
 	}
 }
 
-// silent tells whether the host holds dispatches and has answered nothing for much longer than usual.
-func (h *host) silent(now int64) bool {
-	return len(h.out) > 0 && now-max(h.out[0].at, h.any) >
-		max(int64(5*h.out[0].req.front.usual*h.pace), h.out[0].req.front.Target/2)
+// silent tells whether the host holds s and has answered nothing of its frontend for much longer than usual.
+func (h *host) silent(s *send, now int64) bool {
+	fr := s.req.front
+	return now-max(s.at, h.of(fr).any) > max(int64(5*fr.usual*h.pace), fr.Target/2)
 }
 
 func (f *fleet) vouched(tag uint16) { // another gateway has good answers of it: a host set aside comes back
 	for _, h := range f.hosts {
-		if uint16(h.hash) == tag {
-			h.aside = 0
+		for i := range h.fronts {
+			if h.tag(i) == tag {
+				h.fronts[i].aside = 0
+			}
 		}
 	}
 }
