Counter only for the cap on open reqs; as a teller of admissions it gained nothing

Reqs held for the counter whose clients were about to give up were lost (rule 1, jamak overload): none is held now that has less than two time-outs of it left.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	needy     = 0.7         // part of its ceiling part that a peer must admit to be given more
 	ample     = 1.2         // times the least load: enough for a host
+	span      = 5 * second  // a number at the counter covers so long
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
@@ -55,10 +56,9 @@
 	plans                                 []gateway.Plan
 	limits                                gateway.Limits
 	customers                             map[uint32]*customer
-	calls                                 map[uint64][]*call // of the counter, by number, in order
-	deaf                                  int64              // no answers came of the counter: not called until then
-	unheard                               int                // calls in a row without one
-	coarse                                float64            // part of a burst that is worth a call
+	calls                                 map[uint64][]*req // of the counter, by number, in order
+	deaf                                  int64             // no answers came of the counter: not called until then
+	unheard                               int               // calls in a row without one
 	reqs                                  map[string]*req
 	rows                                  int     // that the gateways stand in
 	links                                 []*peer // the gateways that it tells or hears
@@ -112,10 +112,6 @@
 	ask, got, total, sum         float64 // units lately asked and admitted; admitted here, and with the others of the row
 	ceiling, ceilRate, ceilDepth float64 // this gateway's part of the ceiling: store, rate and depth
 	open                         int     // dispatches out from here
-	heard, shown, known, base    float64 // units admitted elsewhere: by peers, the counter, either; at the number's start
-	mine, uncounted              float64 // units admitted here: that the counter's number holds, and not yet
-	told                         int64   // the counter's last answer
-	counting                     bool    // a call is under way
 	bad                          float64 // part of its reqs that go unanswered
 }
 
@@ -141,8 +137,8 @@
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
-	g := &Gateway{start: -1, rows: 1, coarse: 0.2, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
-		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*call{}, peers: make([]*peer, max(seat.Count, 1)),
+	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
+		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*req{}, peers: make([]*peer, max(seat.Count, 1)),
 		to: make([]*peer, max(seat.Count, 1)), from: make([]*peer, max(seat.Count, 1))}
 	*g.rnd = mwc(seed | 1)
 	for i, f := range fronts {
@@ -240,7 +236,7 @@
 	fr.units += (e.Units - fr.units) / 64
 	g.refill(c)
 	c.ask += r.units
-	g.decide(r, c.openChance(fr), g.askable(c))
+	g.decide(r, c.openChance(fr), g.askable(r))
 }
 
 // decide decides a req: the ordinary path, from top to bottom. inCap is its chance to be within the open cap; where
@@ -250,7 +246,7 @@
 	g.refill(c)
 	greed := (1 + c.ask) / (1 + c.got)
 	// What peers have admitted within a total's age is a chance number; the more is asked, the more it sways.
-	level := c.level - min(2*g.rnd.part()*c.others*min(g.age, seconds(g.now-c.told))*greed, c.plan.Burst/2)
+	level := c.level - min(2*g.rnd.part()*c.others*g.age*greed, c.plan.Burst/2)
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
@@ -265,17 +261,14 @@
 	case fr.Late == 0 && float64(g.now-r.arrived)+fr.usual > float64(fr.Target): // no answer would be worth anything
 		why = ByLate
 	case inCap > 0 && ask:
-		r.slot = c.name(g.now, openCap)
-		g.call(r.slot, &call{req: r, amount: 1})
+		r.slot = mix(uint64(c.hash)<<32|uint64(g.now/span)) >> 1
+		g.call(r.slot, 1, r)
 		return
 	case inCap == 0 || inCap/2 < (1-inCap)*c.plan.BeyondCost*greed: // too many are out; it may come back
 		why = ByCap
 	default: // no host: better told now than answered late
 		h = g.fleet.pick(c.hash, fr, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
-	if why == ByQuota || h != nil {
-		defer g.count(c)
-	}
 	if h == nil {
 		g.denied[why]++
 		g.deny(r, after)
@@ -284,7 +277,7 @@
 	g.passed++
 	taken := r.units * inCap // what is beyond the cap takes nothing from the quota
 	if c.plan.Rate > 0 {
-		c.level, c.uncounted = c.level-taken, c.uncounted+taken
+		c.level -= taken
 	}
 	c.ceiling, c.total, c.sum = c.ceiling-r.units, c.total+taken, c.sum+taken
 	c.got, c.moved = c.got+r.units, g.now
@@ -375,108 +368,51 @@
 	if r.closed = true; r.out == nil {
 		delete(g.reqs, r.id)
 		if r.slot != 0 {
-			g.call(r.slot, &call{amount: -1})
+			g.call(r.slot, -1, nil)
 			r.slot = 0
 		}
 	}
 }
 
-const (
-	span    = 5 * second // a number at the counter covers so long
-	quota   = 1          // what a number is of: admitted units, open reqs
-	openCap = 2
-)
-
-// call is one that the counter has not answered yet, on a customer's admissions or for a req to be within the cap.
-type call struct {
-	customer *customer
-	req      *req
-	amount   float64
-}
-
-// name is of a customer's number at the counter now: all gateways' clocks give the same.
-func (c *customer) name(now int64, of uint64) uint64 {
-	return mix(uint64(c.hash)<<32^uint64(now/span)<<2^of) >> 1
-}
-
-func (g *Gateway) call(name uint64, c *call) {
-	g.calls[name] = append(g.calls[name], c)
-	g.out.Count(name, c.amount, 2*span)
+// call adds an amount to the number of c's open reqs, and may leave r to wait for the answer. All gateways' clocks
+// give a number the same name; each counts anew, so that what a killed gateway had open is not out for ever.
+func (g *Gateway) call(name uint64, amount float64, r *req) {
+	g.calls[name] = append(g.calls[name], r)
+	g.out.Count(name, amount, 2*span)
 }
 
-// askable tells whether the counter is to tell if a customer is within its open cap.
-func (g *Gateway) askable(c *customer) bool {
-	return g.limits.Counter && c.plan.Open > 0 && len(c.ties) > 0 && g.now >= g.deaf
+// askable tells whether the counter may be asked if r is within the open cap: its client must wait long enough.
+func (g *Gateway) askable(r *req) bool {
+	c := r.customer
+	return g.limits.Counter && c.plan.Open > 0 && len(c.ties) > 0 && g.now >= g.deaf &&
+		r.until-g.now > 2*g.limits.CounterWait
 }
 
-// count adds to a customer's number what was admitted here; the answer tells what all gateways did.
-func (g *Gateway) count(c *customer) {
-	unknown := c.uncounted + c.others*seconds(g.now-max(c.told, c.begun)) // what it would tell, or be told
-	if !g.limits.Counter || c.plan.Rate == 0 || len(c.ties) == 0 || c.counting || g.now < g.deaf ||
-		unknown < g.coarse*c.plan.Burst {
-		return
-	}
-	c.counting = true
-	g.call(c.name(g.now, quota), &call{customer: c, amount: c.uncounted})
-	c.mine, c.uncounted = c.mine+c.uncounted, 0
-}
-
-// counted takes in an answer of the counter, or that there is none.
+// counted takes in an answer of the counter, or that there is none: then the guess decides.
 func (g *Gateway) counted(e *gateway.Event) {
-	if len(g.calls[e.Name]) == 0 {
+	calls := g.calls[e.Name]
+	if len(calls) == 0 {
 		return
 	}
-	k := g.calls[e.Name][0]
-	if g.calls[e.Name] = g.calls[e.Name][1:]; len(g.calls[e.Name]) == 0 {
+	r := calls[0]
+	if g.calls[e.Name] = calls[1:]; len(calls) == 1 {
 		delete(g.calls, e.Name)
 	}
-	// A crowded counter answers late, and then no longer: what is told to it gets coarser until it has room.
-	if e.Result == gateway.Passed && e.Lag < g.limits.CounterWait/2 {
-		g.coarse, g.unheard = max(g.coarse*0.97, 0.02), 0
-	} else if g.coarse = min(g.coarse*1.3, 4); e.Result != gateway.Passed {
-		if g.unheard++; g.unheard >= 4 {
-			g.deaf = g.now + second
-		}
+	if e.Result == gateway.Passed {
+		g.unheard = 0
+	} else if g.unheard++; g.unheard >= 4 {
+		g.deaf = g.now + second
 	}
-	if c := k.customer; c != nil {
-		c.counting = false
-		if e.Name != c.name(g.now, quota) {
-			return
-		}
-		switch {
-		case e.Result.NeverRan():
-			c.mine, c.uncounted = c.mine-k.amount, c.uncounted+k.amount
-		case e.Result == gateway.Passed:
-			g.refill(c)
-			c.told = g.now
-			c.shown = max(c.shown, c.base+e.Total-c.mine-c.plan.Rate*max(seconds(c.begun-g.now/span*span), 0))
-			g.elsewhere(c)
-			if c.uncounted > 0 {
-				g.count(c)
-			}
-		}
-	} else if r := k.req; r != nil && e.Result != gateway.Passed {
-		r.slot = 0
-		if !r.closed {
-			g.decide(r, r.customer.openChance(r.front), false)
-		}
-	} else if r != nil && !r.closed {
-		in := 0.0
-		if e.Total <= float64(r.customer.plan.Open) {
-			in = 1
-		}
-		g.decide(r, in, false)
+	if r == nil || r.closed {
+		return
 	}
-}
-
-// elsewhere subtracts what other gateways admitted. Peers' totals and the counter tell of the same: each is the least
-// that it can be, and what the greater adds is subtracted once.
-func (g *Gateway) elsewhere(c *customer) {
-	if units := max(c.heard, c.shown) - c.known; units > 0 {
-		c.known += units
-		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
-		c.others += units / seconds(g.silence)
+	inCap := 0.0
+	if e.Result != gateway.Passed {
+		r.slot, inCap = 0, r.customer.openChance(r.front)
+	} else if e.Total <= float64(r.customer.plan.Open) {
+		inCap = 1
 	}
+	g.decide(r, inCap, false)
 }
 
 func (g *Gateway) beat() {
@@ -559,9 +495,6 @@
 // all of the customer's gateways were cut off alike: safe, but the last one alive serves a part only.
 func (g *Gateway) refill(c *customer) {
 	t, part := seconds(g.now-c.at), 1.0
-	if g.now/span != c.at/span { // a new number: what is known now was before it
-		c.base, c.mine, c.uncounted = c.known, 0, 0
-	}
 	c.at = g.now
 	if g.now-g.heard > g.silence {
 		part /= float64(max(c.spread, 1))
@@ -701,8 +634,8 @@
 		last = total - owed
 	}
 	if units := float64(total-last) / unit; units > 0 {
-		c.heard += units
-		g.elsewhere(c)
+		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
+		c.others += units / seconds(g.silence)
 		t.rate += (units/max(seconds(g.now-max(t.at, c.begun)), seconds(interval)/4) - t.rate) / 2
 		if !p.far {
 			c.sum += units
