--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,7 +34,7 @@
 	interval  = second / 2  // between totals, longer where a gateway may not take in that much
 	silent    = 4           // intervals with no peer heard: alone; quiet for so long, a customer is forgotten
 	debt      = 1.0         // bursts that a copy may owe; the design's default
-	mailShare = 0.4         // part of what a gateway takes in that its peers use together
+	mailLeast = 0.4         // part of what a gateway takes in that its peers use together; up to twice that, as many as reqs come in
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	stall     = second / 10 // with no round: this gateway stood still
@@ -64,6 +64,8 @@
 	links                                 []*peer // the gateways that it tells or hears
 	peers, to, from                       []*peer // by seat: it, if linked; the link on the way there, and back
 	rate, age                             float64 // messages a second to each peer; usual seconds a total is old
+	busy, lively                          float64 // reqs a second here; messages, in times of the least
+	came                                  int     // reqs since the last beat
 	pause, silence                        int64   // between signs of life; without any, peers are gone
 	fleet                                 fleet
 	worth, spare                          float64 // usual worth of a req for its time; repeats in stock
@@ -137,7 +139,7 @@
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
-	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
+	g := &Gateway{start: -1, rows: 1, lively: 1, seat: seat, plans: plans, limits: limits, rnd: new(mwc),
 		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*req{}, peers: make([]*peer, max(seat.Count, 1)),
 		to: make([]*peer, max(seat.Count, 1)), from: make([]*peer, max(seat.Count, 1))}
 	*g.rnd = mwc(seed | 1)
@@ -145,7 +147,7 @@
 		g.fronts = append(g.fronts, front{f, i, float64(f.Target) / 6, 1})
 	}
 	n, me := len(g.peers), seat.Index
-	if float64(n-1) > seat.PerSecond*mailShare*seconds(interval) {
+	if float64(n-1) > seat.PerSecond*mailLeast*seconds(interval) {
 		g.rows = int(math.Sqrt(float64(n)) + 0.5)
 	}
 	hop := func(from, to, i int) *peer { // the other end of the step from or to here, on the way between the two
@@ -165,7 +167,7 @@
 			g.to[i].tells = true
 		}
 	}
-	g.rate = max(seat.PerSecond*mailShare/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
+	g.rate = max(seat.PerSecond*mailLeast/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
 	g.fleet = fleet{rnd: g.rnd, byID: map[uint32]*host{}, cold: cold, limit: limit.Out{Start: firstOpen / float64(len(g.peers))},
@@ -223,8 +225,6 @@
 		return 0
 	case gateway.Heard, gateway.Counted:
 		return 1
-	case gateway.Ended:
-		return 2
 	}
 	return 3
 }
@@ -234,6 +234,7 @@
 	r := &req{id: e.Req, customer: c, front: fr, units: e.Units, arrived: at, until: e.Until}
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
+	g.came++
 	g.refill(c)
 	c.ask += r.units
 	g.decide(r, c.openChance(fr), g.askable(r))
@@ -246,7 +247,7 @@
 	g.refill(c)
 	greed := (1 + c.ask) / (1 + c.got)
 	// What peers have admitted within a total's age is a chance number; the more is asked, the more it sways.
-	level := c.level - min(2*g.rnd.part()*c.others*g.age*greed, c.plan.Burst/2)
+	level := c.level - min(2*g.rnd.part()*c.others*g.age/g.lively*greed, c.plan.Burst/2)
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
@@ -417,6 +418,8 @@
 
 func (g *Gateway) beat() {
 	g.out.Wake(beat)
+	g.busy += (float64(g.came)/seconds(beat) - g.busy) / 64
+	g.lively, g.came = max(min(g.busy/max(g.seat.PerSecond*mailLeast, 1), 2), 1), 0
 	if g.limits.MustAsk && g.now >= g.nextAsk {
 		g.nextAsk = math.MaxInt64
 		g.out.Follow()
@@ -546,7 +549,7 @@
 
 // tell sends p the totals that changed, as soon as it can take a message, and signs of life with hosts' tags.
 func (g *Gateway) tell(p *peer) {
-	p.credit = min(p.credit+g.rate*seconds(beat), max(g.rate, 1))
+	p.credit = min(p.credit+g.rate*g.lively*seconds(beat), max(g.rate, 1))
 	due := g.now >= p.due
 	if !p.tells || p.credit < 1 || !due && len(p.queue) == 0 {
 		return
