--- a/logic/logic.go
+++ b/logic/logic.go
@@ -287,10 +287,11 @@
 	g.dispatch(r, h)
 }
 
-// dispatch sends r to h. It waits until the response target: a late answer keeps places from reqs in time.
+// dispatch sends r to h. It waits until the response target, unless a late answer earns something too: one that
+// earns nothing keeps places from reqs in time.
 func (g *Gateway) dispatch(r *req, h *host) {
 	timeout := int64(0)
-	if !r.front.Stream {
+	if !r.front.Stream && r.front.Late == 0 {
 		timeout = max(r.arrived+r.front.Target-g.now, 1000)
 	}
 	r.out = &send{req: r, host: h, n: r.tries, at: g.now}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -649,3 +649,17 @@
 		}
 	}
 }
+
+func TestLateValue(t *testing.T) { // a late answer that earns is waited for until the client gives up, one that doesn't is not
+	for _, late := range []float64{0, 0.2} {
+		w := start(1, 2, func(w *world) { w.fronts[0].Late = late })
+		w.arrive(0, "a", 1)
+		want := "timeout 800 ms"
+		if late > 0 {
+			want = "timeout 0 ms" // the wire's word for the client's own time
+		}
+		if got := w.trace.String(); !strings.Contains(got, want) {
+			t.Errorf("late answers earn %.1f: %q, want %s", late, got, want)
+		}
+	}
+}
