--- a/logic/logic.go
+++ b/logic/logic.go
@@ -268,7 +268,7 @@
 	case inCap == 0 || inCap/2 < (1-inCap)*c.plan.BeyondCost*greed: // too many are out; it may come back
 		why = ByCap
 	default: // no host: better told now than answered late
-		h = g.fleet.pick(c.hash, fr, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
+		h = g.fleet.pick(c, fr, g.now, kept+(1-kept)*min(worth/g.worth, 1), nil)
 	}
 	if h == nil {
 		g.denied[why]++
@@ -343,7 +343,7 @@
 			e == gateway.Uniqued && g.now > r.ran.at+r.front.Window-margin) {
 		return false
 	}
-	h := g.fleet.pick(r.customer.hash, r.front, g.now, 1, func(h *host) bool {
+	h := g.fleet.pick(r.customer, r.front, g.now, 1, func(h *host) bool {
 		return h != last && (r.ran == nil || e != gateway.Uniqued || r.front.Group == gateway.AllHosts ||
 			h.zone == r.ran.host.zone && (r.front.Group == gateway.SameZone || h.cell == r.ran.host.cell))
 	})
@@ -743,7 +743,7 @@
 }
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
-func (f *fleet) pick(customer uint32, fr *front, now int64, part float64, in func(*host) bool) *host {
+func (f *fleet) pick(c *customer, fr *front, now int64, part float64, in func(*host) bool) *host {
 	// Chance brings reqs together, so one more may go than the limit; under one, a limit is a chance.
 	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
 		part *= 2
@@ -765,9 +765,13 @@
 		least = min(least, h.load)
 	}
 	var first *host
+	enough := least * ample
+	if c.plan.Open > 0 { // the sooner it is answered, the sooner its place is free
+		enough = least
+	}
 	for _, h := range f.hosts {
-		if h.load <= least*ample && least < math.MaxFloat64 &&
-			(first == nil || mix(uint64(customer)^h.hash) > mix(uint64(customer)^first.hash)) {
+		if h.load <= enough && least < math.MaxFloat64 &&
+			(first == nil || mix(uint64(c.hash)^h.hash) > mix(uint64(c.hash)^first.hash)) {
 			first = h
 		}
 	}
