Credit to tell peers grows with time, not with beats: a gateway that stood still tells at once

Cause: credit for messages grew by a beat's part at each beat, so none came for a stall of 2 s, and a gateway that woke told its backlog's admissions 0.3 s later. Also: the chance margin keeps the age of totals at the least mail.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,7 +65,8 @@
 	peers, to, from                       []*peer // by seat: it, if linked; the link on the way there, and back
 	rate, age                             float64 // messages a second to each peer; usual seconds a total is old
 	busy, lively                          float64 // reqs a second here; messages, in times of the least
-	came                                  int     // reqs since the last beat
+	came                                  int     // reqs since the last beat,
+	beaten                                int64   // which was then
 	pause, silence                        int64   // between signs of life; without any, peers are gone
 	fleet                                 fleet
 	worth, spare                          float64 // usual worth of a req for its time; repeats in stock
@@ -185,7 +186,7 @@
 	}
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
-		g.start, g.heard = g.now, g.now
+		g.start, g.heard, g.beaten = g.now, g.now, g.now
 		g.beat()
 	}
 	for i := range 4 * len(in.Events) { // news first: what waited together is decided on all that is known
@@ -247,7 +248,7 @@
 	g.refill(c)
 	greed := (1 + c.ask) / (1 + c.got)
 	// What peers have admitted within a total's age is a chance number; the more is asked, the more it sways.
-	level := c.level - min(2*g.rnd.part()*c.others*g.age/g.lively*greed, c.plan.Burst/2)
+	level := c.level - min(2*g.rnd.part()*c.others*g.age*greed, c.plan.Burst/2)
 
 	worth := fr.Value * fr.units * c.plan.Price / fr.usual
 	g.worth += (worth - g.worth) / 256
@@ -419,7 +420,9 @@
 
 func (g *Gateway) beat() {
 	g.out.Wake(beat)
-	g.busy += (float64(g.came)/seconds(beat) - g.busy) / 64
+	if t := seconds(g.now - g.beaten); t > 0 {
+		g.busy += (float64(g.came)/t - g.busy) * min(t/seconds(g.pause), 1)
+	}
 	g.lively, g.came = max(min(g.busy/max(g.seat.PerSecond*mailLeast, 1), 2), 1), 0
 	if g.limits.MustAsk && g.now >= g.nextAsk {
 		g.nextAsk = math.MaxInt64
@@ -440,8 +443,9 @@
 		}
 	}
 	for _, p := range g.links {
-		g.tell(p)
+		g.tell(p, seconds(g.now-g.beaten))
 	}
+	g.beaten = g.now
 	if g.now >= g.nextSweep {
 		g.nextSweep = g.now + second
 		maps.DeleteFunc(g.customers, func(_ uint32, c *customer) bool { return g.idle(c) })
@@ -549,8 +553,8 @@
 func (t *tie) untold() float64 { return t.total() - float64(t.told)/unit }
 
 // tell sends p the totals that changed, as soon as it can take a message, and signs of life with hosts' tags.
-func (g *Gateway) tell(p *peer) {
-	p.credit = min(p.credit+g.rate*g.lively*seconds(beat), max(g.rate, 1))
+func (g *Gateway) tell(p *peer, since float64) {
+	p.credit = min(p.credit+g.rate*g.lively*since, max(g.rate, 1))
 	due := g.now >= p.due
 	if !p.tells || p.credit < 1 || !due && len(p.queue) == 0 {
 		return
