--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,6 +64,7 @@
 	links                                 []*peer // the gateways that it tells or hears
 	peers, to, from                       []*peer // by seat: it, if linked; the link on the way there, and back
 	rate, age                             float64 // messages a second to each peer; usual seconds a total is old
+	largest                               float64 // req, in units
 	busy, lively                          float64 // reqs a second here; messages, in times of the least
 	came                                  int     // reqs since the last beat,
 	beaten                                int64   // which was then
@@ -236,6 +237,7 @@
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
 	g.came++
+	g.largest = max(g.largest, r.units)
 	g.refill(c)
 	c.ask += r.units
 	g.decide(r, c.openChance(fr), g.askable(r))
@@ -507,7 +509,7 @@
 	if g.now-g.heard > g.silence {
 		part /= float64(max(c.spread, 1))
 	}
-	c.level = min(c.level+c.plan.Rate*t*part, c.plan.Burst*part)
+	c.level = min(c.level+c.plan.Rate*t*part, max(c.plan.Burst*part, min(c.plan.Burst, g.largest)))
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
 	fade := math.Exp(-t / seconds(g.silence))
 	c.others, c.ask, c.got = c.others*fade, c.ask*fade, c.got*fade
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -663,3 +663,21 @@
 		}
 	}
 }
+
+// TestCutOff: in incident i4c236e 39 gateways heard nobody for 10 s. A thirtieth of a burst is less than a req, so that
+// copies which could hold no more denied everyone, whatever their part of the rate.
+func TestCutOff(t *testing.T) {
+	w := start(30, 4, nil)
+	w.arrive(0, "a", 1)
+	w.pass(0)
+	w.wait(8*second, false)
+	w.trace.Reset()
+	for range 30 { // 0.33 units a second are its due
+		w.arrive(0, "a", 1)
+		w.pass(0)
+		w.wait(500*ms, false)
+	}
+	if n := strings.Count(w.trace.String(), "dispatch"); n < 4 || n > 7 {
+		t.Errorf("cut off for 15 s, a gateway of 30 let %d reqs go, its due is 5", n)
+	}
+}
