One figure for what goes against a host at a frontend, in place of a time aside and a part unanswered

Cause: a host set aside for 2 s and a part unanswered that wears off in 8 s told of the same; a failing or silent host now counts as nine in ten unanswered, a good answer and a peer's word halve it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	stall     = second / 10 // with no round: this gateway stood still
-	trial     = 2 * second  // a host set aside is tried again after so long
+	trial     = 8 * second  // what is known against a host wears off in
 	doubtful  = 0.3         // part unanswered from which a host's silence is its own
 	shunned   = 16.0        // times its load, for a host set aside
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
@@ -301,7 +301,7 @@
 	r.tries++
 	r.customer.open++
 	h.out = append(h.out, r.out)
-	g.fleet.sent(h, g.now)
+	g.fleet.sent(h, r.front, g.now)
 	g.out.Dispatch(r.id, h.id, timeout)
 }
 
@@ -436,7 +436,7 @@
 			if !h.silent(s, g.now) {
 				continue
 			}
-			of.aside = g.now + trial
+			of.fail(g.now)
 			if !s.moved && g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches &&
 				r.front.Effect != gateway.NonReplayable {
 				s.moved = true
@@ -687,9 +687,9 @@
 
 // health is how a host serves a frontend: it may fail one and serve the others.
 type health struct {
-	good, any, failed, aside int64   // last good answer, last answer, last failure; set aside until, 0 not
-	bad                      float64 // part of the dispatches that go unanswered,
-	at                       int64   // as it was then
+	good, any, failed int64   // last good answer, last answer, last failure
+	bad               float64 // part of the dispatches that go unanswered,
+	at                int64   // as it was then
 }
 
 func (h *host) of(fr *front) *health { return &h.fronts[fr.nth] }
@@ -699,9 +699,11 @@
 	if o.bad == 0 {
 		return 0
 	}
-	return o.bad * math.Exp(-float64(now-o.at)/float64(4*trial))
+	return o.bad * math.Exp(-float64(now-o.at)/float64(trial))
 }
 
+func (o *health) fail(now int64) { o.bad, o.at = 0.9, now }
+
 func (h *host) tag(front int) uint16 { return uint16(h.hash>>16)*uint16(front) + uint16(h.hash) }
 
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
@@ -762,11 +764,10 @@
 		h.load = math.Inf(1)
 		if h.state == gateway.Running && (f.warmth(h, now) >= 1 || h.allow >= 1) && (in == nil || in(h)) {
 			h.load = h.pace * float64(len(h.out)+1) * (1 + h.util)
-			of := h.of(fr)
-			if of.aside > 0 && (now < of.aside || len(h.out) > 0) || !h.in {
-				h.load *= shunned // still of use: where all are set aside the cause is shared; others of the subset go first
+			// Still of use: where all are in doubt the cause is shared; the others of the subset go first.
+			if h.load *= 1 + shunned*h.of(fr).doubt(now); !h.in {
+				h.load *= shunned
 			}
-			h.load *= 1 + shunned*of.doubt(now)
 		}
 		least = min(least, h.load)
 	}
@@ -785,11 +786,11 @@
 }
 
 // sent counts a dispatch: every cold host's allowance grows by its part of the fleet's warmth.
-func (f *fleet) sent(to *host, now int64) {
+func (f *fleet) sent(to *host, fr *front, now int64) {
 	f.out++
 	sum := 0.0
 	for _, h := range f.hosts {
-		if h.state == gateway.Running && h.in && h.of(to.out[len(to.out)-1].req.front).aside == 0 {
+		if h.state == gateway.Running && h.in && h.of(fr).doubt(now) < doubtful {
 			sum += f.warmth(h, now)
 		}
 	}
@@ -813,8 +814,8 @@
 	switch res {
 	case gateway.Passed:
 		fr.usual += (float64(lag) - fr.usual) / 64
-		of.good, of.any, of.aside = now, now, 0
-		of.bad *= 0.8
+		of.good, of.any = now, now
+		of.bad /= 2
 	case gateway.Busy:
 		of.any, h.pace = now, min(h.pace*1.5, 10)
 	case gateway.TimedOut, gateway.Canceled:
@@ -823,7 +824,7 @@
 		}
 	case gateway.Errored, gateway.Unreached, gateway.Broken, gateway.Spoilt:
 		if of.failed >= of.good { // none went well since: little until then, or until a peer hears well of it
-			of.aside = now + trial
+			of.fail(now)
 		}
 		of.failed = now
 	}
@@ -844,7 +845,7 @@
 	for _, h := range f.hosts {
 		for i := range h.fronts {
 			if h.tag(i) == tag {
-				h.fronts[i].aside = 0
+				h.fronts[i].bad /= 2
 			}
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -535,7 +535,7 @@
 	w.end(0, 0, gateway.Spoilt, false)
 	w.pass(0)
 	for _, h := range w.seats[0].g.fleet.hosts {
-		if h.fronts[0].aside != 0 {
+		if h.fronts[0].bad != 0 {
 			t.Errorf("host %d is set aside", h.id)
 		}
 	}
