--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 	Sockets    int   // descriptors
 	PeerListen netip.AddrPort
 	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
+	Counter    netip.AddrPort   // the shared counter; none where the settings know none
 	Known      string           // the list as last had; may be empty
 	Fixed      uint64           // a hash of the keys that count from the start on only
 	*Settings
@@ -107,6 +108,12 @@
 	if s.err == nil {
 		fail("settings", c.check())
 	}
+	if at := word("counter", "GW_COUNTER", ""); s.err == nil && at != "" {
+		c.Counter = addr("counter", at)
+	}
+	if s.err == nil {
+		fail("settings", c.shape(s.obj.Get("settings"), c.Counter.IsValid()))
+	}
 	if s.err == nil && c.Seat.Messages && c.Seat.Count > 1 {
 		c.PeerListen = addr("peer_listen", word("peer_listen", "", ""))
 		for i, p := range s.at("peers", gjson.JSON).Array() {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -61,3 +61,44 @@
 	}
 	golden.Check(t, all.String())
 }
+
+// TestShape: a configuration that mixes the shapes of deployments is refused, by the key; without the mixture it is not.
+func TestShape(t *testing.T) {
+	base := `{"listen":"10.0.0.4:1","discovery":"10.2.0.1:2",COUNTER"settings":{"balancers":1,FAMILY"profiles":[PROFILE],
+	 "plans":[PLAN]LIMITS}}`
+	front, plan := `{"name":"a","target_us":100000,"hard_limit_us":400000}`, `{"name":"b","rate":1,"burst":2}`
+	fill := func(counter, family, profile, plan, limits string) string {
+		return strings.NewReplacer("COUNTER", counter, "FAMILY", family, "PROFILE", profile, "PLAN", plan, "LIMITS", limits).Replace(base)
+	}
+	at, shared := `"counter":"10.4.0.1:6390",`, `"family_info":{"shared_counter":true},`
+	front2 := func(more string) string { return strings.Replace(front, "}", ","+more+"}", 1) }
+	for _, x := range []struct{ key, text string }{
+		{"", fill("", "", front, plan, "")},
+		{"", fill(at, shared, front, `{"name":"b","rate":0,"parallel":2}`, `,"report":{"how":"off"},"limits":{"probes":false},"weights":"rough"`)},
+		{"counter", fill("", shared, front, plan, "")},
+		{"counter", fill(at, "", front, plan, "")},
+		{"counter", fill(`"counter":"here",`, shared, front, plan, "")},
+		{"family_info.count_wait_us", fill("", `"family_info":{"count_wait_us":50000},`, front, plan, "")},
+		{"family_info.count_wait_us", fill(at, `"family_info":{"shared_counter":true,"count_wait_us":200000},`, front, plan, "")},
+		{"family_info.shared_counter", fill(at, `"family_info":{"shared_counter":"yes"},`, front, plan, "")},
+		{"report.how", fill("", "", front, plan, `,"report":{"how":"on_probe"},"limits":{"probes":false}`)},
+		{"report.names", fill("", "", front, plan, `,"report":{"how":"off","names":["utilization"]}`)},
+		{"weights", fill("", "", front, plan, `,"weights":"live"`)},
+		{"weights", fill("", "", front, plan, `,"weights":"heavy"`)},
+		{"plans.0.burst", fill("", "", front, `{"name":"b","burst":4,"parallel":2}`, "")},
+		{"plans.0.cap_depth", fill("", "", front, `{"name":"b","rate":1,"cap_depth":4}`, "")},
+		{"plans.0.rate", fill("", "", front, `{"name":"b","rate":0}`, "")},
+		{"limits.parallel_tries", fill("", "", front2(`"effect":"unsafe"`), plan, `,"limits":{"parallel_tries":true}`)},
+		{"profiles.0.window_us", fill("", "", front2(`"effect":"keyed","window_us":0`), plan, "")},
+		{"profiles.0.late_worth", fill("", "", front2(`"late_worth":1.5`), plan, "")},
+		{"profiles.0.target_us", fill("", "", strings.Replace(front, "100000", "500000", 1), plan, "")},
+	} {
+		c, err := load(t, x.text, nil)
+		if (err == nil) != (x.key == "") || err != nil && !strings.Contains(err.Error(), x.key) {
+			t.Errorf("%s: %v, want it to name %q", x.text, err, x.key)
+		}
+		if x.key == "" && c.Limits.Counter && c.Limits.CounterWait != 50e6 {
+			t.Errorf("a call is given up after %d ns by default", c.Limits.CounterWait)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"ravensill/gateway"
 	"ravensill/internal/clients"
 	"ravensill/internal/config"
+	"ravensill/internal/counter"
 	"ravensill/internal/discovery"
 	"ravensill/internal/hosts"
 	"ravensill/internal/peers"
@@ -60,6 +61,7 @@
 	fleet   *hosts.Fleet
 	book    *discovery.Book
 	post    *peers.Post
+	counter *counter.Counter // nil: none is configured
 	watch   *watch
 	pause   time.Duration // before the list is asked for again; 0 while it is watched
 	broken  int           // lists dropped
@@ -115,6 +117,11 @@
 	n.clients = clients.NewServer(words, cfg.Sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		cfg.Sockets*2/5)
+	if cfg.Counter.IsValid() {
+		n.counter = counter.New(cfg.Counter, cfg.Limits.CounterWait, n.do, n.now, func(e gateway.Event) {
+			n.events = append(n.events, e)
+		})
+	}
 	return n
 }
 
@@ -132,6 +139,10 @@
 		defer post.Close()
 		n.post = post
 	}
+	if n.counter != nil {
+		defer n.counter.Close()
+		n.counter.Connect()
+	}
 	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
 	if err != nil {
 		return err
@@ -183,6 +194,10 @@
 		n.clients.Retire()
 	}
 	n.expire(now)
+	countAt := int64(0)
+	if n.counter != nil {
+		n.counter.Expire(now)
+	}
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
 		n.fleet.Tidy()
@@ -208,9 +223,13 @@
 		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
 		left = n.fleet.Flush() || left
+		if n.counter != nil {
+			left = n.counter.Flush() || left
+			countAt = n.counter.Expire(n.now())
+		}
 	}
 	wait := time.Hour
-	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt} {
+	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt} {
 		if at > 0 && !(at == n.stopAt && n.stopped) {
 			wait = min(wait, time.Duration(at-n.now()))
 		}
@@ -376,7 +395,14 @@
 	}
 }
 
-func (n *Node) Count(name uint64, amount float64, life int64) {}
+// Count calls the shared counter. Without one the call is answered as unreached: the module does without.
+func (n *Node) Count(name uint64, amount float64, life int64) {
+	if n.counter == nil {
+		n.events = append(n.events, gateway.Event{Kind: gateway.Counted, Name: name, Result: gateway.Unreached})
+		return
+	}
+	n.counter.Count(name, amount, life)
+}
 
 func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	unit      = 16          // totals are told in these parts of a unit
 	margin    = second / 5  // kept clear of the end of a uniqued req's window
 	stall     = second / 10 // with no round: this gateway stood still
-	trial     = 8 * second  // what is known against a host wears off in
+	trial     = 4 * second  // what is known against a host wears off in
 	doubtful  = 0.3         // part unanswered from which a host's silence is its own
 	shunned   = 16.0        // times its load, for a host set aside
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
@@ -177,7 +177,7 @@
 	if late <= stall || g.start < 0 {
 		late = 0
 	} else { // this gateway stood still; what came in meanwhile came evenly
-		g.fleet.woke, g.fleet.stood = in.Now, late
+		g.fleet.woke = in.Now
 	}
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
@@ -275,12 +275,11 @@
 	g.dispatch(r, h)
 }
 
-// end is when r is worth no more: a late answer that earns nothing keeps places from reqs in time.
+// end is when r is worth no more, and is waited for no longer: places are kept for reqs in time. A late answer that
+// earns a part is waited for that part of the time left.
 func (r *req) end() int64 {
-	if r.front.Stream || r.front.Late > 0 {
-		return r.until
-	}
-	return min(r.until, r.arrived+r.front.Target)
+	fr := r.front
+	return min(r.until, r.arrived+fr.Target+int64(fr.Late*float64(fr.Timeout-fr.Target)))
 }
 
 func (g *Gateway) dispatch(r *req, h *host) {
@@ -616,7 +615,7 @@
 	seat, seats int       // where this gateway stands, among so many: for its subset
 	fronts      int       // frontends
 	limit       limit.Out // on these
-	woke, stood int64     // the gateway last stood still until then, and how long
+	woke        int64     // the gateway last stood still until then
 }
 
 type host struct {
@@ -700,9 +699,6 @@
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(c *customer, fr *front, now int64, part float64, last *host) *host {
-	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
-		part *= 2
-	}
 	if !f.limit.Allows(f.out, part, f.rnd.part()) {
 		return nil
 	}
