--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,6 +81,7 @@
 		{"family_info.count_wait_us", fill("", `"family_info":{"count_wait_us":50000},`, front, plan, "")},
 		{"family_info.count_wait_us", fill(at, `"family_info":{"shared_counter":true,"count_wait_us":200000},`, front, plan, "")},
 		{"family_info.shared_counter", fill(at, `"family_info":{"shared_counter":"yes"},`, front, plan, "")},
+		{"family_info.settles", fill("", `"family_info":{"settles":true},`, front, plan, "")},
 		{"report.how", fill("", "", front, plan, `,"report":{"how":"on_probe"},"limits":{"probes":false}`)},
 		{"report.names", fill("", "", front, plan, `,"report":{"how":"off","names":["utilization"]}`)},
 		{"weights", fill("", "", front, plan, `,"weights":"live"`)},
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -31,6 +31,9 @@
 	default:
 		return fmt.Errorf("weights: unknown word %q", raw.Get("weights").String())
 	}
+	if s.Limits.Settles {
+		return errors.New("family_info.settles: true, but units settled by the answer are not taken in")
+	}
 	if s.Report.Probes && says("limits.probes", "false") {
 		return errors.New("report.how: on_probe, but limits.probes is false")
 	}
