--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit bounds the dispatches that one gateway has out, so that they can be answered in time: by
-// additive increase and multiplicative decrease on lateness, and at once where hosts tell that they have room.
+// increase and decrease (AIMD) on lateness, and at once where hosts tell that they have room.
 package limit
 
 const (
@@ -63,6 +63,5 @@
 	}
 }
 
-func (o *Out) Limit() float64    { return o.limit }  // in dispatches
-func (o *Out) Late() float64     { return o.late }   // mean part of the target that answers take
-func (o *Out) Set(bound float64) { o.limit = bound } // learned elsewhere
+func (o *Out) Limit() float64 { return o.limit } // in dispatches
+func (o *Out) Late() float64  { return o.late }  // mean part of the target that answers take
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -177,7 +177,7 @@
 	if late <= stall || g.start < 0 {
 		late = 0
 	} else { // this gateway stood still; what came in meanwhile came evenly
-		g.fleet.woke = in.Now
+		g.fleet.woke, g.fleet.stood = in.Now, late
 	}
 	g.now, g.out = in.Now, out
 	if g.start < 0 {
@@ -275,11 +275,13 @@
 	g.dispatch(r, h)
 }
 
-// end is when r is worth no more, and is waited for no longer: places are kept for reqs in time. A late answer that
-// earns a part is waited for that part of the time left.
-func (r *req) end() int64 {
-	fr := r.front
-	return min(r.until, r.arrived+fr.Target+int64(fr.Late*float64(fr.Timeout-fr.Target)))
+// end is when r is waited for no longer. After a stall answers lie waiting, late ones that earn too.
+func (g *Gateway) end(r *req) int64 {
+	fr, more := r.front, int64(0)
+	if g.fleet.woke > 0 && g.now-g.fleet.woke < trial {
+		more = int64(fr.Late * float64(fr.Timeout-fr.Target))
+	}
+	return min(r.until, r.arrived+fr.Target+more)
 }
 
 func (g *Gateway) dispatch(r *req, h *host) {
@@ -288,7 +290,7 @@
 	r.customer.open++
 	h.out = append(h.out, r.out)
 	g.fleet.sent(h, r.front, g.now)
-	g.out.Dispatch(r.id, h.id, max(r.end()-g.now, 1000))
+	g.out.Dispatch(r.id, h.id, max(g.end(r)-g.now, 1000))
 }
 
 // ended takes in how a dispatch ended, and sends the req again where that may help and the rules allow it.
@@ -322,7 +324,7 @@
 
 func (g *Gateway) again(r *req, last *host) bool {
 	fr := r.front
-	if r.tries >= g.limits.Dispatches || g.now >= r.end() ||
+	if r.tries >= g.limits.Dispatches || g.now >= g.end(r) ||
 		r.ran != nil && (g.spare < 1 || !fr.harmless() ||
 			fr.Effect == gateway.Uniqued && g.now > r.ran.at+fr.Window-margin) {
 		return false
@@ -357,8 +359,8 @@
 	}
 }
 
-// call adds to a number of open reqs, and may leave r to wait for the answer. All gateways' clocks give it one
-// name for a span; the next counts anew, so that what a killed gateway had open is not out for ever.
+// call adds to a number of open reqs, and may leave r to wait for the answer. All gateways' clocks give it
+// one name for a span; the next counts anew, so that what a killed gateway had open is not out for ever.
 func (g *Gateway) call(name uint64, amount float64, r *req) {
 	g.calls[name] = append(g.calls[name], r)
 	g.out.Count(name, amount, 2*span)
@@ -615,7 +617,7 @@
 	seat, seats int       // where this gateway stands, among so many: for its subset
 	fronts      int       // frontends
 	limit       limit.Out // on these
-	woke        int64     // the gateway last stood still until then
+	woke, stood int64     // the gateway last stood still until then, and how long
 }
 
 type host struct {
@@ -673,8 +675,8 @@
 	f.choose()
 }
 
-// choose takes a subset of the hosts by weighted rendezvous hashing: a gateway of many keeps few connections and
-// hears often of each, and a change of the list moves few. The others serve where none of it will do.
+// choose takes a subset of the hosts by weighted rendezvous hashing: a gateway of many keeps few connections
+// and hears often of each, and a change of the list moves few. The others serve where none of it will do.
 func (f *fleet) choose() {
 	var running []*host
 	for _, h := range f.hosts {
@@ -699,6 +701,9 @@
 
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(c *customer, fr *front, now int64, part float64, last *host) *host {
+	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
+		part *= 2
+	}
 	if !f.limit.Allows(f.out, part, f.rnd.part()) {
 		return nil
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -8,6 +8,7 @@
 
 	"ravensill/gateway"
 	"ravensill/internal/golden"
+	"ravensill/limit"
 )
 
 const ms = int64(1e6)
@@ -473,7 +474,8 @@
 func TestReplaced(t *testing.T) { // hosts are replaced one by one under new ids: records and the limit stay with those there are
 	w := start(1, 4, nil)
 	f := &w.seats[0].g.fleet
-	f.limit.Set(10) // learned
+	f.limit = limit.Out{Start: 2.5}
+	f.limit.Hosts(4) // 10, as if learned
 	tell := func() {
 		fmt.Fprintf(&w.trace, "%d hosts, limit %.1f\n", len(f.hosts), f.limit.Limit())
 	}
@@ -634,12 +636,29 @@
 	}
 }
 
-func TestLateValue(t *testing.T) { // a late answer that earns a part is waited for that part of the time left: 0.2 of 2.2 s
-	for late, want := range map[float64]string{0: "timeout 800 ms", 0.2: "timeout 1240 ms", 1: "timeout 2500 ms"} {
-		w := start(1, 2, func(w *world) { w.fronts[0].Late = late })
+// TestLateValue: a gateway that stood still waits for a late answer that earns a part for that part of the time left,
+// 0.2 of 2.2 s; without a stall, or where a late answer earns nothing, until the target.
+func TestLateValue(t *testing.T) {
+	for _, x := range []struct {
+		late  float64
+		stood bool
+		want  string
+	}{{0.2, false, "timeout 800 ms"}, {0, true, "timeout 800 ms"}, {0.2, true, "timeout 1240 ms"}, {1, true, "timeout 2500 ms"}} {
+		w := start(1, 2, func(w *world) { w.fronts[0].Late = x.late })
+		if x.stood {
+			w.now += 2 * second
+			w.in(0, gateway.Event{Kind: gateway.Woke})
+			w.now += 100 * ms
+		}
 		w.arrive(0, "a", 1) // its client gives up after 2.5 s
-		if got := w.trace.String(); !strings.Contains(got, want) {
-			t.Errorf("late answers earn %.1f: %q, want %s", late, got, want)
+		if got := w.trace.String(); !strings.Contains(got, x.want) {
+			t.Errorf("late answers earn %.1f, stood still %t: %q, want %s", x.late, x.stood, got, x.want)
+		}
+		w.wait(5*second, true) // what was learned of the stall wears off
+		w.pass(0)
+		w.trace.Reset()
+		if w.arrive(0, "b", 1); !strings.Contains(w.trace.String(), "timeout 800 ms") {
+			t.Errorf("5 s after the stall: %q", w.trace.String())
 		}
 	}
 }
