--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -637,13 +637,14 @@
 	reply := "$1\r\n1\r\n"
 	say := func(s string) { mu.Lock(); defer mu.Unlock(); reply = s }
 	server := newHost(t, func(cmd []string) string {
-		if mu.Lock(); true {
-			defer mu.Unlock()
-		}
-		if cmd[0] == "PEXPIRE" {
-			return map[bool]string{true: "", false: ":1\r\n"}[reply == ""]
-		}
-		if cmd[2] == "-1" && reply != "" {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case reply == "": // silent
+			return ""
+		case cmd[0] == "PEXPIRE":
+			return ":1\r\n"
+		case cmd[2] == "-1":
 			return "$1\r\n0\r\n"
 		}
 		return reply
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -24,12 +24,11 @@
 	case shared && s.Limits.CounterWait == 0:
 		s.Limits.CounterWait = int64(countWait)
 	}
-	switch raw.Get("weights").String() {
-	case "", "off", "nominal", "rough":
-	case "live":
+	w := &settings{obj: raw}
+	if live := w.word("weights", "off", "nominal", "rough", "live") == 3; w.err != nil {
+		return w.err
+	} else if live {
 		return errors.New("weights: live figures tell no size, which hosts are chosen by; nominal, rough or off wanted")
-	default:
-		return fmt.Errorf("weights: unknown word %q", raw.Get("weights").String())
 	}
 	if s.Limits.Settles {
 		return errors.New("family_info.settles: true, but units settled by the answer are not taken in")
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -39,8 +39,7 @@
 	now     func() int64
 	done    func(gateway.Event)
 	link    *ring.Link // nil: none is up
-	parser  resp.Parser
-	calls   []call // under way, in order
+	calls   []call     // under way, in order
 	dialing bool
 	closed  bool
 	state   string // told in the log last, lost or back,
@@ -142,13 +141,14 @@
 				link.Close()
 				return
 			}
-			c.link, c.parser, c.endless = link, resp.Parser{}, false
+			c.link, c.endless = link, false
 			c.told(back, "")
 			go c.read(link)
 		})
 	}()
 }
 
+// read decodes what the server answers and brings it to the loop, until the connection ends.
 func (c *Counter) read(link *ring.Link) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -156,58 +156,65 @@
 			c.do(func() { c.drop(link, "panic") })
 		}
 	}()
+	var parser resp.Parser
 	for {
 		err := link.Read()
-		ready := make(chan struct{})
-		c.do(func() {
-			defer close(ready)
-			if err == nil {
-				err = c.replies(link)
+		for err == nil {
+			var v resp.Value
+			var ok bool
+			if v, ok, err = parser.Next(link.In); err != nil || !ok {
+				break
 			}
-			if err != nil {
-				c.drop(link, err.Error())
+			kind, text, total := v.Kind, string(v.Line), 0.0
+			if kind == '$' {
+				total, err = number(v.Parts[0])
 			}
-		})
-		if <-ready; err != nil {
+			if err == nil {
+				c.do(func() { c.reply(link, kind, text, total) })
+			}
+		}
+		if err != nil {
+			c.do(func() { c.drop(link, err.Error()) })
 			return
 		}
 	}
 }
 
-// replies takes in what the server answered.
-func (c *Counter) replies(link *ring.Link) error {
-	for c.link == link {
-		v, ok, err := c.parser.Next(link.In)
-		if err != nil || !ok {
-			return err
-		}
-		if len(c.calls) == 0 {
-			return errUnasked
-		}
-		k := &c.calls[0]
-		if k.half {
-			c.calls = c.calls[1:]
-			if v.Kind == '-' && !c.endless { // older servers don't know NX: their numbers stay for ever
-				c.endless = true
-				log.Printf("event=counter_no_expiry addr=%s error=%q", c.addr, v.Line)
-			}
-			continue
-		}
-		k.half = true
-		if v.Kind == '-' { // it was not carried out
-			c.end(k, gateway.Busy, 0)
-			continue
-		}
-		if v.Kind != '$' || v.Parts[0] == nil {
-			return errReply
-		}
-		total, err := strconv.ParseFloat(string(v.Parts[0]), 64)
-		if err != nil || total-total != 0 { // nor one that is not finite
-			return errReply
+func number(text []byte) (float64, error) {
+	x, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || x-x != 0 { // nor one that is not finite
+		return 0, errReply
+	}
+	return x, nil
+}
+
+// reply takes in one reply: a number, or a line of its kind.
+func (c *Counter) reply(link *ring.Link, kind byte, text string, total float64) {
+	switch {
+	case c.link != link:
+		return
+	case len(c.calls) == 0:
+		c.drop(link, errUnasked.Error())
+		return
+	}
+	k := &c.calls[0]
+	switch {
+	case k.half:
+		c.calls = c.calls[1:]
+		if kind == '-' && !c.endless { // older servers don't know NX: their numbers stay for ever
+			c.endless = true
+			log.Printf("event=counter_no_expiry addr=%s error=%q", c.addr, text)
 		}
+		return
+	case kind == '-': // it was not carried out
+		c.end(k, gateway.Busy, 0)
+	case kind == '$':
 		c.end(k, gateway.Passed, total)
+	default:
+		c.drop(link, errReply.Error())
+		return
 	}
-	return nil
+	k.half = true
 }
 
 // drop ends a connection; what was under way on it may have been carried out.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,9 +195,6 @@
 	}
 	n.expire(now)
 	countAt := int64(0)
-	if n.counter != nil {
-		n.counter.Expire(now)
-	}
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
 		n.fleet.Tidy()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,7 +34,7 @@
 	stall     = second / 10 // with no round: this gateway stood still
 	trial     = 4 * second  // what is known against a host wears off in
 	doubtful  = 0.3         // part unanswered from which a host's silence is its own
-	shunned   = 16.0        // times its load, for a host set aside
+	shunned   = 16.0        // times its load, for a host in doubt or out of the subset
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	ample     = 1.2         // times the least load: enough for a host
 	span      = 5 * second  // a number at the counter covers so long
@@ -117,9 +117,9 @@
 type tie struct {
 	customer      *customer
 	peer          *peer
-	at            int64  // of the last total heard
-	seen          uint64 // last total heard
-	told          float64
+	at            int64   // of the last total heard
+	seen          uint64  // last total heard
+	told          float64 // last total told
 	tells, queued bool
 }
 
@@ -233,7 +233,6 @@
 // where the counter may be asked of that it is, and the answer comes back here.
 func (g *Gateway) decide(r *req, inCap float64, ask bool) {
 	c, fr := r.customer, r.front
-	g.refill(c)
 	greed := (1 + c.ask) / (1 + c.got)
 	// What peers have admitted within a total's age is a chance number; the more is asked, the more it sways.
 	level := c.level - min(2*g.rnd.part()*c.others*g.age*greed, c.plan.Burst/2)
@@ -390,6 +389,7 @@
 	} else if e.Total <= float64(r.customer.plan.Open) {
 		inCap = 1
 	}
+	g.refill(r.customer)
 	g.decide(r, inCap, false)
 }
 
@@ -790,7 +790,7 @@
 	return now-max(s.at, h.of(fr).any) > max(int64(5*fr.usual*h.pace), fr.Target/2)
 }
 
-func (f *fleet) vouched(tag uint16) { // another gateway has good answers of it: a host set aside comes back
+func (f *fleet) vouched(tag uint16) { // another gateway has good answers of it: a host in doubt comes back
 	for _, h := range f.hosts {
 		for i := range h.fronts {
 			if h.tag(i) == tag {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -739,15 +739,15 @@
 			for _, h := range w.seats[0].g.fleet.hosts {
 				for i := 0; i < len(h.out); {
 					s := h.out[i]
-					f, res := s.req.front.nth, gateway.Passed
+					f, res, lag := s.req.front.nth, gateway.Passed, 80*ms
 					if h.id <= 2 {
 						n[f]++
 						if f == 0 {
-							res = gateway.TimedOut
+							res, lag = gateway.TimedOut, 800*ms
 						}
 					}
 					w.in(0, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: h.id, Dispatch: s.n, Result: res,
-						Lag: map[bool]int64{true: 80 * ms, false: 800 * ms}[res == gateway.Passed], Closed: res == gateway.Passed})
+						Lag: lag, Closed: res == gateway.Passed})
 				}
 			}
 		}
