SIGTERM: open connections are served until shortly before the kill

Cause: Retire half-closed each idle client connection 450 ms after SIGTERM (clients.Conn.retireIfIdle), and Conn.ask dropped what came afterwards. Clients go on sending on all that they have open; of 40 with one command at a time each lost one, none of those that look for the end of the stream first. Ruled out: the answers (written before the half-close), the listener's queue (new connections end before 450 ms). Change: the listener closes at 450 ms, and what is open is served on. If nobody kills, the last connections end a second later. Weighed: end each connection with its next answer in one write; it loses the command of a client that does not look.

--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -90,7 +90,7 @@
 	closed bool
 }
 
-// Listen takes in connections until Retire.
+// Listen takes in connections until Unlisten.
 func (s *Server) Listen(l net.Listener) {
 	s.listener = l
 	go func() {
@@ -311,10 +311,12 @@
 	return len(s.dirty) > 0
 }
 
-// Retire stops taking in connections, and ends each one once it owes nothing.
+// Unlisten takes in no more connections; those that are open are served on.
+func (s *Server) Unlisten() { s.listener.Close() }
+
+// Retire ends each connection once it owes nothing. A command that crosses the close has no answer.
 func (s *Server) Retire() {
 	s.retiring = true
-	s.listener.Close()
 	for c := range s.conns {
 		c.retireIfIdle()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,9 @@
 	keep      = 0.5                    // part of the host machines' idle time that a connection is kept
 	retry     = 5 * time.Millisecond   // until bytes that a socket did not take are tried again
 	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
+	mostLeave = 3 * time.Second        // of the longest client timeout: the platform counts no more
+	leave     = 500 * time.Millisecond // it kills 0.7 s after that: by then all that was taken is answered
+	linger    = time.Second            // if nobody kills, the last connections end so much later
 	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
 	mostWait  = time.Second
 	probeWait = int64(time.Second)
@@ -68,8 +71,9 @@
 	strange int           // datagrams dropped since the last line on them
 	lineAt  int64         // of that line
 	tallyAt int64         // of the last line of decisions
-	stopAt  int64         // accepting ends then; 0 not called to stop
-	stopped bool
+	stopAt  int64         // the next step to the end is due then; 0 none
+	leaveAt int64         // what is taken has its answer by then; 0 not called to stop
+	stopped bool          // no more clients are taken in: the gateway ends with its last connection
 }
 
 // watch is one try to follow the list; only what the newest brings counts.
@@ -173,8 +177,7 @@
 		case <-timer.C:
 		case <-stop:
 			stop = nil
-			n.stopAt = n.now() + int64(accepting)
-			log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
+			n.stop()
 		}
 		for k := len(n.work); k > 0; k-- {
 			n.guard("loop", <-n.work)
@@ -185,13 +188,37 @@
 	return nil
 }
 
+// stop begins the end. Clients go on sending on what they have open, and a close that crosses a command leaves
+// that unanswered. So what is open is served until shortly before the platform kills, which counts from the
+// longest client timeout; what comes later finds its time up and is denied at once.
+func (n *Node) stop() {
+	longest := int64(0)
+	for _, f := range n.cfg.Fronts {
+		longest = max(longest, f.Timeout)
+	}
+	n.stopAt = n.now() + int64(accepting)
+	n.leaveAt = n.now() + min(longest, int64(mostLeave)) + int64(leave)
+	log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
+}
+
+// stopping takes the next step to the end: first no new clients, at last none at all.
+func (n *Node) stopping() {
+	if !n.stopped {
+		n.stopped, n.stopAt = true, n.leaveAt+int64(linger)
+		n.clients.Unlisten()
+		log.Printf("event=closed_to_new clients=%d open=%d", n.clients.Count(), len(n.reqs))
+		return
+	}
+	n.stopAt = 0
+	n.clients.Retire()
+}
+
 // turn does what is due, lets the module decide on what came in, and carries it out. It tells how long
 // nothing more is due.
 func (n *Node) turn() time.Duration {
 	now := n.now()
-	if n.stopAt > 0 && now >= n.stopAt && !n.stopped {
-		n.stopped = true
-		n.clients.Retire()
+	if n.stopAt > 0 && now >= n.stopAt {
+		n.stopping()
 	}
 	n.expire(now)
 	countAt := int64(0)
@@ -227,7 +254,7 @@
 	}
 	wait := time.Hour
 	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt} {
-		if at > 0 && !(at == n.stopAt && n.stopped) {
+		if at > 0 {
 			wait = min(wait, time.Duration(at-n.now()))
 		}
 	}
@@ -292,6 +319,9 @@
 		a.Aborted("id: in use")
 		return
 	}
+	if n.leaveAt > 0 {
+		until = min(until, n.leaveAt)
+	}
 	r := &req{node: n, id: id, answer: a, front: &n.cfg.Fronts[front], until: until, head: head, before: before,
 		after: after, tail: tail}
 	n.reqs[id] = r
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -833,3 +833,13 @@
 		t.Errorf("messages %v: with four times the reqs %.2f times as many, want more, and at most 0.8 of 40 a second", sent, r)
 	}
 }
+
+// A req whose time is up when it comes, as near the end of a gateway that was told to stop, is denied at once. It
+// was dispatched for a microsecond, and a non-replayable one then aborted, since it may have run.
+func TestTimeUp(t *testing.T) {
+	w := start(1, 3, nil)
+	for i, left := range []int64{second, 0, -second} {
+		w.in(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint("a", i), Customer: "a", Until: w.now + left, Units: 1, Spread: 1})
+	}
+	golden.Check(t, w.trace.String())
+}
