Discovery: lists by net/http and a JSON decoder; indented ones are no longer dropped

Seen on the landed build (real binary, stand-in agent): an indented list is dropped whole (event=list_dropped for each of its lines) and its hosts are never met. Cause: discovery.Stream cut the body at each line break and handed every line on as a list (Stream.body).

Change: the hand-made HTTP and chunk parser is out. A watch is one net/http round trip on a connection of its own (no proxy, no HTTP/2, no pool, no redirects); its body goes through an encoding/json Decoder, a value a list, at most 4 MiB each; white space between values is a sign of life and is not kept. Bytes that are no JSON end the watch: what follows can't be told apart, it is asked for anew from the version had. A process that stood still looks into the socket once more before it gives a watch up.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -236,9 +236,13 @@
 	}
 }
 
-// list tells the program news, in two chunks.
+// list tells the program news, in two chunks; odd versions come indented.
 func list(c net.Conn, version int, entries ...any) {
-	text, _ := json.Marshal(map[string]any{"version": version, "full": false, "servers": entries})
+	news := map[string]any{"version": version, "full": false, "servers": entries}
+	text, _ := json.Marshal(news)
+	if version%2 == 1 {
+		text, _ = json.MarshalIndent(news, "", "\t")
+	}
 	fmt.Fprintf(c, "%x\r\n%s\r\n%x\r\n%s\n\r\n", 5, text[:5], len(text)-4, text[5:])
 }
 
@@ -416,7 +420,7 @@
 		t.Errorf("asked for the list with %q", ask)
 	}
 	watch := take(w, w.watches)
-	io.WriteString(watch, "1\r\n\n\r\n7\r\n{\"no\":\n\r\n")
+	io.WriteString(watch, "1\r\n\n\r\n9\r\n{\"no\":\n1}\r\n")
 	w.line("event=list_dropped")
 	list(watch, 43, entry("h0", a.Addr().String(), "leaving"), entry("h2", c.Addr().String(), "active"))
 	w.line("event=host id=h0 state=draining version=43")
@@ -436,9 +440,15 @@
 	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
 		t.Errorf("asked for the list with %q", ask)
 	}
-	list(take(w, w.watches), 44, entry("h1", "", "left"))
+	watch = take(w, w.watches)
+	list(watch, 44, entry("h1", "", "left"))
 	w.line("event=watch_back")
 	w.line("event=host id=h1 state=gone version=44")
+	io.WriteString(watch, "2\r\n{]\r\n") // what follows can't be told apart
+	w.line(`event=watch_lost error="invalid character`)
+	if ask := take(w, w.asked); !strings.Contains(ask, "after=44 ") {
+		t.Errorf("asked for the list with %q", ask)
+	}
 	ask()
 	if len(c.got()) != 8 || len(b.got()) > 0 {
 		t.Error("the host that is gone got more")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,134 +2,17 @@
 package discovery
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 
 	"github.com/tidwall/gjson"
 
 	"ravensill/gateway"
 )
 
-const (
-	mostRow  = 8 << 10 // bytes of a line round the body
-	mostLine = 4 << 20 // and of one in it: a list of some thousand hosts
-)
-
-// Stream is the state machine of an HTTP/1.1 answer whose body holds a line for each news.
-type Stream struct {
-	state   state
-	chunked bool
-	left    int    // of the present chunk
-	row     []byte // a line round the body that is not whole, as of the head
-	text    []byte // a line of the body that is not whole
-}
-
-type state int
-
-const (
-	status state = iota
-	header
-	size
-	chunk
-	chunkEnd
-	plain // a body without chunks: until the connection ends
-	over
-)
-
-// Feed takes in the next bytes and hands on each whole line of the body, empty ones too.
-func (s *Stream) Feed(p []byte, line func([]byte)) error {
-	for len(p) > 0 {
-		switch s.state {
-		case over:
-			return errors.New("bytes after the end")
-		case chunk, plain:
-			n := len(p)
-			if s.state == chunk {
-				n = min(n, s.left)
-				if s.left -= n; s.left == 0 {
-					s.state = chunkEnd
-				}
-			}
-			if err := s.body(p[:n], line); err != nil {
-				return err
-			}
-			p = p[n:]
-		default:
-			i := bytes.IndexByte(p, '\n')
-			if i < 0 {
-				s.row, p = append(s.row, p...), nil
-			} else {
-				s.row, p = append(s.row, p[:i]...), p[i+1:]
-				if err := s.around(string(bytes.TrimSuffix(s.row, []byte{'\r'}))); err != nil {
-					return err
-				}
-				s.row = s.row[:0]
-			}
-			if len(s.row) > mostRow {
-				return errors.New("line too long")
-			}
-		}
-	}
-	return nil
-}
-
-// around takes a line of the head, or one between chunks.
-func (s *Stream) around(row string) error {
-	switch s.state {
-	case status:
-		if len(row) < 12 || row[:7] != "HTTP/1." || row[8:12] != " 200" {
-			return fmt.Errorf("answer is %.40q", row)
-		}
-		s.state = header
-	case header:
-		name, value, _ := bytes.Cut(bytes.ToLower([]byte(row)), []byte{':'})
-		if string(name) == "transfer-encoding" && string(bytes.TrimSpace(value)) == "chunked" {
-			s.chunked = true
-		}
-		if row == "" && s.chunked {
-			s.state = size
-		} else if row == "" {
-			s.state = plain
-		}
-	case size:
-		hex, _, _ := bytes.Cut([]byte(row), []byte{';'})
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(hex)), 16, 31)
-		if err != nil {
-			return fmt.Errorf("chunk size is %.40q", row)
-		}
-		if s.left, s.state = int(n), chunk; n == 0 {
-			s.state = over
-		}
-	case chunkEnd:
-		if row != "" {
-			return errors.New("chunk is longer than its size")
-		}
-		s.state = size
-	}
-	return nil
-}
-
-func (s *Stream) body(p []byte, line func([]byte)) error {
-	for len(p) > 0 {
-		i := bytes.IndexByte(p, '\n')
-		if i < 0 {
-			if s.text = append(s.text, p...); len(s.text) > mostLine {
-				return errors.New("news too long")
-			}
-			return nil
-		}
-		s.text = append(s.text, p[:i]...)
-		line(s.text)
-		s.text, p = s.text[:0], p[i+1:]
-	}
-	return nil
-}
-
 // Book turns lists into the words of the interface. It keeps the number of each host until that is forgotten.
 type Book struct {
 	zones, machines []string
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"strings"
 	"testing"
@@ -10,49 +11,38 @@
 	"ravensill/internal/golden"
 )
 
-func feed(pieces ...string) string {
+// cut reads a text in two pieces.
+func cut(text string, at int) string {
 	var said strings.Builder
-	var s Stream
-	for _, p := range pieces {
-		if err := s.Feed([]byte(p), func(line []byte) { fmt.Fprintf(&said, "%q\n", line) }); err != nil {
-			return said.String() + err.Error() + "\n"
-		}
-	}
-	return said.String()
-}
-
-const head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nTRANSFER-encoding: Chunked\r\n\r\n"
-
-func TestStream(t *testing.T) { // also cut at every byte
-	answer := head + "4\r\n{\"a\"\r\nA;x=1\r\n:1}\n\n{\"b\":\r\n3\r\n2}\n\r\n1\r\n\n\r\n0\r\n"
-	whole := feed(answer)
-	golden.Check(t, whole)
-	for i := range answer {
-		if got := feed(answer[:i], answer[i:]); got != whole {
-			t.Errorf("cut at %d: %s", i, got)
-		}
-	}
-	if got := feed("HTTP/1.0 200 OK\r\n\r\n{}\n", "\n[]\n"); got != "\"{}\"\n\"\"\n\"[]\"\n" {
-		t.Errorf("without chunks: %s", got)
-	}
+	r := io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:]))
+	err := split(r, func() {}, func(list []byte) { fmt.Fprintf(&said, "%q\n", list) })
+	return said.String() + err.Error() + "\n"
 }
 
-func TestStreamFaults(t *testing.T) {
+// A body of lists, a line each, indented, or one right behind the other, cut at every byte.
+func TestSplit(t *testing.T) {
 	var all strings.Builder
-	for _, s := range []string{"HTTP/1.1 503 Gone\r\n", "SSH-2.0\r\n", head + "x\r\n", head + "-1\r\n", head + "2\r\n{}}", head + "2\r\n{}}\r\n",
-		head + "0\r\n\r\n", head + "fffffffff\r\n", "HTTP/1.1 200 OK\r\nx: " + strings.Repeat("y", mostRow)} {
-		fmt.Fprintf(&all, "%.40q %s", strings.TrimPrefix(s, head), feed(s))
+	for _, text := range []string{"{\"a\":1}\n\n{\"b\":\n[2,\r\n\t3]}\n\n \n{}{}[]\n7\n", "\n\n{\"no\":\n\n{}", "{\"a b\":\"  \"}\nx", "{} {"} {
+		whole := cut(text, len(text))
+		fmt.Fprintf(&all, "%q\n%s", text, whole)
+		for i := range text {
+			if got := cut(text, i); got != whole {
+				t.Errorf("%q cut at %d: %s", text, i, got)
+			}
+		}
 	}
+	long := "[" + strings.Repeat("\n", mostValue)
+	fmt.Fprint(&all, cut(strings.Repeat("\n", 2*mostValue)+"{}"+long, 9))
 	golden.Check(t, all.String())
 }
 
-func FuzzStream(f *testing.F) {
-	f.Add(head+"4\r\n{}\n\n\r\n", 90)
+func FuzzSplit(f *testing.F) {
+	f.Add("\n{\"a\":\n[]} {}\n", 9)
 	f.Fuzz(func(t *testing.T, s string, at int) {
 		if at < 0 || at > len(s) {
 			return
 		}
-		if whole, cut := feed(s), feed(s[:at], s[at:]); whole != cut {
+		if whole, cut := cut(s, len(s)), cut(s, at); whole != cut {
 			t.Errorf("whole %q, cut at %d %q", whole, at, cut)
 		}
 	})
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,59 +1,125 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
+	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
-
-	"ravensill/internal/ring"
 )
 
 const (
 	connect = time.Second
 	// An empty line comes every 2 s. A watch can stand open and bring nothing more, while what it should have told
-	// counts as told after 6 s: after so long without a line it is asked for anew.
+	// counts as told after 6 s: after so long without a byte it is asked for anew.
 	quiet = 3 * time.Second
+	// A process that stood still finds its time up and the bytes that came meanwhile in the socket: it looks once more.
+	look = 20 * time.Millisecond
+
+	mostHead  = 64 << 10 // bytes before the body
+	mostValue = 4 << 20  // of one list: some thousand hosts, indented
 )
 
 // Watch follows the list after a version until its connection or the context ends, and tells why it did. news
-// is called for each line, also the empty ones that come while nothing changes.
-func Watch(ctx context.Context, addr string, after int64, news func(line []byte)) (err error) {
+// takes each list, alive is called for any bytes of the body: empty lines come while nothing changes. Both are
+// called by one goroutine.
+func Watch(ctx context.Context, addr string, after int64, alive func(), news func(list []byte)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
 			err = fmt.Errorf("panic: %v", p)
 		}
 	}()
-	d := net.Dialer{Timeout: connect}
-	conn, err := d.DialContext(ctx, "tcp4", addr)
+	// A connection of its own for each watch: no proxy of the environment, nothing kept for later, no redirects.
+	dialer := net.Dialer{Timeout: connect}
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: mostHead,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, "tcp4", addr)
+			if err != nil {
+				return nil, err
+			}
+			return patient{c}, nil
+		}}
+	defer t.CloseIdleConnections()
+	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", addr, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	link, err := ring.NewLink(conn.(*net.TCPConn), 64<<10, 4<<10)
+	req.Header.Set("User-Agent", "") // none
+	answer, err := t.RoundTrip(req)
 	if err != nil {
 		return err
 	}
-	link.Out.Write(fmt.Appendf(nil, "GET /v1/servers?watch=1&after=%d HTTP/1.1\r\nHost: %s\r\n\r\n", after, addr))
-	if err := link.Flush(); err != nil {
-		return err
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("answer is %.40q", answer.Status)
 	}
-	var stream Stream
-	for {
-		conn.SetReadDeadline(time.Now().Add(quiet))
-		if err := link.Read(); err != nil {
+	return split(answer.Body, alive, news)
+}
+
+// patient is a connection of which a read gives up after a silence.
+type patient struct{ net.Conn }
+
+func (c patient) Read(p []byte) (n int, err error) {
+	for _, wait := range []time.Duration{quiet, look} {
+		c.SetReadDeadline(time.Now().Add(wait))
+		if n, err = c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	return n, err
+}
+
+// split hands on each JSON value of a body once it is whole. White space alone lies between values, as little or
+// as much as there is.
+func split(r io.Reader, alive func(), news func([]byte)) error {
+	b := &body{Reader: r, alive: alive, room: mostValue}
+	for dec := json.NewDecoder(b); ; {
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
 			return err
 		}
-		for link.In.Len() > 0 {
-			p := link.In.Head()
-			if err := stream.Feed(p, news); err != nil {
-				return err
-			}
-			link.In.Drop(len(p))
+		news(value)
+		rest, _ := io.ReadAll(dec.Buffered())
+		rest = bytes.TrimLeft(rest, space)
+		b.began, b.room = len(rest) > 0, mostValue-len(rest)
+	}
+}
+
+const space = " \t\r\n"
+
+// body reads for the decoder. It leaves out what lies between values, which the decoder would keep until the next
+// one, and bounds the size of a value.
+type body struct {
+	io.Reader
+	alive func()
+	began bool // a value that is not whole
+	room  int  // bytes that it may take yet
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	for {
+		n, err := b.Reader.Read(p)
+		if n > 0 {
+			b.alive()
+		}
+		if !b.began {
+			n = copy(p, bytes.TrimLeft(p[:n], space))
+			b.began = n > 0
+		}
+		if b.room -= n; b.room < 0 {
+			return 0, errors.New("list too long")
+		}
+		if n > 0 || err != nil {
+			return n, err
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -445,20 +445,21 @@
 	n.watch = w
 	after, addr := n.book.Version, n.cfg.Discovery
 	go func() {
-		err := discovery.Watch(ctx, addr, after, func(line []byte) {
-			line = slices.Clone(line)
+		newest := func(f func()) { // of what the watch brings, in the loop
 			n.do(func() {
-				if n.watch != w {
-					return
+				if n.watch == w {
+					f()
 				}
+			})
+		}
+		err := discovery.Watch(ctx, addr, after, func() {
+			newest(func() {
 				if n.pause > 0 {
 					log.Printf("event=watch_back")
 				}
-				if n.pause = 0; len(line) > 1 {
-					n.listed(line, false)
-				}
+				n.pause = 0
 			})
-		})
+		}, func(list []byte) { newest(func() { n.listed(list, false) }) })
 		stop()
 		n.do(func() { n.lost(w, err) })
 	}()
