--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -185,12 +185,18 @@
 	w.write()
 	w.cmd = exec.Command(os.Args[0])
 	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+agent.Addr().String(), "GORACE=halt_on_error=1")
+	w.follow()
+	return w
+}
+
+// follow starts the program and waits for its first event.
+func (w *world) follow() {
 	out, err := w.cmd.StderrPipe()
 	if err != nil {
-		t.Fatal(err)
+		w.Fatal(err)
 	}
 	if err := w.cmd.Start(); err != nil {
-		t.Fatal(err)
+		w.Fatal(err)
 	}
 	go func() {
 		for s := bufio.NewScanner(out); s.Scan(); {
@@ -201,14 +207,13 @@
 		w.exit <- w.cmd.Wait()
 		close(w.log)
 	}()
-	t.Cleanup(func() { w.cmd.Process.Kill() })
+	w.Cleanup(func() { w.cmd.Process.Kill() })
 	line := w.line("event=")
 	if strings.Contains(line, "event=start_failed") {
 		w.addr = line
 	} else {
 		fmt.Sscanf(line[strings.Index(line, "listen="):], "listen=%s peer_listen=%s", &w.addr, &w.peer)
 	}
-	return w
 }
 
 // write makes the configuration file anew.
