--- /dev/null
+++ b/lab/coldsim/coldsim.go
@@ -0,0 +1,228 @@
+// Package coldsim plays a fleet of gateways of package logic against hosts that start cold, and counts what all
+// gateways together send each of them: the rule on cold hosts holds for the sum, and no gateway sees that. Hosts
+// answer after a fixed time and never fall, so that a break is counted rather than acted out. It does no I/O, and
+// the same Config gives the same Report.
+package coldsim
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ravensill/gateway"
+	"ravensill/logic"
+)
+
+// Config is one experiment.
+type Config struct {
+	Seed            uint64
+	Gateways, Hosts int
+	PerSecond       float64       // reqs a second over all gateways
+	Load            float64       // part of the hosts' capacity that they take
+	Skew            float64       // one gateway in ten gets so many times the traffic of another; 0 is 1
+	Lull            time.Duration // after the start of cold hosts a tenth of the traffic comes for so long: allowances are saved
+	Surge           float64       // then so many times the usual traffic
+	Cold            int           // hosts that start at one time, told to all gateways at once
+	Length          time.Duration // from then on
+	Settings        gateway.Cold
+}
+
+// Report holds the fullest window of any host while it is cold, in reqs.
+type Report struct {
+	Sent, Allowed, Bound float64 // sent in it; N, what the settings allow a host then; N + 3 root N + 3
+	At                   time.Duration
+	Share                float64 // of all dispatches that went to cold hosts, over their part of the capacity
+	Idle                 int     // cold hosts that got nothing at all
+}
+
+func (r Report) String() string {
+	return fmt.Sprintf("fullest window %.0f of %.1f allowed (bound %.1f, %.2f of it) %v after the start; "+
+		"%.2f of the cold hosts' part; idle %d", r.Sent, r.Allowed, r.Bound, r.Sent/r.Bound, r.At.Round(time.Second), r.Share, r.Idle)
+}
+
+const (
+	warmUp  = 5 * time.Second // until cold hosts start: the gateways know their hosts by then
+	answers = 100 * time.Millisecond
+	beat    = 40 * time.Millisecond
+)
+
+type event struct {
+	at, seq int64
+	gw      int
+	e       gateway.Event // Ended, Woke; none is an arrival
+	arrival bool
+}
+
+type queue []*event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// sim is one play. It takes the decisions of the gateway whose turn it is.
+type sim struct {
+	Config
+	rnd   *rand.Rand
+	now   int64
+	seq   int64
+	q     queue
+	gws   []*logic.Gateway
+	turn  int
+	sent  [][]int64 // by cold host
+	all   int
+	since int64
+	tries map[string]int
+}
+
+// Run plays one experiment.
+func Run(c Config) Report {
+	s := &sim{Config: c, rnd: rand.New(rand.NewPCG(c.Seed, 7)), now: int64(100 * time.Second), sent: make([][]int64, c.Cold),
+		tries: map[string]int{}}
+	if c.Skew == 0 {
+		s.Skew = 1
+	}
+	began := s.now
+	s.since = began + int64(warmUp)
+	list := func(cold int64) (list []gateway.Listing) {
+		for h := range c.Hosts {
+			l := gateway.Listing{Host: uint32(h), State: gateway.Running, Share: 1}
+			if h < c.Cold {
+				l.Since = cold
+			}
+			list = append(list, l)
+		}
+		return list
+	}
+	fronts := []gateway.Frontend{{Target: int64(time.Second), Timeout: int64(3 * time.Second), Value: 1}}
+	plans := []gateway.Plan{{Rate: 1e9, Burst: 1e9, Price: 1}}
+	for i := range c.Gateways {
+		s.gws = append(s.gws, logic.New(s.rnd.Uint64(), gateway.Seat{Index: i, Count: c.Gateways}, fronts, plans,
+			gateway.Limits{Dispatches: 1}, c.Settings, gateway.Report{}))
+		s.round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list(0)})
+	}
+	s.arrival()
+	told := false
+	for end := s.since + int64(c.Length); s.q.Len() > 0; {
+		e := heap.Pop(&s.q).(*event)
+		if e.at > end {
+			break
+		}
+		if s.now = e.at; !told && s.now >= s.since {
+			told = true
+			for i := range s.gws {
+				s.round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]})
+			}
+		}
+		if e.arrival {
+			s.arrive()
+			s.arrival()
+		} else {
+			s.round(e.gw, e.e)
+		}
+	}
+	return s.report()
+}
+
+func (s *sim) push(e *event) {
+	s.seq++
+	e.seq = s.seq
+	heap.Push(&s.q, e)
+}
+
+func (s *sim) arrival() {
+	rate := s.PerSecond
+	if after := s.now - s.since; after >= 0 && after < int64(s.Lull) {
+		rate /= 10
+	} else if after >= int64(s.Lull) && s.Surge > 0 {
+		rate *= s.Surge
+	}
+	s.push(&event{at: s.now + int64(s.rnd.ExpFloat64()/rate*1e9), arrival: true})
+}
+
+func (s *sim) arrive() {
+	few := s.Gateways / 10
+	i := s.rnd.IntN(s.Gateways)
+	if few > 0 && s.rnd.Float64() < s.Skew*0.1/(s.Skew*0.1+0.9) {
+		i = s.rnd.IntN(few)
+	} else if few > 0 {
+		i = few + s.rnd.IntN(s.Gateways-few)
+	}
+	s.round(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint(s.seq), Customer: fmt.Sprint(s.rnd.IntN(5000)),
+		Until: s.now + int64(3*time.Second), Units: 1, Spread: s.Gateways})
+}
+
+func (s *sim) round(i int, e gateway.Event) {
+	s.turn = i
+	s.gws[i].Round(&gateway.Round{Now: s.now, Events: []gateway.Event{e}}, s)
+}
+
+// Dispatch is answered well a fixed time later.
+func (s *sim) Dispatch(req string, host uint32, _ int64) {
+	if s.now >= s.since {
+		s.all++
+		if int(host) < s.Cold {
+			s.sent[host] = append(s.sent[host], s.now)
+		}
+	}
+	n := s.tries[req]
+	s.tries[req]++
+	s.push(&event{at: s.now + int64(answers), gw: s.turn, e: gateway.Event{Kind: gateway.Ended, Req: req, Host: host, Dispatch: n,
+		Result: gateway.Passed, Lag: int64(answers), Closed: true}})
+}
+
+func (s *sim) Wake(after int64) {
+	s.push(&event{at: s.now + max(after, int64(beat)), gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
+}
+
+func (s *sim) Cancel(string, int)           {}
+func (s *sim) Deny(string, int64)           {}
+func (s *sim) Abort(string)                 {}
+func (s *sim) Tell(int, []byte)             {}
+func (s *sim) Probe(uint32)                 {}
+func (s *sim) Follow()                      {}
+func (s *sim) Note(string)                  {}
+func (s *sim) Count(uint64, float64, int64) {}
+
+// capacity is what a host takes in a second t after its start, in reqs.
+func (s *sim) capacity(t int64) float64 {
+	warm := min(s.Settings.From+(1-s.Settings.From)*float64(t)/float64(s.Settings.Warm), 1)
+	return warm * s.PerSecond / s.Load / float64(s.Hosts)
+}
+
+func (s *sim) report() (r Report) {
+	got, part := 0, 0.0
+	for _, at := range s.sent {
+		got += len(at)
+		if len(at) == 0 {
+			r.Idle++
+		}
+		for i, k := 0, 0; i < len(at) && at[i]-s.since < s.Settings.Warm; i++ { // the window that ends with the ith
+			for at[i]-at[k] > s.Settings.Window {
+				k++
+			}
+			n := s.Settings.Multiple * s.capacity(at[i]-s.since) * seconds(s.Settings.Window)
+			bound := n + 3*math.Sqrt(n) + 3
+			if sent := float64(i - k + 1); r.Bound == 0 || sent/bound > r.Sent/r.Bound {
+				r.Sent, r.Allowed, r.Bound, r.At = sent, n, bound, time.Duration(at[i]-s.since)
+			}
+		}
+	}
+	for t := int64(0); t < int64(s.Length); t += int64(time.Second) {
+		part += s.capacity(t) / s.capacity(s.Settings.Warm) / seconds(int64(s.Length)) / float64(s.Hosts) * float64(s.Cold)
+	}
+	r.Share = float64(got) / max(float64(s.all)*part, 1)
+	return r
+}
+
+func seconds(ns int64) float64 { return float64(ns) / 1e9 }
