Lab: scenarios as data, checks on counts, ten hard cases, evenness beside chance

Need: the same faults again by seed, and verdicts that rest on counts. A scenario holds the plan, the load, steps at times and what must hold; a report joins clients', hosts' and gateways' logs. The checks: exactly one outcome a req, none lost without a fault at its gateway, no dispatch to a host never listed or drained by the gateway's own word, no second run of a non-replayable req, no panic and no end unasked. Each fails on a doctored report.

--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,3 +59,67 @@
 		t.Errorf("no datagram passed the relay: %+v", all)
 	}
 }
+
+// The hard cases, small: nothing but counts and invariants decides.
+func TestCases(t *testing.T) {
+	for _, s := range (Size{Gateways: 16, Hosts: 12, Rate: 500, Seed: 7}).Cases() {
+		t.Run(s.Name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+			defer cancel()
+			r, err := s.Play(ctx)
+			must(t, err)
+			t.Log(r.Summary())
+			fleet, chance, robin := r.Even(Seats(0, s.Plan.Hosts-len(s.Plan.Unlisted)), r.Began, r.Ended)
+			t.Logf("fleet %v\nchance %v\nrobin %v", fleet, chance, robin)
+			must(t, r.Err())
+		})
+	}
+}
+
+// Each check fails on a report that is doctored against it.
+func TestChecks(t *testing.T) {
+	s := (Size{Gateways: 2, Hosts: 3, Rate: 200, Seed: 3}).Cases()[0]
+	s.Warm, s.For, s.Plan.Unlisted = 0, time.Second, map[int]bool{2: true}
+	s.Steps = []Step{Tell(500*time.Millisecond, nil, "leaving", 0)}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := s.Play(ctx)
+	must(t, err, r.Err())
+	reqs, last := r.Clients.Reqs, len(r.Clients.Reqs)-1
+	for i := 0; r.Hosts[0].Commands[i].Outcome != "passed" || r.Hosts[0].Commands[i].Class != "pay"; {
+		r.Hosts[0].Commands = r.Hosts[0].Commands[1:]
+	}
+	twice := r.Hosts[0].Commands[0]
+	for _, x := range []struct {
+		check  Check
+		doctor func(r *Report)
+	}{
+		{OneOutcome, func(r *Report) { r.Open = 1 }},
+		{OneOutcome, func(r *Report) { r.Clients.Stray = 1 }},
+		{OneOutcome, func(r *Report) { r.Clients.Reqs[last].Result = standin.Wrong }},
+		{OneOutcome, func(r *Report) { r.Clients.Reqs[last].Result, r.Clients.Reqs[last].Host = standin.Passed, "s-0002" }},
+		{LostByFault, func(r *Report) { r.Clients.Reqs[last].Result = standin.Unheard }},
+		{Listed, func(r *Report) { r.Hosts[2].Commands = []standin.Command{twice} }},
+		{Listed, func(r *Report) { r.Hosts[1].Commands = []standin.Command{{ID: "none"}} }},
+		{Drained, func(r *Report) {
+			q := reqs[last]
+			r.Hosts[0].Commands = append(slices.Clone(r.Hosts[0].Commands), standin.Command{ID: q.ID, At: q.At + 1})
+		}},
+		{OnceOnly, func(r *Report) { r.Hosts[1].Commands = append(slices.Clone(r.Hosts[1].Commands), twice) }},
+		{Healthy, func(r *Report) { r.Gates[1].Counts = map[string]int{"panic": 1} }},
+		{Healthy, func(r *Report) { r.Gates[1].Past = append(slices.Clone(r.Gates[1].Past), Moment{What: "exited"}) }},
+		{Healthy, func(r *Report) { r.Hosts[1].Bad = 1 }},
+		{Served(0.9), func(r *Report) {
+			for i := range r.Clients.Reqs {
+				r.Clients.Reqs[i].Result = standin.Denied
+			}
+		}},
+	} {
+		c := *r
+		c.Clients.Reqs, c.Hosts, c.Gates = slices.Clone(reqs), slices.Clone(r.Hosts), slices.Clone(r.Gates)
+		x.doctor(&c)
+		if x.check.Look(&c) == "" {
+			t.Errorf("%s: holds on a doctored report", x.check.Name)
+		}
+	}
+}
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -69,11 +70,31 @@
 	life   int // lines before this life's
 	lives  int
 	counts map[string]int // by event, over all lives
+	past   []Moment
 	watch  []*wait
 	serves func(g *Gateway, listen, peer string)
 	dies   func(g *Gateway)
 }
 
+// Moment is something that befell a process.
+type Moment struct {
+	At    int64
+	What  string // launched, serving, told, kill, term, stop, continue, exited
+	Life  int    // number of the life, from 1 on
+	Host  string // of told: the process logged that this host's state is now State
+	State string
+}
+
+func (g *Gateway) moment(what string) {
+	g.past = append(g.past, Moment{At: task.Now(), What: what, Life: g.lives})
+}
+
+// Past gives all that befell the process, in order.
+func (g *Gateway) Past() (past []Moment) {
+	g.Ask(func() { past = slices.Clone(g.past) })
+	return past
+}
+
 type wait struct {
 	text string
 	line chan string
@@ -138,6 +159,7 @@
 	}
 	g.up, g.life, g.gone = true, g.cut+len(g.lines), make(chan struct{})
 	g.lives++
+	g.moment("launched")
 	cmd, gone := g.cmd, g.gone
 	go func() {
 		s := bufio.NewScanner(r)
@@ -150,6 +172,7 @@
 		err := cmd.Wait()
 		g.Do(func() {
 			g.up = false
+			g.moment("exited")
 			g.say(fmt.Sprintf("event=exited status=%q", fmt.Sprint(cmd.ProcessState, err)))
 			for _, w := range g.watch { // nothing more comes in this life
 				close(w.line)
@@ -170,7 +193,11 @@
 	if _, rest, ok := strings.Cut(line, "event="); ok {
 		event, _, _ := strings.Cut(rest, " ")
 		g.counts[event]++
+		if event == "host" {
+			g.past = append(g.past, Moment{task.Now(), "told", g.lives, field(line, "id"), field(line, "state")})
+		}
 		if event == "serving" {
+			g.moment(event)
 			g.listen, g.peer = field(line, "listen"), field(line, "peer_listen")
 			g.serves(g, g.listen, g.peer)
 		}
@@ -262,6 +289,9 @@
 	return counts
 }
 
+var signals = map[syscall.Signal]string{syscall.SIGKILL: "kill", syscall.SIGTERM: "term", syscall.SIGSTOP: "stop",
+	syscall.SIGCONT: "continue"}
+
 // signal sends a signal to the present life.
 func (g *Gateway) signal(s syscall.Signal) (gone chan struct{}, err error) {
 	g.Ask(func() {
@@ -269,6 +299,9 @@
 			err = fmt.Errorf("%s is down", g.Name)
 			return
 		}
+		if what := signals[s]; what != "" {
+			g.moment(what)
+		}
 		gone, err = g.gone, g.cmd.Process.Signal(s)
 	})
 	return gone, err
--- /dev/null
+++ b/lab/fleet/report.go
@@ -0,0 +1,313 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+
+	"ravensill/lab/relay"
+	"ravensill/lab/standin"
+)
+
+// Report is what came of a run, gathered when all reqs had ended: counts, and the logs they are of.
+type Report struct {
+	Scenario     *Scenario
+	Fleet        *Fleet // its processes are ended when Play returns
+	Began, Ended int64  // of the load
+	Injected     []Injected
+	Open         int // reqs that never ended
+	Clients      standin.ClientLog
+	Hosts        []HostReport
+	Gates        []GateReport
+	Changes      []standin.Change
+	Mail         relay.Counts
+	Broken       []string // what does not hold
+
+	byID map[string]int // a req's place in Clients.Reqs
+}
+
+// Injected is a step that was taken.
+type Injected struct {
+	At   int64
+	What string
+}
+
+// HostReport is what came to one host.
+type HostReport struct {
+	standin.HostPlan
+	standin.HostLog
+}
+
+// GateReport is what befell one gateway.
+type GateReport struct {
+	Past   []Moment
+	Counts map[string]int
+	Usage  Usage // of the life at the end; zero where it is down
+}
+
+func (r *Report) gather() {
+	f := r.Fleet
+	r.Clients = f.Clients.Log()
+	for _, h := range f.hosts {
+		r.Hosts = append(r.Hosts, HostReport{h.HostPlan, h.Log()})
+	}
+	for _, g := range f.gates {
+		u, _ := g.Usage()
+		r.Gates = append(r.Gates, GateReport{g.Past(), g.Counts(), u})
+	}
+	r.Changes = f.Agent.Changes()
+	if f.Mail != nil {
+		r.Mail, _ = f.Mail.Counts()
+	}
+	r.Index()
+}
+
+// Index makes reqs findable by their ids; Play has done so.
+func (r *Report) Index() {
+	r.byID = map[string]int{}
+	for i, q := range r.Clients.Reqs {
+		r.byID[q.ID] = i
+	}
+}
+
+// Req finds a req by its id.
+func (r *Report) Req(id string) (q standin.Req, ok bool) {
+	i, ok := r.byID[id]
+	if ok {
+		q = r.Clients.Reqs[i]
+	}
+	return q, ok
+}
+
+// Results counts the reqs' outcomes.
+func (r *Report) Results() map[standin.Result]int {
+	n := map[standin.Result]int{}
+	for _, q := range r.Clients.Reqs {
+		n[q.Result]++
+	}
+	return n
+}
+
+// Summary is a line of the run's counts.
+func (r *Report) Summary() string {
+	results, some := r.Results(), []string{}
+	for _, k := range slices.Sorted(maps.Keys(results)) {
+		some = append(some, fmt.Sprintf("%s %d", k, results[k]))
+	}
+	dispatches := 0
+	for _, h := range r.Hosts {
+		dispatches += len(h.Commands)
+	}
+	return fmt.Sprintf("%d reqs (%s), %d dispatches, %d datagrams (%d lost)", len(r.Clients.Reqs), strings.Join(some, ", "),
+		dispatches, r.Mail.Sent, r.Mail.Lost)
+}
+
+// some prints the first few of what is wrong.
+func some(wrong []string) string {
+	if len(wrong) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d: %s", len(wrong), strings.Join(wrong[:min(3, len(wrong))], "; "))
+}
+
+// Usual are the checks that hold in every run, whatever is injected.
+var Usual = []Check{OneOutcome, LostByFault, Listed, Drained, OnceOnly, Healthy}
+
+// OneOutcome: every req has exactly one outcome, and what passed is what a host made for it.
+var OneOutcome = Check{"one outcome a req", func(r *Report) string {
+	var wrong []string
+	if r.Open > 0 {
+		wrong = append(wrong, fmt.Sprintf("%d reqs without one", r.Open))
+	}
+	if r.Clients.Stray > 0 {
+		wrong = append(wrong, fmt.Sprintf("%d answers to nothing", r.Clients.Stray))
+	}
+	for _, q := range r.Clients.Reqs {
+		if q.Result == standin.Wrong {
+			wrong = append(wrong, q.ID+" got another's value")
+		}
+		if q.Result == standin.Passed && !r.ran(q) {
+			wrong = append(wrong, q.ID+" passed, but "+q.Host+" never had it")
+		}
+	}
+	return some(wrong)
+}}
+
+func (r *Report) ran(q standin.Req) bool {
+	for _, h := range r.Hosts {
+		if h.ID != q.Host {
+			continue
+		}
+		i := sort.Search(len(h.Commands), func(i int) bool { return h.Commands[i].At >= q.At })
+		for ; i < len(h.Commands) && h.Commands[i].At <= q.Ended; i++ {
+			if h.Commands[i].ID == q.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// LostByFault: a req got no answer only where its gateway was down, killed or frozen between its sending and its end.
+var LostByFault = Check{"no req lost without a fault", func(r *Report) string {
+	var wrong []string
+	for _, q := range r.Clients.Reqs {
+		switch q.Result {
+		case standin.Refused, standin.Reset, standin.Crossing, standin.Unheard:
+			if !r.Gates[q.Gateway].fault(q.At, q.Ended) {
+				wrong = append(wrong, fmt.Sprintf("%s at %s: %s", q.ID, Name(q.Gateway), q.Result))
+			}
+		}
+	}
+	return some(wrong)
+}}
+
+// fault tells whether a gateway did not serve, or was frozen, at some time between two.
+func (g *GateReport) fault(from, to int64) bool {
+	bad, since := true, int64(0) // until it serves first
+	for _, m := range g.Past {
+		switch m.What {
+		case "serving", "continue":
+			if bad && since <= to && m.At >= from {
+				return true
+			}
+			bad = false
+		case "kill", "stop", "exited":
+			if !bad {
+				bad, since = true, m.At
+			}
+		}
+	}
+	return bad && since <= to
+}
+
+// Listed: no dispatch went to a host that its gateway was never told of.
+var Listed = Check{"no dispatch to a host never listed", func(r *Report) string {
+	told := map[string][]standin.Change{}
+	for _, c := range r.Changes {
+		for _, e := range c.Entries {
+			told[e.ID] = append(told[e.ID], c)
+		}
+	}
+	var wrong []string
+	for _, h := range r.Hosts {
+		for _, c := range h.Commands {
+			q, ok := r.Req(c.ID)
+			if !ok {
+				wrong = append(wrong, c.ID+" was sent by no client")
+			} else if !slices.ContainsFunc(told[h.ID], func(t standin.Change) bool {
+				return t.At <= c.At && (t.Only == nil || slices.Contains(t.Only, q.Gateway))
+			}) {
+				wrong = append(wrong, fmt.Sprintf("%s by %s to %s", c.ID, Name(q.Gateway), h.ID))
+			}
+		}
+	}
+	return some(wrong)
+}}
+
+// Drained: a req that was sent after its gateway had logged that a host drains or is gone does not reach that host,
+// until the host is told of anew or the gateway has another life.
+var Drained = Check{"nothing for a drained host", func(r *Report) string {
+	type drain struct{ from, to int64 }
+	drains := map[string][]drain{} // by gateway and host
+	for i, g := range r.Gates {
+		for k, m := range g.Past {
+			if m.What != "told" {
+				continue
+			}
+			d := drain{m.At, r.Ended + 1<<40}
+			for _, n := range g.Past[k:] {
+				if n.Life != m.Life || n.What == "exited" {
+					d.to = min(d.to, n.At)
+				}
+			}
+			for _, c := range r.Changes {
+				for _, e := range c.Entries {
+					if e.ID == m.Host && e.State == "active" && c.At > m.At {
+						d.to = min(d.to, c.At)
+					}
+				}
+			}
+			key := Name(i) + " " + m.Host
+			drains[key] = append(drains[key], d)
+		}
+	}
+	var wrong []string
+	for _, h := range r.Hosts {
+		for _, c := range h.Commands {
+			q, _ := r.Req(c.ID)
+			for _, d := range drains[Name(q.Gateway)+" "+h.ID] {
+				if q.At > d.from && c.At < d.to {
+					wrong = append(wrong, fmt.Sprintf("%s by %s to %s", c.ID, Name(q.Gateway), h.ID))
+				}
+			}
+		}
+	}
+	return some(wrong)
+}}
+
+// OnceOnly: a req that may not run twice ran at one host at most, unless its client sent it again after a close.
+var OnceOnly = Check{"no second run of a non-replayable req", func(r *Report) string {
+	post := map[string]bool{}
+	for _, l := range r.Scenario.Loads {
+		for _, c := range l.Classes {
+			post[c.Name] = c.Post && !c.Keyed
+		}
+	}
+	runs, wrong := map[string]int{}, []string{}
+	for _, h := range r.Hosts {
+		for _, c := range h.Commands {
+			if c.Outcome == "busy" || !post[c.Class] {
+				continue
+			}
+			if runs[c.ID]++; runs[c.ID] == 2 {
+				if q, _ := r.Req(c.ID); !q.Twice {
+					wrong = append(wrong, c.ID)
+				}
+			}
+		}
+	}
+	return some(wrong)
+}}
+
+// Healthy: no process panicked, printed a trace, or ended unless it was told to; no host had a command that no client
+// sends.
+var Healthy = Check{"no panic, no end unasked", func(r *Report) string {
+	var wrong []string
+	for i, g := range r.Gates {
+		if n := g.Counts["panic"] + g.Counts["unnamed"]; n > 0 {
+			wrong = append(wrong, fmt.Sprintf("%s: %d lines of panics or traces", Name(i), n))
+		}
+		asked := false
+		for _, m := range g.Past {
+			switch m.What {
+			case "launched":
+				asked = false
+			case "kill", "term":
+				asked = true
+			case "exited":
+				if !asked {
+					wrong = append(wrong, Name(i)+" ended by itself")
+				}
+			}
+		}
+	}
+	for _, h := range r.Hosts {
+		if h.Bad > 0 {
+			wrong = append(wrong, fmt.Sprintf("%s: %d commands that no client sent so", h.ID, h.Bad))
+		}
+	}
+	return some(wrong)
+}}
+
+// Served: at least a part of the reqs passed.
+func Served(part float64) Check {
+	return Check{fmt.Sprintf("%g of the reqs passed", part), func(r *Report) string {
+		if got := float64(r.Results()[standin.Passed]) / float64(max(1, len(r.Clients.Reqs))); got < part {
+			return fmt.Sprintf("%.4f: %s", got, r.Summary())
+		}
+		return ""
+	}}
+}
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -54,14 +54,16 @@
 	port   uint16
 	net    byte
 	views  []*view
-	log    []change // all changes, in order; the version is the index
+	log    []Change // all changes, in order; the version is the index
 	told   []Told
 	asked  map[int]int // calls by gateway
 }
 
-type change struct {
-	entries []Entry
-	only    []int // gateways whose agents ever receive it; nil all
+// Change is one change of the list.
+type Change struct {
+	At      int64
+	Entries []Entry
+	Only    []int // gateways whose agents ever receive it; nil all
 }
 
 // view is what one gateway's agent has received.
@@ -100,7 +102,7 @@
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	a := &Agent{Task: task.New(), net: net1, port: netip.MustParseAddrPort(ln.Addr().String()).Port(),
-		log: []change{{}, {entries: entries}}, asked: map[int]int{}}
+		log: []Change{{}, {At: task.Now(), Entries: entries}}, asked: map[int]int{}}
 	for i := range gateways {
 		a.views = append(a.views, &view{gateway: i, upto: 1, watches: map[*watcher]bool{}})
 	}
@@ -158,7 +160,7 @@
 func (a *Agent) PushTo(gateways []int, entries ...Entry) (version int) {
 	a.Ask(func() {
 		version = len(a.log)
-		a.log = append(a.log, change{entries, gateways})
+		a.log = append(a.log, Change{task.Now(), entries, gateways})
 		for _, v := range a.views {
 			if v.mode.Delay > 0 {
 				a.After(v.mode.Delay, func() { a.receive(v, version) })
@@ -210,10 +212,10 @@
 	last := map[string]Entry{}
 	var order []string
 	for _, c := range a.log[after+1 : v.upto+1] {
-		if c.only != nil && !slices.Contains(c.only, v.gateway) {
+		if c.Only != nil && !slices.Contains(c.Only, v.gateway) {
 			continue
 		}
-		for _, e := range c.entries {
+		for _, e := range c.Entries {
 			if _, ok := last[e.ID]; !ok {
 				order = append(order, e.ID)
 			}
@@ -264,6 +266,12 @@
 	return told
 }
 
+// Changes gives all changes so far; the first is what all had at the start.
+func (a *Agent) Changes() (all []Change) {
+	a.Ask(func() { all = slices.Clone(a.log[1:]) })
+	return all
+}
+
 // Asked tells how often each gateway called.
 func (a *Agent) Asked() (asked map[int]int) {
 	a.Ask(func() { asked = maps.Clone(a.asked) })
