--- a/lab/spreadsim/rules.go
+++ b/lab/spreadsim/rules.go
@@ -47,7 +47,7 @@
 	all := make([]*spread.Host, len(hosts))
 	held := make([][]int, seats)
 	for seat := range seats {
-		own := slices.Clone(hosts)
+		own := slices.Clone(hosts) // in the order of the list, which all gateways of the model share
 		for i := range own {
 			all[i] = &own[i]
 		}
@@ -65,16 +65,20 @@
 func Rendezvous(seats int, hosts []spread.Host) [][]int {
 	held := make([][]int, seats)
 	for seat := range seats {
-		order, rank := numbers(len(hosts)), make([]float64, len(hosts))
-		for i, h := range hosts {
-			rank[i] = math.Log((float64(mix(mix(uint64(seat)+1)^h.Hash)>>11)+0.5)/(1<<53)) / max(h.Weight, 0.01)
-		}
-		slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rank[b], rank[a]) })
-		held[seat] = order[:holds(seats, len(hosts))]
+		held[seat] = rendezvous(seat, seats, hosts)
 	}
 	return held
 }
 
+func rendezvous(seat, seats int, hosts []spread.Host) []int {
+	order, rank := numbers(len(hosts)), make([]float64, len(hosts))
+	for i, h := range hosts {
+		rank[i] = math.Log((float64(mix(mix(uint64(seat)+1)^h.Hash)>>11)+0.5)/(1<<53)) / max(h.Weight, 0.01)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rank[b], rank[a]) })
+	return order[:holds(seats, len(hosts))]
+}
+
 func numbers(n int) []int {
 	order := make([]int, n)
 	for i := range order {
--- a/lab/spreadsim/spreadsim_test.go
+++ b/lab/spreadsim/spreadsim_test.go
@@ -1,12 +1,42 @@
 package spreadsim
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"ravensill/internal/golden"
+	"ravensill/spread"
 )
 
 // TestTable: the table of docs/spread.md, with fewer lists. That "deal" is the most even is read off its rows.
 func TestTable(t *testing.T) {
 	golden.Check(t, Table([]Fleet{{300, 200, 0}, {300, 190, 0}, {300, 60, 0.25}, {80, 60, 0}, {24, 200, 0.25}}, 2, 1))
 }
+
+// BenchmarkDeal: what a gateway computes at a change of the list, and its ratio to the landed rule in the same run.
+func BenchmarkDeal(b *testing.B) {
+	for _, f := range []Fleet{{3, 10, 0}, {80, 60, 0}, {300, 60, 0.25}, {300, 200, 0}, {300, 200, 0.25}} {
+		b.Run(fmt.Sprintf("%d x %d", f.Gateways, f.Hosts), func(b *testing.B) {
+			hosts, all := make([]spread.Host, f.Hosts), make([]*spread.Host, f.Hosts)
+			for i := range hosts {
+				hosts[i] = spread.Host{Hash: mix(uint64(i + 1)), Weight: 1}
+				if float64(i) < f.Light*float64(f.Hosts) {
+					hosts[i].Weight = 0.25
+				}
+				all[i] = &hosts[i]
+			}
+			var landed, now time.Duration
+			for i := range b.N {
+				start := time.Now()
+				rendezvous(i%f.Gateways, f.Gateways, hosts)
+				landed += time.Since(start)
+				start = time.Now()
+				spread.Deal(i%f.Gateways, f.Gateways, all)
+				now += time.Since(start)
+			}
+			b.ReportMetric(float64(now)/float64(b.N), "ns/deal")
+			b.ReportMetric(float64(now)/float64(landed), "of-landed")
+		})
+	}
+}
