Hook: fleet.choose deals by package spread, alike at all gateways

Traces in logic/testdata are unchanged: small fleets hold all hosts under both rules. TestSubset failed on the old rule's held counts (0.3 to 1.8 of the mean) and now wants each within one of its part, lists in two orders.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,7 +5,7 @@
 //
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, Gateway.refill)
 //  2. the cap on open reqs: asked of the shared counter, else guessed (Gateway.counted, customer.openChance)
-//  3. bounded load among a subset of the hosts: the first in rank not much busier than the least (fleet.pick)
+//  3. bounded load among a subset of the hosts (package spread): the first in rank not much busier (fleet.pick)
 //  4. a limit on what is out from here, moved by how late answers are; low worth gives way (package limit)
 //  5. hosts that fail a frontend or fall silent are in doubt (health), as are customers that go unanswered
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
@@ -20,6 +20,7 @@
 	"ravensill/gateway"
 	"ravensill/internal/mail"
 	"ravensill/limit"
+	"ravensill/spread"
 )
 
 const (
@@ -38,8 +39,6 @@
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	ample     = 1.2         // times the least load: enough for a host
 	span      = 5 * second  // a number at the counter covers so long
-	cover     = 12          // gateways whose subsets hold a host, on average
-	fewest    = 6           // hosts in a subset
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
@@ -564,15 +563,12 @@
 }
 
 type host struct {
+	spread.Host // of this gateway's subset or not
 	id          uint32
-	hash        uint64
 	state       gateway.State
-	share       float64 // weight in the list
-	in          bool    // of this gateway's subset
-	since       int64   // its last start
+	since       int64 // its last start
 	out         []*send
 	pace, util  float64 // its answers' time against the usual; told busy share
-	rank        float64 // in this gateway's choice of hosts
 	load, allow float64 // how long an answer would take; dispatches it may get while cold
 	fronts      []health
 }
@@ -593,7 +589,7 @@
 
 func (o *health) fail(now int64) { o.bad, o.at = 0.9, now }
 
-func (h *host) tag(front int) uint16 { return uint16(h.hash>>16)*uint16(front) + uint16(h.hash) }
+func (h *host) tag(front int) uint16 { return uint16(h.Hash>>16)*uint16(front) + uint16(h.Hash) }
 
 func (f *fleet) list(kind gateway.List, news []gateway.Listing) {
 	for _, h := range f.hosts {
@@ -605,33 +601,29 @@
 		i, known := slices.BinarySearchFunc(f.hosts, l.Host,
 			func(h *host, id uint32) int { return cmp.Compare(h.id, id) })
 		if !known {
-			f.hosts = slices.Insert(f.hosts, i, &host{id: l.Host, hash: mix(uint64(l.Host) + 1)})
+			f.hosts = slices.Insert(f.hosts, i, &host{id: l.Host, Host: spread.Host{Hash: mix(uint64(l.Host) + 1)}})
 		}
 		h := f.hosts[i]
 		if !known || l.Since > h.since { // a new start: what was learned of the old process is void
 			h.since, h.pace, h.allow, h.util, h.fronts = l.Since, 1, f.rnd.part(), 0, make([]health, f.fronts)
 		}
-		h.state, h.share = l.State, l.Share
+		h.state, h.Weight = l.State, l.Share
 	}
 	f.hosts = slices.DeleteFunc(f.hosts, func(h *host) bool { return h.state == gateway.Gone })
 	f.limit.Hosts(len(f.hosts)) // a record ends with its host, as does its part of the limit
 	f.choose()
 }
 
-// choose takes a subset of the hosts by weighted rendezvous hashing: a gateway of many keeps few connections
-// and hears often of each, and a change of the list moves few. The others serve where none of it will do.
+// choose takes this gateway's subset of the hosts: a gateway of many keeps few connections and hears often of
+// each. The others serve where none of it will do.
 func (f *fleet) choose() {
-	var running []*host
+	var running []*spread.Host
 	for _, h := range f.hosts {
-		if h.in = false; h.state == gateway.Running {
-			running = append(running, h)
-			h.rank = math.Log((float64(mix(mix(uint64(f.seat)+1)^h.hash)>>11)+0.5)/(1<<53)) / max(h.share, 0.01)
+		if h.Held = false; h.state == gateway.Running {
+			running = append(running, &h.Host)
 		}
 	}
-	slices.SortStableFunc(running, func(a, b *host) int { return cmp.Compare(b.rank, a.rank) })
-	for _, h := range running[:min(max((cover*len(running)+f.seats-1)/f.seats, fewest), len(running))] {
-		h.in = true
-	}
+	spread.Deal(f.seat, f.seats, running)
 }
 
 // warmth is the part of its capacity that a host surely has.
@@ -656,7 +648,7 @@
 		if h.state == gateway.Running && (f.warmth(h, now) >= 1 || h.allow >= 1) && h != last {
 			h.load = h.pace * float64(len(h.out)+1) * (1 + h.util)
 			// Still of use: where all are in doubt the cause is shared; the others of the subset go first.
-			if h.load *= 1 + shunned*h.of(fr).doubt(now); !h.in {
+			if h.load *= 1 + shunned*h.of(fr).doubt(now); !h.Held {
 				h.load *= shunned
 			}
 		}
@@ -669,7 +661,7 @@
 	}
 	for _, h := range f.hosts {
 		if h.load <= enough && least < math.MaxFloat64 &&
-			(first == nil || mix(uint64(c.hash)^h.hash) > mix(uint64(c.hash)^first.hash)) {
+			(first == nil || mix(uint64(c.hash)^h.Hash) > mix(uint64(c.hash)^first.Hash)) {
 			first = h
 		}
 	}
@@ -681,12 +673,12 @@
 	f.out++
 	sum := 0.0
 	for _, h := range f.hosts {
-		if h.state == gateway.Running && h.in && h.of(fr).doubt(now) < doubtful {
+		if h.state == gateway.Running && h.Held && h.of(fr).doubt(now) < doubtful {
 			sum += f.warmth(h, now)
 		}
 	}
 	for _, h := range f.hosts {
-		if w := f.warmth(h, now); w < 1 && h.in {
+		if w := f.warmth(h, now); w < 1 && h.Held {
 			h.allow = min(h.allow+w/max(sum, 1), 1.5)
 		}
 	}
