--- a/logic/logic.go
+++ b/logic/logic.go
@@ -163,7 +163,8 @@
 	r := &req{id: e.Req, customer: c, front: fr, units: e.Units, arrived: at, until: e.Until}
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
-	g.came, g.largest = g.came+1, max(g.largest, r.units)
+	g.came++
+	g.largest = max(g.largest, r.units)
 	g.refill(c)
 	c.ask += r.units
 	// The counter may be asked about the cap where it answers and the client will still be there.
@@ -228,7 +229,8 @@
 func (g *Gateway) dispatch(r *req, h *host) {
 	g.considered(r, h)
 	r.out = &send{req: r, host: h, n: r.tries, at: g.now}
-	r.tries, r.customer.open = r.tries+1, r.customer.open+1
+	r.tries++
+	r.customer.open++
 	h.out = append(h.out, r.out)
 	g.fleet.sent(h, r.front, g.now)
 	g.out.Dispatch(r.id, h.id, max(g.end(r)-g.now, 1000))
--- a/logic/options.go
+++ b/logic/options.go
@@ -29,13 +29,13 @@
 		if in {
 			n++
 		}
-		if h == chosen || !in && (!h.in || math.IsInf(h.load, 1)) {
+		if h == chosen || !in && (!h.Held || math.IsInf(h.load, 1)) {
 			continue
 		}
 		o := gateway.Option{Host: h.id, Load: h.load}
 		if in {
 			o.Chance = 1
-			if next == nil || mix(uint64(r.customer.hash)^h.hash) > mix(uint64(r.customer.hash)^next.hash) {
+			if next == nil || mix(uint64(r.customer.hash)^h.Hash) > mix(uint64(r.customer.hash)^next.Hash) {
 				next, at = h, len(all)
 			}
 		}
