--- a/counterfactual/ledger.go
+++ b/counterfactual/ledger.go
@@ -167,6 +167,34 @@
 // Sealed gives the newest bin that no longer changes.
 func (l *Ledger) Sealed(now int64) int64 { return (now-l.set.Grace)/l.set.Window - 1 }
 
+// First gives the oldest bin that holds anything; what has none is asked from 0.
+func (l *Ledger) First() (first int64) {
+	for _, t := range l.gateways {
+		for _, w := range t.windows {
+			if first == 0 || w.bin < first {
+				first = w.bin
+			}
+		}
+	}
+	return first
+}
+
+// Hosts gives the hosts that a frontend's dispatches of the bins from..to could have gone to.
+func (l *Ledger) Hosts(frontend int, from, to int64) []uint32 {
+	from, to = l.span(from, to)
+	seen := map[uint32]bool{}
+	for at := from; at <= to; at++ {
+		if b := l.bins[at]; b != nil {
+			for k, x := range b.cells {
+				if int(k.Frontend) == frontend && x.want[Single] > 0 {
+					seen[k.Host] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // sweep forgets the bins that are too old.
 func (l *Ledger) sweep(now int64) {
 	oldest := now/l.set.Window - int64(l.set.Bins)
--- a/counterfactual/record.go
+++ b/counterfactual/record.go
@@ -28,6 +28,12 @@
 
 func (r Rule) String() string { return ruleNames[r] }
 
+// ReadRule finds a rule by its name.
+func ReadRule(name string) (Rule, bool) {
+	i := slices.Index(ruleNames[:], name)
+	return Rule(max(i, 0)), i >= 0
+}
+
 // End tells how a dispatch ended, in what it says of the host's time.
 type End uint8
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Known      string           // the list as last had; may be empty
 	Fixed      uint64           // a hash of the keys that count from the start on only
 	*Settings
+	Counterfactual *Counterfactual // nil: off
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
@@ -123,6 +124,10 @@
 			fail("peers", fmt.Errorf("%d addresses for %d gateways", len(c.Peers), c.Seat.Count))
 		}
 	}
+	if s.err == nil {
+		c.Counterfactual, err = c.counterfactual(s.obj.Get("counterfactual").Raw)
+		fail("counterfactual", err)
+	}
 	return c, s.err
 }
 
