Hook: the node hands the counterfactual task a record of each dispatch that ended

Where the section is on, the module's Writer is the node with a Witness about it (internal/node/witness.go): it notes what a dispatch was picked among and offers the record when the dispatch ends. In node.go: two fields, the Writer in place of the node, the start, and a line each where a dispatch ends and a list comes; with the section off these are calls on nil.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -146,6 +146,7 @@
 	file       string
 	cfg        map[string]any
 	addr, peer string        // where it listens
+	witnessing string        // the line of the task that records dispatches, where that is on
 	watches    chan net.Conn // discovery's, past the head of the answer
 	asked      chan string   // by these
 	log        chan string
@@ -209,6 +210,9 @@
 	}()
 	w.Cleanup(func() { w.cmd.Process.Kill() })
 	line := w.line("event=")
+	if strings.Contains(line, "event=witnessing") {
+		w.witnessing, line = line, w.line("event=")
+	}
 	if strings.Contains(line, "event=start_failed") {
 		w.addr = line
 	} else {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,14 +66,16 @@
 	post    *peers.Post
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
-	pause   time.Duration // before the list is asked for again; 0 while it is watched
-	broken  int           // lists dropped
-	strange int           // datagrams dropped since the last line on them
-	lineAt  int64         // of that line
-	tallyAt int64         // of the last line of decisions
-	stopAt  int64         // the next step to the end is due then; 0 none
-	leaveAt int64         // what is taken has its answer by then; 0 not called to stop
-	stopped bool          // no more clients are taken in: the gateway ends with its last connection
+	out     gateway.Writer // what the module writes to: the node, or its witness
+	witness *watching      // nil: off
+	pause   time.Duration  // before the list is asked for again; 0 while it is watched
+	broken  int            // lists dropped
+	strange int            // datagrams dropped since the last line on them
+	lineAt  int64          // of that line
+	tallyAt int64          // of the last line of decisions
+	stopAt  int64          // the next step to the end is due then; 0 none
+	leaveAt int64          // what is taken has its answer by then; 0 not called to stop
+	stopped bool           // no more clients are taken in: the gateway ends with its last connection
 }
 
 // watch is one try to follow the list; only what the newest brings counts.
@@ -106,7 +108,7 @@
 func New(cfg *config.Config, module Decider) *Node {
 	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
 		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
-	n.unix = n.epoch.UnixNano()
+	n.unix, n.out = n.epoch.UnixNano(), n
 	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
 	for _, f := range cfg.Fronts {
 		words.Effects = append(words.Effects, f.Effect)
@@ -147,6 +149,11 @@
 		defer n.counter.Close()
 		n.counter.Connect()
 	}
+	unwatch, err := n.watchOver()
+	if err != nil {
+		return err
+	}
+	defer unwatch()
 	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
 	if err != nil {
 		return err
@@ -279,7 +286,7 @@
 				panic(p)
 			}
 		}()
-		n.module.Round(&n.round, n)
+		n.module.Round(&n.round, n.out)
 	})
 }
 
@@ -380,6 +387,7 @@
 	r, n := d.req, d.node
 	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
 	e.Kind, e.Host, e.Dispatch, e.Lag = gateway.Ended, d.host, d.n, came-d.at
+	n.witness.ended(d, e.Result, e.Lag)
 	if r == nil {
 		e.Kind = gateway.Probed
 	} else {
@@ -519,6 +527,7 @@
 	if old {
 		kind = gateway.Old
 	}
+	n.witness.listed(list)
 	for _, l := range list {
 		if l.State != gateway.Running {
 			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
--- /dev/null
+++ b/internal/node/witness.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"ravensill/counterfactual"
+	"ravensill/gateway"
+	"ravensill/internal/witness"
+)
+
+// watching stands between the module and the node where the section counterfactual is on: it is the Writer that is
+// also a Witness, and hands the task a record of each dispatch that ended. Its fields belong to the loop.
+type watching struct {
+	*Node
+	task   *witness.Witness
+	places map[uint32]place
+	open   map[*dispatch]*witness.Entry
+	next   *witness.Entry // of the dispatch that comes next
+}
+
+type place struct {
+	zone int
+	born uint32
+}
+
+// watchOver starts the task, where it is configured; the returned function ends it.
+func (n *Node) watchOver() (stop func(), err error) {
+	if n.cfg.Counterfactual == nil {
+		return func() {}, nil
+	}
+	var targets []int64
+	for _, f := range n.cfg.Fronts {
+		targets = append(targets, f.Target)
+	}
+	task, err := witness.Open(n.cfg.Counterfactual, n.cfg.Seat.Index, n.cfg.Seat.Zone, n.cfg.Seat.Count,
+		n.cfg.FrontNames, targets)
+	if err != nil {
+		return nil, err
+	}
+	n.witness = &watching{Node: n, task: task, places: map[uint32]place{}, open: map[*dispatch]*witness.Entry{}}
+	n.out = n.witness
+	return task.Close, nil
+}
+
+// Considered notes what the dispatch that comes next was chosen among.
+func (w *watching) Considered(req string, customer uint32, options []gateway.Option) {
+	e := &witness.Entry{Req: req, Record: counterfactual.Record{Customer: customer,
+		Options: make([]counterfactual.Option, len(options))}}
+	for i, o := range options {
+		p := w.places[o.Host]
+		e.Options[i] = counterfactual.Option{Host: o.Host, Born: p.born, Zone: p.zone, Chance: o.Chance, Load: o.Load}
+	}
+	w.next = e
+}
+
+// Dispatch sends the req on; its record waits for the end.
+func (w *watching) Dispatch(id string, host uint32, timeout int64) {
+	e := w.next
+	w.next = nil
+	w.Node.Dispatch(id, host, timeout)
+	r := w.reqs[id]
+	if e == nil || e.Req != id || r == nil || len(w.Node.open) == 0 {
+		return
+	}
+	d := w.Node.open[len(w.Node.open)-1]
+	if d.req != r { // it has ended already, unsent
+		return
+	}
+	for i := range w.cfg.Fronts {
+		if r.front == &w.cfg.Fronts[i] {
+			e.Frontend = i
+		}
+	}
+	e.Try, e.At = d.n, d.at
+	w.open[d] = e
+}
+
+// ended hands over the record of a dispatch. One that was never sent says nothing of its host.
+func (w *watching) ended(d *dispatch, result gateway.Result, lag int64) {
+	if w == nil {
+		return
+	}
+	e := w.open[d]
+	if e == nil {
+		return
+	}
+	delete(w.open, d)
+	switch e.Lag = lag; result {
+	case gateway.Skipped:
+		return
+	case gateway.Passed:
+	case gateway.TimedOut, gateway.Canceled:
+		e.End = counterfactual.Cut
+	default:
+		e.End = counterfactual.Failed
+	}
+	w.task.Offer(*e)
+}
+
+// listed notes where hosts stand and when their processes began.
+func (w *watching) listed(list []gateway.Listing) {
+	if w == nil {
+		return
+	}
+	for _, l := range list {
+		if l.State == gateway.Gone {
+			delete(w.places, l.Host)
+		} else {
+			w.places[l.Host] = place{l.Zone, uint32(l.Since / 1e6)}
+		}
+	}
+}
