--- /dev/null
+++ b/lab/fleet/full_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ravensill/lab/standin"
+)
+
+var (
+	full  = flag.Int("full", 0, "processes of the full-size measurements; 0 leaves them out")
+	hosts = flag.Int("hosts", 60, "hosts of the full-size measurements")
+	rate  = flag.Float64("rate", 2000, "reqs a second of the full-size measurements")
+	cases = flag.String("cases", "steady", "full-size scenarios whose names hold this")
+	into  = flag.String("into", "", "file that the figures are added to; empty prints them only")
+)
+
+// The full size writes figures; what must hold in every run decides here too.
+func TestFull(t *testing.T) {
+	if *full == 0 {
+		t.Skip("no -full")
+	}
+	z := Size{Gateways: *full, Hosts: *hosts, Rate: *rate, Seed: 11}
+	steady := z.case1("steady", 22*time.Second, 0.95)
+	steady.Loads[0].Skew, steady.Loads[0].Classes = 0, []standin.Class{{Name: "lookup", Wait: 3 * time.Second, Part: 1}}
+	binaries := map[string]string{"the program": ""}
+	if other := os.Getenv("RAVENSILL_OTHER"); other != "" {
+		binaries["the other program"] = other
+	}
+	for _, s := range append([]Scenario{steady}, z.Cases()...) {
+		if !strings.Contains(s.Name, *cases) {
+			continue
+		}
+		t.Run(s.Name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+			defer cancel()
+			var text strings.Builder
+			must(t, Measure(ctx, &text, s, binaries))
+			fmt.Println(text.String())
+			if *into != "" {
+				must(t, os.MkdirAll(filepath.Dir(*into), 0o755))
+				w, err := os.OpenFile(*into, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+				must(t, err)
+				_, err = w.WriteString(text.String())
+				must(t, err, w.Close())
+			}
+			if strings.Contains(text.String(), "Does not hold") {
+				t.Error("see above")
+			}
+		})
+	}
+}
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"ravensill/lab/relay"
 	"ravensill/lab/standin"
@@ -25,7 +26,8 @@
 	Mail         relay.Counts
 	Broken       []string // what does not hold
 
-	byID map[string]int // a req's place in Clients.Reqs
+	byID   map[string]int // a req's place in Clients.Reqs
+	before []Usage
 }
 
 // Injected is a step that was taken.
@@ -44,18 +46,19 @@
 type GateReport struct {
 	Past   []Moment
 	Counts map[string]int
-	Usage  Usage // of the life at the end; zero where it is down
+	Before Usage // of the life as the load began,
+	Usage  Usage // and of the one at its end; zero where it is down
 }
 
 func (r *Report) gather() {
 	f := r.Fleet
+	after := f.usage()
 	r.Clients = f.Clients.Log()
 	for _, h := range f.hosts {
 		r.Hosts = append(r.Hosts, HostReport{h.HostPlan, h.Log()})
 	}
-	for _, g := range f.gates {
-		u, _ := g.Usage()
-		r.Gates = append(r.Gates, GateReport{g.Past(), g.Counts(), u})
+	for i, g := range f.gates {
+		r.Gates = append(r.Gates, GateReport{g.Past(), g.Counts(), r.before[i], after[i]})
 	}
 	r.Changes = f.Agent.Changes()
 	if f.Mail != nil {
@@ -64,6 +67,34 @@
 	r.Index()
 }
 
+// usage reads what each process has used; zero for one that is down.
+func (f *Fleet) usage() (all []Usage) {
+	for _, g := range f.gates {
+		u, _ := g.Usage()
+		all = append(all, u)
+	}
+	return all
+}
+
+// Cost is what the processes that lived through the load used: the mean and the largest of their memory, and the part
+// of a core that each took, and the processor time a req of all together.
+func (r *Report) Cost() string {
+	n, rss, most, cpu := 0, 0, 0, time.Duration(0)
+	for _, g := range r.Gates {
+		if g.Usage.RSS == 0 || g.Usage.CPU < g.Before.CPU || len(g.Past) > 2 {
+			continue
+		}
+		n++
+		rss, most, cpu = rss+g.Usage.RSS, max(most, g.Usage.Peak), cpu+g.Usage.CPU-g.Before.CPU
+	}
+	if n == 0 {
+		return "none lived through"
+	}
+	return fmt.Sprintf("%d lived through: memory %.1f MB each, at most %.1f MB; %.4f of a core each, %.2f ms of processor a req",
+		n, float64(rss)/float64(n)/1e6, float64(most)/1e6, cpu.Seconds()/float64(n)/(float64(r.Ended-r.Began)/1e9),
+		cpu.Seconds()*1000/float64(len(r.Clients.Reqs))*float64(len(r.Gates))/float64(n))
+}
+
 // Index makes reqs findable by their ids; Play has done so.
 func (r *Report) Index() {
 	r.byID = map[string]int{}
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -169,7 +169,8 @@
 	if err := f.watching(ctx); err != nil {
 		return nil, err
 	}
-	r := &Report{Scenario: s, Fleet: f, Began: task.Now()}
+	r := &Report{Scenario: s, Fleet: f, before: f.usage()}
+	r.Began = task.Now()
 	var runs []*standin.Run
 	for _, l := range s.Loads {
 		runs = append(runs, f.Clients.Start(l))
