--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -188,7 +188,8 @@
 		switch q.Result {
 		case standin.Refused, standin.Reset, standin.Crossing, standin.Unheard:
 			if !r.Gates[q.Gateway].fault(q.At, q.Ended) {
-				wrong = append(wrong, fmt.Sprintf("%s at %s: %s", q.ID, Name(q.Gateway), q.Result))
+				wrong = append(wrong, fmt.Sprintf("%s at %s: %s, sent %.1f s after the load's start", q.ID, Name(q.Gateway),
+					q.Result, float64(q.At-r.Began)/1e9))
 			}
 		}
 	}
