--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -82,6 +82,27 @@
 	}}
 }
 
+// Roll is a step that restarts n gateways as planned: SIGTERM, new connections for 0.3 s more, then only those that are
+// open, until each process has ended by itself; then another life. It goes on while later steps are taken.
+func Roll(at time.Duration, n int, name string) Step {
+	return Step{at, fmt.Sprintf("roll %d gateways (%s)", n, name), func(ctx context.Context, f *Fleet) error {
+		some := f.Some(n, name)
+		if err := f.Each(some, (*Gateway).Term); err != nil {
+			return err
+		}
+		time.Sleep(300 * time.Millisecond)
+		f.Clients.Lame(true, some...)
+		f.later.Go(func() error {
+			err := f.Each(some, func(g *Gateway) error {
+				return errors.Join(g.WaitExit(ctx), g.Restart(ctx, false))
+			})
+			f.Clients.Lame(false, some...)
+			return err
+		})
+		return nil
+	}}
+}
+
 // Freeze and Thaw are steps that stop n gateways by SIGSTOP and let them go on.
 func Freeze(at time.Duration, n int, name string) Step {
 	return Step{at, fmt.Sprintf("freeze %d gateways (%s)", n, name), func(ctx context.Context, f *Fleet) error {
@@ -197,6 +218,9 @@
 	if err := wait(s.Warm + s.For); err != nil {
 		return nil, err
 	}
+	if err := f.later.Wait(); err != nil {
+		return nil, err
+	}
 	for _, run := range runs {
 		run.Stop()
 	}
