--- a/lab/fleet/cases.go
+++ b/lab/fleet/cases.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"ravensill/lab/relay"
@@ -95,5 +96,18 @@
 		}
 	}
 	rolled := z.case1("a quarter restarted by SIGTERM under open connections", 8*second, 0.95, Roll(1*second, g/4, "rolled"))
+	after := func(s *Scenario, hosts []int, times ...float64) {
+		for i := 0; i+1 < len(times); i++ {
+			from, to := time.Duration(times[i]*float64(second)), time.Duration(times[i+1]*float64(second))
+			s.Stretches = append(s.Stretches, Stretch{fmt.Sprintf("%g to %g s", times[i], times[i+1]), from, to, hosts})
+		}
+	}
+	after(&killed, nil, -1.5, 1, 3, 6)
+	after(&rolled, nil, -1.5, 1, 5, 8)
+	after(&frozen, nil, -1.5, 1, 2.5, 5)
+	after(&parted, nil, -1.5, 1, 4, 6, 8)
+	after(&lists, Seats(2, h), -1.5, 0.5, 3.5, 6.5, 8)
+	after(&replaced, Seats(swap, h), -1.5, 0, 3.5, 7, 10)
+	after(&one, nil, -1.5, 1, 5)
 	return []Scenario{killed, rolled, frozen, parted, lists, replaced, one, hot, few, alone, light}
 }
--- a/lab/fleet/evenness.go
+++ b/lab/fleet/evenness.go
@@ -17,6 +17,7 @@
 	Windows           map[time.Duration]Spread // by length
 	Idle              float64                  // stretches of 2 s in which a host got nothing while the mean host got 5 or more
 	Held              [3]float64               // gateways that sent to a host: least, mean, most
+	Opened, Standing  int                      // connections that came up, and that stood as the stretch began
 	Over              time.Duration            // longest time that a host stayed above 1.5 times its part, in windows of 1 s
 	OverHosts         float64                  // hosts that did so for over 1 s
 }
@@ -69,6 +70,14 @@
 				gates[q.Gateway] = true
 			}
 		}
+		for _, at := range r.Hosts[h].Opens {
+			if at >= from && at < to {
+				fleet.Opened++
+			}
+		}
+		if s, ok := r.Hosts[h].At(from); ok {
+			fleet.Standing += s.Conns
+		}
 		all += len(gates)
 		least, most = min(least, float64(len(gates))), max(most, float64(len(gates)))
 	}
--- a/lab/fleet/measure.go
+++ b/lab/fleet/measure.go
@@ -7,18 +7,10 @@
 	"time"
 )
 
-// Stretch is a part of a run whose evenness is measured: from one time to another after the load's warm-up, at hosts
-// that ran and were listed all along.
-type Stretch struct {
-	What     string
-	From, To time.Duration
-	Hosts    []int
-}
-
 // Measure plays a scenario with each of some programs and writes what came of it: cost, outcomes, and for each stretch
 // the fleet's evenness beside chance and round robin on the very same dispatches. binaries are paths by what they are
 // called; "" is the program as it is.
-func Measure(ctx context.Context, w io.Writer, s Scenario, binaries map[string]string, stretches ...Stretch) error {
+func Measure(ctx context.Context, w io.Writer, s Scenario, binaries map[string]string) error {
 	fmt.Fprintf(w, "### %s: %d processes, %d hosts, %.0f reqs a second, seed %d\n\n", s.Name, s.Plan.Gateways,
 		s.Plan.Hosts-len(s.Plan.Unlisted), s.Loads[0].Rate, s.Plan.Seed)
 	for name, path := range binaries {
@@ -31,11 +23,12 @@
 		if err := r.Err(); err != nil {
 			fmt.Fprintf(w, "Does not hold: %v\n", err)
 		}
+		stretches := s.Stretches
 		if len(stretches) == 0 {
-			stretches = []Stretch{{What: "whole load", From: 0, To: s.For}}
+			stretches = []Stretch{{What: "whole load", To: s.For}}
 		}
-		fmt.Fprint(w, "\n| stretch | by | most, least in 1 s | most, least in 10 s | variation 1 s, 10 s | idle | longest over 1.5, hosts over 1 s | held by |\n"+
-			"| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+		fmt.Fprint(w, "\n| stretch | by | most, least in 1 s | most, least in 10 s | variation 1 s, 10 s | idle | longest over 1.5, hosts over 1 s | held by | connections opened, standing before |\n"+
+			"| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 		for _, x := range stretches {
 			hosts := x.Hosts
 			if hosts == nil {
@@ -48,9 +41,9 @@
 				Evenness
 			}{{name, fleet}, {"chance", chance}, {"round robin", robin}} {
 				one, ten := e.Windows[time.Second], e.Windows[10*time.Second]
-				held := "-"
+				held := "- | -"
 				if e.Held[2] > 0 {
-					held = fmt.Sprintf("%.0f to %.0f, mean %.1f", e.Held[0], e.Held[2], e.Held[1])
+					held = fmt.Sprintf("%.0f to %.0f, mean %.1f | %d, %d", e.Held[0], e.Held[2], e.Held[1], e.Opened, e.Standing)
 				}
 				fmt.Fprintf(w, "| %s | %s | %.2f, %.2f | %.2f, %.2f | %.3f, %.3f | %.1f | %.1f s, %.1f | %s |\n", x.What, e.by, one.Most,
 					one.Least, ten.Most, ten.Least, one.Variation, ten.Variation, e.Idle, e.Over.Seconds(), e.OverHosts, held)
--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -25,6 +25,16 @@
 	Steps []Step
 	For   time.Duration // clients send so long after Warm
 	Holds []Check
+
+	Stretches []Stretch // whose evenness is measured; none: the whole load
+}
+
+// Stretch is a part of a run whose evenness is measured: from one time to another, counted as steps' times are, at hosts
+// that ran and were listed all along; none named stands for all that are listed at first.
+type Stretch struct {
+	What     string
+	From, To time.Duration
+	Hosts    []int
 }
 
 // Step is something injected at a time. A step that takes longer than the time to the next one delays that.
--- a/lab/standin/host.go
+++ b/lab/standin/host.go
@@ -51,11 +51,12 @@
 type HostLog struct {
 	Commands []Command
 	Steps    []Step
-	Refused  int // connections beyond the bound
-	Opened   int // connections let in
-	Peak     int // most connections at once
-	Busy     int // commands turned away
-	Bad      int // commands that no client sent so
+	Opens    []int64 // times at which connections came up
+	Refused  int     // connections beyond the bound
+	Opened   int     // connections let in
+	Peak     int     // most connections at once
+	Busy     int     // commands turned away
+	Bad      int     // commands that no client sent so
 }
 
 // Command is one dispatch that came whole to a host.
@@ -167,6 +168,7 @@
 		return
 	}
 	h.log.Opened++
+	h.log.Opens = append(h.log.Opens, task.Now())
 	k := &hostConn{host: h, n: h.log.Opened, conn: c, out: make(chan []byte, 256)}
 	h.conns[k] = true
 	h.log.Peak = max(h.log.Peak, len(h.conns))
@@ -433,7 +435,7 @@
 func (h *Host) Log() (l HostLog) {
 	h.Ask(func() {
 		l = h.log
-		l.Commands, l.Steps = slices.Clone(l.Commands), slices.Clone(l.Steps)
+		l.Commands, l.Steps, l.Opens = slices.Clone(l.Commands), slices.Clone(l.Steps), slices.Clone(l.Opens)
 	})
 	return l
 }
