Lab: fleets of real processes against the stand-in hosts' truth for the same dispatches

Each gateway writes its records to a file; the hosts' logs tell what any other host would have taken for the same req at that time.

--- /dev/null
+++ b/lab/truth/truth_test.go
@@ -0,0 +1,61 @@
+package truth
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"ravensill/lab/world"
+)
+
+// What the fleet's collector answers stands against the hosts' own truth for the same dispatches, or is refused.
+func TestCases(t *testing.T) {
+	sizes := []Size{{Gateways: 24, Hosts: 6, Rate: 500, For: 12 * time.Second, Window: second, Seed: 5}}
+	full := os.Getenv("FULL_SIZE") == "1"
+	if full {
+		sizes = nil
+		for seed := range 2 {
+			sizes = append(sizes, Size{Gateways: 200, Hosts: 12, Rate: 900, For: 20 * time.Second, Window: 2 * second,
+				Seed: uint64(seed) + 11})
+		}
+	}
+	var all world.Score
+	var text strings.Builder
+	for _, z := range sizes {
+		for _, c := range z.Cases() {
+			t.Run(c.Name, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+				defer cancel()
+				o, err := c.Play(ctx)
+				if err != nil {
+					t.Fatal(err)
+				}
+				line := fmt.Sprintf("%d gateways, seed %d, %s: %d dispatches, %d gateways named, messages %+v; %s\n", c.Gateways,
+					c.Seed, c.Name, o.Dispatches, o.Missing, o.Counts, o.Score.String())
+				text.WriteString(line)
+				t.Log(line, strings.Join(o.Worst, "\n"))
+				if c.Refused != "" && o.Refused[c.Refused] != o.Asked {
+					t.Errorf("not all refused with %q", c.Refused)
+				}
+				if c.Refused == "" && o.Means < 4 {
+					t.Errorf("%d means given", o.Means)
+				}
+				all.Add(&o.Score)
+			})
+		}
+	}
+	t.Log(all.String())
+	if n := all.Means; float64(all.Off) > 0.05*float64(n) || float64(all.TailsX) > 0.1*float64(all.Tails) ||
+		float64(all.Held) < 0.9*float64(all.Figures) || float64(all.Right) < 0.95*float64(all.Pairs) || all.Pairs < 5 {
+		t.Error("figures too far off, intervals too narrow, or pairs in the wrong order")
+	}
+	if full {
+		text.WriteString("all: " + all.String() + "\n")
+		if err := os.WriteFile("../../docs/measurements/counterfactual-fleet.txt", []byte(text.String()), 0o644); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/lab/world/score.go
+++ b/lab/world/score.go
@@ -86,7 +86,7 @@
 		return true
 	}
 	far := func(name string, f *counterfactual.Figure, truth, most float64) bool {
-		if math.Abs(f.Value-truth) <= most*truth {
+		if math.Abs(f.Value-truth) <= most*truth { // never for a truth that is none
 			return false
 		}
 		s.Worst = append(s.Worst, fmt.Sprintf("%s %s frontend %s host %d %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule,
@@ -111,6 +111,23 @@
 	}
 }
 
+// Order counts the pairs of rules with a mean that differ by over 10% in truth, and those put in the right order.
+// Single hosts are compared with each other: their dispatches are others than the rules'.
+func (s *Score) Order(all []counterfactual.Answer, truths []Truth) {
+	for i := range all {
+		for j := range i {
+			a, b := &all[i], &all[j]
+			if d := truths[i].Mean - truths[j].Mean; a.Mean.Given() && b.Mean.Given() && (a.Host > 0) == (b.Host > 0) &&
+				math.Abs(d) > 0.1*min(truths[i].Mean, truths[j].Mean) {
+				s.Pairs++
+				if (a.Mean.Value > b.Mean.Value) == (d > 0) {
+					s.Right++
+				}
+			}
+		}
+	}
+}
+
 func reason(text string) string {
 	text, _, _ = strings.Cut(text, ":")
 	return text
@@ -143,21 +160,15 @@
 		for i := range panel {
 			truths[i] = w.Truth(counterfactual.Rule(i), f, 0)
 			s.Take(&panel[i], truths[i])
-			for j := range i {
-				a, b := &panel[i], &panel[j]
-				if d := truths[i].Mean - truths[j].Mean; a.Mean.Given() && b.Mean.Given() &&
-					math.Abs(d) > 0.1*min(truths[i].Mean, truths[j].Mean) {
-					s.Pairs++
-					if (a.Mean.Value > b.Mean.Value) == (d > 0) {
-						s.Right++
-					}
-				}
-			}
 		}
+		s.Order(panel, truths)
+		panel, truths = nil, nil
 		for _, h := range w.hosts {
-			a := w.Ledger.One(f, h.ID, w.From, w.To)
-			s.Take(&a, w.Truth(counterfactual.Single, f, h.ID))
+			panel = append(panel, w.Ledger.One(f, h.ID, w.From, w.To))
+			truths = append(truths, w.Truth(counterfactual.Single, f, h.ID))
+			s.Take(&panel[len(panel)-1], truths[len(truths)-1])
 		}
+		s.Order(panel, truths)
 	}
 	return s
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -97,7 +97,7 @@
 	n       int
 	hosts   []*Host
 	gates   []*gate
-	truth   map[truthKey]*sample
+	truth   map[truthKey]*Sample
 	Strange int // messages that could not be read
 	Lost    int // dispatches whose record was never told, as the world knows
 	rates   []float64
@@ -109,8 +109,8 @@
 	host     uint32
 }
 
-// sample is a weighted one, of ms.
-type sample struct{ values, weights []float64 }
+// Sample is a weighted one, of ms.
+type Sample struct{ values, weights []float64 }
 
 type gate struct {
 	n          int
@@ -196,7 +196,7 @@
 
 // Play plays a world to its end.
 func Play(cfg Config) *World {
-	w := &World{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), now: 1000 * Second, truth: map[truthKey]*sample{}}
+	w := &World{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), now: 1000 * Second, truth: map[truthKey]*Sample{}}
 	begin := w.now
 	set := counterfactual.Settings{Gateways: cfg.Gateways, Window: cfg.Window, Grace: 3 * cfg.Window,
 		Bins: int(cfg.Length/cfg.Window) + 50, Cells: 1 << 20, Missing: 0.05, Targets: cfg.Targets}
@@ -394,9 +394,9 @@
 	return o, at
 }
 
-// under gives the part of a dispatch that a rule sends to each option, as told in package counterfactual, anew: the
+// Under gives the part of a dispatch that a rule sends to each option, as told in package counterfactual, anew: the
 // truth must not rest on the code that it is held against.
-func under(rule counterfactual.Rule, o []counterfactual.Option, single uint32) []float64 {
+func Under(rule counterfactual.Rule, o []counterfactual.Option, single uint32) []float64 {
 	part := make([]float64, len(o))
 	n := float64(len(o))
 	switch rule {
@@ -485,7 +485,7 @@
 	}
 	var known []func()
 	tell := func(r counterfactual.Rule, host uint32) {
-		for i, p := range under(r, o, host) {
+		for i, p := range Under(r, o, host) {
 			if p > 0 {
 				known = append(known, func() { w.know(truthKey{r, frontend, host}, times[i], p) })
 			}
@@ -499,7 +499,7 @@
 	}
 	if w.cfg.Part > 0 && chance(w.cfg.Seed, req, 31) < w.cfg.Part { // the rule takes this one over
 		x := chance(w.cfg.Seed, req, 32)
-		for i, p := range under(w.cfg.Rule, o, 0) {
+		for i, p := range Under(w.cfg.Rule, o, 0) {
 			if x -= p; x < 0 {
 				o[0], o[i], at[0], at[i], times[0], times[i] = o[i], o[0], at[i], at[0], times[i], times[0]
 				break
@@ -564,9 +564,14 @@
 func (w *World) know(k truthKey, ms, part float64) {
 	s := w.truth[k]
 	if s == nil {
-		s = &sample{}
+		s = &Sample{}
 		w.truth[k] = s
 	}
+	s.Add(ms, part)
+}
+
+// Add takes in a time in ms, +Inf for none, with the part of a dispatch that it stands for.
+func (s *Sample) Add(ms, part float64) {
 	s.values, s.weights = append(s.values, ms), append(s.weights, part)
 }
 
@@ -581,10 +586,11 @@
 	if s == nil {
 		return Truth{}
 	}
-	return s.figures(float64(w.cfg.Targets[frontend]) / 1e6)
+	return s.Figures(float64(w.cfg.Targets[frontend]) / 1e6)
 }
 
-func (s *sample) figures(target float64) (t Truth) {
+// Figures are those of the times or the target in ms, whichever is less.
+func (s *Sample) Figures(target float64) (t Truth) {
 	order := make([]int, len(s.values))
 	for i := range order {
 		order[i] = i
