List clocks: a silent watch is replaced in 2.6 s; clients wait for the agent's first list

And the gateway took in clients before the agent's first answer (event=serving ahead of the list): it could send to a host which its agent already knew as leaving.

Change: discovery.Pace (no I/O): 0.5 s for a connection, 0.5 s for an answer (2.5 s where a call may wait 2 s), 2.5 s without a byte; where the list is pushed a broken watch is asked for again every 0.1 s, no longer doubling. Where the list is pushed, clients (and PING) are taken in once the agent has answered, after 2 s at the latest (event=no_first_list). The following of the list is now in internal/node/follow.go.

| path, from the last line (worst case) | before, ms | now, ms | | --- | --- | --- | | pushed, the watch alone is silent | 3100 | 2620 | | pushed, a call stands mute and is never answered, agent back at 5.0 s | 6300 | 5100 | | pushed, new connections hang, agent back at 5.0 s | 5700 | 5020 | | pushed, tries begun within 6 s where each hangs or stands mute | 1 to 3 | 4 to 6 | | asked for, the watch alone is silent (module's wait 1.5 s, beat 40 ms) | 4540 | 4060 | | asked for, the call then waits 2 s (clock: 8 s) | 6540 | 6060 |

Tests: TestWorstPath, fed times: told within 6 s on each path; TestFirstList, real binary: fails on the old code (never said state=draining before the start ended); a mute agent holds the start up for a while only.

Tried, not kept: shorter waits of the module where the list comes only when asked for.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -149,6 +149,7 @@
 	witnessing string        // the line of the task that records dispatches, where that is on
 	watches    chan net.Conn // discovery's, past the head of the answer
 	asked      chan string   // by these
+	early      []string      // of the log, up to the start
 	log        chan string
 	exit       chan error
 }
@@ -164,7 +165,6 @@
 	}
 	w := &world{T: t, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
 	t.Cleanup(func() { agent.Close() })
-	go w.discover(agent)
 	front := func(name, effect string, target int) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
 	}
@@ -182,10 +182,12 @@
 	if set != nil {
 		set(cfg, settings)
 	}
+	first, _ := cfg["agent"].([]any) // what discovery's agent has from the first moment on
+	go w.discover(agent, first...)
 	w.file, w.cfg = filepath.Join(t.TempDir(), "config.json"), cfg
 	w.write()
 	w.cmd = exec.Command(os.Args[0])
-	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+agent.Addr().String(), "GORACE=halt_on_error=1")
+	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+cfg["discovery"].(string), "GORACE=halt_on_error=1")
 	w.follow()
 	return w
 }
@@ -209,10 +211,14 @@
 		close(w.log)
 	}()
 	w.Cleanup(func() { w.cmd.Process.Kill() })
-	line := w.line("event=")
-	if strings.Contains(line, "event=witnessing") {
-		w.witnessing, line = line, w.line("event=")
+	line, early := "", []string(nil)
+	for !strings.Contains(line, "event=s") { // of the start, or of its end
+		line = w.line("event=")
+		if early = append(early, line); strings.Contains(line, "event=witnessing") {
+			w.witnessing = line
+		}
 	}
+	w.early = early
 	if strings.Contains(line, "event=start_failed") {
 		w.addr = line
 	} else {
@@ -228,7 +234,8 @@
 	}
 }
 
-func (w *world) discover(agent net.Listener) {
+// discover stands in for discovery's agent: it answers each watch at once with what it has.
+func (w *world) discover(agent net.Listener, has ...any) {
 	for {
 		c, err := agent.Accept()
 		if err != nil {
@@ -240,6 +247,9 @@
 			line, _ = r.ReadString('\n')
 		}
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		version := 0
+		fmt.Sscanf(ask, "GET /v1/servers?watch=1&after=%d ", &version)
+		list(c, version, has...)
 		w.asked <- ask
 		w.watches <- c
 	}
@@ -257,6 +267,11 @@
 
 // line waits for a line of the log that holds text.
 func (w *world) line(text string) string {
+	if i := slices.IndexFunc(w.early, func(l string) bool { return strings.Contains(l, text) }); i >= 0 {
+		l := w.early[i]
+		w.early = w.early[i+1:]
+		return l
+	}
 	for limit := time.After(patience); ; {
 		select {
 		case l, ok := <-w.log:
@@ -464,6 +479,34 @@
 	}
 }
 
+// What discovery's agent has counts from the first moment on: it is known before the first client is taken in. An
+// agent that says nothing holds the start up for a while only.
+func TestFirstList(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b := newHost(t, answer), newHost(t, answer)
+	w := start(t, func(cfg, _ map[string]any) {
+		cfg["agent"] = []any{entry("h0", a.Addr().String(), "leaving")}
+	}, a, b)
+	w.line("event=host id=h0 state=draining version=41")
+	w.line("event=serving")
+	for i := range 8 {
+		if got := w.client().ask(call("lookup", i)); got != "v" || len(a.got()) > 0 {
+			t.Errorf("%s, of the host that leaves", got)
+		}
+	}
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	w = start(t, func(cfg, _ map[string]any) { cfg["discovery"] = silent.Addr().String() }, a)
+	w.line("event=no_first_list version=41")
+	w.line("event=serving")
+	if got := w.client().ask(call("lookup", 1)); got != "v" {
+		t.Error(got)
+	}
+}
+
 // SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
 // the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
 func TestReload(t *testing.T) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -312,7 +312,11 @@
 }
 
 // Unlisten takes in no more connections; those that are open are served on.
-func (s *Server) Unlisten() { s.listener.Close() }
+func (s *Server) Unlisten() {
+	if s.listener != nil { // called to stop before it listened
+		s.listener.Close()
+	}
+}
 
 // Retire ends each connection once it owes nothing. A command that crosses the close has no answer.
 func (s *Server) Retire() {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -16,21 +16,14 @@
 )
 
 const (
-	connect = time.Second
-	// An empty line comes every 2 s. A watch can stand open and bring nothing more, while what it should have told
-	// counts as told after 6 s: after so long without a byte it is asked for anew.
-	quiet = 3 * time.Second
-	// A process that stood still finds its time up and the bytes that came meanwhile in the socket: it looks once more.
-	look = 20 * time.Millisecond
-
 	mostHead  = 64 << 10 // bytes before the body
 	mostValue = 4 << 20  // of one list: some thousand hosts, indented
 )
 
 // Watch follows the list after a version until its connection or the context ends, and tells why it did. news
 // takes each list, alive is called for any bytes of the body: empty lines come while nothing changes. Both are
-// called by one goroutine.
-func Watch(ctx context.Context, addr string, after int64, alive func(), news func(list []byte)) (err error) {
+// called by one goroutine. The pace is the watch's own.
+func Watch(ctx context.Context, addr string, after int64, pace *Pace, alive func(), news func(list []byte)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
@@ -38,14 +31,15 @@
 		}
 	}()
 	// A connection of its own for each watch: no proxy of the environment, nothing kept for later, no redirects.
-	dialer := net.Dialer{Timeout: connect}
+	dialer := net.Dialer{Timeout: pace.Wait()}
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: mostHead,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, "tcp4", addr)
 			if err != nil {
 				return nil, err
 			}
-			return patient{c}, nil
+			pace.Connected()
+			return patient{c, pace}, nil
 		}}
 	defer t.CloseIdleConnections()
 	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", addr, after)
@@ -66,15 +60,21 @@
 }
 
 // patient is a connection of which a read gives up after a silence.
-type patient struct{ net.Conn }
+type patient struct {
+	net.Conn
+	pace *Pace
+}
 
 func (c patient) Read(p []byte) (n int, err error) {
-	for _, wait := range []time.Duration{quiet, look} {
+	for _, wait := range []time.Duration{c.pace.Wait(), look} {
 		c.SetReadDeadline(time.Now().Add(wait))
 		if n, err = c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			break
 		}
 	}
+	if n > 0 {
+		c.pace.Heard()
+	}
 	return n, err
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -49,7 +49,7 @@
 			addr, _ := agent(t, text, false)
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			if err := Watch(ctx, addr, 1, func() {}, func([]byte) {}); err == nil || ctx.Err() != nil {
+			if err := Watch(ctx, addr, 1, NewPace(true), func() {}, func([]byte) {}); err == nil || ctx.Err() != nil {
 				t.Errorf("after %q: %v, %v", text, err, ctx.Err())
 			}
 		})
@@ -67,7 +67,7 @@
 		"HTTP/1.1 200 OK\r\nx: " + strings.Repeat("y", mostHead)} {
 		addr, asked := agent(t, text, true)
 		alive := false
-		err := Watch(context.Background(), addr, 41, func() { alive = true }, func(list []byte) { fmt.Fprintf(&all, "%q\n", list) })
+		err := Watch(context.Background(), addr, 41, NewPace(false), func() { alive = true }, func(list []byte) { fmt.Fprintf(&all, "%q\n", list) })
 		fmt.Fprintf(&all, "%.60q: %v, alive %t\n%s\n", text, err, alive, <-asked)
 	}
 	golden.Check(t, regexp.MustCompile(`127.0.0.1:\d+`).ReplaceAllString(all.String(), "ADDR"))
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"log"
+	"net/netip"
+	"time"
+
+	"ravensill/gateway"
+	"ravensill/internal/config"
+	"ravensill/internal/discovery"
+)
+
+const firstList = 2 * time.Second // the first list is waited for at most so long before clients are taken in
+
+// watch is one try to follow the list; only what the newest brings counts.
+type watch struct{ stop context.CancelFunc }
+
+// start asks for the list, unless that is up to the module. What discovery's agent has counts as told from the first
+// moment on, and the list of the configuration may be old: clients are taken in once the agent has answered, which it
+// does at once, or is silent for so long that discovery must be down.
+func (n *Node) start() {
+	if n.cfg.Limits.MustAsk {
+		n.told = true
+		return
+	}
+	n.Follow()
+	time.AfterFunc(firstList, func() {
+		n.do(func() {
+			if !n.told {
+				log.Printf("event=no_first_list version=%d", n.book.Version)
+			}
+			n.told = true
+		})
+	})
+}
+
+// Follow watches the list from the version had last. A watch that still runs ends.
+func (n *Node) Follow() {
+	if n.watch != nil {
+		n.watch.stop()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w := &watch{stop}
+	n.watch = w
+	after, addr := n.book.Version, n.cfg.Discovery
+	go func() {
+		newest := func(f func()) { // of what the watch brings, in the loop
+			n.do(func() {
+				if n.watch == w {
+					f()
+				}
+			})
+		}
+		err := discovery.Watch(ctx, addr, after, discovery.NewPace(n.cfg.Limits.MustAsk), func() {
+			newest(func() {
+				if n.lost {
+					log.Printf("event=watch_back")
+				}
+				n.lost = false
+			})
+		}, func(list []byte) { newest(func() { n.listed(list, false) }) })
+		stop()
+		n.do(func() { n.ended(w, err) })
+	}()
+}
+
+// Reload takes in the configuration file as it is now: it read it as cfg, or failed to. Only where discovery is
+// can change while the gateway runs; its list, reqs and connections stay as they are.
+func (n *Node) Reload(cfg *config.Config, err error) {
+	n.do(func() {
+		if err != nil {
+			log.Printf("event=reload_failed error=%q", err)
+			return
+		}
+		log.Printf("event=reloaded discovery=%s version=%d others_changed=%t", cfg.Discovery, n.book.Version,
+			n.cfg.Fixed != cfg.Fixed) // these count from the next start on
+		if cfg.Discovery == n.cfg.Discovery {
+			return
+		}
+		n.cfg.Discovery = cfg.Discovery
+		if n.watch != nil { // at once: the old address answers no more, and what the new one has counts as told
+			n.lost = false
+			n.Follow()
+		}
+	})
+}
+
+// ended takes in the end of a watch. Where the list only comes when asked for, the module asks.
+func (n *Node) ended(w *watch, err error) {
+	if n.watch != w { // another has taken its place
+		return
+	}
+	if !n.lost { // once, not with every try
+		log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
+	}
+	n.lost = true
+	if n.cfg.Limits.MustAsk {
+		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		return
+	}
+	time.AfterFunc(discovery.Again, func() {
+		n.do(func() {
+			if n.watch == w {
+				n.Follow()
+			}
+		})
+	})
+}
+
+// listed takes in a list or changes of it.
+func (n *Node) listed(text []byte, old bool) {
+	n.told = n.told || !old
+	kind, list, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
+	if err != nil {
+		n.broken++
+		log.Printf("event=list_dropped error=%q count=%d", err, n.broken)
+		return
+	}
+	if old {
+		kind = gateway.Old
+	}
+	n.witness.listed(list)
+	for _, l := range list {
+		if l.State != gateway.Running {
+			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
+		}
+		if l.State == gateway.Gone {
+			n.fleet.Drop(l.Host)
+			n.book.Forget(l.Host)
+		}
+	}
+	n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,11 +3,9 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"log"
 	"net"
-	"net/netip"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -29,8 +27,6 @@
 	mostLeave = 3 * time.Second        // of the longest client timeout: the platform counts no more
 	leave     = 500 * time.Millisecond // it kills 0.7 s after that: by then all that was taken is answered
 	linger    = time.Second            // if nobody kills, the last connections end so much later
-	again     = 100 * time.Millisecond // first wait before a broken watch is asked for again; it doubles
-	mostWait  = time.Second
 	probeWait = int64(time.Second)
 	tallyEach = int64(5 * time.Second) // between lines of the module's decisions
 )
@@ -68,7 +64,8 @@
 	watch   *watch
 	out     gateway.Writer // what the module writes to: the node, or its witness
 	witness *watching      // nil: off
-	pause   time.Duration  // before the list is asked for again; 0 while it is watched
+	lost    bool           // the watch broke, and none has brought anything since
+	told    bool           // clients may be taken in: discovery has answered once, or it was waited for long enough
 	broken  int            // lists dropped
 	strange int            // datagrams dropped since the last line on them
 	lineAt  int64          // of that line
@@ -78,9 +75,6 @@
 	stopped bool           // no more clients are taken in: the gateway ends with its last connection
 }
 
-// watch is one try to follow the list; only what the newest brings counts.
-type watch struct{ stop context.CancelFunc }
-
 // req is held until it is answered and no dispatch is out.
 type req struct {
 	node                      *Node
@@ -170,14 +164,15 @@
 			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
 		}, func() { n.do(func() { n.strange++ }) })
 	}
-	if !n.cfg.Limits.MustAsk {
-		n.Follow()
-	}
-	n.clients.Listen(listener)
-	log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
-		n.post.Addr(), n.book.Count(), n.book.Version)
+	n.start()
 	timer := time.NewTimer(0)
-	for !n.stopped || n.clients.Count() > 0 {
+	for serving := false; !n.stopped || n.clients.Count() > 0; {
+		if n.told && !serving && !n.stopped {
+			serving = true
+			n.clients.Listen(listener)
+			log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
+				n.post.Addr(), n.book.Count(), n.book.Version)
+		}
 		select {
 		case f := <-n.work:
 			n.guard("loop", f)
@@ -442,100 +437,3 @@
 func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
 
 func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
-
-// Follow watches the list from the version had last. A watch that still runs ends.
-func (n *Node) Follow() {
-	if n.watch != nil {
-		n.watch.stop()
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	w := &watch{stop}
-	n.watch = w
-	after, addr := n.book.Version, n.cfg.Discovery
-	go func() {
-		newest := func(f func()) { // of what the watch brings, in the loop
-			n.do(func() {
-				if n.watch == w {
-					f()
-				}
-			})
-		}
-		err := discovery.Watch(ctx, addr, after, func() {
-			newest(func() {
-				if n.pause > 0 {
-					log.Printf("event=watch_back")
-				}
-				n.pause = 0
-			})
-		}, func(list []byte) { newest(func() { n.listed(list, false) }) })
-		stop()
-		n.do(func() { n.lost(w, err) })
-	}()
-}
-
-// Reload takes in the configuration file as it is now: it read it as cfg, or failed to. Only where discovery is
-// can change while the gateway runs; its list, reqs and connections stay as they are.
-func (n *Node) Reload(cfg *config.Config, err error) {
-	n.do(func() {
-		if err != nil {
-			log.Printf("event=reload_failed error=%q", err)
-			return
-		}
-		log.Printf("event=reloaded discovery=%s version=%d others_changed=%t", cfg.Discovery, n.book.Version,
-			n.cfg.Fixed != cfg.Fixed) // these count from the next start on
-		if cfg.Discovery == n.cfg.Discovery {
-			return
-		}
-		n.cfg.Discovery = cfg.Discovery
-		if n.watch != nil { // at once: the old address answers no more, and what the new one has counts as told
-			n.pause = 0
-			n.Follow()
-		}
-	})
-}
-
-// lost takes in the end of a watch. Where the list only comes when asked for, the module asks.
-func (n *Node) lost(w *watch, err error) {
-	if n.watch != w { // another has taken its place
-		return
-	}
-	if n.pause == 0 { // once, not with every try
-		log.Printf("event=watch_lost error=%q version=%d", err, n.book.Version)
-	}
-	n.pause = min(max(2*n.pause, again), mostWait)
-	if n.cfg.Limits.MustAsk {
-		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
-		return
-	}
-	time.AfterFunc(n.pause, func() {
-		n.do(func() {
-			if n.watch == w {
-				n.Follow()
-			}
-		})
-	})
-}
-
-// listed takes in a list or changes of it.
-func (n *Node) listed(text []byte, old bool) {
-	kind, list, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
-	if err != nil {
-		n.broken++
-		log.Printf("event=list_dropped error=%q count=%d", err, n.broken)
-		return
-	}
-	if old {
-		kind = gateway.Old
-	}
-	n.witness.listed(list)
-	for _, l := range list {
-		if l.State != gateway.Running {
-			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
-		}
-		if l.State == gateway.Gone {
-			n.fleet.Drop(l.Host)
-			n.book.Forget(l.Host)
-		}
-	}
-	n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
-}
