A list older than had no longer puts back a host told as leaving or gone

Need: which lists may undo what? Looked at Book.Read: it never compared versions. Within one watch lists come in order, and only the newest watch is heard, so only the first list of a new watch can be older than had: of an agent that lags behind the one before (a moved discovery, SIGHUP), or that counts its versions anew. Such a list put a host told as leaving back among those that run until the next change, and a dispatch to it breaks the rule on drains.

Change: an older list is taken, with its version (a discovery that counts anew must be followed), but a host told as leaving or gone stays so unless it has started again since; the next list that is not older than that decides. The last 256 hosts that are gone are kept for it (id and start; bounded). event=list_older tells on-call.

Tests: TestReplaced: lists that lag, change and count anew; TestReload, real binary: the moved discovery is behind, its list says that a leaving host runs, and none of 8 reqs goes there (on the old code the host is put back).

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -568,6 +568,14 @@
 	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
 		t.Errorf("asked for the list with %q", ask)
 	}
+	list(take(w, w.watches), 42, entry("h0", a.Addr().String(), "active")) // it is behind
+	w.line("event=list_older version=42 had=43")
+	w.line("event=host id=h0 state=draining version=42")
+	for i := range 8 {
+		if a := w.client().ask(call("lookup", 10+i)); a != "of b" {
+			t.Errorf("a list older than had put the host back that leaves: %s", a)
+		}
+	}
 }
 
 // Called to stop, it goes on taking in for a while, answers what it has, and ends each connection after that.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -19,14 +19,18 @@
 	entries         map[string]*entry // by id
 	byNumber        map[uint32]*entry
 	byAddr          map[netip.AddrPort]*entry
+	past            []entry // gone, the latest last
 	Version         int64
 }
 
+const mostPast = 256
+
 type entry struct {
-	id     string
-	number uint32
-	addr   netip.AddrPort
-	since  int64
+	id      string
+	number  uint32
+	addr    netip.AddrPort
+	since   int64
+	leaving bool
 }
 
 func NewBook(zones, machines []string) *Book {
@@ -36,6 +40,8 @@
 
 // Read makes out one list; it hands on nothing of a broken one. Told as gone is also a host that a whole list
 // lacks, and one whose address a later started host has: what was sent there would reach that, cold as it is.
+// A list of an older version than had comes from discovery that lags or counts anew. It is taken, but it does not put
+// back a host that was told as leaving or gone and has not started again since.
 func (b *Book) Read(text []byte, place func(host uint32, addr netip.AddrPort)) (kind gateway.List,
 	hosts []gateway.Listing, err error) {
 	if !gjson.ValidBytes(text) {
@@ -58,7 +64,13 @@
 			err = fmt.Errorf("servers: id, addr or state of %.80s", s.Raw)
 			return false
 		}
-		l.State = gateway.State(state)
+		if l.State = gateway.State(state); version.Int() < b.Version && l.State != gateway.Gone {
+			if e := b.entries[id]; e != nil && e.leaving && l.Since <= e.since {
+				l.State = gateway.Draining
+			} else if e == nil && slices.ContainsFunc(b.past, func(e entry) bool { return e.id == id && l.Since <= e.since }) {
+				return true
+			}
+		}
 		hosts, addrs, ids = append(hosts, l), append(addrs, addr), append(ids, id)
 		return true
 	})
@@ -75,7 +87,10 @@
 	var moved []*entry
 	for i := range hosts { // first those that leave an address, then who takes it
 		e := b.entry(ids[i])
-		hosts[i].Host, e.since = e.number, hosts[i].Since
+		hosts[i].Host = e.number
+		if hosts[i].State != gateway.Gone {
+			e.since, e.leaving = hosts[i].Since, hosts[i].State == gateway.Draining
+		}
 		if addr := addrs[i]; addr.IsValid() {
 			if e.addr != addr || hosts[i].State == gateway.Gone {
 				b.leave(e)
@@ -116,6 +131,9 @@
 func (b *Book) Forget(host uint32) {
 	if e := b.byNumber[host]; e != nil {
 		b.leave(e)
+		if b.past = append(b.past, *e); len(b.past) > mostPast {
+			b.past = slices.Delete(b.past, 0, 1)
+		}
 		delete(b.entries, e.id)
 		delete(b.byNumber, host)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -91,7 +91,20 @@
 		read(3, false, later(server("e", "10.0.0.2:1", "active")))+ // b was not told as gone
 		read(4, false, server("b", "10.0.0.2:1", "leaving"))+ // nor does its news put e out
 		read(5, false, server("c", "10.0.0.4:1", "active"), later(server("f", "10.0.0.3:1", "active")))+ // moved
-		read(6, true, server("d", "10.0.0.1:1", "active"), server("c", "10.0.0.4:1", "active")))
+		read(6, true, server("d", "10.0.0.1:1", "active"), server("c", "10.0.0.4:1", "active"))+
+		read(7, false, server("c", "10.0.0.4:1", "leaving"))+
+		read(5, true, server("a", "10.0.0.1:1", "active"), server("c", "10.0.0.4:1", "active"), server("g", "10.0.0.5:1", "active"))+ // lags
+		read(6, false, server("c", "10.0.0.4:1", "active"))+ // the newest of this discovery
+		read(7, false, server("c", "10.0.0.4:1", "left"))+
+		read(4, false, server("c", "10.0.0.4:1", "active"), later(server("d", "10.0.0.1:1", "active")))+
+		read(3, false, later(server("c", "10.0.0.4:1", "active")))) // started again
+	for i := range 2 * mostPast {
+		read(9+i, false, server(fmt.Sprint("n", i), "10.0.1.1:1", "active"))
+		read(9+i, false, server(fmt.Sprint("n", i), "10.0.1.1:1", "left"))
+	}
+	if len(b.past) > mostPast {
+		t.Errorf("%d hosts that are gone are kept", len(b.past))
+	}
 }
 
 // Hosts are ranked by number: it follows from the id, in whatever order hosts are seen; ids that meet on one
