Called to stop before it serves, a gateway ends cleanly; tested on the real binary

Since clients wait for the agent's first list, SIGTERM may come before there is a listener to close: Unlisten on none would have panicked out of the loop.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -221,7 +221,7 @@
 	w.early = early
 	if strings.Contains(line, "event=start_failed") {
 		w.addr = line
-	} else {
+	} else if strings.Contains(line, "event=serving") {
 		fmt.Sscanf(line[strings.Index(line, "listen="):], "listen=%s peer_listen=%s", &w.addr, &w.peer)
 	}
 }
@@ -507,6 +507,36 @@
 	}
 }
 
+// Called to stop while it waits for the agent's first answer, it ends as one that serves nobody: there is no listener
+// to close yet.
+func TestStopBeforeServing(t *testing.T) {
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1)}
+	w.cmd = exec.Command(os.Args[0])
+	w.cmd.Dir = "../.."
+	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG=deploy/example.json", "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+silent.Addr().String())
+	go func() {
+		if c, err := silent.Accept(); err == nil { // it asks for the list: signals are heard by now
+			defer c.Close()
+			w.cmd.Process.Signal(syscall.SIGTERM)
+			io.Copy(io.Discard, c)
+		}
+	}()
+	w.follow()
+	if err := take(w, w.exit); err != nil {
+		t.Error(err)
+	}
+	for _, l := range w.early {
+		if strings.Contains(l, "event=serving") {
+			t.Error("it took in clients without a list")
+		}
+	}
+}
+
 // SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
 // the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
 func TestReload(t *testing.T) {
