Counterfactual: records go in batches, a part of the rounds by default

The task was woken for each dispatch, each record was allocated, each cell's key hashed and each row encoded three times. What remains is the folding itself, so a part of the module's rounds, drawn by chance, is recorded (key "part", 0.1 unless told otherwise); the other rounds cost what they cost without.

The rig's truth counted what was cut off on a machine that stood still as answered; it now stands as waited for.

--- a/cmd/ravensill/counterfactual_test.go
+++ b/cmd/ravensill/counterfactual_test.go
@@ -79,7 +79,7 @@
 		settings["balancers"] = 2
 		settings["limits"].(map[string]any)["peer_messages"] = false
 		cfg["counterfactual"] = map[string]any{"listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:9", peer.LocalAddr().String()},
-			"collectors": []int{0}, "window_ms": 100, "grace_ms": 100}
+			"collectors": []int{0}, "part": 1, "window_ms": 100, "grace_ms": 100}
 	}, newHost(t, func([]string) string { return passed("v") }))
 	w2 := w.client()
 	if n := w.udp(); n != 1 {
--- a/counterfactual/codec.go
+++ b/counterfactual/codec.go
@@ -22,50 +22,71 @@
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 )
 
+// wire is a Part with its cells encoded.
+type wire struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint8
+	Gateway uint32
+	Zone    uint8
+	Life    uint64
+	Window  uint32
+	Nth, Of uint16
+	Length  uint32
+	Age     uint32
+	Seen    uint32
+	Lost    uint32
+	Cells   []cbor.RawMessage
+}
+
 // Encode cuts a window's cells into parts of at most MaxBytes each, and gives each as a function of its age, so
 // that it can be sent again later. There is at least one: a window in which nothing was seen is told, too.
-func Encode(head Part, cells []Cell) []func(age uint32) []byte {
-	var pieces []Cell
-	for _, c := range cells {
-		for len(c.Rows) > mostRows { // sums: the cell is whole again at the other end
-			pieces = append(pieces, Cell{Key: c.Key, Rows: c.Rows[:mostRows]})
-			c.Rows = c.Rows[mostRows:]
-		}
-		pieces = append(pieces, c)
-	}
-	var parts []Part
+func Encode(head Part, cells []Cell) (out []func(age uint32) []byte) {
+	var parts []*wire
 	room := 0
-	for _, c := range pieces {
-		b, err := encoder.Marshal(&c)
-		if err != nil {
-			panic(err) // plain numbers always encode
-		}
+	add := func(c *Cell) {
+		b := marshal(c)
 		if len(parts) == 0 || len(b) > room {
-			parts, room = append(parts, head), MaxBytes-64 // the head takes less
+			parts = append(parts, &wire{Version: version, Gateway: head.Gateway, Zone: head.Zone, Life: head.Life,
+				Window: head.Window, Length: head.Length, Seen: head.Seen, Lost: head.Lost, Nth: uint16(len(parts))})
+			room = MaxBytes - 64 // the head takes less
 		}
 		room -= len(b)
-		p := &parts[len(parts)-1]
-		p.Cells = append(p.Cells, c)
+		p := parts[len(parts)-1]
+		p.Cells = append(p.Cells, b)
+	}
+	for i := range cells {
+		c := cells[i]
+		for len(c.Rows) > mostRows { // sums: the cell is whole again at the other end
+			add(&Cell{Key: c.Key, Rows: c.Rows[:mostRows]})
+			c.Rows = c.Rows[mostRows:]
+		}
+		add(&c)
 	}
 	if len(parts) == 0 {
-		parts = []Part{head}
+		head.Version, head.Of = version, 1
+		return []func(uint32) []byte{func(age uint32) []byte {
+			head.Age = age
+			return marshal(&head)
+		}}
 	}
-	var out []func(uint32) []byte
-	for i := range parts {
-		p := &parts[i]
-		p.Version, p.Nth, p.Of = version, uint16(i), uint16(len(parts))
+	for _, p := range parts {
+		p.Of = uint16(len(parts))
 		out = append(out, func(age uint32) []byte {
 			p.Age = age
-			b, err := encoder.Marshal(p)
-			if err != nil {
-				panic(err)
-			}
-			return b
+			return marshal(p)
 		})
 	}
 	return out
 }
 
+func marshal(v any) []byte {
+	b, err := encoder.Marshal(v)
+	if err != nil {
+		panic(err) // plain numbers always encode
+	}
+	return b
+}
+
 // Decode reads a message and checks all its figures; a fault names the field.
 func Decode(b []byte) (*Part, error) {
 	if len(b) > MaxBytes {
--- a/counterfactual/record.go
+++ b/counterfactual/record.go
@@ -85,11 +85,12 @@
 // middle gives the time that stands for a bucket, in nanoseconds.
 func middle(bucket int) float64 { return shortest * math.Pow(gamma, float64(bucket)-0.5) }
 
+// band gives the place of a load, from the exponent of its square: two bands an octave.
 func band(load float64) int {
 	if !(load > 0) {
 		return 0
 	}
-	return min(max(int(math.Floor(2*math.Log2(load)+0.5))+16, 0), bands-1)
+	return min(max(int(math.Float64bits(load*load*math.Sqrt2)>>52)-1023+16, 0), bands-1)
 }
 
 // group spreads customers over the groups of the intervals.
--- a/counterfactual/summary.go
+++ b/counterfactual/summary.go
@@ -94,6 +94,7 @@
 	cells      map[Key]*Cell
 	seen, lost uint32
 	policy     policy
+	near       [512]*Cell // cells lately used, each at the one place that its key allows
 }
 
 // NewFolder makes one for a gateway in a zone. It holds at most so many cells; what needs more is counted as lost.
@@ -112,11 +113,7 @@
 	for i := range r.Options {
 		o := &r.Options[i]
 		k := Key{Frontend: uint16(r.Frontend), From: f.from, Host: o.Host, Born: o.Born, Band: uint8(band(o.Load))}
-		c := f.cells[k]
-		if c == nil {
-			c = &Cell{Key: k}
-			f.cells[k] = c
-		}
+		c := f.cell(k)
 		for q := range Rules {
 			mass := uint64(p.want[q][i]*scale + 0.5)
 			if c.Want[q] += mass; o.Chance == 0 {
@@ -138,6 +135,21 @@
 	}
 }
 
+// cell finds a cell or makes it.
+func (f *Folder) cell(k Key) *Cell {
+	at := &f.near[(k.Host*0x9e3779b1>>20+uint32(k.Band)*7+uint32(k.Frontend)*31)%512]
+	if c := *at; c != nil && c.Key == k {
+		return c
+	}
+	c := f.cells[k]
+	if c == nil {
+		c = &Cell{Key: k}
+		f.cells[k] = c
+	}
+	*at = c
+	return c
+}
+
 // Miss counts records that never came here: the queue was full.
 func (f *Folder) Miss(n int) { f.seen, f.lost = f.seen+uint32(n), f.lost+uint32(n) }
 
@@ -148,5 +160,6 @@
 	}
 	seen, lost = f.seen, f.lost
 	f.cells, f.seen, f.lost = make(map[Key]*Cell, len(cells)), 0, 0
+	clear(f.near[:])
 	return cells, seen, lost
 }
--- a/internal/config/counterfactual.go
+++ b/internal/config/counterfactual.go
@@ -14,6 +14,7 @@
 	Listen     netip.AddrPort   `json:"listen"`     // UDP for summaries; a collector takes questions there by TCP
 	Peers      []netip.AddrPort `json:"peers"`      // by seat, as this gateway sees them: whom a summary is of follows from it
 	Collectors []int            `json:"collectors"` // seats that merge summaries and answer questions
+	Part       float64          `json:"part"`       // of the module's rounds is recorded, drawn by chance
 	Window     int              `json:"window_ms"`  // a summary tells of so long
 	Grace      int              `json:"grace_ms"`   // summaries that come so late still count
 	Keep       int              `json:"keep_s"`     // a collector's memory reaches so far back
@@ -31,7 +32,7 @@
 	if raw == "" {
 		return nil, nil
 	}
-	s := &Counterfactual{Window: 2000, Keep: 120, Queue: 1024, Cells: 8192, Ledger: 200_000, Missing: 0.05,
+	s := &Counterfactual{Part: 0.1, Window: 2000, Keep: 120, Queue: 1024, Cells: 8192, Ledger: 200_000, Missing: 0.05,
 		RecordsMB: 64}
 	text := struct {
 		*Counterfactual
@@ -98,6 +99,8 @@
 		return nil, fmt.Errorf("peers: %d addresses for %d gateways", len(s.Peers), c.Seat.Count)
 	case len(s.Collectors) == 0:
 		return nil, errors.New("collectors: missing")
+	case !(s.Part > 0 && s.Part <= 1):
+		return nil, fmt.Errorf("part: %g is not above 0 and up to 1", s.Part)
 	case !(s.Missing >= 0 && s.Missing <= 0.5):
 		return nil, fmt.Errorf("missing: %g is not from 0 to 0.5", s.Missing)
 	case s.Keep*1000 < s.Grace+2*s.Window:
--- a/internal/config/counterfactual_test.go
+++ b/internal/config/counterfactual_test.go
@@ -22,7 +22,7 @@
 	if c, err := load(t, good, nil); err != nil || c.Counterfactual != nil {
 		t.Error("absent, yet on")
 	}
-	for _, x := range [][2]string{{`"queue"`, `"queu"`}, {`:64,"m`, `:"x","m`}, {`:64,"m`, `:0,"m`}, {`:64,"m`, `:1.5,"m`}, {`"missing":0.1`, `"missing":0.9`},
+	for _, x := range [][2]string{{`"queue"`, `"queu"`}, {`:64,"m`, `:"x","m`}, {`:64,"m`, `:0,"m`}, {`:64,"m`, `:1.5,"m`}, {`"missing":0.1`, `"missing":0.9`}, {`"missing":0.1`, `"part":0`},
 		{`[0]`, `[2]`}, {`[0]`, `[]`}, {`[0]`, `0`}, {`"10.0.0.4:7070"`, `"here"`}, {`"10.0.0.4:7070"`, `7`}, {`"listen":"10.0.0.4:7070"`, `"keep_s":1,"listen":"10.0.0.4:7070"`},
 		{`"10.3.0.2:7070"`, `"b"`}, {`,"10.3.0.2:7070"`, ``}, {section, `"counterfactual":7,"settings"`}} {
 		bad := strings.Replace(text, x[0], x[1], 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,17 +62,16 @@
 	post    *peers.Post
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
-	out     gateway.Writer // what the module writes to: the node, or its witness
-	witness *watching      // nil: off
-	lost    bool           // the watch broke, and none has brought anything since
-	told    bool           // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int            // lists dropped
-	strange int            // datagrams dropped since the last line on them
-	lineAt  int64          // of that line
-	tallyAt int64          // of the last line of decisions
-	stopAt  int64          // the next step to the end is due then; 0 none
-	leaveAt int64          // what is taken has its answer by then; 0 not called to stop
-	stopped bool           // no more clients are taken in: the gateway ends with its last connection
+	witness *watching // nil: off
+	lost    bool      // the watch broke, and none has brought anything since
+	told    bool      // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken  int       // lists dropped
+	strange int       // datagrams dropped since the last line on them
+	lineAt  int64     // of that line
+	tallyAt int64     // of the last line of decisions
+	stopAt  int64     // the next step to the end is due then; 0 none
+	leaveAt int64     // what is taken has its answer by then; 0 not called to stop
+	stopped bool      // no more clients are taken in: the gateway ends with its last connection
 }
 
 // req is held until it is answered and no dispatch is out.
@@ -102,7 +101,7 @@
 func New(cfg *config.Config, module Decider) *Node {
 	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
 		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
-	n.unix, n.out = n.epoch.UnixNano(), n
+	n.unix = n.epoch.UnixNano()
 	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
 	for _, f := range cfg.Fronts {
 		words.Effects = append(words.Effects, f.Effect)
@@ -281,7 +280,7 @@
 				panic(p)
 			}
 		}()
-		n.module.Round(&n.round, n.out)
+		n.module.Round(&n.round, n.writer())
 	})
 }
 
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"math/rand/v2"
+
 	"ravensill/counterfactual"
 	"ravensill/gateway"
 	"ravensill/internal/witness"
@@ -13,7 +15,10 @@
 	task   *witness.Witness
 	places map[uint32]place
 	open   map[*dispatch]*witness.Entry
-	next   *witness.Entry // of the dispatch that comes next
+	next   *witness.Entry   // of the dispatch that comes next
+	ready  []*witness.Entry // of dispatches that ended since the last beat
+	spare  []*witness.Entry // to be used again
+	rnd    *rand.Rand
 }
 
 type place struct {
@@ -35,18 +40,33 @@
 	if err != nil {
 		return nil, err
 	}
-	n.witness = &watching{Node: n, task: task, places: map[uint32]place{}, open: map[*dispatch]*witness.Entry{}}
-	n.out = n.witness
+	n.witness = &watching{Node: n, task: task, places: map[uint32]place{}, open: map[*dispatch]*witness.Entry{},
+		rnd: rand.New(rand.NewPCG(n.cfg.Seed, 0x7769746e657373))}
 	return task.Close, nil
 }
 
+// writer gives what the module writes a round to: for a part of the rounds, drawn by chance, the Witness. The others
+// cost no more than without.
+func (n *Node) writer() gateway.Writer {
+	if w := n.witness; w != nil && w.rnd.Float64() < n.cfg.Counterfactual.Part {
+		return w
+	}
+	return n
+}
+
 // Considered notes what the dispatch that comes next was chosen among.
 func (w *watching) Considered(req string, customer uint32, options []gateway.Option) {
-	e := &witness.Entry{Req: req, Record: counterfactual.Record{Customer: customer,
-		Options: make([]counterfactual.Option, len(options))}}
-	for i, o := range options {
+	var e *witness.Entry
+	if n := len(w.spare); n > 0 {
+		e, w.spare = w.spare[n-1], w.spare[:n-1]
+	} else {
+		e = &witness.Entry{}
+	}
+	*e = witness.Entry{Req: req, Record: counterfactual.Record{Customer: customer, Options: e.Options[:0]}}
+	for _, o := range options {
 		p := w.places[o.Host]
-		e.Options[i] = counterfactual.Option{Host: o.Host, Born: p.born, Zone: p.zone, Chance: o.Chance, Load: o.Load}
+		e.Options = append(e.Options, counterfactual.Option{Host: o.Host, Born: p.born, Zone: p.zone, Chance: o.Chance,
+			Load: o.Load})
 	}
 	w.next = e
 }
@@ -92,7 +112,27 @@
 	default:
 		e.End = counterfactual.Failed
 	}
-	w.task.Offer(*e)
+	if w.ready = append(w.ready, e); len(w.ready) == witness.Batch {
+		w.offer()
+	}
+}
+
+// offer hands over what is ready: a batch at a beat, so that the task is not woken for each dispatch.
+func (w *watching) offer() {
+	if len(w.ready) == 0 {
+		return
+	}
+	free := w.task.Offer(w.ready)
+	w.ready = free[:0]
+	if len(w.spare) < 4*witness.Batch {
+		w.spare = append(w.spare, free...)
+	}
+}
+
+// Wake sets the module's next beat; the one at hand has come.
+func (w *watching) Wake(after int64) {
+	w.offer()
+	w.Node.Wake(after)
 }
 
 // listed notes where hosts stand and when their processes began.
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -24,6 +24,7 @@
 )
 
 const (
+	Batch    = 64        // records that the loop hands over at a time, at most
 	inbox    = 256       // datagrams that wait; more stay in the socket, or are lost there
 	mostKept = 512 << 10 // bytes of summaries that wait for a confirmation
 	mostAsk  = 4 << 10   // bytes of a question
@@ -48,9 +49,10 @@
 	seat    int
 	zone    int
 	names   []string
-	queue   chan Entry
-	missed  atomic.Int64 // records that found the queue full
-	strange atomic.Int64 // datagrams that no gateway sends so
+	queue   chan []*Entry
+	free    chan []*Entry // folded, to be used again
+	missed  atomic.Int64  // records that found the queue full
+	strange atomic.Int64  // datagrams that no gateway sends so
 	udp     *net.UDPConn
 	tcp     net.Listener // nil: no collector
 	heard   chan datagram
@@ -101,7 +103,7 @@
 
 // Open starts the task of a gateway with a seat in a zone. Targets are the frontends' response targets, by index.
 func Open(set *config.Counterfactual, seat, zone, seats int, names []string, targets []int64) (*Witness, error) {
-	w := &Witness{set: set, seat: seat, zone: zone, names: names, queue: make(chan Entry, set.Queue),
+	w := &Witness{set: set, seat: seat, zone: zone, names: names, queue: make(chan []*Entry, max(set.Queue/Batch, 1)), free: make(chan []*Entry, 4),
 		heard: make(chan datagram, inbox), asked: make(chan question), over: make(chan struct{}), epoch: time.Now(),
 		folder: counterfactual.NewFolder(zone, set.Cells)}
 	w.life = uint64(w.epoch.UnixNano())
@@ -161,12 +163,19 @@
 	}
 }
 
-// Offer hands over a record; it never waits.
-func (w *Witness) Offer(e Entry) {
+// Offer hands over a batch of records; it never waits. Their memory is the task's from then on; what it gives back
+// for use again is empty or an earlier batch.
+func (w *Witness) Offer(batch []*Entry) (free []*Entry) {
 	select {
-	case w.queue <- e:
+	case w.queue <- batch:
+		select {
+		case free = <-w.free:
+		default:
+		}
+		return free
 	default:
-		w.missed.Add(1)
+		w.missed.Add(int64(len(batch)))
+		return batch
 	}
 }
 
@@ -175,8 +184,8 @@
 	defer tick.Stop()
 	for {
 		select {
-		case e := <-w.queue:
-			w.fold(&e)
+		case batch := <-w.queue:
+			w.fold(batch)
 		case <-tick.C:
 			w.close(time.Now())
 		case d := <-w.heard:
@@ -189,8 +198,19 @@
 	}
 }
 
-func (w *Witness) fold(e *Entry) {
-	w.folder.Add(&e.Record)
+func (w *Witness) fold(batch []*Entry) {
+	for _, e := range batch {
+		w.folder.Add(&e.Record)
+		w.record(e)
+	}
+	select {
+	case w.free <- batch:
+	default:
+	}
+}
+
+// record adds a record to the file.
+func (w *Witness) record(e *Entry) {
 	if w.records == nil || w.written >= w.set.RecordsMB<<20 {
 		return
 	}
@@ -212,8 +232,7 @@
 // close ends the window, and sends its summary and what is not confirmed yet.
 func (w *Witness) close(now time.Time) {
 	for n := len(w.queue); n > 0; n-- { // they ended in this window
-		e := <-w.queue
-		w.fold(&e)
+		w.fold(<-w.queue)
 	}
 	w.folder.Miss(int(w.missed.Swap(0)))
 	cells, seen, lost := w.folder.Close()
--- a/lab/truth/truth.go
+++ b/lab/truth/truth.go
@@ -83,7 +83,7 @@
 	}
 	p.Config = func(f *fleet.Fleet, i int, cfg map[string]any) error {
 		s := map[string]any{"listen": "127.0.0.1:0", "peers": net_.Peers(i), "collectors": []int{0},
-			"window_ms": c.Window.Milliseconds(), "records": records(f, i)}
+			"window_ms": c.Window.Milliseconds(), "records": records(f, i), "part": 1}
 		if i == 0 {
 			s["listen"], s["ask"] = listen, ask
 		}
@@ -293,10 +293,7 @@
 			continue
 		}
 		cmd := came[e.Req][i].cmd
-		beside := 0.4 // ms, where the answer was not waited for
-		if e.End == counterfactual.Answered {
-			beside = max(float64(e.Lag-int64(cmd.Time))/1e6, 0)
-		}
+		beside := max(float64(e.Lag-int64(cmd.Time))/1e6, 0) // ms; of one that was cut off, at least
 		times := make([]float64, len(e.Options))
 		for k, o := range e.Options {
 			times[k] = math.NaN()
--- a/lab/truth/truth_test.go
+++ b/lab/truth/truth_test.go
@@ -36,7 +36,7 @@
 				line := fmt.Sprintf("%d gateways, seed %d, %s: %d dispatches, %d gateways named, messages %+v; %s\n", c.Gateways,
 					c.Seed, c.Name, o.Dispatches, o.Missing, o.Counts, o.Score.String())
 				text.WriteString(line)
-				t.Log(line, strings.Join(o.Worst, "\n"))
+				t.Log(line, strings.Join(append(o.Worst, o.Missed...), "\n"))
 				if c.Refused != "" && o.Refused[c.Refused] != o.Asked {
 					t.Errorf("not all refused with %q", c.Refused)
 				}
@@ -59,3 +59,30 @@
 		}
 	}
 }
+
+// What a req costs more with the section on, at full size into the measurements: no verdict rests on it.
+func TestCost(t *testing.T) {
+	if os.Getenv("FULL_SIZE") != "1" {
+		t.Skip("a measurement: FULL_SIZE=1")
+	}
+	var text strings.Builder
+	const plays = 6
+	for _, part := range []float64{0.1, 1} {
+		var all Cost
+		for i := range plays {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+			c, err := Measure(ctx, uint64(i)+1, 1200, 10*time.Second, i%2 == 1, part)
+			cancel()
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(&text, "part %g, play %d: %v\n", part, i, c)
+			all.On, all.Off, all.Reqs = all.On+c.On/plays, all.Off+c.Off/plays, all.Reqs+c.Reqs
+		}
+		fmt.Fprintf(&text, "part %g, all: %v\n", part, all)
+	}
+	t.Log(text.String())
+	if err := os.WriteFile("../../docs/measurements/counterfactual-cost.txt", []byte(text.String()), 0o644); err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/world/score.go
+++ b/lab/world/score.go
@@ -20,6 +20,7 @@
 	Refused       map[string]int
 	Estimators    map[string]int
 	Worst         []string // means and p99 that are too far off
+	Missed        []string // figures whose interval does not hold the truth
 	Width         float64  // sum of the means' half widths, relative
 	Err           float64  // sum of the means' errors, relative
 }
@@ -42,7 +43,7 @@
 	for k, n := range o.Estimators {
 		s.Estimators[k] += n
 	}
-	s.Worst = append(s.Worst, o.Worst...)
+	s.Worst, s.Missed = append(s.Worst, o.Worst...), append(s.Missed, o.Missed...)
 }
 
 func part(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
@@ -74,6 +75,10 @@
 	}
 	s.Given++
 	s.Estimators[string(a.Estimator)]++
+	text := func(name string, f *counterfactual.Figure, truth float64) string {
+		return fmt.Sprintf("%s %s frontend %s host %d %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule, a.Estimator,
+			a.Frontend, a.Host, name, f.Value, f.Low, f.High, truth)
+	}
 	hold := func(name string, f *counterfactual.Figure, truth float64) bool {
 		if !f.Given() {
 			s.Refused[name+" "+reason(f.Refused)]++
@@ -82,6 +87,8 @@
 		s.Figures++
 		if f.Low <= truth && truth <= f.High {
 			s.Held++
+		} else {
+			s.Missed = append(s.Missed, text(name, f, truth))
 		}
 		return true
 	}
@@ -89,8 +96,7 @@
 		if math.Abs(f.Value-truth) <= most*truth { // never for a truth that is none
 			return false
 		}
-		s.Worst = append(s.Worst, fmt.Sprintf("%s %s frontend %s host %d %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule,
-			a.Estimator, a.Frontend, a.Host, name, f.Value, f.Low, f.High, truth))
+		s.Worst = append(s.Worst, text(name, f, truth))
 		return true
 	}
 	if hold("mean", &a.Mean, t.Mean) {
