Hook: a gate before the connections to hosts: quota, turns, refusals of the store

With the section pool on, all connections of a gateway together, dials included, stay within what its holder allows now. A send without one waits its turn, urgent frontends first while they have less than the floor; where its turn would come too late it is turned away at once, with the time to come back. Connections beyond the quota are closed when they carry nothing, never with a req on them.

The store's refusal (dial refused, -BUSY or an end before anything was sent) is an answer: the send goes back to the head of the queue and dials pause, 50 to 400 ms. A new connection rests 1 ms as one that has carried an answer does, since a full store may take it and end it at once, and a req written to that may have run.

--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -35,6 +35,8 @@
 	most, count    int   // connections
 	hosts          map[uint32]*Host
 	dirty          []*conn
+	gate           *Gate // nil: no quota
+	urgent         bool  // the next send is
 }
 
 // Host is one host's connections.
@@ -60,6 +62,9 @@
 	over   bool
 	probe  bool
 	result Ended
+	urgent bool
+	until  int64 // its turn comes by then, where there is a quota
+	began  int64 // on its connection
 }
 
 type conn struct {
@@ -68,8 +73,10 @@
 	link   *ring.Link
 	send   *Send // the one it carries
 	freed  int64
+	reads  int   // answers
 	read   int64 // of the link's Reads, those up to the last answer
 	marked bool
+	used   bool // something was sent on it
 	closed bool
 }
 
@@ -124,24 +131,28 @@
 	text = append(text, head...)
 	text = append(strconv.AppendInt(append(text, '$'), int64(len(before)+len(ms)+len(after)), 10), '\r', '\n')
 	text = append(append(append(append(text, before...), ms...), after...), '\r', '\n')
-	return f.send(id, append(text, tail...), result)
+	return f.send(id, append(text, tail...), wait, result)
 }
 
 // Probe asks a host for its load.
 func (f *Fleet) Probe(id uint32, result Ended) *Send {
-	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), result)
+	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), int64(time.Second), result)
 	s.probe = true
 	return s
 }
 
-func (f *Fleet) send(id uint32, text []byte, result Ended) *Send {
+func (f *Fleet) send(id uint32, text []byte, wait int64, result Ended) *Send {
 	h := f.hosts[id]
 	if h == nil {
 		s := &Send{host: &Host{fleet: f, gone: true}, text: text, result: result}
 		s.fail(&Failure{Connecting, errGone})
 		return s
 	}
-	s := &Send{host: h, text: text, result: result}
+	s := &Send{host: h, text: text, result: result, urgent: f.urgent}
+	if f.gate != nil {
+		f.gate.take(s, wait)
+		return s
+	}
 	if c := h.clean(f.now()); c != nil {
 		c.carry(s)
 		return s
@@ -274,7 +285,9 @@
 	if len(h.waiting) > h.dialing { // nothing is left that could carry the first
 		s := h.waiting[0]
 		h.waiting = h.waiting[1:]
-		s.fail(&Failure{Connecting, err})
+		if g := h.fleet.gate; g == nil || !g.refused(s, err) {
+			s.fail(&Failure{Connecting, err})
+		}
 	}
 }
 
@@ -287,7 +300,9 @@
 		h.dial()
 		return
 	}
-	if len(h.waiting) > 0 && c.read == 0 {
+	if g := h.fleet.gate; g != nil && c.read == 0 {
+		g.rest(h)
+	} else if len(h.waiting) > 0 && c.read == 0 {
 		s := h.waiting[0]
 		h.waiting = h.waiting[1:]
 		c.carry(s)
@@ -301,9 +316,13 @@
 	if i := slices.Index(c.host.free, c); i >= 0 {
 		c.host.free = slices.Delete(c.host.free, i, i+1)
 	}
-	c.send, s.conn = s, c
+	c.send, s.conn, c.used = s, c, true
 	c.link.Out.Write(s.text)
-	s.text = nil
+	if g := c.host.fleet.gate; g != nil {
+		g.carried(s) // the text is kept: the store may refuse the connection
+	} else {
+		s.text = nil
+	}
 	if !c.marked {
 		c.marked = true
 		c.host.fleet.dirty = append(c.host.fleet.dirty, c)
@@ -313,6 +332,14 @@
 func (c *conn) answered(e gateway.Event, value []byte, came, reads int64, more bool) {
 	s := c.send
 	c.read = reads
+	c.reads++
+	if g := c.host.fleet.gate; g != nil && s != nil && c.reads == 1 && e.Result == gateway.Busy {
+		c.send = nil
+		g.done(s, false)
+		c.close()
+		g.refused(s, errStore)
+		return
+	}
 	if s == nil || c.link.Out.Len() > 0 {
 		c.fail(errUnasked)
 		return
@@ -322,6 +349,9 @@
 		return
 	}
 	c.send = nil
+	if g := c.host.fleet.gate; g != nil {
+		g.done(s, true)
+	}
 	s.over = true
 	if c.host.failing {
 		c.host.failing = false
@@ -352,6 +382,14 @@
 	s := c.send
 	c.send = nil
 	c.close()
+	if g := c.host.fleet.gate; g != nil && s == nil && !c.used {
+		g.slow() // the store ended it before anything was sent on it
+	} else if g != nil && s != nil {
+		g.done(s, false)
+		if stage == Writing && c.reads == 0 && g.refused(s, err) { // ended before anything was on it
+			return
+		}
+	}
 	if s != nil {
 		s.fail(&Failure{stage, err})
 	}
@@ -372,7 +410,7 @@
 func (s *Send) fail(failure *Failure) {
 	if h := s.host; !s.over {
 		s.over = true
-		if !h.failing && !h.gone && !errors.Is(failure, ErrTimedOut) && !errors.Is(failure, ErrCanceled) {
+		if !h.failing && !h.gone && !errors.Is(failure, ErrTimedOut) && !errors.Is(failure, ErrCanceled) && !errors.Is(failure, errTurn) {
 			h.failing = true
 			log.Printf("event=host_failing addr=%s stage=%s error=%q", h.addr, failure.Stage, failure.Err)
 		}
@@ -391,12 +429,18 @@
 	}
 	h := s.host
 	h.waiting = slices.DeleteFunc(h.waiting, func(w *Send) bool { return w == s })
+	if g := h.fleet.gate; g != nil {
+		g.drop(s)
+	}
 	s.fail(&Failure{Connecting, why})
 }
 
 // Flush writes all that was dispatched since the last call, one write a connection. It tells whether any had
 // to stay behind.
 func (f *Fleet) Flush() bool {
+	if f.gate != nil {
+		f.gate.pump()
+	}
 	f.dirty = slices.DeleteFunc(f.dirty, func(c *conn) bool {
 		if !c.closed {
 			if err := c.link.Flush(); err != nil {
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -49,7 +49,7 @@
 // Result says the same in the words of the interface.
 func (f *Failure) Result() gateway.Result {
 	switch {
-	case f.Stage < Sent && (errors.Is(f.Err, ErrCanceled) || errors.Is(f.Err, errRoom) || errors.Is(f.Err, errGone)):
+	case f.Stage < Sent && (errors.Is(f.Err, ErrCanceled) || errors.Is(f.Err, errRoom) || errors.Is(f.Err, errGone) || errors.Is(f.Err, errTurn)):
 		return gateway.Skipped
 	case f.Stage < Sent:
 		return gateway.Unreached
