Hook: section pool: voters agree by a Raft library, each gateway keeps to its quota

internal/pooler: datagrams between holders and the leading voter, signed (HMAC-SHA256 by crypto/hmac) and bounded; the voters' agreement is hashicorp/raft with its log in raft-boltdb; greeted by id, so that words for a voter that lost its disk never reach the one in its place, which is voted in under another id. The first voter founds the agreement once all voters are there and have nothing on disk.

internal/config/pool.go: strict, errors name the key. internal/node/pool.go: the holder in the loop; a req that was turned away is denied at once. Absent it is off: no socket, no line, on the real binary.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	Fixed      uint64           // a hash of the keys that count from the start on only
 	*Settings
 	Counterfactual *Counterfactual // nil: off
+	Pool           *Pool           // nil: off
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
@@ -128,6 +129,10 @@
 		c.Counterfactual, err = c.counterfactual(s.obj.Get("counterfactual").Raw)
 		fail("counterfactual", err)
 	}
+	if s.err == nil {
+		c.Pool, err = c.pool(s.obj.Get("pool").Raw)
+		fail("pool", err)
+	}
 	return c, s.err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
 	witness *watching // nil: off
+	pool    *pooling  // nil: off
 	lost    bool      // the watch broke, and none has brought anything since
 	told    bool      // clients may be taken in: discovery has answered once, or it was waited for long enough
 	broken  int       // lists dropped
@@ -147,6 +148,11 @@
 		return err
 	}
 	defer unwatch()
+	unpool, err := n.poolUp()
+	if err != nil {
+		return err
+	}
+	defer unpool()
 	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
 	if err != nil {
 		return err
@@ -254,7 +260,7 @@
 		}
 	}
 	wait := time.Hour
-	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt} {
+	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt, n.pool.turn()} {
 		if at > 0 {
 			wait = min(wait, time.Duration(at-n.now()))
 		}
@@ -355,6 +361,7 @@
 	d := n.sent(r, host, wait)
 	r.sends = append(r.sends, d)
 	r.out++
+	n.pool.next(r)
 	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, d.ended)
 }
 
@@ -386,6 +393,7 @@
 		e.Kind = gateway.Probed
 	} else {
 		r.out--
+		n.pool.ended(r)
 		if e.Result == gateway.Passed && !r.closed {
 			r.answer.Passed(value)
 			r.closed = true
--- /dev/null
+++ b/internal/pooler/codec_test.go
@@ -0,0 +1,41 @@
+package pooler
+
+import (
+	"testing"
+
+	"ravensill/pool"
+)
+
+func FuzzDecode(f *testing.F) {
+	key := []byte("0123456789abcdef")
+	good, err := Encode(key, &Word{Report: &pool.Report{Seat: 3, Life: 1 << 63, Demand: 2.5, Weight: 1}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good, false)
+	f.Add([]byte(`{"g":{"Seat":-1,"Units":-5}}`), true)
+	f.Add([]byte(`{"r":{"Seat":1e99},"g":{}}`), true)
+	t := pool.Terms{Seats: 4, Floor: 1, Lease: 5, Tell: 1}
+	f.Fuzz(func(tt *testing.T, b []byte, sign bool) {
+		if sign {
+			b = append(sum(key, b), b...)
+		}
+		w, err := Decode(key, b)
+		if err != nil {
+			return
+		}
+		if _, err := Decode([]byte("another key of it"), b); err == nil {
+			tt.Error("a word signed with another key was taken in")
+		}
+		l, h := pool.NewLender(&t, 1, pool.NewLedger(&t)), pool.NewHolder(&t, 0, 1, 1, 1, 9, 1)
+		if w.Report != nil {
+			l.Step(2, w.Report)
+			l.Step(3, pool.Tick{})
+		}
+		if w.Grant != nil {
+			if h.Hear(2, w.Grant); h.Allowed(2) < t.Floor {
+				tt.Error("less than the floor")
+			}
+		}
+	})
+}
--- a/pool/lender.go
+++ b/pool/lender.go
@@ -30,14 +30,15 @@
 // A renewal goes out only after a batch proposed later than the report came has been agreed on. So whoever leads next
 // was elected after the holder asked, and a full lease from its taking office on outlasts all that was answered.
 type Lender struct {
-	terms   *Terms
-	ledger  *Ledger
-	seats   []standing
-	office  int64
-	pending bool
-	asked   []int // seats answered by the pending batch
-	dues    []Want
-	notes   []any
+	terms    *Terms
+	ledger   *Ledger
+	seats    []standing
+	office   int64
+	pending  bool
+	asked    []int // seats answered by the pending batch
+	dues     []Want
+	multiple int // of headroom in force, by its place
+	notes    []any
 }
 
 type standing struct {
@@ -187,6 +188,7 @@
 			lendable += e.Units
 		}
 	}
+	l.spread(wants, lendable+t.Floor*t.Seats)
 	shares := Shares(wants, t.Floor, max(lendable, 0))
 	l.dues = wants
 	held := func(i int) bool { return now-l.seats[i].changed < t.Hold }
@@ -197,7 +199,7 @@
 	}
 	// Who lacks is worth a recall from those above their share, and nothing else is: when the level moves by one for
 	// all, as it does with each change of demand anywhere, nobody is both.
-	short, lacking := -free, false
+	short := -free
 	for i := range l.seats {
 		s, e := &l.seats[i], plan.Entries[i]
 		if !alive[i] {
@@ -205,7 +207,6 @@
 		}
 		if lack := shares[i] - e.Units; lack > 0 {
 			short += lack
-			lacking = true
 			if shares[i] > s.target && !held(i) {
 				set(i, shares[i])
 			}
@@ -234,24 +235,6 @@
 			set(i, s.target-back)
 		}
 	}
-	// What nobody lacks is lent too, so that a rise finds it there.
-	spare := free
-	for i, e := range plan.Entries {
-		spare -= max(l.seats[i].target-e.Units, 0)
-	}
-	for i := range l.seats {
-		s, d := &l.seats[i], wants[i].Demand
-		if spare <= 0 || lacking {
-			break
-		}
-		if alive[i] && !held(i) && d > 0 && shares[i]+t.Floor >= d && s.target+t.Floor < d+max(1, d/8) {
-			more := min(d+max(2, d/4)-t.Floor-s.target, spare)
-			if more > 0 {
-				set(i, s.target+more)
-				spare -= more
-			}
-		}
-	}
 	var to []int
 	for i := range l.seats {
 		s, e := &l.seats[i], plan.Entries[i]
@@ -280,6 +263,36 @@
 	}
 }
 
+// spread adds headroom to the claims where there is room for all of it: a mean demand of d swings by its root, so each
+// gets the same multiple of that, as in square-root staffing (Halfin and Whitt, Operations Research 29, 1981).
+func (l *Lender) spread(wants []Want, units int) {
+	room := func(m float64) (all []int, sum int) {
+		for _, w := range wants {
+			more := 0
+			if w.Demand > 0 {
+				more = int(math.Ceil(m * math.Sqrt(float64(w.Demand))))
+			}
+			all = append(all, more)
+			sum += max(w.Demand+more, l.terms.Floor)
+		}
+		return all, sum
+	}
+	for i, m := range []float64{3, 2, 1.5, 1, 0.7, 0.5, 0.3} {
+		most := units
+		if i < l.multiple {
+			most = units * 19 / 20 // not to and fro
+		}
+		if more, sum := room(m); sum <= most {
+			l.multiple = i
+			for k := range wants {
+				wants[k].Demand += more[k]
+			}
+			return
+		}
+	}
+	l.multiple = math.MaxInt
+}
+
 // written answers the reports of the batch, and tells all whose units changed.
 func (l *Lender) written(now int64, ledger *Ledger) []any {
 	if !l.pending {
