--- a/lab/spreadsim/spreadsim_test.go
+++ b/lab/spreadsim/spreadsim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -14,6 +15,17 @@
 	golden.Check(t, Table([]Fleet{{300, 200, 0}, {300, 190, 0}, {300, 60, 0.25}, {80, 60, 0}, {24, 200, 0.25}}, 2, 1))
 }
 
+// TestMeasure plays the days at full size if SPREADSIM names a file: a measurement, not a test for CI.
+func TestMeasure(t *testing.T) {
+	file := os.Getenv("SPREADSIM")
+	if file == "" {
+		t.Skip("SPREADSIM=FILE writes the days at full size there")
+	}
+	if err := os.WriteFile(file, []byte(Measure([]uint64{1, 2})), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // BenchmarkDeal: what a gateway computes at a change of the list, and its ratio to the landed rule in the same run.
 func BenchmarkDeal(b *testing.B) {
 	for _, f := range []Fleet{{3, 10, 0}, {80, 60, 0}, {300, 60, 0.25}, {300, 200, 0}, {300, 200, 0.25}} {
