--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,7 +5,7 @@
 //
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, Gateway.refill)
 //  2. the cap on open reqs: asked of the shared counter, else guessed (Gateway.counted, customer.openChance)
-//  3. bounded load among a subset of the hosts (package spread): the first in rank not much busier (fleet.pick)
+//  3. bounded load among a subset of the hosts (package spread): the first in rank not much busier (pick)
 //  4. a limit on what is out from here, moved by how late answers are; low worth gives way (package limit)
 //  5. hosts that fail a frontend or fall silent are in doubt (health), as are customers that go unanswered
 //  6. an allowance for cold hosts, a part of all dispatches (fleet.sent)
