--- a/logic/logic.go
+++ b/logic/logic.go
@@ -192,7 +192,7 @@
 		after, why = (r.units-c.ceiling)/c.ceilRate*float64(second), ByCeiling
 	case c.bad > 0.5 && g.now-c.moved < second: // most of its reqs go unanswered: one a second
 		after, why = float64(second), ByUnanswered
-	case r.until <= g.now, fr.Late == 0 && float64(g.now-r.arrived)+fr.usual > float64(fr.Target): // it would not earn
+	case r.until <= g.now, fr.Late == 0 && float64(g.now-r.arrived)+fr.usual > float64(fr.Target): // in vain
 		why = ByLate
 	case inCap > 0 && ask:
 		r.slot = mix(uint64(c.hash)<<32|uint64(g.now/span)) >> 1
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -1,5 +1,5 @@
 // Package spread tells which hosts a gateway holds, by list and seat alone: every gateway deals all hosts out
-// alike, in turns, as Maglev fills its table (Eisenbud et al., NSDI 2016). So each host is held by its part by
+// alike, in turns, as Maglev fills its table (Eisenbud et al., NSDI 2016). Each host is held by its part by
 // weight, each gateway holds as many as any other, and a change of the list moves few.
 package spread
 
