Fleet model tells who loses: by plan, demand and reach, against one who sees all tries

The model now has uneven reqs over gateways, spells of demand and a step, and reports each customer: first tries, what one who sees them all would let in, sent, beyond, denied with room; Table sums them by plan and demand, Trace shows copies beside the true bucket.

--- a/lab/fleetsim/fleetsim.go
+++ b/lab/fleetsim/fleetsim.go
@@ -61,6 +61,13 @@
 	MailLoss      float64
 	NetDelay      time.Duration // one way, gateway to host
 	Length        time.Duration // of the day
+	Uneven        float64       // a gateway's part of a customer's reqs: log-normal with this sigma, 0 even
+	Spiky         float64       // part of the customers that ask HeavyTimes their quota by spells of SpikeOn in SpikeEvery
+	SpikeOn       time.Duration
+	SpikeEvery    time.Duration
+	StepAt        time.Duration // from then on the heavy ask StepTo of their quota; 0 never
+	StepTo        float64
+	Trace         time.Duration // a sample of copies' levels so often; 0 none
 }
 
 // Report is what a day measured. Units are the quota's units.
@@ -76,8 +83,14 @@
 	BusiestHost                                                float64 // most reqs a host took, against the mean
 	Plans                                                      []PlanReport
 	Limit, Out, Lateness                                       float64 // means over gateways and seconds
+	Customers                                                  []CustomerReport
+	Trace                                                      []Sample
+	Windows                                                    []Window // of 5 s
 }
 
+// Window is what was sent on of heavy customers in a part of the day.
+type Window struct{ Sent, Beyond int }
+
 // PlanReport is a plan's part of a Report.
 type PlanReport struct {
 	Name                          string
@@ -164,6 +177,12 @@
 	level, ceil   float64 // its true bucket and ceiling
 	at            int64   // of the last refill of the truth
 	open          int     // dispatches out over all gateways
+	heavy, spiky  bool
+	spikeAt       int64     // offset of its spells
+	parts         []float64 // of its reqs by gateway of its set, summed up; nil even
+	ideal         float64   // the bucket of one who sees all first tries,
+	idealAt       int64     // as it was then
+	report        *CustomerReport
 }
 
 type req struct {
@@ -215,6 +234,7 @@
 	rep    Report
 	next   int // req numbers
 	cur    int // the gateway whose round runs
+	began  int64
 	events []gateway.Event
 }
 
@@ -257,12 +277,18 @@
 			part := cfg.Demand[0] + s.rnd.Float64()*(cfg.Demand[1]-cfg.Demand[0])
 			if s.rnd.Float64() < cfg.Heavy {
 				part = cfg.HeavyTimes[0] + s.rnd.Float64()*(cfg.HeavyTimes[1]-cfg.HeavyTimes[0])
+				c.heavy = true
 			}
 			c.rate = part * p.Rate // one unit a req
+			s.habits(c)
 			s.custs = append(s.custs, c)
 			s.push(&event{at: s.now + s.gap(c.rate), kind: arrive, cust: c.id})
 		}
 	}
+	start := s.now
+	s.began = s.now
+	s.rep.Windows = make([]Window, int(cfg.Length/(5*time.Second))+1)
+	nextTrace, stepped := s.now+int64(cfg.Trace), false
 	end := s.now + int64(cfg.Length)
 	sample, samples := s.now+int64(time.Second), 0
 	for s.q.Len() > 0 {
@@ -279,9 +305,20 @@
 				s.rep.Lateness += x.Late
 			}
 		}
+		for ; cfg.Trace > 0 && e.at >= nextTrace; nextTrace += int64(cfg.Trace) {
+			s.now = nextTrace
+			s.sample(time.Duration(nextTrace - start))
+		}
+		if cfg.StepAt > 0 && !stepped && e.at >= start+int64(cfg.StepAt) {
+			stepped = true
+			s.step()
+		}
 		s.now = e.at
 		s.handle(e)
 	}
+	for _, c := range s.custs {
+		s.rep.Customers = append(s.rep.Customers, *c.report)
+	}
 	used := 0
 	for _, g := range s.gws {
 		used += len(g.used)
@@ -316,6 +353,10 @@
 	case arrive:
 		c := s.custs[e.cust]
 		s.push(&event{at: s.now + s.gap(c.rate), kind: arrive, cust: c.id})
+		if c.spiky && !s.spell(c) {
+			return
+		}
+		s.first(c)
 		s.ask(c, s.now+int64(s.cfg.Deadline), 0)
 	case retry:
 		s.ask(s.custs[e.cust], e.until, e.n)
@@ -415,7 +456,8 @@
 	s.next++
 	r := &req{id: fmt.Sprintf("r%d", s.next), cust: c, arrived: s.now, until: until, tries: tries,
 		out: map[int]*dispatch{}}
-	r.gw = (c.first + s.rnd.IntN(c.spread)) % len(s.gws)
+	r.gw = (c.first + s.place(c)) % len(s.gws)
+	c.report.Tries++
 	s.reqs[r.id] = r
 	s.rep.Reqs++
 	s.rep.Plans[c.plan].Reqs++
@@ -458,9 +500,18 @@
 		s.refill(c)
 		s.rep.Admitted++
 		s.rep.Plans[c.plan].Admitted++
+		c.report.Sent++
+		w := &s.rep.Windows[min(int((s.now-s.began)/int64(5*time.Second)), len(s.rep.Windows)-1)]
+		if c.heavy && c.plan == 0 {
+			w.Sent++
+			if c.level < 1 {
+				w.Beyond++
+			}
+		}
 		if c.level >= 1 {
 			c.level--
 		} else {
+			c.report.Beyond++
 			s.rep.Beyond++
 			s.rep.Plans[c.plan].Beyond++
 		}
@@ -508,6 +559,7 @@
 	s.refill(c)
 	if c.level >= s.plans[c.plan].Burst/2 {
 		s.rep.DeniedWithRoom++
+		c.report.DeniedWithRoom++
 		s.rep.Plans[c.plan].DeniedWithRoom++
 	}
 	if r.tries < s.cfg.Retries {
--- a/logic/gauges.go
+++ b/logic/gauges.go
@@ -29,6 +29,16 @@
 		g.passed, g.denied}
 }
 
+// Copy tells the level of this gateway's copy of a customer's bucket, in units, as of its last refill, and the
+// units a second that it takes its peers to admit. A customer it holds no record of is not known.
+func (g *Gateway) Copy(customer string) (level, others float64, known bool) {
+	c := g.customers[hashText(customer)]
+	if c == nil {
+		return 0, 0, false
+	}
+	return c.level, c.others, true
+}
+
 // Tally gives the decisions since the start as words for the log: passed=N, then denied by reason.
 func (g *Gateway) Tally() string {
 	text := fmt.Sprintf("passed=%d", g.passed)
