First totals told late are charged; a new life is told by its own links

Seen in the fleet model (300 gateways, simulated): the copies do not swing together (of what is subtracted under 1% is clipped by the debt bound), so the limit cycle is not the cause at this size; it needs lags that all share. What fails is the news: on a link between rows 600 to 700 totals wait for 24 places a message and 0.73 messages a second, so most customers are first told of there after more than four intervals. Gateway.tell then said owed 0, and Gateway.told only recorded such a first total: it was never charged. And Gateway.hear queued every customer on every link for each new life of any peer: after a start 200 totals waited on each link of a row, 92% told nothing new.

Tests: TestLateFirstTotal, TestOwnLinks, both fail on the old code.

--- a/internal/mail/mail.go
+++ b/internal/mail/mail.go
@@ -7,7 +7,6 @@
 const (
 	version = 3
 	Most    = 256 // bytes in a message
-	Least   = 8   // bytes of a total
 	Tags    = 100 // hosts in a message
 )
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -214,7 +214,7 @@
 	}
 	c.ceiling, c.total = c.ceiling-r.units, [2]float64{c.total[0] + taken, c.total[1] + taken}
 	c.got, c.moved = c.got+r.units, g.now
-	c.note(true)
+	c.note(true, nil)
 	g.spare = min(g.spare+0.25, 10)
 	g.dispatch(r, h)
 }
@@ -450,10 +450,10 @@
 	return p
 }
 
-// note queues the customer for the peers that are to be told: of admissions here all, else the column.
-func (c *customer) note(here bool) {
+// note queues the customer for those to be told: of admissions here all peers, else the column; or one peer.
+func (c *customer) note(here bool, one *peer) {
 	for i := range c.ties {
-		if t := &c.ties[i]; t.tells && !t.queued && (here || t.peer.wants == 1) {
+		if t := &c.ties[i]; t.tells && !t.queued && (t.peer == one || one == nil && (here || t.peer.wants == 1)) {
 			t.queued, t.peer.queue = true, append(t.peer.queue, t)
 		}
 	}
@@ -481,28 +481,27 @@
 	}
 	p.said, p.credit = p.said+1, p.credit-1
 	msg := mail.Head(uint64(g.start/1e6), p.said, tags)
-	if len(p.queue)*mail.Least > mail.Most { // they may not all fit
-		slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
-	}
-	n := 0
-	for _, t := range p.queue {
+	slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
+	for len(p.queue) > 0 {
+		t := p.queue[0]
 		c, total := t.customer, uint64(t.customer.total[p.wants]*unit)
-		owed := uint64(0) // what a copy there that has not heard of these admissions is to lose
-		if g.now-c.begun < g.silence {
+		g.refill(c)
+		owed, lack := uint64(0), max(c.plan.Burst-c.level, 0)*unit
+		if g.now-c.begun < g.silence { // a copy there that has not heard of it is to lose the whole,
 			owed = total
-		} else if g.now-p.born < g.silence { // a new life has full copies: each peer tells its part of what is gone
-			g.refill(c)
-			owed = uint64(max(c.plan.Burst-c.level, 0) / float64(len(c.ties)) * unit)
+		} else if g.now-p.born < g.silence { // of a new life, full, this gateway's part of what is gone,
+			owed = uint64(lack / float64(len(c.ties)))
+		} else if t.told == 0 { // if first told late, what has not been refilled since
+			owed = min(total, uint64(lack))
 		}
-		entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, owed)
-		if len(msg)+len(entry) > mail.Most {
-			break
+		if entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, owed); owed > 0 || t.untold() > 0 {
+			if len(msg)+len(entry) > mail.Most {
+				break
+			}
+			msg = append(msg, entry...)
 		}
-		msg = append(msg, entry...)
-		t.told, t.queued = c.total[p.wants], false
-		n++
+		t.told, t.queued, p.queue = c.total[p.wants], false, p.queue[1:]
 	}
-	p.queue = slices.Delete(p.queue, 0, n)
 	g.out.Tell(p.seat, msg)
 }
 
@@ -518,7 +517,7 @@
 		if life != p.life {
 			p.born = g.now
 			for _, hash := range slices.Sorted(maps.Keys(g.customers)) {
-				g.customers[hash].note(true)
+				g.customers[hash].note(false, p)
 			}
 		}
 		if life != p.life || g.now-p.heard > g.silence { // its totals are first totals again
@@ -549,7 +548,7 @@
 		c.others += units / seconds(g.silence)
 		if p.wants == 0 {
 			c.total[1] += units
-			c.note(false)
+			c.note(false, nil)
 		}
 	}
 	t.seen, t.at, c.moved = total, g.now, g.now
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -219,6 +219,40 @@
 	golden.Check(t, w.trace.String())
 }
 
+func TestLateFirstTotal(t *testing.T) { // a total that had to wait 3 s for its first message is charged, less what refilled
+	w := start(3, 4, func(w *world) { w.plans[0].Rate = 0.5 })
+	w.wait(5*second, true) // no life is young
+	w.arrive(0, "a", 4)
+	w.pass(0)
+	w.trace.Reset()
+	for _, p := range w.seats[0].g.links {
+		p.credit = -24 // of 8 a second
+	}
+	w.wait(3200*ms, true)
+	w.levels("a")
+	golden.Check(t, w.trace.String())
+}
+
+func TestOwnLinks(t *testing.T) { // gateway 2 starts anew: it alone is told again of the 50 customers
+	w := start(3, 4, func(w *world) { w.plans[0].Rate = 0.01 })
+	for i := range 50 {
+		w.arrive(0, fmt.Sprint("c", i), 1)
+		w.pass(0)
+	}
+	w.wait(8*second, true)
+	w.boot(2, 4, 3)
+	w.trace.Reset()
+	told := [3]int{}
+	for range 2 * second / beat {
+		for k, to := range w.seats[0].to {
+			told[to] += len(w.seats[0].mail[k])
+		}
+		w.wait(beat, true)
+		w.in(0, gateway.Event{Kind: gateway.Woke})
+	}
+	golden.Check(t, fmt.Sprintf("bytes told to each gateway %v\n", told))
+}
+
 func TestBadMail(t *testing.T) { // short, of another version, cut off: dropped without harm
 	w := start(2, 1, nil)
 	w.arrive(1, "a", 4)
