--- a/lab/fleet/full_test.go
+++ b/lab/fleet/full_test.go
@@ -30,8 +30,10 @@
 	steady := z.case1("steady", 22*time.Second, 0.95)
 	steady.Loads[0].Skew, steady.Loads[0].Classes = 0, []standin.Class{{Name: "lookup", Wait: 8 * time.Second, Part: 1}}
 	binaries := map[string]string{"the program": ""}
-	if other := os.Getenv("RAVENSILL_OTHER"); other != "" {
-		binaries["the other program"] = other
+	for other := range strings.SplitSeq(os.Getenv("RAVENSILL_OTHER"), ",") { // name=path, more of them behind commas
+		if name, path, ok := strings.Cut(other, "="); ok {
+			binaries[name] = path
+		}
 	}
 	for _, s := range append([]Scenario{steady}, z.Cases()...) {
 		if !strings.Contains(s.Name, *cases) {
--- a/lab/fleet/measure.go
+++ b/lab/fleet/measure.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -13,8 +15,8 @@
 func Measure(ctx context.Context, w io.Writer, s Scenario, binaries map[string]string) error {
 	fmt.Fprintf(w, "### %s: %d processes, %d hosts, %.0f reqs a second, seed %d\n\n", s.Name, s.Plan.Gateways,
 		s.Plan.Hosts-len(s.Plan.Unlisted), s.Loads[0].Rate, s.Plan.Seed)
-	for name, path := range binaries {
-		s.Plan.Binary = path
+	for _, name := range slices.Sorted(maps.Keys(binaries)) {
+		s.Plan.Binary = binaries[name]
 		r, err := s.Play(ctx)
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
