Counterfactual: hosts are asked and answered for by their ids

Questions and answers named hosts by the module's numbers, which no operator knows. The node tells the task the ids with each list (a copy that is never changed after that); those of hosts gone stay for answers about windows past.

--- a/cmd/ravensill/counterfactual_test.go
+++ b/cmd/ravensill/counterfactual_test.go
@@ -133,7 +133,7 @@
 		}
 	}
 	for _, x := range [][2]string{{"what", "error"}, {`{"last":-1}`, "error"}, {`{"frontend":"none"}`, "error"}, {`{"rule":"odd","part":1}`, "error"}, {`{"when":1}`, "error"},
-		{`{"counts":true}`, `"Merged":`}, {`{"frontend":"lookup","rule":"chance","part":0.3}`, `"refused":`}, {`{"host":7}`, `"refused":`}} {
+		{`{"counts":true}`, `"Merged":`}, {`{"frontend":"lookup","rule":"chance","part":0.3}`, `"refused":`}, {`{"host":7}`, "error"}, {`{"host":"h9"}`, "error"}, {`{"host":"h0"}`, `"host":"h0"`}} {
 		if a := ask(x[0]); !strings.Contains(a, x[1]) {
 			t.Errorf("%s: %s", x[0], a)
 		}
--- a/counterfactual/answer.go
+++ b/counterfactual/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -50,7 +51,8 @@
 	Question  string    `json:"question"` // "one moved" or "replaced"
 	Rule      string    `json:"rule"`
 	Frontend  string    `json:"frontend"`
-	Host      uint32    `json:"host,omitempty"`
+	Host      string    `json:"host,omitempty"` // of rule single
+	Number    uint32    `json:"-"`              // the same by its number
 	Part      float64   `json:"part,omitempty"` // of the dispatches that the rule takes over
 	Estimator Estimator `json:"estimator,omitempty"`
 	Refused   string    `json:"refused,omitempty"` // why there are no figures at all
@@ -76,7 +78,7 @@
 
 // load gathers a frontend's strata over the bins from..to.
 func (l *Ledger) load(frontend int, from, to int64) *table {
-	t := newTable(l.set.Targets[frontend], l.set.Pause)
+	t := newTable(l.set.Targets[frontend], l.set.Pause, l.name)
 	index := map[Key]*stratum{}
 	for at := from; at <= to; at++ {
 		if b := l.bins[at]; b != nil {
@@ -92,6 +94,15 @@
 	return t
 }
 
+func (l *Ledger) name(host uint32) string {
+	if l.set.Host != nil {
+		if id := l.set.Host(host); id != "" {
+			return id
+		}
+	}
+	return strconv.FormatUint(uint64(host), 10)
+}
+
 // span bounds a question's bins, so that a strange one costs no more than all that is kept.
 func (l *Ledger) span(from, to int64) (int64, int64) { return max(from, to-int64(l.set.Bins)), to }
 
@@ -115,7 +126,7 @@
 	t.strata = slices.DeleteFunc(t.strata, func(s *stratum) bool { return s.key.Host != host })
 	missing, absent := l.missing(from, to)
 	a := l.answers(t, frontend, []Rule{Single}, missing, absent, "")[0]
-	a.Host, a.Regret = host, Figure{Refused: "a single host has none"}
+	a.Host, a.Number, a.Regret = l.name(host), host, Figure{Refused: "a single host has none"}
 	if a.Covers = 0; done > 0 {
 		a.Covers = a.Reqs / done
 	}
@@ -229,7 +240,7 @@
 	})
 	text := ""
 	for _, h := range hosts[:min(len(hosts), 4)] {
-		text += fmt.Sprintf(" host=%d reqs=%.1f", h, by[h])
+		text += fmt.Sprintf(" host=%s reqs=%.1f", t.name(h), by[h])
 	}
 	if text == "" {
 		return ""
--- a/counterfactual/ledger.go
+++ b/counterfactual/ledger.go
@@ -16,7 +16,8 @@
 	Missing  float64 // part of the fleet's dispatches that may be missing from a figure
 	Targets  []int64 // by frontend: figures are of times up to here
 	Names    []string
-	Pause    func() // called between steps of a long computation; may be nil
+	Host     func(uint32) string // a host's id, for answers; nil: its number
+	Pause    func()              // called between steps of a long computation; may be nil
 }
 
 // Counts tells what became of the messages, since the start.
--- a/counterfactual/replaced.go
+++ b/counterfactual/replaced.go
@@ -30,7 +30,7 @@
 	case r == Single || r < 0 || r >= Rules || !(part > 0 && part <= 1):
 		a.Refused = NoOverlap + ": a rule that chooses for a part from 0 to 1 wanted"
 	}
-	t := newTable(l.set.Targets[frontend], l.set.Pause)
+	t := newTable(l.set.Targets[frontend], l.set.Pause, l.name)
 	if a.Refused != "" {
 		t.figures(&a, r, nil, nil)
 		return a
--- a/counterfactual/table.go
+++ b/counterfactual/table.go
@@ -27,12 +27,13 @@
 	horizon int     // bucket of the target
 	target  float64 // ns
 	pause   func()
+	name    func(uint32) string
 	events  []float64 // scratch, by bucket
 	cuts    []float64
 }
 
-func newTable(target int64, pause func()) *table {
-	t := &table{target: float64(target), horizon: Bucket(target), pause: pause}
+func newTable(target int64, pause func(), name func(uint32) string) *table {
+	t := &table{target: float64(target), horizon: Bucket(target), pause: pause, name: name}
 	t.events, t.cuts = make([]float64, never+1), make([]float64, never+1)
 	return t
 }
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -21,7 +21,10 @@
 	rnd    *rand.Rand
 }
 
+const mostPlaces = 4096 // hosts known, gone ones among them
+
 type place struct {
+	id   string
 	zone int
 	born uint32
 }
@@ -141,10 +144,18 @@
 		return
 	}
 	for _, l := range list {
-		if l.State == gateway.Gone {
-			delete(w.places, l.Host)
-		} else {
-			w.places[l.Host] = place{l.Zone, uint32(l.Since / 1e6)}
+		if l.State != gateway.Gone {
+			w.places[l.Host] = place{w.book.Name(l.Host), l.Zone, uint32(l.Since / 1e6)}
+		}
+	}
+	for number := range w.places { // one that is gone keeps its id for answers about windows past
+		if len(w.places) > mostPlaces && w.book.Name(number) == "" {
+			delete(w.places, number)
 		}
 	}
+	ids := make(map[uint32]string, len(w.places))
+	for number, p := range w.places {
+		ids[number] = p.id
+	}
+	w.task.Name(ids)
 }
--- a/internal/witness/ask.go
+++ b/internal/witness/ask.go
@@ -15,7 +15,7 @@
 // Ask is a question to a collector.
 type Ask struct {
 	Frontend string  `json:"frontend"` // "" each
-	Host     *uint32 `json:"host"`     // one single host's number in place of all rules
+	Host     string  `json:"host"`     // one single host in place of all rules
 	Rule     string  `json:"rule"`     // with Part: a rule in force
 	Part     float64 `json:"part"`     // for this part of all dispatches
 	Last     int     `json:"last"`     // sealed windows; 0 all that are kept
@@ -74,8 +74,12 @@
 				return []any{map[string]string{"error": fmt.Sprintf("rule: there is no %q", a.Rule)}}
 			}
 			all = append(all, w.ledger.Replaced(f, r, a.Part, from, to))
-		case a.Host != nil:
-			all = append(all, w.ledger.One(f, *a.Host, from, to))
+		case a.Host != "":
+			number, ok := w.number(a.Host)
+			if !ok {
+				return []any{map[string]string{"error": fmt.Sprintf("host: there is no %q", a.Host)}}
+			}
+			all = append(all, w.ledger.One(f, number, from, to))
 		default:
 			for _, x := range w.ledger.Panel(f, from, to) {
 				all = append(all, x)
@@ -90,6 +94,27 @@
 	return all
 }
 
+// Name tells the hosts' ids by their numbers; the map is not changed after that.
+func (w *Witness) Name(ids map[uint32]string) { w.ids.Store(&ids) }
+
+func (w *Witness) id(number uint32) string {
+	if ids := w.ids.Load(); ids != nil {
+		return (*ids)[number]
+	}
+	return ""
+}
+
+func (w *Witness) number(id string) (uint32, bool) {
+	if ids := w.ids.Load(); ids != nil {
+		for number, x := range *ids {
+			if x == id {
+				return number, true
+			}
+		}
+	}
+	return 0, false
+}
+
 func addr(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
 
 func (n *name) encode() []byte {
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -53,6 +53,7 @@
 	free    chan []*Entry // folded, to be used again
 	missed  atomic.Int64  // records that found the queue full
 	strange atomic.Int64  // datagrams that no gateway sends so
+	ids     atomic.Pointer[map[uint32]string]
 	udp     *net.UDPConn
 	tcp     net.Listener // nil: no collector
 	heard   chan datagram
@@ -127,7 +128,7 @@
 		at = w.tcp.Addr().String()
 		w.ledger = counterfactual.NewLedger(counterfactual.Settings{Gateways: seats, Window: int64(set.Window) * 1e6,
 			Grace: int64(set.Grace) * 1e6, Bins: set.Keep*1000/set.Window + 1, Cells: set.Ledger, Missing: set.Missing,
-			Targets: targets, Names: names, Pause: runtime.Gosched})
+			Targets: targets, Names: names, Host: w.id, Pause: runtime.Gosched})
 		w.go_(w.accept)
 	}
 	w.go_(w.read)
--- a/lab/truth/truth.go
+++ b/lab/truth/truth.go
@@ -233,7 +233,7 @@
 type book struct {
 	n, late int
 	samples map[counterfactual.Rule]*world.Sample
-	hosts   map[uint32]*world.Sample
+	hosts   map[string]*world.Sample
 }
 
 // read reads the records and asks the hosts' logs. It tells an error where a record names a host that no log knows.
@@ -286,7 +286,7 @@
 		}
 		number[id] = best
 	}
-	b := &book{n: len(all), samples: map[counterfactual.Rule]*world.Sample{}, hosts: map[uint32]*world.Sample{}}
+	b := &book{n: len(all), samples: map[counterfactual.Rule]*world.Sample{}, hosts: map[string]*world.Sample{}}
 	for _, e := range all {
 		own, known := number[e.Options[0].Host]
 		i := slices.IndexFunc(came[e.Req], func(g got) bool { return known && g.host == own })
@@ -328,17 +328,20 @@
 			add(b.samples[r], r, 0)
 		}
 		for _, o := range e.Options {
-			if b.hosts[o.Host] == nil {
-				b.hosts[o.Host] = &world.Sample{}
+			if h, ok := number[o.Host]; ok {
+				id := f.Host(h).ID
+				if b.hosts[id] == nil {
+					b.hosts[id] = &world.Sample{}
+				}
+				add(b.hosts[id], counterfactual.Single, o.Host)
 			}
-			add(b.hosts[o.Host], counterfactual.Single, o.Host)
 		}
 	}
 	return b, nil
 }
 
 // truth is not a number where a host that counts never got anything: no estimate may be given for it.
-func (b *book) truth(r counterfactual.Rule, host uint32) world.Truth {
+func (b *book) truth(r counterfactual.Rule, host string) world.Truth {
 	s := b.samples[r]
 	if r == counterfactual.Single {
 		s = b.hosts[host]
--- a/lab/world/score.go
+++ b/lab/world/score.go
@@ -76,7 +76,7 @@
 	s.Given++
 	s.Estimators[string(a.Estimator)]++
 	text := func(name string, f *counterfactual.Figure, truth float64) string {
-		return fmt.Sprintf("%s %s frontend %s host %d %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule, a.Estimator,
+		return fmt.Sprintf("%s %s frontend %s host %s %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule, a.Estimator,
 			a.Frontend, a.Host, name, f.Value, f.Low, f.High, truth)
 	}
 	hold := func(name string, f *counterfactual.Figure, truth float64) bool {
@@ -123,7 +123,7 @@
 	for i := range all {
 		for j := range i {
 			a, b := &all[i], &all[j]
-			if d := truths[i].Mean - truths[j].Mean; a.Mean.Given() && b.Mean.Given() && (a.Host > 0) == (b.Host > 0) &&
+			if d := truths[i].Mean - truths[j].Mean; a.Mean.Given() && b.Mean.Given() && (a.Host == "") == (b.Host == "") &&
 				math.Abs(d) > 0.1*min(truths[i].Mean, truths[j].Mean) {
 				s.Pairs++
 				if (a.Mean.Value > b.Mean.Value) == (d > 0) {
