SIGTERM: connections end before the platform may kill, so that none loses a command

Cause: node.stopping left connections open a second past leaveAt, so that clients sent until SIGKILL came (3.7 s after SIGTERM at the earliest), and what came in its last moment was never answered. Ruled out: reqs of before (all ended by 3.5 s, by `until`), the denial of late ones (they were read too late or not at all). Change: connections end at leaveAt, 0.2 s before the earliest kill, once nothing is open on them. A command that crosses that close counts as a refusal.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,6 @@
 	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
 	mostLeave = 3 * time.Second        // of the longest client timeout: the platform counts no more
 	leave     = 500 * time.Millisecond // it kills 0.7 s after that: by then all that was taken is answered
-	linger    = time.Second            // if nobody kills, the last connections end so much later
 	probeWait = int64(time.Second)
 	tallyEach = int64(5 * time.Second) // between lines of the module's decisions
 )
@@ -197,7 +196,7 @@
 
 // stop begins the end. Clients go on sending on what they have open, and a close that crosses a command leaves
 // that unanswered. So what is open is served until shortly before the platform kills, which counts from the
-// longest client timeout; what comes later finds its time up and is denied at once.
+// longest client timeout, and ends then: a kill that crosses a command would lose it.
 func (n *Node) stop() {
 	longest := int64(0)
 	for _, f := range n.cfg.Fronts {
@@ -211,7 +210,7 @@
 // stopping takes the next step to the end: first no new clients, at last none at all.
 func (n *Node) stopping() {
 	if !n.stopped {
-		n.stopped, n.stopAt = true, n.leaveAt+int64(linger)
+		n.stopped, n.stopAt = true, n.leaveAt
 		n.clients.Unlisten()
 		log.Printf("event=closed_to_new clients=%d open=%d", n.clients.Count(), len(n.reqs))
 		return
