Gate: the loop is not woken each millisecond while only an answer can help

With sends in the queue and every connection in use, the gate looked at the queue each millisecond, a whole turn of the loop each time: 1,000 turns a second at each gateway of a fleet beyond its store's capacity. It is now due only while a connection rests or a dial was put off; an answer has the loop look anyhow. The test fails on the old code.

--- a/internal/hosts/gate.go
+++ b/internal/hosts/gate.go
@@ -149,12 +149,8 @@
 			}
 		}
 	}
-	if len(g.queue) > 0 && !g.armed {
+	if rest := g.resting(now); rest > 0 && !g.armed {
 		g.armed = true
-		rest := settle
-		if now < g.dialAt {
-			rest = min(g.dialAt-now, 5*settle)
-		}
 		time.AfterFunc(time.Duration(rest), func() {
 			f.do(func() {
 				g.armed = false
@@ -164,6 +160,20 @@
 	}
 }
 
+// resting gives the time until a connection that rests, or a dial that was put off, may serve the queue; 0 where
+// only an answer can. Each answer has the loop look again anyhow.
+func (g *Gate) resting(now int64) int64 {
+	for _, s := range g.queue {
+		if len(s.host.free) > 0 {
+			return settle
+		}
+	}
+	if len(g.queue) > 0 && now < g.dialAt {
+		return g.dialAt - now
+	}
+	return 0
+}
+
 // closeOldest closes the connection that is free the longest, of a host that nobody waits for; not of this one.
 func (f *Fleet) closeOldest(not *Host) bool {
 	var oldest *conn
--- a/internal/hosts/gate_test.go
+++ b/internal/hosts/gate_test.go
@@ -62,6 +62,9 @@
 	if held, use := g.Use(); held != 1 || use != 3 {
 		t.Errorf("%d connections, %d in use or waited for", held, use)
 	}
+	if g.armed {
+		t.Error("the loop is woken again and again while only an answer can help")
+	}
 	d.until(3)
 	g.service = float64(time.Hour)
 	ask("c", 40*time.Second) // a connection rests, and is its at once
