--- a/lab/world/scenes.go
+++ b/lab/world/scenes.go
@@ -68,5 +68,5 @@
 		}
 	}, ""},
 	{"another zone far away", func(c *Config) { c.Far = 25 }, ""},
-	{"tables too small", func(c *Config) { c.Queue = 60 }, "gateways missing"},
+	{"tables too small", func(c *Config) { c.Queue = 30 }, "gateways missing"},
 }
