--- a/lab/fleet/full_test.go
+++ b/lab/fleet/full_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"flag"
-	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -40,8 +40,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 			defer cancel()
 			var text strings.Builder
-			must(t, Measure(ctx, &text, s, binaries))
-			fmt.Println(text.String())
+			must(t, Measure(ctx, io.MultiWriter(os.Stdout, &text), s, binaries))
 			if *into != "" {
 				must(t, os.MkdirAll(filepath.Dir(*into), 0o755))
 				w, err := os.OpenFile(*into, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
