--- a/counterfactual/answer.go
+++ b/counterfactual/answer.go
@@ -20,6 +20,7 @@
 	tailWidth      = 0.16 // the same of p99
 	shareWidth     = 0.05 // half of the interval of a share
 	level          = 0.95 // of the intervals
+	unlike         = 0.2  // by so much a host's time may differ where it had no chance from that at the same load where it had
 )
 
 // Why there is no figure.
@@ -286,9 +287,14 @@
 	a.mean = mean
 	design := max(1, jackknife(a.means)*a.Effective/max(spread, 1e-9)) // what customers' likeness costs
 	wide := math.Sqrt(design * spread * (1/a.Effective + 1/a.Reqs))
-	a.Mean = figure(mean/1e6, (mean-student*wide)/1e6, (mean+student*wide)/1e6, meanWidth*mean/1e6)
+	beyond := 0.0
+	if a.Estimator == Direct { // no outcome tells of that part
+		beyond = unlike * a.None
+	}
+	reach := student*wide + beyond*mean
+	a.Mean = figure(mean/1e6, (mean-reach)/1e6, (mean+reach)/1e6, meanWidth*mean/1e6)
 	if a.Mean.Given() {
-		w := wide * anytime(a.Effective)
+		w := wide*anytime(a.Effective) + beyond*mean
 		a.Mean.Any = &[2]float64{max(mean-w, 0) / 1e6, (mean + w) / 1e6}
 	}
 
@@ -327,7 +333,7 @@
 		if !ok {
 			return Figure{Refused: TooWide + ": up to the target"}
 		}
-		return figure(q/1e6, lo/1e6/gamma, hi/1e6*gamma, width*q/1e6)
+		return figure(q/1e6, lo/1e6/gamma/(1+beyond), hi/1e6*gamma*(1+beyond), width*q/1e6)
 	}
 	a.P50, a.P99 = quantile(0.5, meanWidth), quantile(0.99, tailWidth)
 	low, high := share(f[t.horizon], t.horizon)
