While nobody is heard, peers are taken to admit on as they last did

Cause: refill gives each copy the full rate with nothing subtracted until four intervals (5.5 s there) are over, and a cut of 6 s makes all totals first totals, which are only recorded: copies are full at its end. Change: unheard for four times the usual time between two hearings of any peer (0.2 s at least), a copy loses what its peers last told a second, within the bounded debt; what is told later is charged less that. Totals are first totals again after eight intervals, not four.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,7 @@
 	links                       []*peer           // the gateways that it tells or hears
 	peers, to, from             []*peer           // by seat: it, if linked; the link on the way there, and back
 	rate, age, largest          float64           // messages a second to a peer; seconds a total is old; units
-	pause, silence              int64             // between signs of life; without any, peers are gone
+	pause, silence, hush        int64             // between signs of life; with none: peers gone, net cut
 	fleet                       fleet
 	worth, spare                float64 // usual worth of a req for its time; repeats in stock
 	rnd                         *mwc
@@ -111,6 +111,7 @@
 	g.rate = max(seat.PerSecond*mailLeast/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
 	g.pause = max(interval, int64(float64(second)/g.rate))
 	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
+	g.hush = max(g.silence/int64(max(len(g.links), 1)), 2*stall) // when several signs of life are overdue
 	g.fleet = fleet{rnd: g.rnd, cold: cold, limit: limit.Out{Start: firstOpen / float64(n)},
 		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: me, seats: n, fronts: len(fronts)}
 	return g
@@ -420,13 +421,16 @@
 func (g *Gateway) refill(c *customer) {
 	t, part := seconds(g.now-c.at), 1.0
 	c.at = g.now
+	fade := math.Exp(-t / seconds(g.silence))
 	if g.now-g.heard > g.silence {
 		part /= float64(max(c.spread, 1))
+	} else if g.now-g.heard > g.hush { // nobody is heard: peers are taken to admit on as they last did
+		take := max(min(c.others*t, c.level+debt*c.plan.Burst), 0)
+		c.level, c.presumed, c.others = c.level-take, c.presumed+take, c.others/fade
 	}
 	c.level = min(c.level+c.plan.Rate*t*part, max(c.plan.Burst*part, min(c.plan.Burst, g.largest)))
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
-	fade := math.Exp(-t / seconds(g.silence))
-	c.others, c.ask, c.got = c.others*fade, c.ask*fade, c.got*fade
+	c.others, c.ask, c.got, c.presumed = c.others*fade, c.ask*fade, c.got*fade, c.presumed*fade
 }
 
 func (g *Gateway) idle(c *customer) bool {
@@ -520,7 +524,7 @@
 				g.customers[hash].note(false, p)
 			}
 		}
-		if life != p.life || g.now-p.heard > g.silence { // its totals are first totals again
+		if life != p.life || g.now-p.heard > 2*g.silence { // its totals are first totals again
 			p.life, p.first = life, g.now
 		}
 		p.heard, g.heard, p.number = g.now, g.now, number
@@ -544,7 +548,9 @@
 		last = total - owed
 	}
 	if units := float64(total-last) / unit; units > 0 {
-		c.level = max(c.level-units, min(c.level, -debt*c.plan.Burst))
+		known := min(units, c.presumed) // taken while nobody was heard
+		c.presumed -= known
+		c.level = max(c.level-units+known, min(c.level, -debt*c.plan.Burst))
 		c.others += units / seconds(g.silence)
 		if p.wants == 0 {
 			c.total[1] += units
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -880,3 +880,30 @@
 	}
 	golden.Check(t, w.trace.String())
 }
+
+// The network between 100 gateways is cut under a customer that asks four times its rate: what they send on while
+// nobody is heard stays near what it was. Copies refilled at the full rate and sent on all that was asked, 38% beyond quotas.
+func TestCut(t *testing.T) {
+	w := start(100, 400, nil)
+	var all strings.Builder
+	n := 0
+	for half := range 20 { // half seconds
+		sent := 0
+		for range 20 {
+			w.trace.Reset()
+			n++
+			w.arrive(n*37%100, "a", 1)
+			sent += strings.Count(w.trace.String(), "dispatch")
+			w.pass(n * 37 % 100)
+			w.wait(beat*5/8, half < 8 || half >= 14)
+		}
+		if half%2 == 0 {
+			fmt.Fprintf(&all, "%d s", half/2)
+		}
+		fmt.Fprintf(&all, " %d of 20", sent)
+		if half%2 == 1 {
+			fmt.Fprintf(&all, ", cut %t\n", half >= 8 && half < 14)
+		}
+	}
+	golden.Check(t, all.String())
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -35,6 +35,7 @@
 	begun, at, moved             int64      // start of the record, last refill, last admission here or elsewhere
 	level, others                float64    // units; units a second that the peers admit
 	ask, got                     float64    // units lately asked and admitted
+	presumed                     float64    // units taken for peers that were not heard
 	total                        [2]float64 // units admitted here, and with the others of the row
 	ceiling, ceilRate, ceilDepth float64    // this gateway's part of the ceiling: store, rate and depth
 	open                         int        // dispatches out from here
