--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -52,6 +53,7 @@
 	Unheard  Result = "unheard"  // no answer within the client timeout and 20 s more
 	Reset    Result = "reset"    // the connection broke after the req was written
 	Refused  Result = "refused"  // no connection came up, so no gateway took it
+	Unsent   Result = "unsent"   // the rig itself had no descriptor or address left for a connection
 	Crossing Result = "crossing" // sent again on a new connection, since a close crossed it, and lost there too
 )
 
@@ -303,6 +305,12 @@
 	go func() {
 		conn, err := net.DialTimeout("tcp4", addr, p.wait)
 		c.Do(func() {
+			for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
+				if errors.Is(err, own) {
+					c.end(p, Unsent)
+					return
+				}
+			}
 			if err != nil {
 				c.end(p, Refused)
 				return
