Counterfactual: idle times no longer hide how much is missing with a silent gateway

Now it is the gateway's part of the fleet's dispatches when it was heard, of those told when it was not, where that is more. A test fails without it.

--- a/counterfactual/ledger.go
+++ b/counterfactual/ledger.go
@@ -233,6 +233,25 @@
 func (l *Ledger) missing(from, to int64) (all []Missing, part float64) {
 	span := int(to - from + 1)
 	told, heard := 0.0, 0
+	at := map[int64]float64{} // dispatches that the fleet told of, by bin
+	for _, t := range l.gateways {
+		for _, w := range t.windows {
+			if w.whole && from <= w.bin && w.bin <= to {
+				at[w.bin] += float64(w.seen - w.lost)
+			}
+		}
+	}
+	silent := func(t *teller, seen float64) float64 { // its part, when it was heard, of what was told when it was not
+		with, without := 0.0, 0.0
+		for bin, n := range at {
+			if slices.ContainsFunc(t.windows, func(w *window) bool { return w.whole && w.bin == bin }) {
+				with += n
+			} else {
+				without += n
+			}
+		}
+		return seen / max(with, 1) * without
+	}
 	for seat := range uint32(l.set.Gateways) {
 		m, seen, whole := Missing{Gateway: seat}, 0.0, 0
 		if t := l.gateways[seat]; t != nil {
@@ -269,7 +288,9 @@
 		}
 		m.reqs = float64(m.Lost)
 		if whole > 0 {
-			m.reqs += float64(m.Windows) * seen / float64(whole)
+			if m.Windows > 0 { // idle times before or after must not make it look small
+				m.reqs += max(float64(m.Windows)*seen/float64(whole), silent(l.gateways[seat], seen))
+			}
 			told += seen
 			heard++
 		} else {
--- a/counterfactual/ledger_test.go
+++ b/counterfactual/ledger_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -124,6 +125,28 @@
 	}
 }
 
+// Idle windows before the traffic do not hide that a gateway fell silent in it.
+func TestMissingAfterIdle(t *testing.T) {
+	l := NewLedger(settings(2))
+	for i := range 50 {
+		for seat := range 2 {
+			n := 0
+			if i >= 40 {
+				n = 100
+			}
+			if seat == 1 && i >= 44 {
+				continue
+			}
+			for _, e := range seen(seat, 1, i, n) {
+				hear(t, l, e(0), int64(100+i)*second)
+			}
+		}
+	}
+	if a := l.Panel(0, 100, 149)[Logged]; !strings.HasPrefix(a.Refused, GatewaysGone) || a.Absent < 0.15 {
+		t.Errorf("%.2f missing, %q", a.Absent, a.Refused)
+	}
+}
+
 // Memory is bounded, and comes back.
 func TestBounds(t *testing.T) {
 	set := settings(1)
