--- a/lab/coldsim/coldsim.go
+++ b/lab/coldsim/coldsim.go
@@ -5,13 +5,13 @@
 package coldsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"ravensill/gateway"
+	"ravensill/lab/agenda"
 	"ravensill/logic"
 )
 
@@ -49,34 +49,18 @@
 )
 
 type event struct {
-	at, seq int64
 	gw      int
 	e       gateway.Event // Ended, Woke; none is an arrival
 	arrival bool
 }
 
-type queue []*event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(*event)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 // sim is one play. It takes the decisions of the gateway whose turn it is.
 type sim struct {
 	Config
 	rnd   *rand.Rand
 	now   int64
-	seq   int64
-	q     queue
+	q     agenda.Agenda[event]
+	reqs  int
 	gws   []*logic.Gateway
 	turn  int
 	sent  [][]int64 // by cold host
@@ -114,11 +98,11 @@
 	s.arrival()
 	told := false
 	for end := s.since + int64(c.Length); s.q.Len() > 0; {
-		e := heap.Pop(&s.q).(*event)
-		if e.at > end {
+		at, e := s.q.Next()
+		if at > end {
 			break
 		}
-		if s.now = e.at; !told && s.now >= s.since {
+		if s.now = at; !told && s.now >= s.since {
 			told = true
 			for i := range s.gws {
 				s.round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]})
@@ -134,12 +118,6 @@
 	return s.report()
 }
 
-func (s *sim) push(e *event) {
-	s.seq++
-	e.seq = s.seq
-	heap.Push(&s.q, e)
-}
-
 func (s *sim) arrival() {
 	rate := s.PerSecond
 	if after := s.now - s.since; after >= 0 && after < int64(s.Lull) {
@@ -147,7 +125,7 @@
 	} else if after >= int64(s.Lull) && s.Surge > 0 {
 		rate *= s.Surge
 	}
-	s.push(&event{at: s.now + int64(s.rnd.ExpFloat64()/rate*1e9), arrival: true})
+	s.q.Put(s.now+int64(s.rnd.ExpFloat64()/rate*1e9), event{arrival: true})
 }
 
 func (s *sim) arrive() {
@@ -158,7 +136,8 @@
 	} else if few > 0 {
 		i = few + s.rnd.IntN(s.Gateways-few)
 	}
-	s.round(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint(s.seq), Customer: fmt.Sprint(s.rnd.IntN(5000)),
+	s.reqs++
+	s.round(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint(s.reqs), Customer: fmt.Sprint(s.rnd.IntN(5000)),
 		Until: s.now + int64(3*time.Second), Units: 1, Spread: s.Gateways})
 }
 
@@ -177,12 +156,12 @@
 	}
 	n := s.tries[req]
 	s.tries[req]++
-	s.push(&event{at: s.now + int64(answers), gw: s.turn, e: gateway.Event{Kind: gateway.Ended, Req: req, Host: host, Dispatch: n,
+	s.q.Put(s.now+int64(answers), event{gw: s.turn, e: gateway.Event{Kind: gateway.Ended, Req: req, Host: host, Dispatch: n,
 		Result: gateway.Passed, Lag: int64(answers), Closed: true}})
 }
 
 func (s *sim) Wake(after int64) {
-	s.push(&event{at: s.now + max(after, int64(beat)), gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
+	s.q.Put(s.now+max(after, int64(beat)), event{gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
 }
 
 func (s *sim) Cancel(string, int)           {}
--- a/lab/fleetsim/fleetsim.go
+++ b/lab/fleetsim/fleetsim.go
@@ -21,13 +21,13 @@
 package fleetsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"ravensill/gateway"
+	"ravensill/lab/agenda"
 	"ravensill/logic"
 )
 
@@ -142,31 +142,16 @@
 )
 
 type event struct {
-	at, seq int64
-	kind    kind
-	gw      int
-	req     *req
-	host    int
-	n       int    // dispatch number
-	from    int    // of a message
-	body    []byte // of a message
-	cust    int
-	until   int64 // of a client's retry
-}
-
-type events []*event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
+	at    int64
+	kind  kind
+	gw    int
+	req   *req
+	host  int
+	n     int    // dispatch number
+	from  int    // of a message
+	body  []byte // of a message
+	cust  int
+	until int64 // of a client's retry
 }
 
 type customer struct {
@@ -224,8 +209,7 @@
 	cfg    Config
 	rnd    *rand.Rand
 	now    int64
-	seq    int64
-	q      events
+	q      agenda.Agenda[*event]
 	gws    []*gw
 	hosts  []*host
 	custs  []*customer
@@ -292,7 +276,7 @@
 	end := s.now + int64(cfg.Length)
 	sample, samples := s.now+int64(time.Second), 0
 	for s.q.Len() > 0 {
-		e := heap.Pop(&s.q).(*event)
+		_, e := s.q.Next()
 		if e.at > end {
 			break
 		}
@@ -334,11 +318,7 @@
 	return s.rep
 }
 
-func (s *sim) push(e *event) {
-	s.seq++
-	e.seq = s.seq
-	heap.Push(&s.q, e)
-}
+func (s *sim) push(e *event) { s.q.Put(e.at, e) }
 
 // gap is the time to the next arrival of a Poisson stream of rate a second.
 func (s *sim) gap(rate float64) int64 {
--- a/lab/spreadsim/day.go
+++ b/lab/spreadsim/day.go
@@ -1,13 +1,13 @@
 package spreadsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"ravensill/gateway"
+	"ravensill/lab/agenda"
 	"ravensill/logic"
 	"ravensill/spread"
 )
@@ -59,32 +59,11 @@
 // Landed is the rule that the module had before package spread.
 var Landed = rendezvous
 
-type happening struct {
-	at, seq int64
-	do      func()
-}
-
-type queue []happening
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(happening)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 type world struct {
 	day     Day
 	rnd     *rand.Rand
 	now     int64
-	seq     int64
-	q       queue
+	q       agenda.Agenda[func()]
 	gws     []*gw
 	hosts   []*host // by number less 1, gone ones too
 	reqs    int
@@ -134,10 +113,7 @@
 	return cold + (1-cold)*float64(now-h.since)/float64(warmUp)
 }
 
-func (w *world) at(t int64, do func()) {
-	w.seq++
-	heap.Push(&w.q, happening{t, w.seq, do})
-}
+func (w *world) at(t int64, do func()) { w.q.Put(t, do) }
 
 // Play plays a day.
 func Play(d Day) Result {
@@ -173,12 +149,12 @@
 		w.at(start+int64(s.From), func() { w.step(s) })
 	}
 	for end := start + int64(d.Length); w.q.Len() > 0; {
-		h := heap.Pop(&w.q).(happening)
-		if h.at > end {
+		at, do := w.q.Next()
+		if at > end {
 			break
 		}
-		w.now = h.at
-		h.do()
+		w.now = at
+		do()
 	}
 	for _, g := range w.gws {
 		w.result.Used += float64(len(g.used)) / float64(d.Gateways)
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -7,12 +7,12 @@
 package world
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
 
 	"ravensill/counterfactual"
+	"ravensill/lab/agenda"
 )
 
 const (
@@ -93,8 +93,7 @@
 	cfg     Config
 	rnd     *rand.Rand
 	now     int64
-	queue   events
-	n       int
+	queue   agenda.Agenda[func()]
 	hosts   []*Host
 	gates   []*gate
 	truth   map[truthKey]*Sample
@@ -135,30 +134,7 @@
 	done   bool
 }
 
-type event struct {
-	at int64
-	n  int
-	do func()
-}
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
-func (w *World) at(t int64, do func()) {
-	w.n++
-	heap.Push(&w.queue, event{t, w.n, do})
-}
+func (w *World) at(t int64, do func()) { w.queue.Put(t, do) }
 
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -241,13 +217,13 @@
 		w.rates[i] = total
 	}
 	w.arrive(begin, 0)
-	for len(w.queue) > 0 {
-		e := heap.Pop(&w.queue).(event)
-		if e.at > begin+cfg.Length+20*cfg.Window {
+	for w.queue.Len() > 0 {
+		at, do := w.queue.Next()
+		if at > begin+cfg.Length+20*cfg.Window {
 			break
 		}
-		w.now = e.at
-		e.do()
+		w.now = at
+		do()
 	}
 	w.From, w.To = begin/cfg.Window, (begin+cfg.Length)/cfg.Window+2
 	return w
