Optional sections are read strictly in one place; a req knows its frontend's index

Cause: config.counterfactual and config.pool wrote the same strict decoding and their tests, with TestFaults, the same loop; witness and pool searched all frontends by pointer for each dispatch, though the index comes with the req. Messages and golden files are the same; a field that nothing read and a check for nil that no caller needs are out.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -46,18 +46,23 @@
 	golden.Check(t, all.String())
 }
 
+// fault tells what a configuration with one text in place of another, which has to be there, is refused with.
+func fault(t *testing.T, good, text, by string) string {
+	bad := strings.Replace(good, text, by, 1)
+	if bad == good {
+		t.Errorf("%s is not there", text)
+	}
+	_, err := load(t, bad, nil)
+	return fmt.Sprintf("%s for %s\n  %s\n", by, text, fmt.Sprint(err))
+}
+
 func TestFaults(t *testing.T) { // each message names the key
 	var all strings.Builder
 	for _, x := range [][2]string{{`"10.0.0.4:6379"`, `"10.0.0.4"`}, {`"10.0.0.4:6379"`, `7`}, {`"listen"`, `"listens"`}, {`10.2.0.1:8500`, `consul:8500`},
 		{"8c1f", "xyz"}, {`:64,`, `:1,`}, {`:512}`, `:"many"}`}, {`:512}`, `:-5}`}, {`"peer_listen"`, `"p"`}, {`,"10.3.0.2:7946"`, ``}, {`10.3.0.2:7946`, `b`},
 		{`"known":{`, `"known":7,"k":{`}, {`"position":1`, `"position":2`}, {`"settings"`, `"s"`}, {`"profiles":[`, `"profiles":7,"p":[`}, {`"name":"lookup"`, `"name":""`}, {`:600`, `:0`}, {`:2500`, `:-1`}, {`"plans":[`, `"p":[`}, {`"gold"`, `7`}, {`"conn_idle_us":5`, `"conn_idle_us":"x"`},
 		{`"lookup"`, `"lookup","effect":"odd"`}, {`}}`, `}`}} {
-		text := strings.Replace(good, x[0], x[1], 1)
-		if text == good {
-			t.Errorf("%s is not there", x[0])
-		}
-		_, err := load(t, text, nil)
-		fmt.Fprintf(&all, "%s for %s\n  %s\n", x[1], x[0], fmt.Sprint(err))
+		all.WriteString(fault(t, good, x[0], x[1]))
 	}
 	golden.Check(t, all.String())
 }
--- a/internal/config/counterfactual.go
+++ b/internal/config/counterfactual.go
@@ -1,12 +1,9 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
-	"strings"
 )
 
 // Counterfactual is the optional section on estimates of what other hosts would have answered (docs/counterfactual.md).
@@ -40,21 +37,9 @@
 		Peers  []string `json:"peers"`
 		Ask    string   `json:"ask"`
 	}{Counterfactual: s}
-	d := json.NewDecoder(strings.NewReader(raw))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&text); err != nil {
-		var kind *json.UnmarshalTypeError
-		if errors.As(err, &kind) {
-			if kind.Field == "" {
-				return nil, errors.New("not an object")
-			}
-			return nil, fmt.Errorf("%s: unexpected value %s", strings.TrimPrefix(kind.Field, "Counterfactual."), kind.Value)
-		}
+	if err := strict(raw, &text); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return nil, errors.New("more than one object")
-	}
 	addr := func(key, text string) (netip.AddrPort, error) {
 		if text == "" {
 			return netip.AddrPort{}, fmt.Errorf("%s: missing", key)
--- a/internal/config/counterfactual_test.go
+++ b/internal/config/counterfactual_test.go
@@ -25,12 +25,7 @@
 	for _, x := range [][2]string{{`"queue"`, `"queu"`}, {`:64,"m`, `:"x","m`}, {`:64,"m`, `:0,"m`}, {`:64,"m`, `:1.5,"m`}, {`"missing":0.1`, `"missing":0.9`}, {`"missing":0.1`, `"part":0`},
 		{`[0]`, `[2]`}, {`[0]`, `[]`}, {`[0]`, `0`}, {`"10.0.0.4:7070"`, `"here"`}, {`"10.0.0.4:7070"`, `7`}, {`"listen":"10.0.0.4:7070"`, `"keep_s":1,"listen":"10.0.0.4:7070"`},
 		{`"10.3.0.2:7070"`, `"b"`}, {`,"10.3.0.2:7070"`, ``}, {section, `"counterfactual":7,"settings"`}} {
-		bad := strings.Replace(text, x[0], x[1], 1)
-		if bad == text {
-			t.Errorf("%s is not there", x[0])
-		}
-		_, err := load(t, bad, nil)
-		fmt.Fprintf(&all, "%s for %s\n  %s\n", x[1], x[0], fmt.Sprint(err))
+		all.WriteString(fault(t, text, x[0], x[1]))
 	}
 	golden.Check(t, all.String())
 }
--- a/internal/config/pool.go
+++ b/internal/config/pool.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
-	"strings"
 	"time"
 
 	"ravensill/pool"
@@ -67,21 +64,9 @@
 		Drift    float64  `json:"drift"`
 		Urgent   []string `json:"urgent"`
 	}{Serial: 1, Weight: 1, Lease: 5000, Hold: 500, Rest: 20, Election: 1000, Drift: 0.01}
-	d := json.NewDecoder(strings.NewReader(raw))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&text); err != nil {
-		var kind *json.UnmarshalTypeError
-		if errors.As(err, &kind) {
-			if kind.Field == "" {
-				return nil, errors.New("not an object")
-			}
-			return nil, fmt.Errorf("%s: unexpected value %s", kind.Field, kind.Value)
-		}
+	if err := strict(raw, &text); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return nil, errors.New("more than one object")
-	}
 	if text.Tell == 0 {
 		text.Tell = min(text.Lease/10, 100)
 	}
--- a/internal/config/pool_test.go
+++ b/internal/config/pool_test.go
@@ -29,12 +29,7 @@
 		{`[0,1,2]`, `[0,1,3]`}, {`[0,1,2]`, `[0,1]`}, {`"listen":"10.0.0.4:7171",`, ``}, {`"dir":"/var/lib/pool",`, ``}, {`00112233445566778899aabbccddeeff`, `0011`},
 		{`"drift":0.02`, `"drift":0.5`}, {`"drift":0.02`, `"lease_ms":20`}, {`"drift":0.02`, `"tell_ms":2000`}, {`"drift":0.02`, `"urgent":["none"]`},
 		{`"drift":0.02`, `"weight":0`}, {`"drift":0.02`, `"serial":0`}, {`"drift":0.02`, `"streams":["10.3.0.1:1"]`}, {pooled, `"pool":7,"settings"`}} {
-		bad := strings.Replace(text, x[0], x[1], 1)
-		if bad == text {
-			t.Errorf("%s is not there", x[0])
-		}
-		_, err := load(t, bad, nil)
-		fmt.Fprintf(&all, "%s for %s\n  %s\n", x[1], x[0], fmt.Sprint(err))
+		all.WriteString(fault(t, text, x[0], x[1]))
 	}
 	golden.Check(t, all.String())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,7 +79,7 @@
 	node                      *Node
 	id                        string
 	answer                    *clients.Answer
-	front                     *gateway.Frontend
+	front                     int // frontend
 	until                     int64
 	head, before, after, tail []byte
 	sends                     []*dispatch // by their numbers
@@ -328,7 +328,7 @@
 	if n.leaveAt > 0 {
 		until = min(until, n.leaveAt)
 	}
-	r := &req{node: n, id: id, answer: a, front: &n.cfg.Fronts[front], until: until, head: head, before: before,
+	r := &req{node: n, id: id, answer: a, front: front, until: until, head: head, before: before,
 		after: after, tail: tail}
 	n.reqs[id] = r
 	a.Left = func() {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -17,7 +17,6 @@
 	gate   *hosts.Gate
 	client *pooler.Client
 	lineAt int64
-	now    int64
 }
 
 const poolLine = int64(5 * time.Second)
@@ -76,19 +75,14 @@
 
 // next tells the gate whose dispatch comes next.
 func (p *pooling) next(r *req) {
-	if p == nil {
-		return
-	}
-	for i, urgent := range p.node.cfg.Pool.Urgent {
-		if r.front == &p.node.cfg.Fronts[i] {
-			p.gate.Urgent(urgent)
-		}
+	if p != nil {
+		p.gate.Urgent(p.node.cfg.Pool.Urgent[r.front])
 	}
 }
 
 // ended denies a req whose dispatch was turned away for want of a connection, with the time to come back.
 func (p *pooling) ended(r *req) {
-	if p == nil || r == nil || r.closed || r.out > 0 || p.gate.Back() == 0 {
+	if p == nil || r.closed || r.out > 0 || p.gate.Back() == 0 {
 		return
 	}
 	after := p.gate.Back()
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -87,12 +87,7 @@
 	if d.req != r { // it has ended already, unsent
 		return
 	}
-	for i := range w.cfg.Fronts {
-		if r.front == &w.cfg.Fronts[i] {
-			e.Frontend = i
-		}
-	}
-	e.Try, e.At = d.n, d.at
+	e.Frontend, e.Try, e.At = r.front, d.n, d.at
 	w.open[d] = e
 }
 
