Module: which load is enough is said once, for pick and for the witness

Cause: logic/options.go repeated pick's rule (ample, or the least under an open cap), so that a change of one would have made the told chances wrong. Now customer.enough says it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -643,6 +643,14 @@
 	return f.cold.From + (1-f.cold.From)*float64(max(now-h.since, 0))/float64(f.cold.Warm)
 }
 
+// enough is the load up to which a host will do, where the least is that.
+func (c *customer) enough(least float64) float64 {
+	if c.plan.Open > 0 { // the sooner it is answered, the sooner its place is free
+		return least
+	}
+	return least * ample
+}
+
 // pick gives the customer's first host in rank that has no more than a little above the least load.
 func (f *fleet) pick(c *customer, fr *front, now int64, part float64, last *host) *host {
 	if f.woke > 0 && now-f.woke < f.stood { // what came in meanwhile comes on top
@@ -665,10 +673,7 @@
 		least = min(least, h.load)
 	}
 	var first *host
-	enough := least * ample
-	if c.plan.Open > 0 { // the sooner it is answered, the sooner its place is free
-		enough = least
-	}
+	enough := c.enough(least)
 	for _, h := range f.hosts {
 		if h.load <= enough && least < math.MaxFloat64 &&
 			(first == nil || mix(uint64(c.hash)^h.Hash) > mix(uint64(c.hash)^first.Hash)) {
--- a/logic/options.go
+++ b/logic/options.go
@@ -18,10 +18,7 @@
 	for _, h := range g.fleet.hosts {
 		least = min(least, h.load)
 	}
-	enough := least * ample // as in pick
-	if r.customer.plan.Open > 0 {
-		enough = least
-	}
+	enough := r.customer.enough(least)
 	all, next := append(g.options[:0], gateway.Option{Host: chosen.id, Load: chosen.load}), (*host)(nil)
 	at := 0
 	for _, h := range g.fleet.hosts {
