No start is refused where settings have a safe meaning: each is told once

Change: shape() gives each contradiction the meaning that can do no harm and notes it; main logs a line each, `event=settings_adjusted key= meaning=`. It runs in Decode, so that both wires read alike. Live weights tell no size: every host counts as 1, in the book and on the simulator's wire. What can't be understood still ends the start, by its key.

--- a/cmd/ravensill/main.go
+++ b/cmd/ravensill/main.go
@@ -21,6 +21,9 @@
 		log.Printf("event=start_failed error=%q", err)
 		os.Exit(2)
 	}
+	for _, a := range cfg.Adjusted {
+		log.Printf("event=settings_adjusted key=%s meaning=%q", a.Key, a.Meaning)
+	}
 	runtime.GOMAXPROCS(1) // the loop and the connections take turns on the one core
 	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
 	debug.SetGCPercent(400)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -79,6 +79,9 @@
 
 	FrontNames, PlanNames, ReportNames, Zones, Machines []string // by index
 	ConnIdle, ConnectTimeout                            int64    // of connections to hosts
+
+	Even     bool         // the list's shares are figures of the moment, no sizes: each host counts as 1
+	Adjusted []Adjustment // what was not taken by its letter
 }
 
 // Decode reads the settings object.
@@ -127,10 +130,12 @@
 	for _, name := range d.ReportNames {
 		d.Report.Fields = append(d.Report.Fields, field(name))
 	}
+	d.Even = s.word("weights", "off", "nominal", "rough", "live") == 3
 	d.ConnIdle, d.ConnectTimeout = s.time("limits.conn_idle_us"), s.time("limits.connect_timeout_us")
 	if s.err == nil && (d.Seat.Count < 1 || d.Seat.Index >= d.Seat.Count) {
 		s.err = fmt.Errorf("position: %d is not below balancers", d.Seat.Index)
 	}
+	d.shape(s.obj)
 	return d, s.err
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -21,6 +21,7 @@
 	byAddr          map[netip.AddrPort]*entry
 	past            []entry // gone, the latest last
 	Version         int64
+	Even            bool // weights tell no size: each host's share is 1
 }
 
 const mostPast = 256
@@ -58,6 +59,9 @@
 		l := gateway.Listing{Cell: int(s.Get("cell").Int()), Share: s.Get("weight").Num,
 			Zone:    max(slices.Index(b.zones, s.Get("zone").Str), 0),
 			Machine: max(slices.Index(b.machines, s.Get("kind").Str), 0), Since: s.Get("started_ms").Int() * 1e6}
+		if b.Even {
+			l.Share = 1
+		}
 		id, state := s.Get("id").Str, slices.Index([]string{"active", "leaving", "left"}, s.Get("state").Str)
 		addr, bad := netip.ParseAddrPort(s.Get("addr").Str)
 		if id == "" || state < 0 || bad != nil && state != int(gateway.Gone) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -69,6 +69,16 @@
 	golden.Check(t, all.String())
 }
 
+func TestEven(t *testing.T) { // weights that tell no size
+	b := NewBook(nil, nil)
+	b.Even = true
+	_, hosts, err := b.Read([]byte(`{"version":41,"full":true,"servers":[`+server("s-2", "10.1.0.18:6379", "active")+`]}`),
+		func(uint32, netip.AddrPort) {})
+	if err != nil || len(hosts) != 1 || hosts[0].Share != 1 {
+		t.Errorf("%+v %v", hosts, err)
+	}
+}
+
 // Hosts come under new ids, some at the address of one that has gone, or was not told as gone: what is kept follows.
 func TestReplaced(t *testing.T) {
 	b := NewBook([]string{"b"}, []string{"m2"})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 func New(cfg *config.Config, module Decider) *Node {
 	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
 		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
+	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
 	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
 	for _, f := range cfg.Fronts {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -32,6 +33,7 @@
 	decider              Decider
 	round                *gateway.Round
 	fronts, plans, seats int // how many there are
+	even                 bool
 }
 
 type host struct {
@@ -125,7 +127,7 @@
 			return fmt.Errorf("POWER_ON: env: %w", err)
 		}
 		h.seats[h.id] = &instance{decider: h.start(seed, s.Seat, s.Fronts, s.Plans, s.Limits, s.Cold, s.Report),
-			fronts: len(s.Fronts), plans: len(s.Plans), seats: s.Seat.Count}
+			fronts: len(s.Fronts), plans: len(s.Plans), seats: s.Seat.Count, even: s.Even}
 		h.round()
 		return nil
 	}
@@ -179,6 +181,12 @@
 		if e.List == gateway.Lost {
 			e.Hosts = nil
 		}
+		if seat.even { // a sheet is every instance's
+			e.Hosts = slices.Clone(e.Hosts)
+			for i := range e.Hosts {
+				e.Hosts[i].Share = 1
+			}
+		}
 	default:
 		return fmt.Errorf("unknown message %.40q", word)
 	}
