Node: a client that leaves in the round of its request leaves nothing counted as out

Cause: read from the code, then forced. A client's end deleted its request at once, while the module heard of the arrival and of the end in one round (a stall, a flood of commands whose client goes). The module sent it on, Node.Dispatch found no request and returned with no end: the module held that attempt as out for ever, in its limit, in the customer's open count and at the host, and each such client closed the limit a little more. The same where an attempt ended and its client left in one round: the next attempt was such a one.

Change: an arrival that the module has not heard of is taken back when its client leaves, so that nothing is decided or taken from the quota for nobody. Else the request is held, closed, until the round in which the module hears of the end; a dispatch on it ends as skipped, unsent, with an event like any other.

Test: TestClientLeaves, no clock and no luck; on the old code it shows the arrival decided on and the end of attempt 1 missing. go test -race of node and clients passed.

--- /dev/null
+++ b/internal/node/left_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"ravensill/gateway"
+	"ravensill/internal/clients"
+	"ravensill/internal/config"
+	"ravensill/internal/golden"
+	"ravensill/internal/hosts"
+)
+
+// eager sends each req on, and again after each end while it is open; it prints what it hears.
+type eager struct{ strings.Builder }
+
+func (m *eager) Round(in *gateway.Round, out gateway.Writer) {
+	for _, e := range in.Events {
+		switch e.Kind {
+		case gateway.Arrived:
+			fmt.Fprintf(m, "%s arrived\n", e.Req)
+			out.Dispatch(e.Req, 1, 0)
+		case gateway.Ended:
+			fmt.Fprintf(m, "%s attempt %d ended: result %d, closed %t\n", e.Req, e.Dispatch, e.Result, e.Closed)
+			if !e.Closed {
+				out.Dispatch(e.Req, 1, 0)
+			}
+		case gateway.Left:
+			fmt.Fprintf(m, "%s left\n", e.Req)
+			out.Cancel(e.Req, 1)
+		}
+	}
+}
+
+// A client goes in each moment of its request. Whatever its going crosses, nothing is sent on afterwards, and each attempt
+// that the module decided on ends for it: else it would hold it as out for ever, and its limit would close.
+func TestClientLeaves(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	m := &eager{}
+	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
+		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
+	n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	arrive := func(id string) *clients.Answer {
+		a := &clients.Answer{}
+		n.arrive(a, n.now(), id, "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
+		return a
+	}
+	arrive("before-it-is-heard-of").Left()
+	n.turn()
+	a := arrive("with-the-end-of-its-attempt")
+	n.turn()
+	n.reqs["with-the-end-of-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
+	a.Left()
+	n.turn()
+	a = arrive("under-its-attempt")
+	n.turn()
+	a.Left()
+	n.turn()
+	n.reqs["under-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
+	n.turn()
+	fmt.Fprintf(m, "%d requests and %d attempts are held\n", len(n.reqs), len(n.open))
+	golden.Check(t, m.String())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	events  []gateway.Event // since the last round
 	news    []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
 	round   gateway.Round
+	rounds  int   // handed to the module
 	wakeAt  int64 // 0: no wake-up is due
 	dueAt   int64 // when the first dispatch of open times out at the earliest
 	open    []*dispatch
@@ -85,6 +86,7 @@
 	sends                     []*dispatch // by their numbers
 	out                       int
 	closed                    bool
+	round, event              int // its arrival is this event of that round
 }
 
 // dispatch is one that is out. A probe has no req.
@@ -249,7 +251,9 @@
 			n.round.Now = n.now()
 			n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
 			n.news, n.events = n.news[:0], n.events[:0]
+			n.rounds++
 			n.decide()
+			n.forget()
 		}
 		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
@@ -330,17 +334,35 @@
 		until = min(until, n.leaveAt)
 	}
 	r := &req{node: n, id: id, answer: a, front: front, until: until, head: head, before: before,
-		after: after, tail: tail}
+		after: after, tail: tail, round: n.rounds, event: len(n.events)}
 	n.reqs[id] = r
-	a.Left = func() {
-		r.answer = nil
-		n.events = append(n.events, gateway.Event{Kind: gateway.Left, Req: id})
-		r.close()
-	}
+	a.Left = r.left
 	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Frontend: front,
 		Plan: plan, Until: until, Units: units, Spread: spread, First: first, Again: again})
 }
 
+// left takes in that the client is gone. Where the module has not heard of the req yet it never does: behind a stall or
+// a flood the arrival and this wait together, and the req would be sent on for nobody. Else the req is held until the
+// round in which the module hears of this: what it decides before that meets a closed req.
+func (r *req) left() {
+	n := r.node
+	r.answer, r.closed = nil, true
+	if r.round == n.rounds {
+		n.events[r.event] = gateway.Event{Kind: gateway.Left, Req: r.id}
+	} else {
+		n.events = append(n.events, gateway.Event{Kind: gateway.Left, Req: r.id})
+	}
+}
+
+// forget lets go of the reqs whose leaving the module has now heard of.
+func (n *Node) forget() {
+	for _, e := range n.round.Events {
+		if r := n.reqs[e.Req]; e.Kind == gateway.Left && r != nil {
+			r.close()
+		}
+	}
+}
+
 func (r *req) close() {
 	r.closed = true
 	if r.out == 0 {
@@ -361,6 +383,10 @@
 	d := n.sent(r, host, wait)
 	r.sends = append(r.sends, d)
 	r.out++
+	if r.closed { // its client left in this round: nothing is sent, and the module must hear of the end or it counts it as out for ever
+		d.ended(gateway.Event{Result: gateway.Skipped}, nil, n.now())
+		return
+	}
 	n.pool.next(r)
 	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, d.ended)
 }
@@ -408,7 +434,9 @@
 
 func (n *Node) Cancel(id string, dispatch int) {
 	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
-		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
+		if s := r.sends[dispatch].send; s != nil { // else it was never sent
+			s.Stop(hosts.ErrCanceled)
+		}
 	}
 }
 
