Module: a repeat is neither sent nor invited past the window in which hosts drop it

Cause: read from the code. For a uniqued req that may have run, again() kept to the frontend's window, but ended() denied at any time, and a denial tells the client that a repeat is harmless; beat() called off a silent attempt also where no repeat could follow, which gave up an answer that might still have come.

Change: harmless() takes the time of the first attempt that may have run, and all three places ask it. Later it is an abort.

Test: the referee of TestEveryShape holds denials against the window; it is red on the old module (keyed, all, 250 ms). TestRepeats' trace uniqued_all changes as meant: its denial at 520 ms, past the window less the margin, is an abort.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -74,9 +74,11 @@
 	usual, units float64
 }
 
-// harmless tells whether a repeat of what may have run does none. Those dropped by zone or cell get none.
-func (f *front) harmless() bool {
-	return f.Effect == gateway.Replayable || f.Effect == gateway.Uniqued && f.Group == gateway.AllHosts
+// harmless tells whether a repeat of what was first sent at a time does no harm now: hosts drop it for a window
+// only, so that later it is neither sent nor invited. Those dropped by zone or cell get none.
+func (f *front) harmless(first, now int64) bool {
+	return f.Effect == gateway.Replayable ||
+		f.Effect == gateway.Uniqued && f.Group == gateway.AllHosts && now <= first+f.Window-margin
 }
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
@@ -260,7 +262,7 @@
 	case r.closed || e.Closed:
 		g.close(r)
 	case e.Result != gateway.TimedOut && g.again(r, s.host):
-	case r.ran == nil || fr.harmless():
+	case r.ran == nil || fr.harmless(r.ran.at, g.now):
 		g.deny(r, ByFailure, fr.usual)
 	default:
 		g.out.Abort(r.id)
@@ -271,8 +273,7 @@
 func (g *Gateway) again(r *req, last *host) bool {
 	fr := r.front
 	if r.tries >= g.limits.Dispatches || g.now >= g.end(r) ||
-		r.ran != nil && (g.spare < 1 || !fr.harmless() ||
-			fr.Effect == gateway.Uniqued && g.now > r.ran.at+fr.Window-margin) {
+		r.ran != nil && (g.spare < 1 || !fr.harmless(r.ran.at, g.now)) {
 		return false
 	}
 	h := g.fleet.pick(r.customer, fr, g.now, 1, last)
@@ -354,7 +355,8 @@
 		for _, s := range h.out {
 			if r := s.req; h.silent(s, g.now) {
 				h.of(r.front).fail(g.now)
-				if g.limits.Cancel && g.spare >= 1 && !r.closed && r.tries < g.limits.Dispatches && r.front.harmless() {
+				if first := cmp.Or(r.ran, s); g.limits.Cancel && g.spare >= 1 && !r.closed &&
+					r.tries < g.limits.Dispatches && r.front.harmless(first.at, g.now) {
 					g.out.Cancel(r.id, s.n) // it moves on when that is confirmed
 				}
 			}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -109,6 +109,9 @@
 		f.Effect == gateway.Uniqued && f.Group != gateway.AllHosts) {
 		r.foul(q, "may have run, and a repeat is told to be harmless")
 	}
+	if f := r.front; kind == 0 && q.ran != nil && f.Effect == gateway.Uniqued && r.now > q.ran.at+f.Window {
+		r.foul(q, "may have run, and a repeat is invited past its window")
+	}
 	q.done = true
 	r.finals[kind]++
 }
