Start: addresses that a former life still holds are waited for, not a refused start

Seen: a process started while its former life still drains ended at once (TestFormerLife on the old code: 'the program ended before saying ...', event=failed, bind: address already in use): node.Run gave up on the first EADDRINUSE. The listener's address is held until 0.45 s after SIGTERM, that of the datagrams (peer_listen) up to the process's end. Checked: established connections of the former life do not hold the listener's address (SO_REUSEADDR is set by net). Other errors end the start at once, now with the key named. peers.Open gives no half-made post with an error. TestStopBeforeServing no longer reads the command while it is being started (seen by -race; a fault of the test alone). Run: go test -race -run 'TestFormerLife|TestStopB' -count=3 ./cmd/ravensill.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -152,6 +152,7 @@
 	early      []string      // of the log, up to the start
 	log        chan string
 	exit       chan error
+	up         chan struct{} // nil, or closed once the program runs
 }
 
 func entry(id, addr, state string) map[string]any {
@@ -201,6 +202,9 @@
 	if err := w.cmd.Start(); err != nil {
 		w.Fatal(err)
 	}
+	if w.up != nil {
+		close(w.up)
+	}
 	go func() {
 		for s := bufio.NewScanner(out); s.Scan(); {
 			if w.log <- s.Text(); strings.Contains(s.Text(), "event=panic") {
@@ -212,7 +216,7 @@
 	}()
 	w.Cleanup(func() { w.cmd.Process.Kill() })
 	line, early := "", []string(nil)
-	for !strings.Contains(line, "event=s") || strings.Contains(line, "event=settings") { // of the start, or of its end
+	for !strings.Contains(line, "event=s") && !strings.Contains(line, "event=address") && !strings.Contains(line, "event=failed") || strings.Contains(line, "event=settings") { // of the start, or of its end
 		line = w.line("event=")
 		if early = append(early, line); strings.Contains(line, "event=witnessing") {
 			w.witnessing = line
@@ -515,13 +519,14 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1)}
+	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1), up: make(chan struct{})}
 	w.cmd = exec.Command(os.Args[0])
 	w.cmd.Dir = "../.."
 	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG=deploy/example.json", "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+silent.Addr().String())
 	go func() {
 		if c, err := silent.Accept(); err == nil { // it asks for the list: signals are heard by now
 			defer c.Close()
+			<-w.up
 			w.cmd.Process.Signal(syscall.SIGTERM)
 			io.Copy(io.Discard, c)
 		}
@@ -537,6 +542,55 @@
 	}
 }
 
+// The addresses are held by a former life that drains: the start waits for each, told once, and serves when they are
+// free. Called to stop meanwhile, it ends as one that serves nobody; an address of another machine ends the start at once.
+func TestFormerLife(t *testing.T) {
+	for _, end := range []string{"free", "stop", "strange"} {
+		datagrams, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer datagrams.Close()
+		former, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer former.Close()
+		peer := datagrams.LocalAddr().String()
+		w := start(t, func(cfg, settings map[string]any) {
+			if cfg["listen"] = former.Addr().String(); end == "strange" {
+				cfg["listen"] = "192.0.2.1:6379"
+				datagrams.Close()
+			}
+			settings["balancers"], cfg["peer_listen"], cfg["peers"] = 2, peer, []string{peer, "127.0.0.1:1"}
+		}, newHost(t, func([]string) string { return passed("v") }))
+		if end == "strange" {
+			w.line(`event=failed error="listen: listen tcp4 192.0.2.1:6379: bind`)
+			if take(w, w.exit) == nil {
+				t.Error("it ended well")
+			}
+			continue
+		}
+		w.line("event=address_taken key=peer_listen addr=" + peer)
+		datagrams.Close()
+		w.line("event=address_taken key=listen addr=" + former.Addr().String())
+		if end == "stop" {
+			w.cmd.Process.Signal(syscall.SIGTERM)
+			w.line("event=stopped")
+			if err := take(w, w.exit); err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		former.Close()
+		w.line("event=serving")
+		w.addr = former.Addr().String()
+		if a := w.client().ask(call("lookup", 1)); a != "v" {
+			t.Error(a)
+		}
+	}
+}
+
 // SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
 // the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
 func TestReload(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"log"
-	"net"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -133,13 +132,18 @@
 
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) error {
-	if len(n.cfg.Peers) > 0 {
-		post, err := peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
-		if err != nil {
-			return err
+	listener, ok, err := n.addresses(stop)
+	if n.post != nil {
+		defer n.post.Close()
+	}
+	if listener != nil {
+		defer listener.Close()
+	}
+	if !ok {
+		if err == nil {
+			log.Printf("event=stopped")
 		}
-		defer post.Close()
-		n.post = post
+		return err
 	}
 	if n.counter != nil {
 		defer n.counter.Close()
@@ -155,11 +159,6 @@
 		return err
 	}
 	defer unpool()
-	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
 	if n.cfg.Known != "" {
 		n.listed([]byte(n.cfg.Known), true)
 	} else {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -22,7 +22,10 @@
 // Open listens at the address; peers are those of the tier, by seat, and plans is how many there are.
 func Open(listen netip.AddrPort, peers []netip.AddrPort, plans int) (*Post, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
-	return &Post{conn, peers, plans}, err
+	if err != nil {
+		return nil, err
+	}
+	return &Post{conn, peers, plans}, nil
 }
 
 // Listen hands on each sound message of a peer, known by its address, until Close. Others are dropped;
