News that lie unread in the watch's connection hold the module's decisions until they are handed on

At fault: node.Run puts news ahead of a round's other events, but only news that had been read; the first client's goroutine wakes the loop before the watch's has read or decoded its bytes. With a cut share of a core the same holds for any long list. One peek of the socket a round that has events. Refuted: news behind a full inbox. What waits before them is at most the inbox and one piece a connection, some ms; the old watch's news behind the new one's first are passed over, since only the newest watch counts where they are applied (TestReload).

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/procfs"
+
 	"ravensill/internal/mail"
 )
 
@@ -483,6 +485,54 @@
 	}
 }
 
+// A gateway that stood still finds reqs and news of the list in its sockets together, whichever came first: the news count
+// before the first of the reqs is sent on.
+func TestStoodStill(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b := newHost(t, answer), newHost(t, answer)
+	w := start(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, a, b)
+	watch := take(w, w.watches)
+	var all []*client
+	for i := range 40 {
+		all = append(all, w.client())
+		all[i].ask(call("lookup", 100+i))
+	}
+	for round := range 11 {
+		state := []string{"leaving", "active"}[round%2]
+		w.stand()
+		if state == "leaving" {
+			a.got()
+		}
+		for i, c := range all {
+			c.send(call("lookup", 100+i))
+		}
+		list(watch, 50+round, entry("h0", a.Addr().String(), state))
+		w.cmd.Process.Signal(syscall.SIGCONT)
+		for _, c := range all {
+			if got := c.answer(); got != "v" && !strings.HasPrefix(got, "-BUSY") {
+				t.Fatal(got)
+			}
+		}
+		if got := len(a.got()); state == "leaving" && got > 0 {
+			t.Errorf("%d reqs were sent to a host that was told as leaving before", got)
+		}
+	}
+}
+
+// stand stops the program where it is.
+func (w *world) stand() {
+	w.cmd.Process.Signal(syscall.SIGSTOP)
+	for p, err := procfs.NewProc(w.cmd.Process.Pid); ; {
+		s, bad := p.Stat()
+		if err != nil || bad != nil {
+			w.Fatal(err, bad)
+		}
+		if s.State == "T" {
+			return
+		}
+	}
+}
+
 // What discovery's agent has counts from the first moment on: it is known before the first client is taken in. An
 // agent that says nothing holds the start up for a while only.
 func TestFirstList(t *testing.T) {
--- /dev/null
+++ b/internal/discovery/feed.go
@@ -0,0 +1,64 @@
+package discovery
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+)
+
+// Feed tells of one watch whether news lie in its connection that have not been handed on.
+type Feed struct{ socket atomic.Pointer[socket] }
+
+// Behind tells so: bytes came that were not read, or those that were read last have not led to all that they hold. It
+// may be asked at any time, by another goroutine. The order counts: what the socket no longer holds is being taken in.
+func (f *Feed) Behind() bool {
+	s := f.socket.Load()
+	return s != nil && (s.lies() || s.taking.Load())
+}
+
+// socket is a watch's connection that knows whether what it read is still being taken in: until the next Read.
+type socket struct {
+	net.Conn
+	raw    syscall.RawConn
+	taking atomic.Bool
+}
+
+func newSocket(c net.Conn) (*socket, error) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	return &socket{Conn: c, raw: raw}, err
+}
+
+func (s *socket) Read(p []byte) (n int, err error) {
+	s.taking.Store(false)
+	if waited := s.raw.Read(func(fd uintptr) bool {
+		s.taking.Store(true)
+		for n, err = syscall.Read(int(fd), p); err == syscall.EINTR; {
+			n, err = syscall.Read(int(fd), p)
+		}
+		if err == syscall.EAGAIN {
+			s.taking.Store(false)
+			return false
+		}
+		return true
+	}); waited != nil {
+		return 0, waited
+	}
+	if err != nil {
+		return 0, os.NewSyscallError("read", err)
+	}
+	if n == 0 && len(p) > 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (s *socket) lies() (some bool) {
+	s.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = n > 0
+	})
+	return some
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -22,8 +22,8 @@
 
 // Watch follows the list after a version until its connection or the context ends, and tells why it did. news
 // takes each list, alive is called for any bytes of the body: empty lines come while nothing changes. Both are
-// called by one goroutine. The pace is the watch's own.
-func Watch(ctx context.Context, addr string, after int64, pace *Pace, alive func(), news func(list []byte)) (err error) {
+// called by one goroutine. The pace and the feed are the watch's own.
+func Watch(ctx context.Context, addr string, after int64, pace *Pace, feed *Feed, alive func(), news func(list []byte)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
@@ -39,10 +39,17 @@
 			if err != nil {
 				return nil, err
 			}
+			s, err := newSocket(c)
+			if err != nil {
+				c.Close()
+				return nil, err
+			}
 			pace.enter(asked, time.Now())
-			return patient{c, pace}, nil
+			feed.socket.Store(s)
+			return patient{s, pace}, nil
 		}}
 	defer t.CloseIdleConnections()
+	defer feed.socket.Store(nil)
 	url := fmt.Sprintf("http://%s/v1/servers?watch=1&after=%d", addr, after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,10 +11,16 @@
 	"ravensill/internal/discovery"
 )
 
-const firstList = 2 * time.Second // the first list is waited for at most so long before clients are taken in
+const (
+	firstList = 2 * time.Second        // the first list is waited for at most so long before clients are taken in
+	catchUp   = 100 * time.Millisecond // news that lie unread hold decisions up at most so long
+)
 
 // watch is one try to follow the list; only what the newest brings counts.
-type watch struct{ stop context.CancelFunc }
+type watch struct {
+	stop context.CancelFunc
+	feed discovery.Feed
+}
 
 // start asks for the list, unless that is up to the module. What discovery's agent has counts as told from the first
 // moment on, and the list of the configuration may be old: clients are taken in once the agent has answered, which it
@@ -41,7 +47,7 @@
 		n.watch.stop()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	w := &watch{stop}
+	w := &watch{stop: stop}
 	n.watch = w
 	after, addr := n.book.Version, n.cfg.Discovery
 	go func() {
@@ -52,7 +58,7 @@
 				}
 			})
 		}
-		err := discovery.Watch(ctx, addr, after, discovery.NewPace(n.cfg.Limits.MustAsk), func() {
+		err := discovery.Watch(ctx, addr, after, discovery.NewPace(n.cfg.Limits.MustAsk), &w.feed, func() {
 			newest(func() {
 				if n.lost {
 					log.Printf("event=watch_back")
@@ -65,6 +71,24 @@
 	}()
 }
 
+// catchUp lets the newest watch hand on what lies in its connection before the module decides. A process that stood still,
+// or has much to read, would else send reqs on past a drain that was told long before.
+func (n *Node) catchUp() {
+	if len(n.events) == 0 || n.watch == nil {
+		return
+	}
+	for limit := n.now() + int64(catchUp); n.watch.feed.Behind() && n.now() < limit; {
+		select {
+		case f := <-n.work:
+			n.guard("loop", f)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	for k := len(n.work); k > 0; k-- { // what was handed on is there by now
+		n.guard("loop", <-n.work)
+	}
+}
+
 // Reload takes in the configuration file as it is now: it read it as cfg, or failed to. Only where discovery is
 // can change while the gateway runs; its list, reqs and connections stay as they are.
 func (n *Node) Reload(cfg *config.Config, err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,6 +190,7 @@
 		for k := len(n.work); k > 0; k-- {
 			n.guard("loop", <-n.work)
 		}
+		n.catchUp()
 		timer.Reset(n.turn())
 	}
 	log.Printf("event=stopped")
