Descriptors are shared out of what the system allows, not of what the configuration says alone

Seen (TestDescriptorsFilled, real program under ulimit -n 64 beside limits.sockets 1024): clients' part was 341, so 100 silent clients took every descriptor while discovery was down; the accept loop failed with 'too many open files', and so did the watch and hosts' connections until the silent ones' 2 s were over. With the fix the places of clients are used up first (event=clients_full, never said on the old code), the watch is back with the agent, its drain is kept, and who asks gets in beside one silent client each. Change: node.descriptors takes the lower of limits.sockets and the process's RLIMIT_NOFILE (told once, event=few_descriptors) and keeps 16 apart for what is open once each, which binds below 60 only. Counted at the least, 64: clients 21, hosts 25, 18 for three streams, two of the runtime, listener, datagrams, counter, watch and the one before, the file that SIGHUP reads, a section's own. Run: go test -race -run DescriptorsFilled -count=3 ./cmd/ravensill.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -146,6 +146,7 @@
 	*testing.T
 	cmd        *exec.Cmd
 	file       string
+	agent      net.Listener // discovery's first
 	cfg        map[string]any
 	addr, peer string        // where it listens
 	witnessing string        // the line of the task that records dispatches, where that is on
@@ -166,7 +167,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
+	w := &world{T: t, agent: agent, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
 	t.Cleanup(func() { agent.Close() })
 	front := func(name, effect string, target int) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
@@ -190,6 +191,9 @@
 	w.file, w.cfg = filepath.Join(t.TempDir(), "config.json"), cfg
 	w.write()
 	w.cmd = exec.Command(os.Args[0])
+	if n := cfg["ulimit"]; n != nil { // descriptors that the system allows
+		w.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, n), os.Args[0])
+	}
 	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+cfg["discovery"].(string), "GORACE=halt_on_error=1")
 	w.follow()
 	return w
@@ -1042,6 +1046,42 @@
 	}
 }
 
+// Silent clients fill the descriptors while discovery is down, and the system allows fewer of them than the configuration
+// says: the watch is back with the agent, what it tells is kept, and clients that ask get in, at hosts too.
+func TestDescriptorsFilled(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b := newHost(t, answer), newHost(t, answer)
+	w := start(t, func(cfg, _ map[string]any) { cfg["ulimit"] = 64 }, a, b)
+	w.line("event=few_descriptors limit=64 sockets=1024")
+	take(w, w.asked)
+	watch := take(w, w.watches)
+	w.agent.Close()
+	watch.Close()
+	w.line("event=watch_lost")
+	for range 100 {
+		w.client()
+	}
+	w.line("event=clients_full") // of their own part, far below the configuration's
+	if a := w.client().ask(array("PING")); a != "+PONG" {
+		t.Errorf("with the descriptors filled: %s", a)
+	}
+	agent, err := net.Listen("tcp4", w.agent.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	go w.discover(agent)
+	take(w, w.asked)
+	list(take(w, w.watches), 42, entry("h0", a.Addr().String(), "leaving"))
+	w.line("event=host id=h0 state=draining version=42")
+	for i := range 8 {
+		w.client() // one that is silent before each that asks
+		if got := w.client().ask(call("lookup", i)); got != "v" || len(a.got()) > 0 {
+			t.Errorf("%s, or sent to the host that leaves", got)
+		}
+	}
+}
+
 // A faulty configuration ends the start with a message that names the key.
 func TestFaultyConfig(t *testing.T) {
 	w := start(t, func(_, settings map[string]any) {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -15,6 +15,7 @@
 const (
 	former = 25 * time.Second      // an address is waited for at most so long: a former life of this gateway may drain yet
 	knock  = 20 * time.Millisecond // between tries
+	apart  = 16                    // descriptors: three streams, the runtime's two, listener, datagrams, counter, watch and the one before, file, others of a section
 )
 
 // addresses takes the gateway's addresses, that of the datagrams first, before anything else of it runs. A former life that
@@ -57,3 +58,15 @@
 		}
 	}
 }
+
+// descriptors gives how many the parts of the gateway may share out. Where the system's limit is lower than the
+// configuration's it counts: idle clients that fill a part too large would keep the watch, the hosts and the loop that
+// accepts from theirs. The rest, of what is open once each, is kept clear at any size.
+func descriptors(most int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(most) {
+		log.Printf("event=few_descriptors limit=%d sockets=%d", limit.Cur, most)
+		most = int(limit.Cur)
+	}
+	return min(most, max(most-apart, 1)*15/11) // of which clients get 5, hosts 6
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,9 +115,10 @@
 		}
 		words.Most = append(words.Most, most)
 	}
-	n.clients = clients.NewServer(words, cfg.Sockets/3, n.do, n.now, n.arrive)
+	sockets := descriptors(cfg.Sockets)
+	n.clients = clients.NewServer(words, sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
-		cfg.Sockets*2/5)
+		sockets*2/5)
 	if cfg.Counter.IsValid() {
 		n.counter = counter.New(cfg.Counter, cfg.Limits.CounterWait, n.do, n.now, func(e gateway.Event) {
 			n.events = append(n.events, e)
