--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/procfs"
+
 	"ravensill/internal/mail"
 )
 
@@ -144,6 +146,7 @@
 	*testing.T
 	cmd        *exec.Cmd
 	file       string
+	agent      net.Listener // discovery's first
 	cfg        map[string]any
 	addr, peer string        // where it listens
 	witnessing string        // the line of the task that records dispatches, where that is on
@@ -152,6 +155,7 @@
 	early      []string      // of the log, up to the start
 	log        chan string
 	exit       chan error
+	up         chan struct{} // nil, or closed once the program runs
 }
 
 func entry(id, addr, state string) map[string]any {
@@ -163,7 +167,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
+	w := &world{T: t, agent: agent, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
 	t.Cleanup(func() { agent.Close() })
 	front := func(name, effect string, target int) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
@@ -187,6 +191,9 @@
 	w.file, w.cfg = filepath.Join(t.TempDir(), "config.json"), cfg
 	w.write()
 	w.cmd = exec.Command(os.Args[0])
+	if n := cfg["ulimit"]; n != nil { // descriptors that the system allows
+		w.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, n), os.Args[0])
+	}
 	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+cfg["discovery"].(string), "GORACE=halt_on_error=1")
 	w.follow()
 	return w
@@ -201,6 +208,9 @@
 	if err := w.cmd.Start(); err != nil {
 		w.Fatal(err)
 	}
+	if w.up != nil {
+		close(w.up)
+	}
 	go func() {
 		for s := bufio.NewScanner(out); s.Scan(); {
 			if w.log <- s.Text(); strings.Contains(s.Text(), "event=panic") {
@@ -212,7 +222,7 @@
 	}()
 	w.Cleanup(func() { w.cmd.Process.Kill() })
 	line, early := "", []string(nil)
-	for !strings.Contains(line, "event=s") || strings.Contains(line, "event=settings") { // of the start, or of its end
+	for !strings.Contains(line, "event=s") && !strings.Contains(line, "event=address") && !strings.Contains(line, "event=failed") || strings.Contains(line, "event=settings") { // of the start, or of its end
 		line = w.line("event=")
 		if early = append(early, line); strings.Contains(line, "event=witnessing") {
 			w.witnessing = line
@@ -479,6 +489,54 @@
 	}
 }
 
+// A gateway that stood still finds reqs and news of the list in its sockets together, whichever came first: the news count
+// before the first of the reqs is sent on.
+func TestStoodStill(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b := newHost(t, answer), newHost(t, answer)
+	w := start(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, a, b)
+	watch := take(w, w.watches)
+	var all []*client
+	for i := range 40 {
+		all = append(all, w.client())
+		all[i].ask(call("lookup", 100+i))
+	}
+	for round := range 11 {
+		state := []string{"leaving", "active"}[round%2]
+		w.stand()
+		if state == "leaving" {
+			a.got()
+		}
+		for i, c := range all {
+			c.send(call("lookup", 100+i))
+		}
+		list(watch, 50+round, entry("h0", a.Addr().String(), state))
+		w.cmd.Process.Signal(syscall.SIGCONT)
+		for _, c := range all {
+			if got := c.answer(); got != "v" && !strings.HasPrefix(got, "-BUSY") {
+				t.Fatal(got)
+			}
+		}
+		if got := len(a.got()); state == "leaving" && got > 0 {
+			t.Errorf("%d reqs were sent to a host that was told as leaving before", got)
+		}
+	}
+}
+
+// stand stops the program where it is.
+func (w *world) stand() {
+	w.cmd.Process.Signal(syscall.SIGSTOP)
+	for p, err := procfs.NewProc(w.cmd.Process.Pid); ; {
+		s, bad := p.Stat()
+		if err != nil || bad != nil {
+			w.Fatal(err, bad)
+		}
+		if s.State == "T" {
+			return
+		}
+	}
+}
+
 // What discovery's agent has counts from the first moment on: it is known before the first client is taken in. An
 // agent that says nothing holds the start up for a while only.
 func TestFirstList(t *testing.T) {
@@ -515,13 +573,14 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1)}
+	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1), up: make(chan struct{})}
 	w.cmd = exec.Command(os.Args[0])
 	w.cmd.Dir = "../.."
 	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG=deploy/example.json", "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+silent.Addr().String())
 	go func() {
 		if c, err := silent.Accept(); err == nil { // it asks for the list: signals are heard by now
 			defer c.Close()
+			<-w.up
 			w.cmd.Process.Signal(syscall.SIGTERM)
 			io.Copy(io.Discard, c)
 		}
@@ -537,6 +596,55 @@
 	}
 }
 
+// The addresses are held by a former life that drains: the start waits for each, told once, and serves when they are
+// free. Called to stop meanwhile, it ends as one that serves nobody; an address of another machine ends the start at once.
+func TestFormerLife(t *testing.T) {
+	for _, end := range []string{"free", "stop", "strange"} {
+		datagrams, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer datagrams.Close()
+		former, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer former.Close()
+		peer := datagrams.LocalAddr().String()
+		w := start(t, func(cfg, settings map[string]any) {
+			if cfg["listen"] = former.Addr().String(); end == "strange" {
+				cfg["listen"] = "192.0.2.1:6379"
+				datagrams.Close()
+			}
+			settings["balancers"], cfg["peer_listen"], cfg["peers"] = 2, peer, []string{peer, "127.0.0.1:1"}
+		}, newHost(t, func([]string) string { return passed("v") }))
+		if end == "strange" {
+			w.line(`event=failed error="listen: listen tcp4 192.0.2.1:6379: bind`)
+			if take(w, w.exit) == nil {
+				t.Error("it ended well")
+			}
+			continue
+		}
+		w.line("event=address_taken key=peer_listen addr=" + peer)
+		datagrams.Close()
+		w.line("event=address_taken key=listen addr=" + former.Addr().String())
+		if end == "stop" {
+			w.cmd.Process.Signal(syscall.SIGTERM)
+			w.line("event=stopped")
+			if err := take(w, w.exit); err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		former.Close()
+		w.line("event=serving")
+		w.addr = former.Addr().String()
+		if a := w.client().ask(call("lookup", 1)); a != "v" {
+			t.Error(a)
+		}
+	}
+}
+
 // SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
 // the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
 func TestReload(t *testing.T) {
@@ -938,6 +1046,42 @@
 	}
 }
 
+// Silent clients fill the descriptors while discovery is down, and the system allows fewer of them than the configuration
+// says: the watch is back with the agent, what it tells is kept, and clients that ask get in, at hosts too.
+func TestDescriptorsFilled(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	a, b := newHost(t, answer), newHost(t, answer)
+	w := start(t, func(cfg, _ map[string]any) { cfg["ulimit"] = 64 }, a, b)
+	w.line("event=few_descriptors limit=64 sockets=1024")
+	take(w, w.asked)
+	watch := take(w, w.watches)
+	w.agent.Close()
+	watch.Close()
+	w.line("event=watch_lost")
+	for range 100 {
+		w.client()
+	}
+	w.line("event=clients_full") // of their own part, far below the configuration's
+	if a := w.client().ask(array("PING")); a != "+PONG" {
+		t.Errorf("with the descriptors filled: %s", a)
+	}
+	agent, err := net.Listen("tcp4", w.agent.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	go w.discover(agent)
+	take(w, w.asked)
+	list(take(w, w.watches), 42, entry("h0", a.Addr().String(), "leaving"))
+	w.line("event=host id=h0 state=draining version=42")
+	for i := range 8 {
+		w.client() // one that is silent before each that asks
+		if got := w.client().ask(call("lookup", i)); got != "v" || len(a.got()) > 0 {
+			t.Errorf("%s, or sent to the host that leaves", got)
+		}
+	}
+}
+
 // A faulty configuration ends the start with a message that names the key.
 func TestFaultyConfig(t *testing.T) {
 	w := start(t, func(_, settings map[string]any) {
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"ravensill/internal/peers"
+)
+
+const (
+	former = 25 * time.Second      // an address is waited for at most so long: a former life of this gateway may drain yet
+	knock  = 20 * time.Millisecond // between tries
+	apart  = 16                    // descriptors: three streams, the runtime's two, listener, datagrams, counter, watch and the one before, file, others of a section
+)
+
+// addresses takes the gateway's addresses, that of the datagrams first, before anything else of it runs. A former life that
+// still serves what it has open holds them, its datagrams' address up to its end: a process that gave up then would not
+// start at all. It tells false where it is called to stop meanwhile.
+func (n *Node) addresses(stop <-chan struct{}) (listener *net.TCPListener, ok bool, err error) {
+	if len(n.cfg.Peers) > 0 {
+		ok, err = claim("peer_listen", n.cfg.PeerListen, stop, func() (err error) {
+			n.post, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
+			return err
+		})
+		if !ok {
+			return nil, false, err
+		}
+	}
+	ok, err = claim("listen", n.cfg.Listen, stop, func() (err error) {
+		listener, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
+		return err
+	})
+	return listener, ok, err
+}
+
+// claim tries to take an address until it is free.
+func claim(key string, addr netip.AddrPort, stop <-chan struct{}, try func() error) (ok bool, err error) {
+	limit := time.Now().Add(former)
+	for told := false; ; told = true {
+		if err = try(); err == nil {
+			return true, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(limit) {
+			return false, fmt.Errorf("%s: %w", key, err)
+		}
+		if !told {
+			log.Printf("event=address_taken key=%s addr=%s wait=%s", key, addr, former)
+		}
+		select {
+		case <-stop:
+			return false, nil
+		case <-time.After(knock):
+		}
+	}
+}
+
+// descriptors gives how many the parts of the gateway may share out. Where the system's limit is lower than the
+// configuration's it counts: idle clients that fill a part too large would keep the watch, the hosts and the loop that
+// accepts from theirs. The rest, of what is open once each, is kept clear at any size.
+func descriptors(most int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(most) {
+		log.Printf("event=few_descriptors limit=%d sockets=%d", limit.Cur, most)
+		most = int(limit.Cur)
+	}
+	return min(most, max(most-apart, 1)*15/11) // of which clients get 5, hosts 6
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"log"
-	"net"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -116,9 +115,10 @@
 		}
 		words.Most = append(words.Most, most)
 	}
-	n.clients = clients.NewServer(words, cfg.Sockets/3, n.do, n.now, n.arrive)
+	sockets := descriptors(cfg.Sockets)
+	n.clients = clients.NewServer(words, sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
-		cfg.Sockets*2/5)
+		sockets*2/5)
 	if cfg.Counter.IsValid() {
 		n.counter = counter.New(cfg.Counter, cfg.Limits.CounterWait, n.do, n.now, func(e gateway.Event) {
 			n.events = append(n.events, e)
@@ -133,13 +133,18 @@
 
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) error {
-	if len(n.cfg.Peers) > 0 {
-		post, err := peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
-		if err != nil {
-			return err
+	listener, ok, err := n.addresses(stop)
+	if n.post != nil {
+		defer n.post.Close()
+	}
+	if listener != nil {
+		defer listener.Close()
+	}
+	if !ok {
+		if err == nil {
+			log.Printf("event=stopped")
 		}
-		defer post.Close()
-		n.post = post
+		return err
 	}
 	if n.counter != nil {
 		defer n.counter.Close()
@@ -155,11 +160,6 @@
 		return err
 	}
 	defer unpool()
-	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
-	if err != nil {
-		return err
-	}
-	defer listener.Close()
 	if n.cfg.Known != "" {
 		n.listed([]byte(n.cfg.Known), true)
 	} else {
@@ -191,6 +191,7 @@
 		for k := len(n.work); k > 0; k-- {
 			n.guard("loop", <-n.work)
 		}
+		n.catchUp()
 		timer.Reset(n.turn())
 	}
 	log.Printf("event=stopped")
