Clients: the loop owns all counts, readers see a client's end, closes cross no command

Cause: counts kept as channels that the loop received from, and a reader with a piece of work for each command. Change: a mailbox for each connection, with one piece of work on its way at most; the loop begins commands out of it, up to 256 open, none of a client known to be gone (Line.left, set by the reader, overtakes the queue; Answer.Gone tells it at the place where an attempt begins). Places are len(conns), granted one by one to the accept loop, which always has an answer. Quiet is asked for what the loop has taken. Idle connections are half-closed and read for a second before the close; only for want of places one is closed at once, 20 ms after its answer at the earliest. A client that takes nothing for 10 s is cut off. Every command that comes before the half-close has an answer. Over tells when the last has ended and no more come.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"ravensill/gateway"
 	"ravensill/internal/resp"
@@ -180,8 +181,9 @@
 type Line struct {
 	out  *ring.Ring
 	wait []*Answer
-	full bool      // an answer did not fit: the client reads too slowly
-	let  func(int) // told how many answers went out with the one just given
+	full bool        // an answer did not fit: the client reads too slowly
+	let  func(int)   // told how many answers went out with the one just given
+	left atomic.Bool // the client is gone, as the reader saw: that overtakes all that waits for the loop
 }
 
 func (l *Line) Add() *Answer {
@@ -194,6 +196,9 @@
 func (a *Answer) Denied(after int64)  { a.give(denied(after)) }
 func (a *Answer) Aborted(why string)  { a.give(refused(why)) }
 
+// Gone tells whether the client has left, also while that is on the way to the loop: nothing more is sent on for it.
+func (a *Answer) Gone() bool { return a.line.left.Load() }
+
 // give sets the answer, and lets out all that no earlier command holds back.
 func (a *Answer) give(text []byte) {
 	if a.done {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"testing"
-	"time"
 
 	"ravensill/gateway"
 	"ravensill/internal/golden"
@@ -129,38 +127,3 @@
 }
 func (nobody) Ping()            {}
 func (nobody) Refuse(err error) { panic(err) }
-
-// A connection that ends while its commands are on the way to the loop must not hold up the loop.
-func TestGoneWhileAsked(t *testing.T) {
-	work := make(chan func(), 99)
-	s := NewServer(words, 9, func(f func()) { work <- f }, func() int64 { return 0 }, nil)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	s.Listen(l)
-	c, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Write([]byte(command("PING") + command("PING")))
-	(<-work)() // it is known
-	asked := []func(){<-work, <-work}
-	for c := range s.conns {
-		c.end()
-	}
-	done := make(chan struct{})
-	go func() {
-		for _, f := range append(asked, <-work) { // the last: its reader ended
-			f()
-		}
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(10 * time.Second):
-		t.Error("the loop hangs")
-	}
-}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"log"
 	"net"
+	"os"
 	"runtime/debug"
-	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"ravensill/internal/resp"
@@ -14,20 +15,25 @@
 )
 
 const (
-	mostOpen = 256                           // commands of one connection that wait for answers; more are read later
-	mostBad  = 16                            // commands in a row that can't be understood: then the connection ends
-	mostOut  = 256 << 10                     // bytes that wait for a client that reads slowly
-	linger   = time.Second                   // a client is read after its last answer
-	unasked  = int64(2 * time.Second)        // until a first command is whole, and from any command's first byte to its last
-	quiet    = int64(2 * time.Second)        // idle for more, it ends
-	grace    = int64(100 * time.Millisecond) // for its first command to come; until then a connection makes no room
-	retry    = 20 * time.Millisecond         // until a place is looked for again
-	lines    = int64(time.Second)            // between log lines of one kind
+	mostOpen  = 256                           // commands of one connection that wait for answers; more are begun later
+	mostAhead = 512 << 10                     // bytes of commands that wait to be begun; more are read later
+	mostBad   = 16                            // commands in a row that can't be understood: then the connection ends
+	mostOut   = 256 << 10                     // bytes that wait for a client that reads slowly
+	stuck     = int64(10 * time.Second)       // until one that takes none of them is cut off
+	linger    = time.Second                   // a client is read after its last answer
+	unasked   = int64(2 * time.Second)        // until a first command is whole, and from any command's first byte to its last
+	quiet     = int64(2 * time.Second)        // idle for more, it ends
+	grace     = int64(100 * time.Millisecond) // for its first command to come; until then a connection makes no room
+	arriving  = int64(20 * time.Millisecond)  // an answer is on its way: a close over bytes that come now would reset it away
+	retry     = 20 * time.Millisecond         // until a place is looked for again
+	lines     = int64(time.Second)            // between log lines of one kind
 )
 
 var (
 	errUnfinished = errors.New("no whole command came in time")
 	errBad        = errors.New("too many commands that can't be understood")
+	errEnding     = errors.New("the connection ends")
+	errSlow       = errors.New("answers are read too slowly")
 )
 
 // Arrive is called on the loop for each req that comes in, with when it came. The command to pass on is head,
@@ -37,18 +43,22 @@
 
 // Server holds all client connections. Its fields belong to the loop that do brings work to.
 type Server struct {
-	words    Words
-	places   chan struct{} // one for each connection: more wait to be taken in
-	do       func(func())
-	now      func() int64
-	arrive   Arrive
-	conns    map[*Conn]bool
-	dirty    []*Conn
-	listener net.Listener
-	retiring bool
-	tidied   int64
-	faults   tally
-	fulls    tally
+	words             Words
+	most              int // connections; more wait to be taken in
+	do                func(func())
+	now               func() int64
+	arrive            Arrive
+	conns             map[*Conn]bool
+	dirty             []*Conn       // have answers to write
+	slow              []*Conn       // and did not take all
+	grants            chan bool     // to the accept loop: whether there is a place. One for each time that it asks
+	freed             chan struct{} // has one after a connection ended
+	listener          *net.TCPListener
+	accepting, closed bool // the accept loop runs, is to end
+	retiring          bool
+	tidied            int64
+	faults            tally
+	fulls             tally
 }
 
 // tally keeps lines that anybody can cause by the thousand from filling the log: it counts what is not told.
@@ -68,81 +78,136 @@
 }
 
 func NewServer(words Words, most int, do func(func()), now func() int64, arrive Arrive) *Server {
-	return &Server{words: words, places: make(chan struct{}, most), do: do, now: now, arrive: arrive,
-		conns: map[*Conn]bool{}}
+	return &Server{words: words, most: most, do: do, now: now, arrive: arrive, conns: map[*Conn]bool{},
+		grants: make(chan bool, 1), freed: make(chan struct{}, 1)}
 }
 
-// Conn is one client connection.
+// Conn is one client connection. Its fields belong to the loop, but for the mailbox and what the reader keeps.
 type Conn struct {
 	server *Server
 	link   *ring.Link
 	Line
-	slots  chan struct{} // one for each command that waits for its answer
-	gone   chan struct{} // closed when the connection has ended: nobody waits for a slot then
-	came   int64         // when the bytes now read had come
-	bad    int           // commands in a row that can't be understood
-	since  atomic.Int64  // when the command that is not yet whole began to come; 0 none is
-	marked bool          // among the dirty
+	mailbox
+	taken  func()        // take
+	over   chan struct{} // closed when the connection has ended: its reader waits for nothing then
+	seen   int64         // of the link's Reads, those that were taken
+	part   int64         // when the command that is not yet whole began to come, as far as was taken; 0 none is
+	marked bool          // among the dirty or the slow
 	asked  int           // whole commands that came
 	said   int64         // when it was last given an answer; at first, when it connected
-	ending bool          // nothing more is taken; it ends when nothing is owed
+	slowAt int64         // when its client last took a part of what waits for it; 0 nothing waits
+	ending bool          // no command is sent on; it ends when nothing is owed
 	half   bool          // half-closed: nothing was owed
 	closed bool
+
+	came  int64 // the reader's: when the bytes now read had come,
+	since int64 // when the command that is not yet whole began to come; 0 none is
+	bad   int   // commands in a row that can't be understood
+}
+
+// mailbox is what a reader brings. One piece of work for it is on the way to the loop at most: a flood neither fills the
+// loop's inbox nor keeps its reader from seeing that the client has gone, and what was not begun by then never is.
+type mailbox struct {
+	mu             sync.Mutex
+	asks           []ask // not begun, from first on
+	first          int
+	bytes          int           // of these
+	reads, partial int64         // as seen and part below, as far as was read
+	posted         bool          // a piece of work is on its way
+	room           chan struct{} // has one when fewer bytes wait
+}
+
+// ask is one command.
+type ask struct {
+	bytes int
+	begin func(*Answer)
 }
 
 // Listen takes in connections until Unlisten.
-func (s *Server) Listen(l net.Listener) {
-	s.listener = l
+func (s *Server) Listen(l *net.TCPListener) {
+	s.listener, s.accepting = l, true
 	go func() {
-		for {
-			select {
-			case s.places <- struct{}{}:
-			default:
-				for full := true; full; {
-					s.do(s.makeRoom)
-					select {
-					case s.places <- struct{}{}:
-						full = false
-					case <-time.After(retry):
-					}
+		defer s.do(func() { s.accepting = false })
+		failed := tally{}
+		for last := false; ; {
+			for s.do(s.offer); !<-s.grants; s.do(s.offer) {
+				select {
+				case <-s.freed:
+				case <-time.After(retry):
 				}
 			}
-			conn, err := l.Accept()
-			if errors.Is(err, net.ErrClosed) {
+			link, err := s.accept(l)
+			switch {
+			case err == nil:
+				c := &Conn{server: s, link: link, Line: Line{out: link.Out}, over: make(chan struct{}),
+					mailbox: mailbox{room: make(chan struct{}, 1)}}
+				c.let, c.taken = c.given, c.take
+				s.do(c.known) // before the next is let in: the loop counts what it knows
+				go c.run()
+			case errors.Is(err, os.ErrDeadlineExceeded) && !last:
+				last = true
+			case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+				l.Close()
 				return
-			}
-			var link *ring.Link
-			if err == nil {
-				link, err = ring.NewLink(conn.(*net.TCPConn), resp.Most, mostOut)
-			}
-			if err != nil {
-				log.Printf("event=accept_failed error=%q", err)
-				<-s.places
+			default:
+				if now := s.now(); failed.due(now) {
+					log.Printf("event=accept_failed error=%q count=%d", err, failed.told(now))
+				}
 				time.Sleep(10 * time.Millisecond)
-				continue
 			}
-			c := &Conn{server: s, link: link, Line: Line{out: link.Out}, slots: make(chan struct{}, mostOpen),
-				gone: make(chan struct{})}
-			c.let = c.given
-			go c.run()
+			if last { // what the system has taken in by now is taken in here, too: a close would reset it
+				l.SetDeadline(time.Now().Add(retry))
+			}
 		}
 	}()
 }
 
+func (s *Server) accept(l *net.TCPListener) (*ring.Link, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	link, err := ring.NewLink(conn, resp.Most, mostOut)
+	if err != nil {
+		conn.Close()
+	}
+	return link, err
+}
+
+func (c *Conn) known() {
+	c.server.conns[c] = true
+	c.said = c.server.now()
+	c.retireIfIdle()
+}
+
+// offer tells the accept loop, which waits for it, whether there is a place for one more connection. It answers
+// whatever befalls it: none else could free that loop. The places are counted by the connections that are, so none can go missing.
+func (s *Server) offer() {
+	ok := false
+	defer func() { s.grants <- ok }()
+	if len(s.conns) >= s.most && !s.closed {
+		s.makeRoom()
+	}
+	ok = s.closed || len(s.conns) < s.most
+}
+
 // makeRoom ends a connection where descriptors are few. Those that connect and say nothing could take all
 // places from those that ask: they go first, and so does one that is only read to its end. Then those go that
 // asked once, else the one idle the longest. It goes at once: a client that stays would hold a place that is only half-closed, and each
-// new one would wait for that. One whose next command lies unread is not idle.
+// new one would wait for that. One whose next command lies unread, or is read and on its way here, is not idle.
 func (s *Server) makeRoom() {
 	now := s.now()
 	var first *Conn
 	for c := range s.conns {
-		if c.idle() && (c.asked > 0 || now-c.said > grace) && (c.half || !c.ending) &&
+		if c.idle() && (c.asked > 0 || now-c.said > grace) && (!c.ending || c.half && now-c.said > arriving) &&
 			(first == nil || c.use() < first.use() || c.use() == first.use() && c.said < first.said) &&
-			(c.half || c.link.Quiet(c.link.Reads())) {
+			(c.half || c.link.Quiet(c.seen)) {
 			first = c
 		}
 	}
+	if first != nil && now-first.said <= arriving { // soon
+		return
+	}
 	if s.fulls.due(now) {
 		log.Printf("event=clients_full clients=%d room_made=%t count=%d", len(s.conns), first != nil, s.fulls.told(now))
 	}
@@ -170,13 +235,17 @@
 		return
 	}
 	for c := range s.conns {
-		since := c.since.Load()
 		switch {
-		case c.ending:
-		case c.asked == 0 && now-c.said > unasked, since > 0 && now-since > unasked:
-			c.turnAway(errUnfinished)
-		case c.idle() && since == 0 && now-c.said > quiet && c.link.Quiet(c.link.Reads()):
+		case c.slowAt > 0 && now-c.slowAt > stuck: // else it would stay for ever
+			c.fault(errSlow)
 			c.end()
+		case c.ending, s.retiring:
+			c.retireIfIdle()
+		case c.asked == 0 && c.part == 0 && now-c.said > unasked && c.link.Quiet(c.seen), c.part > 0 && now-c.part > unasked:
+			c.turnAway(errUnfinished)
+		case c.idle() && c.asked > 0 && c.part == 0 && now-c.said > quiet && c.link.Quiet(c.seen):
+			c.ending = true // no close yet: one over bytes that come now would be a reset
+			c.retireIfIdle()
 		}
 	}
 }
@@ -188,13 +257,9 @@
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=client error=%q stack=%q", p, debug.Stack())
 		}
+		c.left.Store(true)
 		s.do(c.end)
 	}()
-	s.do(func() {
-		s.conns[c] = true
-		c.said = s.now()
-		c.retireIfIdle()
-	})
 	commands := Commands{words: &s.words}
 	for {
 		if err := c.link.Read(); err != nil {
@@ -207,8 +272,11 @@
 				err = errBad
 			}
 			if err != nil {
-				c.Refuse(err)
-				s.do(func() { c.fault(err) })
+				c.ask(0, func(a *Answer) {
+					a.give(refused(err.Error()))
+					c.fault(err)
+				})
+				c.post()
 				c.link.Discard()
 				return
 			}
@@ -217,10 +285,11 @@
 			}
 		}
 		if c.link.In.Len() == 0 {
-			c.since.Store(0)
-		} else if c.since.Load() == 0 {
-			c.since.Store(c.came)
+			c.since = 0
+		} else if c.since == 0 {
+			c.since = c.came
 		}
+		c.post()
 	}
 }
 
@@ -242,47 +311,119 @@
 	}
 	c.bad = 0
 	reqID, owner := string(id), string(customer)
-	c.ask(func(a *Answer) {
+	c.ask(len(text), func(a *Answer) {
 		c.server.arrive(a, came, reqID, owner, front, plan, came+wait, units, spread, first, again,
 			text[:cut1], text[cut1:cut2], text[cut2:cut3], text[cut3:])
 	})
 }
 
-func (c *Conn) Ping() { c.ask(func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
+func (c *Conn) Ping() { c.ask(0, func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
 
 func (c *Conn) Refuse(why error) {
 	c.bad++
-	c.ask(func(a *Answer) { a.give(refused(why.Error())) })
+	c.ask(0, func(a *Answer) { a.give(refused(why.Error())) })
 }
 
-// ask brings a command to the loop, with the place of its answer.
-func (c *Conn) ask(f func(*Answer)) {
-	c.since.Store(0)
-	select {
-	case c.slots <- struct{}{}:
-	case <-c.gone:
-		return
+// ask puts a command into the mailbox.
+func (c *Conn) ask(bytes int, begin func(*Answer)) {
+	c.since = 0
+	bytes += 128 // what it takes beside its text
+	c.mu.Lock()
+	c.asks = append(c.asks, ask{bytes, begin})
+	c.bytes += bytes
+	c.mu.Unlock()
+}
+
+// post tells the loop what was read, and waits while too much of it is not begun.
+func (c *Conn) post() {
+	c.mu.Lock()
+	c.reads, c.partial = c.link.Reads(), c.since
+	first := !c.posted
+	c.posted = true
+	ahead := c.bytes
+	c.mu.Unlock()
+	if first {
+		c.server.do(c.taken)
 	}
-	c.server.do(func() {
-		c.asked++
-		if !c.closed && !c.ending {
-			f(c.Add())
+	for ahead > mostAhead {
+		select {
+		case <-c.room:
+		case <-c.over:
 			return
 		}
-		select { // the close crossed the command: the client sends it again elsewhere
-		case <-c.slots:
-		default: // the loop must never wait here: nothing else could free it
+		c.mu.Lock()
+		ahead = c.bytes
+		c.mu.Unlock()
+	}
+}
+
+// next takes the first command out of the mailbox.
+func (c *Conn) next() (a ask, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.first == len(c.asks) {
+		return a, false
+	}
+	a, c.asks[c.first] = c.asks[c.first], ask{}
+	if c.first++; c.first == len(c.asks) {
+		c.asks, c.first = c.asks[:0], 0
+		if cap(c.asks) > mostOpen { // after a flood
+			c.asks = nil
 		}
-	})
+	}
+	if c.bytes -= a.bytes; c.bytes <= mostAhead {
+		select {
+		case c.room <- struct{}{}:
+		default:
+		}
+	}
+	return a, true
+}
+
+// take takes in what the reader brought.
+func (c *Conn) take() {
+	c.mu.Lock()
+	c.posted = false
+	c.seen, c.part = c.reads, c.partial
+	c.mu.Unlock()
+	c.begin()
+	c.retireIfIdle()
 }
 
-// given sees to it that n answers are written, and that as many commands may follow.
-func (c *Conn) given(n int) {
-	for ; n > 0; n-- {
-		<-c.slots
+// begin hands on the commands that may be open now, and none of a client that is known to be gone.
+func (c *Conn) begin() {
+	for !c.closed && !c.left.Load() && len(c.wait) < mostOpen {
+		a, ok := c.next()
+		if !ok {
+			return
+		}
+		c.asked++
+		switch {
+		case c.half: // the close crossed the command: the client sees the end, and sends it again elsewhere
+		case c.ending:
+			c.Add().give(refused(errEnding.Error()))
+		default:
+			c.answered(a.begin)
+		}
 	}
+}
+
+// answered has a command answered, come what may: one that is not would hold back all behind it for ever.
+func (c *Conn) answered(begin func(*Answer)) {
+	a := c.Add()
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=loop error=%q stack=%q", fmt.Sprint(p), debug.Stack())
+			a.Aborted("aborted")
+		}
+	}()
+	begin(a)
+}
+
+// given sees to it that answers are written.
+func (c *Conn) given(int) {
 	if c.full {
-		c.fault(errors.New("answers are read too slowly"))
+		c.fault(errSlow)
 		c.end()
 		return
 	}
@@ -293,28 +434,45 @@
 	}
 }
 
-// Flush writes all answers given since the last call, one write a connection. It tells whether any had to
-// stay behind.
+// Flush writes all answers given since the last call, one write a connection, and begins the commands that waited for
+// these. It tells whether any had to stay behind.
 func (s *Server) Flush() bool {
-	s.dirty = slices.DeleteFunc(s.dirty, func(c *Conn) bool {
-		if !c.closed {
-			if err := c.link.Flush(); err != nil {
-				c.end()
-			} else if c.out.Len() > 0 {
-				return false
-			}
-			c.retireIfIdle()
+	for i := 0; i < len(s.dirty); i++ { // what is begun may add to them
+		c := s.dirty[i]
+		if c == nil {
+			continue
 		}
-		c.marked = false
-		return true
-	})
+		s.dirty[i], c.marked = nil, false // first: a panic must not keep the others from their turn for ever
+		if c.closed {
+			continue
+		}
+		had := c.out.Len()
+		if err := c.link.Flush(); err != nil {
+			c.end()
+			continue
+		}
+		switch left := c.out.Len(); {
+		case left == 0:
+			c.slowAt = 0
+		case left < had || c.slowAt == 0:
+			c.slowAt = s.now()
+			fallthrough
+		default:
+			c.marked = true
+			s.slow = append(s.slow, c)
+		}
+		c.begin()
+		c.retireIfIdle()
+	}
+	s.dirty, s.slow = append(s.dirty[:0], s.slow...), s.slow[:0]
 	return len(s.dirty) > 0
 }
 
 // Unlisten takes in no more connections; those that are open are served on.
 func (s *Server) Unlisten() {
+	s.closed = true
 	if s.listener != nil { // called to stop before it listened
-		s.listener.Close()
+		s.listener.SetDeadline(time.Now())
 	}
 }
 
@@ -326,14 +484,32 @@
 	}
 }
 
+// End ends what is still open.
+func (s *Server) End() {
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for c := range s.conns {
+		c.end()
+	}
+}
+
 // Count gives the number of connections.
 func (s *Server) Count() int { return len(s.conns) }
 
+// Over tells whether the last connection has ended, and no more can come.
+func (s *Server) Over() bool { return len(s.conns) == 0 && !s.accepting }
+
 func (c *Conn) idle() bool { return len(c.wait) == 0 && c.out.Len() == 0 }
 
-// retireIfIdle half-closes, so that neither the last answer nor a command on its way is reset away.
+// retireIfIdle half-closes, so that neither the last answer nor a command on its way is reset away. A command that is
+// read and on its way to the loop, or lies unread, is not crossed by the close: it is taken first. One of which a part is there
+// would be waited for.
 func (c *Conn) retireIfIdle() {
-	if (c.server.retiring || c.ending) && !c.closed && !c.half && c.idle() {
+	if c.closed || c.half || !c.idle() {
+		return
+	}
+	if c.ending || c.server.retiring && (c.part > 0 || c.link.Quiet(c.seen)) {
 		c.ending, c.half = true, true
 		c.link.CloseWrite(linger)
 	}
@@ -352,23 +528,22 @@
 
 // turnAway ends the connection with an error line behind the answers it is owed.
 func (c *Conn) turnAway(why error) {
-	select {
-	case c.slots <- struct{}{}:
-		c.Add().give(refused(why.Error()))
-	default: // more of its commands wait than may
-	}
+	c.Add().give(refused(why.Error()))
 	c.fault(why)
 }
 
-// end forgets a connection; its client is gone.
+// end forgets a connection; its client is gone. What it holds is given back first, whatever befalls the rest.
 func (c *Conn) end() {
 	if c.closed {
 		return
 	}
 	c.closed = true
-	c.link.Close()
 	delete(c.server.conns, c)
-	<-c.server.places
+	close(c.over)
+	c.link.Close()
+	select {
+	case c.server.freed <- struct{}{}:
+	default:
+	}
 	c.Line.end()
-	close(c.gone)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	}
 	n.start()
 	timer := time.NewTimer(0)
-	for serving := false; !n.stopped || n.clients.Count() > 0; {
+	for serving := false; !n.stopped || !n.clients.Over(); {
 		if n.told && !serving && !n.stopped {
 			serving = true
 			n.clients.Listen(listener)
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net"
+	"syscall"
 	"testing"
 )
 
@@ -85,6 +86,36 @@
 	}
 }
 
+// The system holds back no small write, of a connection dialed or taken in: a reset that follows would take it along.
+func TestNoDelay(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	for _, c := range []net.Conn{near, far} {
+		link, err := NewLink(c.(*net.TCPConn), 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.raw.Control(func(fd uintptr) {
+			if v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); v == 0 || err != nil {
+				t.Error(v, err)
+			}
+		})
+	}
+}
+
 // The operators ask for bufio and for one ring a direction: this tells what both together would cost. A
 // thousand commands of 120 bytes are read from a socket, in writes of one command.
 func BenchmarkReading(b *testing.B) {
