Node: no signal costs a request, the end is bounded, a panic of the loop's own costs no process

Seen, each forced: - SIGHUP while the configuration was read ended the program, as a crash does: the signals were asked for only after it. Forced by a configuration that is a pipe (TestSignalWhileStarting). - A second SIGTERM ended it at once with code 1, under open requests: all that was taken was lost (TestSignals*). - Called to stop while it waited for the first list it still began to serve when the list came within 0.45 s (TestSignalsBeforeServing). - A client that is owed an answer for ever and does not close held the program for ever (TestStopBound). - Only the module's rounds and the pieces of work were guarded: a panic in turn itself (tally, tidying, flushing, time limits) ended the process (TestLoopPanics). Change: signals are asked for first of all. A second SIGTERM is logged and changes nothing, since the end has its time; a second SIGINT, from a terminal, ends it at once. One that serves nobody ends with the call. 1.5 s after the last step (which half-closes what is owed nothing) what is still open is cut off, with a line. turn is guarded as a whole.

--- a/cmd/ravensill/main.go
+++ b/cmd/ravensill/main.go
@@ -16,6 +16,9 @@
 
 func main() {
 	log.SetFlags(log.LUTC | log.Ldate | log.Ltime | log.Lmicroseconds)
+	calls, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP) // first of all: not asked for, each would end the program as a crash does
+	signal.Notify(calls, syscall.SIGTERM, syscall.SIGINT)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		log.Printf("event=start_failed error=%q", err)
@@ -28,15 +31,16 @@
 	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
 	debug.SetGCPercent(400)
 	stop := make(chan struct{})
-	calls, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
-	signal.Notify(calls, syscall.SIGTERM, syscall.SIGINT) // before it serves: a call to stop may come at once
-	signal.Notify(reloads, syscall.SIGHUP)                // not asked for, it would end the program
 	go func() {
 		<-calls
 		close(stop)
-		<-calls // called twice: at once
-		log.Printf("event=stopped_at_once")
-		os.Exit(1)
+		for s := range calls {
+			if s == syscall.SIGINT { // from a terminal; the platform that means at once has SIGKILL
+				log.Printf("event=stopped_at_once")
+				os.Exit(1)
+			}
+			log.Printf("event=stopping_already") // its end is near and has its time: a second call must not lose what is open
+		}
 	}()
 	n := node.New(cfg, logic.New(cfg.Seed, cfg.Seat, cfg.Fronts, cfg.Plans, cfg.Limits, cfg.Cold, cfg.Report))
 	go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,12 +20,13 @@
 )
 
 const (
-	inbox     = 1024                   // pieces of work that wait; who brings more waits too
-	keep      = 0.5                    // part of the host machines' idle time that a connection is kept
-	retry     = 5 * time.Millisecond   // until bytes that a socket did not take are tried again
-	accepting = 450 * time.Millisecond // new clients still come for so long after the call to stop
-	mostLeave = 3 * time.Second        // of the longest client timeout: the platform counts no more
-	leave     = 500 * time.Millisecond // it kills 0.7 s after that: by then all that was taken is answered
+	inbox     = 1024                    // pieces of work that wait; who brings more waits too
+	keep      = 0.5                     // part of the host machines' idle time that a connection is kept
+	retry     = 5 * time.Millisecond    // until bytes that a socket did not take are tried again
+	accepting = 450 * time.Millisecond  // new clients still come for so long after the call to stop
+	mostLeave = 3 * time.Second         // of the longest client timeout: the platform counts no more
+	leave     = 500 * time.Millisecond  // it kills 0.7 s after that: by then all that was taken is answered
+	parting   = 1500 * time.Millisecond // after that clients are read to their end for a second; what stays then is cut off
 	probeWait = int64(time.Second)
 	tallyEach = int64(5 * time.Second) // between lines of the module's decisions
 )
@@ -72,7 +73,9 @@
 	tallyAt int64     // of the last line of decisions
 	stopAt  int64     // the next step to the end is due then; 0 none
 	leaveAt int64     // what is taken has its answer by then; 0 not called to stop
-	stopped bool      // no more clients are taken in: the gateway ends with its last connection
+	serving bool      // clients are taken in
+	stopped bool      // no more are: the gateway ends with its last connection
+	retired bool      // those that are owed nothing are closed
 }
 
 // req is held until it is answered and no dispatch is out.
@@ -165,7 +168,7 @@
 	} else {
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
 	}
-	n.turn() // the first round
+	n.step() // the first round
 	if n.post != nil {
 		go n.post.Listen(func(seat int, body []byte) {
 			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
@@ -173,9 +176,9 @@
 	}
 	n.start()
 	timer := time.NewTimer(0)
-	for serving := false; !n.stopped || !n.clients.Over(); {
-		if n.told && !serving && !n.stopped {
-			serving = true
+	for !n.stopped || !n.clients.Over() {
+		if n.told && !n.serving && n.leaveAt == 0 {
+			n.serving = true
 			n.clients.Listen(listener)
 			log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
 				n.post.Addr(), n.book.Count(), n.book.Version)
@@ -191,7 +194,7 @@
 		for k := len(n.work); k > 0; k-- {
 			n.guard("loop", <-n.work)
 		}
-		timer.Reset(n.turn())
+		timer.Reset(n.step())
 	}
 	log.Printf("event=stopped")
 	return nil
@@ -199,7 +202,7 @@
 
 // stop begins the end. Clients go on sending on what they have open, and a close that crosses a command leaves
 // that unanswered. So what is open is served until shortly before the platform kills, which counts from the
-// longest client timeout, and ends then: a kill that crosses a command would lose it.
+// longest client timeout, and ends then: a kill that crosses a command would lose it. One that serves nobody yet ends at once.
 func (n *Node) stop() {
 	longest := int64(0)
 	for _, f := range n.cfg.Fronts {
@@ -207,19 +210,35 @@
 	}
 	n.stopAt = n.now() + int64(accepting)
 	n.leaveAt = n.now() + min(longest, int64(mostLeave)) + int64(leave)
+	if !n.serving {
+		n.stopAt = n.now()
+	}
 	log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
 }
 
-// stopping takes the next step to the end: first no new clients, at last none at all.
+// stopping takes the next step to the end: first no new clients, then none that is owed nothing, at last none at all. One
+// that neither reads nor closes must not hold the program.
 func (n *Node) stopping() {
-	if !n.stopped {
+	switch {
+	case !n.stopped:
 		n.stopped, n.stopAt = true, n.leaveAt
 		n.clients.Unlisten()
 		log.Printf("event=closed_to_new clients=%d open=%d", n.clients.Count(), len(n.reqs))
-		return
+	case !n.retired:
+		n.retired, n.stopAt = true, n.now()+int64(parting)
+		n.clients.Retire()
+	default:
+		n.stopAt = 0
+		log.Printf("event=cut_off clients=%d open=%d", n.clients.Count(), len(n.reqs))
+		n.clients.End()
 	}
-	n.stopAt = 0
-	n.clients.Retire()
+}
+
+// step is a turn; a panic in it costs what was at hand, not the program.
+func (n *Node) step() (wait time.Duration) {
+	wait = retry
+	n.guard("loop", func() { wait = n.turn() })
+	return wait
 }
 
 // turn does what is due, lets the module decide on what came in, and carries it out. It tells how long
