Node: no attempt begins behind a client's end that its reader has seen

Seen: a module that sends on a request in the round of its arrival, while its client goes and the reader has seen that, held the attempt as out and sent it: the end waits for the loop behind the round, and behind all that lies there (TestClientLeavesUnderRound, the crossing forced by a module that waits for the reader). Change: Dispatch asks Answer.Gone, which the reader sets before it tells the loop, and ends the attempt as skipped. Measured: the test red without the check; go test -race -count=2 of node and clients passes.

--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -48,7 +49,7 @@
 		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
 	n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
 	arrive := func(id string) *clients.Answer {
-		a := &clients.Answer{}
+		a := new(clients.Line).Add()
 		n.arrive(a, n.now(), id, "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
 		return a
 	}
@@ -68,3 +69,45 @@
 	fmt.Fprintf(m, "%d requests and %d attempts are held\n", len(n.reqs), len(n.open))
 	golden.Check(t, m.String())
 }
+
+// leaver has the client of each req go while the loop is busy with the round of its arrival, and sends it on.
+type leaver struct {
+	eager
+	n    *Node
+	left func()
+}
+
+func (m *leaver) Round(in *gateway.Round, out gateway.Writer) {
+	for _, e := range in.Events {
+		if e.Kind == gateway.Arrived {
+			m.left()
+			for a := m.n.reqs[e.Req].answer; !a.Gone(); {
+				runtime.Gosched()
+			}
+		}
+	}
+	m.eager.Round(in, out)
+}
+
+// The news that a client has gone overtakes what the loop is busy with: nothing is sent on behind it.
+func TestClientLeavesUnderRound(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var c net.Conn
+	m := &leaver{left: func() { c.Close() }}
+	addr, stop, ended := serve(t, m, func(n *Node) {
+		m.n = n
+		n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	}, "panic")
+	c = dial(t, addr)
+	fmt.Fprint(c, command("a", 1))
+	stop()
+	if n := len(ended()); n > 0 {
+		t.Error("a panic")
+	}
+	fmt.Fprintf(m, "%d requests and %d attempts are held\n", len(m.n.reqs), len(m.n.open))
+	golden.Check(t, m.String())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -402,7 +402,10 @@
 	d := n.sent(r, host, wait)
 	r.sends = append(r.sends, d)
 	r.out++
-	if r.closed { // its client left in this round: nothing is sent, and the module must hear of the end or it counts it as out for ever
+	// Its client left in this round, or has left by what its reader saw, though that still waits for the loop: nothing is sent,
+	// and the module must hear of the end or it counts it as out for ever.
+	if r.closed || r.answer.Gone() {
+		r.closed = true
 		d.ended(gateway.Event{Result: gateway.Skipped}, nil, n.now())
 		return
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -37,7 +37,7 @@
 }
 
 // serve runs a gateway with a module on an address of its own. lines gives those of its log that hold an event named there.
-func serve(t *testing.T, m Decider, events ...string) (addr string, stop func(), ended func() (lines []string)) {
+func serve(t *testing.T, m Decider, set func(*Node), events ...string) (addr string, stop func(), ended func() (lines []string)) {
 	r, w := io.Pipe()
 	log.SetOutput(w)
 	t.Cleanup(func() { log.SetOutput(os.Stderr) })
@@ -45,7 +45,11 @@
 		Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}}, FrontNames: []string{"lookup"},
 			Plans: []gateway.Plan{{}}, PlanNames: []string{"team"}, ConnectTimeout: 1e9}}
 	call, over := make(chan struct{}), make(chan error, 1)
-	go func() { over <- New(cfg, m).Run(call) }()
+	n := New(cfg, m)
+	if set != nil {
+		set(n)
+	}
+	go func() { over <- n.Run(call) }()
 	log := bufio.NewScanner(r)
 	for addr == "" && log.Scan() {
 		if i := strings.Index(log.Text(), "listen="); i >= 0 {
@@ -83,12 +87,16 @@
 	return c
 }
 
+func command(customer string, id int) string {
+	return fmt.Sprintf("*4\r\n$8\r\nCALL.GET\r\n$16\r\n000000000000000%s\r\n$1\r\n%d\r\n$46\r\nc=lookup,t=team,d=999,units=1,spread=1,first=0\r\n", customer, id)
+}
+
 // ask sends a command of a customer, or PING of none, and gives the answer.
 func ask(t *testing.T, c net.Conn, customer string, id int) string {
 	if customer == "" {
 		io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
 	} else {
-		fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n000000000000000%s\r\n$1\r\n%d\r\n$46\r\nc=lookup,t=team,d=999,units=1,spread=1,first=0\r\n", customer, id)
+		io.WriteString(c, command(customer, id))
 	}
 	buf := make([]byte, 99)
 	n, err := c.Read(buf)
@@ -100,7 +108,7 @@
 
 // A panic in the module costs the round's reqs an abort; the program and the connection live on.
 func TestModulePanics(t *testing.T) {
-	addr, stop, ended := serve(t, faulty{}, "panic where=module")
+	addr, stop, ended := serve(t, faulty{}, nil, "panic where=module")
 	c := dial(t, addr)
 	got := ask(t, c, "", 0) // the module here never asks to be woken: PING is answered all the same
 	for i, customer := range []string{"a", "f", "b"} {
@@ -137,7 +145,7 @@
 
 // A panic in the loop's own work costs that work, not the program.
 func TestLoopPanics(t *testing.T) {
-	addr, stop, ended := serve(t, &tired{}, "panic where=loop")
+	addr, stop, ended := serve(t, &tired{}, nil, "panic where=loop")
 	c := dial(t, addr)
 	if got := ask(t, c, "", 0) + ask(t, c, "a", 1); got != "+PONG\r\n-BUSY\r\n" {
 		t.Errorf("%q", got)
@@ -156,10 +164,10 @@
 
 // A client that is owed an answer for ever, and does not close, holds the program no longer than its time.
 func TestStopBound(t *testing.T) {
-	addr, stop, ended := serve(t, mute{}, "cut_off clients=1", "stopped")
+	addr, stop, ended := serve(t, mute{}, nil, "cut_off clients=1", "stopped")
 	c := dial(t, addr)
 	ask(t, c, "", 0)
-	fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000001\r\n$1\r\n1\r\n$46\r\nc=lookup,t=team,d=999,units=1,spread=1,first=0\r\n")
+	io.WriteString(c, command("a", 1))
 	stop()
 	if got := fmt.Sprint(ended()); got != "[cut_off clients=1 stopped]" {
 		t.Error(got)
