A log that nobody reads any more ends no gateway; a flood whose client stays is answered whole

Seen: with the reader of its standard error gone, the next line of the log ended the program by SIGPIPE, with all that was open (TestLogReaderGoes: red without the change). Change: the signal is not taken; the line is lost. TestFloodStays holds the other side of the mailbox: 9000 commands, more than are read ahead, all have their answer and the reader that waited goes on.

--- a/cmd/ravensill/main.go
+++ b/cmd/ravensill/main.go
@@ -19,6 +19,7 @@
 	calls, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP) // first of all: not asked for, each would end the program as a crash does
 	signal.Notify(calls, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE) // who reads the log may go: a line to nobody would end the program
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		log.Printf("event=start_failed error=%q", err)
--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -151,6 +151,7 @@
 	asked      chan string   // by these
 	early      []string      // of the log, up to the start
 	log        chan string
+	logs       io.Closer
 	exit       chan error
 }
 
@@ -203,6 +204,7 @@
 	if err != nil {
 		w.Fatal(err)
 	}
+	w.logs = out
 	if err := w.cmd.Start(); err != nil {
 		w.Fatal(err)
 	}
--- a/cmd/ravensill/signals_test.go
+++ b/cmd/ravensill/signals_test.go
@@ -211,3 +211,24 @@
 		t.Error(err)
 	}
 }
+
+// Who reads its log goes: it serves on.
+func TestLogReaderGoes(t *testing.T) {
+	w := start(t, nil, newHost(t, func([]string) string { return passed("v") }))
+	c := w.client()
+	w.logs.Close()
+	for range 3 {
+		w.cmd.Process.Signal(syscall.SIGHUP) // each writes a line
+		if a := c.ask(call("lookup", 1)); a != "v" {
+			t.Fatal(a)
+		}
+	}
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	if a := c.ask(call("lookup", 1)); a != "v" {
+		t.Error(a)
+	}
+	c.Close()
+	if e := w.exited(); e != "exit 0" {
+		t.Error(e)
+	}
+}
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -147,6 +147,39 @@
 	golden.Check(t, r.trace.String())
 }
 
+// A client pipelines more than its reader takes ahead of the loop, and stays: it waits, goes on, and each has its answer.
+func TestFloodStays(t *testing.T) {
+	r := newRig(t, 9)
+	f := r.client()
+	go f.send(many(9000)...)
+	r.wait("the reader waits", func() bool {
+		f.c.mu.Lock()
+		defer f.c.mu.Unlock()
+		return f.c.bytes > mostAhead
+	})
+	answers := make(chan int)
+	go func() {
+		n := 0
+		for ; n < 9000 && f.got() == "-BUSY"; n++ {
+		}
+		answers <- n
+	}()
+	r.turn("all answered", func() bool {
+		for _, o := range r.open {
+			o.Denied(0)
+		}
+		r.open = nil
+		select {
+		case n := <-answers:
+			r.note(fmt.Sprintf("%d answers; %d bytes ahead, %d open", n, f.c.bytes, len(f.c.wait)))
+			return true
+		default:
+			return false
+		}
+	})
+	golden.Check(t, r.trace.String())
+}
+
 // An idle connection is closed, to be tidy, for room, or at the end, and a command comes: read and on its way to the loop,
 // unread, or behind the close. The first two are answered, the last is never sent on, and its client sees the end, no reset.
 func TestCommandCrossesClose(t *testing.T) {
