--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -220,6 +220,31 @@
 	golden.Check(t, all.String())
 }
 
+// A client is turned away under a half-read command while it is owed an answer, and what comes until its connection can end is
+// answered, too: none is read and left without a word.
+func TestTurnedAwayUnderAnswer(t *testing.T) {
+	r := newRig(t, 9)
+	f := r.client()
+	f.send("owed")
+	r.turn("arrived", func() bool { return len(r.open) == 1 })
+	half := command("CALL.GET", get, "late", list)
+	io.WriteString(f.TCPConn, half[:30])
+	r.turn("half of it read", func() bool { return f.c.part > 0 })
+	r.clock.Add(unasked + 1)
+	r.tidied = r.now()
+	r.Tidy()
+	io.WriteString(f.TCPConn, half[30:])
+	f.send("behind")
+	r.turn("both come", func() bool { return f.c.asked == 3 })
+	r.open[0].Denied(0)
+	r.Flush()
+	for range 5 {
+		r.note(f.got())
+	}
+	r.note(fmt.Sprintf("%d arrived", len(r.open)))
+	golden.Check(t, r.trace.String())
+}
+
 // A fault in the program under one of three pipelined commands: each has its answer, in order, and the connection goes on.
 func TestPanicUnderCommand(t *testing.T) {
 	r := newRig(t, 9)
