A client that left has no attempt begin: what waits for a connection is given up at once

Cause: Left reaches the module, which holds an attempt that is out and has nothing to call off; nothing took it out of Host.waiting or the gate's queue. It was sent on when its connection came up, as late as connect_timeout or the quota's turn allows. TestLeftWhileItConnects holds the dial, lets the client go and lets the dial up: the host got the command.

Change: req.left gives up each attempt whose last byte is not written, where the leaving is known; it ends as never sent. The req is held by its count until the module has heard of the leaving, so that no other takes its id in between: forget would have closed that one. How far a send came is told in one place (Send.stage); Fleet.Dial can be held by tests. TestClientLeaves: its attempt under a leaving waited for a connection and now ends with it; the test has that case, and the one it meant with an attempt that is sent.

--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -27,16 +27,16 @@
 
 // Fleet holds all connections to hosts. Its fields belong to the loop that do brings work to.
 type Fleet struct {
-	do             func(func())
-	now            func() int64
-	names          []string // of load reports
-	connectTimeout int64
-	idle           int64 // a connection is kept for so long
-	most, count    int   // connections
-	hosts          map[uint32]*Host
-	dirty          []*conn
-	gate           *Gate // nil: no quota
-	urgent         bool  // the next send is
+	do          func(func())
+	now         func() int64
+	names       []string // of load reports
+	idle        int64    // a connection is kept for so long
+	most, count int      // connections
+	hosts       map[uint32]*Host
+	dirty       []*conn
+	Dial        func(addr string) (net.Conn, error)
+	gate        *Gate // nil: no quota
+	urgent      bool  // the next send is
 }
 
 // Host is one host's connections.
@@ -81,8 +81,9 @@
 }
 
 func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
-	return &Fleet{do: do, now: now, names: names, connectTimeout: connectTimeout, idle: idle, most: most,
-		hosts: map[uint32]*Host{}}
+	d := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
+	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, hosts: map[uint32]*Host{},
+		Dial: func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) }}
 }
 
 // Place tells where a host listens; connections to another address end once they are free.
@@ -221,8 +222,7 @@
 			f.do(func() { c.fail(errors.New("panic")) })
 		}
 	}()
-	d := net.Dialer{Timeout: time.Duration(f.connectTimeout), KeepAlive: -1}
-	sock, err := d.Dial("tcp4", c.addr.String())
+	sock, err := f.Dial(c.addr.String())
 	if err != nil {
 		f.do(func() { c.undialed(err) })
 		return
@@ -375,11 +375,10 @@
 		c.undialed(err)
 		return
 	}
-	stage := Writing
-	if c.link.Out.Len() == 0 {
-		stage = Sent
+	s, stage := c.send, Sent
+	if s != nil {
+		stage = s.stage()
 	}
-	s := c.send
 	c.send = nil
 	c.close()
 	if g := c.host.fleet.gate; g != nil && s == nil && !c.used {
@@ -418,6 +417,22 @@
 	}
 }
 
+// Never is a dispatch that was over before it began.
+var Never = &Send{over: true}
+
+// Sent tells whether the dispatch is over, or its last byte written.
+func (s *Send) Sent() bool { return s.over || s.stage() == Sent }
+
+func (s *Send) stage() Stage {
+	switch {
+	case s.conn == nil:
+		return Connecting
+	case s.conn.link.Out.Len() > 0:
+		return Writing
+	}
+	return Sent
+}
+
 // Stop gives the dispatch up from here, with why.
 func (s *Send) Stop(why error) {
 	if s.over {
--- /dev/null
+++ b/internal/node/dispatch_test.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"ravensill/gateway"
+	"ravensill/internal/config"
+	"ravensill/internal/golden"
+)
+
+// rig is a node on sockets with one host. Its module sends each req to that and again where it never ran, at most twice.
+type rig struct {
+	*testing.T
+	*Node
+	addr  chan string // where it listens
+	host  uint32      // by number
+	told  chan string // each event, as the module takes it
+	names []string    // of reqs, as the host got them
+	mu    sync.Mutex  // of names
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{T: t, addr: make(chan string, 1), told: make(chan string, 99)}
+	host, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := host.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(c)
+		}
+	}()
+	cfg := &config.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: "127.0.0.1:1", Sockets: 100,
+		Known: fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","state":"active","weight":1}]}`, host.Addr()),
+		Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}}, FrontNames: []string{"lookup"},
+			Plans: []gateway.Plan{{}}, PlanNames: []string{"team"}, ConnectTimeout: 20e9, Limits: gateway.Limits{MustAsk: true}}}
+	r.Node = New(cfg, r)
+	log.SetOutput(r)
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	t.Cleanup(func() {
+		close(stop)
+		<-ended
+		host.Close()
+		log.SetOutput(os.Stderr)
+	})
+	go func() { ended <- r.Node.Run(stop) }()
+	return r
+}
+
+func (r *rig) Write(line []byte) (int, error) { // of the log
+	if _, rest, ok := bytes.Cut(line, []byte("event=serving name= listen=")); ok {
+		addr, _, _ := bytes.Cut(rest, []byte{' '})
+		r.addr <- string(addr)
+	}
+	return len(line), nil
+}
+
+func (r *rig) serve(c net.Conn) {
+	defer c.Close()
+	for in := bufio.NewReader(c); ; {
+		for i := range 9 {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if i == 6 {
+				r.mu.Lock()
+				r.names = append(r.names, strings.TrimSpace(line))
+				r.mu.Unlock()
+			}
+		}
+		io.WriteString(c, "*1\r\n$1\r\nv\r\n")
+	}
+}
+
+func (r *rig) Round(in *gateway.Round, out gateway.Writer) {
+	for _, e := range in.Events {
+		switch e.Kind {
+		case gateway.Listed:
+			for _, l := range e.Hosts {
+				r.host = l.Host
+			}
+		case gateway.Arrived:
+			r.told <- "arrived " + e.Req
+			out.Dispatch(e.Req, r.host, 0)
+		case gateway.Left:
+			r.told <- "left " + e.Req
+		case gateway.Ended:
+			r.told <- fmt.Sprintf("ended %s %d: result %d, closed %t", e.Req, e.Dispatch, e.Result, e.Closed)
+			if e.Result.NeverRan() && e.Dispatch == 0 { // also where its client left: the module may not know yet
+				out.Dispatch(e.Req, r.host, 0)
+			}
+		}
+	}
+}
+
+// ask connects and sends a req.
+func (r *rig) ask(id string) net.Conn {
+	addr := <-r.addr
+	r.addr <- addr
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { c.Close() })
+	fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000001\r\n$1\r\n%s\r\n$48\r\nc=lookup,t=team,d=20000,units=1,spread=1,first=0\r\n", id)
+	return c
+}
+
+// last asks for a req that is served, and gives all that the module was told until its end, and what the host got.
+func (r *rig) last() string {
+	c := r.ask("z")
+	if _, err := io.ReadFull(c, make([]byte, 7)); err != nil {
+		r.Fatal(err)
+	}
+	var told []string
+	for len(told) == 0 || !strings.HasPrefix(told[len(told)-1], "ended z") {
+		told = append(told, <-r.told)
+	}
+	held := make(chan int)
+	r.do(func() { held <- len(r.reqs) + len(r.open) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slices.Sort(r.names)
+	return fmt.Sprintf("%s\nhost got %q, %d held\n", strings.Join(told, "\n"), r.names, <-held)
+}
+
+// A req whose client goes while it waits for a connection is not sent on, when that comes up at last.
+func TestLeftWhileItConnects(t *testing.T) {
+	r := newRig(t)
+	dials, up := make(chan struct{}), make(chan struct{})
+	r.do(func() {
+		dial := r.fleet.Dial
+		r.fleet.Dial = func(addr string) (net.Conn, error) {
+			dials <- struct{}{}
+			<-up
+			return dial(addr)
+		}
+	})
+	c := r.ask("a")
+	<-dials
+	arrived := <-r.told
+	c.Close()
+	left := <-r.told
+	go func() {
+		for range dials {
+		}
+	}()
+	close(up)
+	golden.Check(t, arrived+"\n"+left+"\n"+r.last())
+}
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -59,8 +59,14 @@
 	n.reqs["with-the-end-of-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
 	a.Left()
 	n.turn()
-	a = arrive("under-its-attempt")
+	a = arrive("while-it-waits-for-a-connection") // it ends at once, unsent
+	n.turn()
+	a.Left()
 	n.turn()
+	a = arrive("under-its-attempt")
+	for n.turn(); !n.reqs["under-its-attempt"].sends[0].send.Sent(); n.turn() {
+		(<-n.work)()
+	}
 	a.Left()
 	n.turn()
 	n.reqs["under-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	until                     int64
 	head, before, after, tail []byte
 	sends                     []*dispatch // by their numbers
-	out                       int
+	out                       int         // dispatches, and 1 from its leaving until the module has heard of that
 	closed                    bool
 	round, event              int // its arrival is this event of that round
 }
@@ -347,17 +347,30 @@
 func (r *req) left() {
 	n := r.node
 	r.answer, r.closed = nil, true
+	r.out++
 	if r.round == n.rounds {
 		n.events[r.event] = gateway.Event{Kind: gateway.Left, Req: r.id}
 	} else {
 		n.events = append(n.events, gateway.Event{Kind: gateway.Left, Req: r.id})
 	}
+	for _, d := range r.sends {
+		d.withdraw()
+	}
+}
+
+// withdraw gives up a dispatch that has not begun: it waits for a connection, or its last byte is not yet written. Its
+// connection may come up long after, and then carry a req whose client is gone.
+func (d *dispatch) withdraw() {
+	if !d.send.Sent() {
+		d.send.Stop(hosts.ErrCanceled)
+	}
 }
 
 // forget lets go of the reqs whose leaving the module has now heard of.
 func (n *Node) forget() {
 	for _, e := range n.round.Events {
 		if r := n.reqs[e.Req]; e.Kind == gateway.Left && r != nil {
+			r.out--
 			r.close()
 		}
 	}
@@ -389,6 +402,9 @@
 	}
 	n.pool.next(r)
 	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, d.ended)
+	if r.closed { // it left meanwhile: the end of another may have ended its connection
+		d.withdraw()
+	}
 }
 
 func (n *Node) Probe(host uint32) {
@@ -398,7 +414,7 @@
 
 // sent notes a dispatch that is to end within a time.
 func (n *Node) sent(r *req, host uint32, wait int64) *dispatch {
-	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait}
+	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.Never}
 	if r != nil {
 		d.n = len(r.sends)
 	}
@@ -434,9 +450,7 @@
 
 func (n *Node) Cancel(id string, dispatch int) {
 	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
-		if s := r.sends[dispatch].send; s != nil { // else it was never sent
-			s.Stop(hosts.ErrCanceled)
-		}
+		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
 	}
 }
 
