What waits for a connection to a host goes nowhere once that is told as leaving

TestDrainWhileItConnects holds the dial and is red without the call in listed.

Change: Fleet.Hold ends what waits for the host as never sent; the news goes first in the round, so the module sends it elsewhere.

--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -119,6 +119,24 @@
 	}
 }
 
+// Hold takes in that a host wants nothing new: what waits for a connection to it goes nowhere, since that may come up when
+// the time for late sends is over. The module knows of the drain before it hears of these ends, and sends elsewhere.
+func (f *Fleet) Hold(id uint32) {
+	h := f.hosts[id]
+	if h == nil {
+		return
+	}
+	all := h.waiting
+	if f.gate != nil {
+		all = append(slices.Clone(f.gate.queue), all...)
+	}
+	for _, s := range slices.Clone(all) {
+		if s.host == h {
+			s.Stop(ErrCanceled)
+		}
+	}
+}
+
 func (h *Host) drop() {
 	for len(h.free) > 0 {
 		h.free[0].close()
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -25,6 +25,8 @@
 	*Node
 	addr  chan string // where it listens
 	host  uint32      // by number
+	runs  bool        // it is not told as leaving
+	at    string      // its address
 	told  chan string // each event, as the module takes it
 	names []string    // of reqs, as the host got them
 	mu    sync.Mutex  // of names
@@ -36,6 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.at = host.Addr().String()
 	go func() {
 		for {
 			c, err := host.Accept()
@@ -46,10 +49,11 @@
 		}
 	}()
 	cfg := &config.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: "127.0.0.1:1", Sockets: 100,
-		Known: fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","state":"active","weight":1}]}`, host.Addr()),
+		Known: fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","state":"active","weight":1}]}`, r.at),
 		Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}}, FrontNames: []string{"lookup"},
 			Plans: []gateway.Plan{{}}, PlanNames: []string{"team"}, ConnectTimeout: 20e9, Limits: gateway.Limits{MustAsk: true}}}
 	r.Node = New(cfg, r)
+
 	log.SetOutput(r)
 	stop, ended := make(chan struct{}), make(chan error, 1)
 	t.Cleanup(func() {
@@ -93,7 +97,8 @@
 		switch e.Kind {
 		case gateway.Listed:
 			for _, l := range e.Hosts {
-				r.host = l.Host
+				r.told <- "told of " + l.State.String()
+				r.host, r.runs = l.Host, l.State == gateway.Running
 			}
 		case gateway.Arrived:
 			r.told <- "arrived " + e.Req
@@ -102,13 +107,30 @@
 			r.told <- "left " + e.Req
 		case gateway.Ended:
 			r.told <- fmt.Sprintf("ended %s %d: result %d, closed %t", e.Req, e.Dispatch, e.Result, e.Closed)
-			if e.Result.NeverRan() && e.Dispatch == 0 { // also where its client left: the module may not know yet
+			switch {
+			case e.Result.NeverRan() && e.Dispatch == 0 && r.runs: // also where its client left: the module may not know yet
 				out.Dispatch(e.Req, r.host, 0)
+			case e.Result != gateway.Passed:
+				out.Deny(e.Req, 0)
 			}
 		}
 	}
 }
 
+// hold has connections to the host come up once up is closed; each is told on dials.
+func (r *rig) hold() (_, _ chan struct{}) {
+	dials, up := make(chan struct{}, 9), make(chan struct{})
+	r.do(func() {
+		dial := r.fleet.Dial
+		r.fleet.Dial = func(addr string) (net.Conn, error) {
+			dials <- struct{}{}
+			<-up
+			return dial(addr)
+		}
+	})
+	return dials, up
+}
+
 // ask connects and sends a req.
 func (r *rig) ask(id string) net.Conn {
 	addr := <-r.addr
@@ -143,24 +165,30 @@
 // A req whose client goes while it waits for a connection is not sent on, when that comes up at last.
 func TestLeftWhileItConnects(t *testing.T) {
 	r := newRig(t)
-	dials, up := make(chan struct{}), make(chan struct{})
-	r.do(func() {
-		dial := r.fleet.Dial
-		r.fleet.Dial = func(addr string) (net.Conn, error) {
-			dials <- struct{}{}
-			<-up
-			return dial(addr)
-		}
-	})
+	dials, up := r.hold()
 	c := r.ask("a")
 	<-dials
-	arrived := <-r.told
+	arrived := <-r.told + "\n" + <-r.told
 	c.Close()
 	left := <-r.told
-	go func() {
-		for range dials {
-		}
-	}()
 	close(up)
 	golden.Check(t, arrived+"\n"+left+"\n"+r.last())
 }
+
+// What waits for a connection to a host that is told as leaving is not sent when that comes up.
+func TestDrainWhileItConnects(t *testing.T) {
+	r := newRig(t)
+	dials, up := r.hold()
+	r.ask("a")
+	<-dials
+	told := <-r.told + "\n" + <-r.told + "\n"
+	for i, state := range []string{"leaving", "active"} {
+		list := fmt.Sprintf(`{"version":%d,"full":false,"servers":[{"id":"s","addr":"%s","state":"%s","weight":1}]}`, 2+i, r.at, state)
+		r.do(func() { r.listed([]byte(list), false) })
+		if i == 0 {
+			told += <-r.told + "\n"
+		}
+	}
+	close(up)
+	golden.Check(t, told+r.last())
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -132,6 +132,9 @@
 		if l.State != gateway.Running {
 			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
 		}
+		if l.State == gateway.Draining {
+			n.fleet.Hold(l.Host)
+		}
 		if l.State == gateway.Gone {
 			n.fleet.Drop(l.Host)
 			n.book.Forget(l.Host)
