A command on a connection that ends is refused, not failed, and an id is its next request's

A command that comes while its connection ends was answered -ERR: as failed, which invites no repeat of an unsafe one, though it was never sent on; now -BUSY. A client's end that the loop hears of after the module had the request's end from its attempt could have closed another request of the same id, which protocol and clients exclude; it is passed over.

--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -32,7 +32,6 @@
 var (
 	errUnfinished = errors.New("no whole command came in time")
 	errBad        = errors.New("too many commands that can't be understood")
-	errEnding     = errors.New("the connection ends")
 	errSlow       = errors.New("answers are read too slowly")
 )
 
@@ -401,7 +400,7 @@
 		switch {
 		case c.half: // the close crossed the command: the client sees the end, and sends it again elsewhere
 		case c.ending:
-			c.Add().give(refused(errEnding.Error()))
+			c.Add().Denied(0) // never sent on: it may come again elsewhere at once, whatever its effect
 		default:
 			c.answered(a.begin)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -366,6 +366,9 @@
 // round in which the module hears of this: what it decides before that meets a closed req.
 func (r *req) left() {
 	n := r.node
+	if n.reqs[r.id] != r { // the module has heard of its end: the id may be another's by now
+		return
+	}
 	r.answer, r.closed = nil, true
 	r.out++
 	if r.round == n.rounds {
