Module: where other hosts fail, a cold one bears their part up to its bound, not without end

At fault: fleet.sent leaves hosts in doubt out of the sum that an allowance is a part of, so that the part grows without end as they fail.

Change: the sum is at least 2/multiple of what all hosts could do: a cold host's part grows by half of the settings' multiple at most, the other half is left to repeats.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -688,12 +688,17 @@
 // sent counts a dispatch: every cold host's allowance grows by its part of the fleet's warmth.
 func (f *fleet) sent(to *host, fr *front, now int64) {
 	f.out++
-	sum := 0.0
+	sum, all := 0.0, 0.0
 	for _, h := range f.hosts {
-		if h.state == gateway.Running && h.Held && h.of(fr).doubt(now) < doubtful {
-			sum += f.warmth(h, now)
+		if w := f.warmth(h, now); h.state == gateway.Running && h.Held {
+			if all += w; h.of(fr).doubt(now) < doubtful {
+				sum += w
+			}
 		}
 	}
+	if f.cold.Multiple > 0 { // where the others fail, a cold host bears their part and the repeats up to its bound
+		sum = max(sum, all*2/f.cold.Multiple)
+	}
 	for _, h := range f.hosts {
 		if w := f.warmth(h, now); w < 1 && h.Held {
 			h.allow = min(h.allow+w/max(sum, 1), 1.5)
