Module: a lost list is asked for again by pauses from call to call, so that news come within 6 s

Seen (TestWorstPath, now over the module's own waits): where the list comes only when asked for, waits of 0.5 to 1.5, 1 to 3, 2 to 6 s from the end of a call added up to 9.5 s behind a silent watch and a mute call, and to 10.3 s after any number of failed calls: over the 6 s after which a change counts as told, whatever call failed, was refused or given up. At fault: logic.go, Round, Listed/Lost. Also, an ask that was due was kept when a list came after all (SIGHUP brings a watch of its own): it ended that watch 0.5 s later (TestAskApart, last part, red on the old code). Change: pauses of 0.3 s on the mean, doubling, 3.9 s at most, count from call to call, so that a call that took long is followed soon and one turned away at once is not; a list that comes clears what was due. Worst sum with one try lost 5.95 s. TestAskApart plays a fleet of 20 whose calls are all turned away at once: the spread is asked of every pause, in half of the beats there are. Run: go test ./logic ./internal/discovery.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,13 +40,14 @@
 	telling   = 4.0         // times its load at most, for a host that tells it is busy
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	ample     = 1.2         // times the least load: enough for a host
+	askAgain  = int64(3e8)  // the first pause before a lost list is asked for again, and a thirteenth of the longest
 	span      = 5 * second  // a number at the counter covers so long
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
 type Gateway struct {
 	now, start, heard, beaten   int64 // heard: any peer; beaten: the last beat
-	nextSweep, nextAsk, deaf    int64 // deaf: the counter gives no answers and is not asked until then
+	nextSweep, nextAsk, asked   int64 // asked: for the list, last, or when it was lost
 	out                         gateway.Writer
 	seat                        gateway.Seat
 	fronts                      []front
@@ -60,7 +61,7 @@
 	links                       []*peer           // the gateways that it tells or hears
 	peers, to, from             []*peer           // by seat: it, if linked; the link on the way there, and back
 	rate, age, largest          float64           // messages a second to a peer; seconds a total is old; units
-	pause, silence, hush        int64             // between signs of life; with none: peers gone, net cut
+	pause, silence, hush, deaf  int64             // between signs of life; with none: peers gone, net cut; no counter until then
 	fleet                       fleet
 	worth, spare                float64 // usual worth of a req for its time; repeats in stock
 	rnd                         *mwc
@@ -148,10 +149,13 @@
 			}
 		case gateway.Listed:
 			if g.fleet.list(e.List, e.Hosts); e.List != gateway.Lost {
-				g.asks = 0
-			} else { // asked for again after a wait that doubles, by chance: a fleet that lost it together asks apart
-				g.asks = min(g.asks+1, 3)
-				g.nextAsk = g.now + int64((0.5+g.rnd.part())*float64(second<<(g.asks-1)))
+				g.asks, g.nextAsk = 0, math.MaxInt64
+			} else { // by chance, pauses double from call to call: a fleet asks apart, and each has news in 6 s (discovery, TestWorstPath)
+				if g.asks = min(g.asks+1, 5); g.asks == 1 {
+					g.asked = g.now
+				}
+				pause := min(int64((0.5+g.rnd.part())*float64(askAgain<<(g.asks-1))), 13*askAgain)
+				g.nextAsk = max(g.asked+pause, g.now+pause/8)
 			}
 		case gateway.Heard:
 			g.hear(e.Peer, e.Body)
@@ -348,7 +352,7 @@
 	credit := g.rate * max(since, min(more, 2*since))
 	g.beaten, g.came = g.now, 0
 	if g.limits.MustAsk && g.now >= g.nextAsk {
-		g.nextAsk = math.MaxInt64
+		g.asked, g.nextAsk = g.now, math.MaxInt64
 		g.out.Follow()
 	}
 	for _, h := range g.fleet.hosts {
