--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,33 +40,33 @@
 	telling   = 4.0         // times its load at most, for a host that tells it is busy
 	kept      = 0.6         // part of the limit that is open to reqs of any worth
 	ample     = 1.2         // times the least load: enough for a host
-	askAgain  = int64(3e8)  // the first pause before a lost list is asked for again, and a thirteenth of the longest
+	askAgain  = int64(3e8)  // the first pause before a lost list is asked for again; the longest is 13 times it
 	span      = 5 * second  // a number at the counter covers so long
 	firstOpen = 6.0         // dispatches out at each host to start with, all gateways together
 )
 
 type Gateway struct {
-	now, start, heard, beaten   int64 // heard: any peer; beaten: the last beat
-	nextSweep, nextAsk, asked   int64 // asked: for the list, last, or when it was lost
-	out                         gateway.Writer
-	seat                        gateway.Seat
-	fronts                      []front
-	plans                       []gateway.Plan
-	limits                      gateway.Limits
-	options                     []gateway.Option // scratch, for a Witness
-	customers                   map[uint32]*customer
-	reqs                        map[string]*req
-	calls                       map[uint64][]*req // of the counter, by number, in order
-	rows                        int               // that the gateways stand in
-	links                       []*peer           // the gateways that it tells or hears
-	peers, to, from             []*peer           // by seat: it, if linked; the link on the way there, and back
-	rate, age, largest          float64           // messages a second to a peer; seconds a total is old; units
-	pause, silence, hush, deaf  int64             // between signs of life; with none: peers gone, net cut; no counter until then
-	fleet                       fleet
-	worth, spare                float64 // usual worth of a req for its time; repeats in stock
-	rnd                         *mwc
-	passed, came, asks, unheard int // reqs sent on, come since a beat; lists lost, calls unanswered
-	denied                      [Reasons]int
+	now, start, heard, beaten       int64 // heard: any peer; beaten: the last beat
+	nextSweep, nextAsk, asked, deaf int64 // asked for the list, or lost it; the counter is not asked until deaf
+	out                             gateway.Writer
+	seat                            gateway.Seat
+	fronts                          []front
+	plans                           []gateway.Plan
+	limits                          gateway.Limits
+	options                         []gateway.Option // scratch, for a Witness
+	customers                       map[uint32]*customer
+	reqs                            map[string]*req
+	calls                           map[uint64][]*req // of the counter, by number, in order
+	rows                            int               // that the gateways stand in
+	links                           []*peer           // the gateways that it tells or hears
+	peers, to, from                 []*peer           // by seat: it, if linked; the link there, and back
+	rate, age, largest              float64           // messages a second to a peer; a total, in s; units
+	pause, silence, hush            int64             // between signs of life; with none: peers gone, net cut
+	fleet                           fleet
+	worth, spare                    float64 // usual worth of a req for its time; repeats in stock
+	rnd                             *mwc
+	passed, came, asks, unheard     int // reqs sent on, come since a beat; lists lost, calls unanswered
+	denied                          [Reasons]int
 }
 
 type front struct { // with how long its answers usually take and what its reqs ask
@@ -75,8 +75,7 @@
 	usual, units float64
 }
 
-// harmless tells whether a repeat of what was first sent at a time does no harm now: hosts drop it for a window
-// only, so that later it is neither sent nor invited. Those dropped by zone or cell get none.
+// harmless tells whether a repeat now of what was sent at first does no harm: all hosts drop it for a window.
 func (f *front) harmless(first, now int64) bool {
 	return f.Effect == gateway.Replayable ||
 		f.Effect == gateway.Uniqued && f.Group == gateway.AllHosts && now <= first+f.Window-margin
@@ -150,7 +149,7 @@
 		case gateway.Listed:
 			if g.fleet.list(e.List, e.Hosts); e.List != gateway.Lost {
 				g.asks, g.nextAsk = 0, math.MaxInt64
-			} else { // by chance, pauses double from call to call: a fleet asks apart, and each has news in 6 s (discovery, TestWorstPath)
+			} else { // by chance, pauses double from call to call: a fleet asks apart, each has news in 6 s
 				if g.asks = min(g.asks+1, 5); g.asks == 1 {
 					g.asked = g.now
 				}
@@ -700,12 +699,9 @@
 			}
 		}
 	}
-	if f.cold.Multiple > 0 { // where the others fail, a cold host bears their part and the repeats up to its bound
-		sum = max(sum, all*2/f.cold.Multiple)
-	}
 	for _, h := range f.hosts {
 		if w := f.warmth(h, now); w < 1 && h.Held {
-			h.allow = min(h.allow+w/max(sum, 1), 1.5)
+			h.allow = min(h.allow+w/max(sum, all*2/max(f.cold.Multiple, 1), 1), 1.5) // others fail: up to its bound
 		}
 	}
 	to.allow--
