An agent that never rests holds decisions up once a second at most

Seen in the code, not on a run: catchUp waits up to 0.1 s for news that lie unread, each round; an agent that sends without rest, white space or lists, would cost each round that. Now the wait is made once a second at most where it did not help. No test of its own: forcing it needs a feed that is always behind, and the verdict would be by the clock.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -18,8 +18,9 @@
 
 // watch is one try to follow the list; only what the newest brings counts.
 type watch struct {
-	stop context.CancelFunc
-	feed discovery.Feed
+	stop  context.CancelFunc
+	feed  discovery.Feed
+	tired int64 // what lies in it holds no decision up until then
 }
 
 // start asks for the list, unless that is up to the module. What discovery's agent has counts as told from the first
@@ -74,10 +75,14 @@
 // catchUp lets the newest watch hand on what lies in its connection before the module decides. A process that stood still,
 // or has much to read, would else send reqs on past a drain that was told long before.
 func (n *Node) catchUp() {
-	if len(n.events) == 0 || n.watch == nil {
+	if len(n.events) == 0 || n.watch == nil || n.now() < n.watch.tired {
 		return
 	}
-	for limit := n.now() + int64(catchUp); n.watch.feed.Behind() && n.now() < limit; {
+	for limit := n.now() + int64(catchUp); n.watch.feed.Behind(); {
+		if now := n.now(); now >= limit { // it never rests: reqs must not wait for it round after round
+			n.watch.tired = now + int64(time.Second)
+			break
+		}
 		select {
 		case f := <-n.work:
 			n.guard("loop", f)
