Start: the addresses of the optional sections are waited for as well

Seen (TestFormerLife with a section counterfactual, red on the old code): a process beside its former life waited for its own addresses, then ended at once over the section's: event=failed, address already in use. The same for pool.listen. At fault: watchOver and poolUp gave up on the first try. Change: both go through claim; witness.Open closes its records file when it fails after opening it, since it is tried again. claim tells a call to stop as an error of its own, so that Run has one way out. Run: go test -race -run FormerLife ./cmd/ravensill; go test ./internal/node ./internal/pooler.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -585,13 +585,19 @@
 			t.Fatal(err)
 		}
 		defer former.Close()
-		peer := datagrams.LocalAddr().String()
+		section, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer section.Close()
+		peer, records := datagrams.LocalAddr().String(), section.LocalAddr().String()
 		w := start(t, func(cfg, settings map[string]any) {
 			if cfg["listen"] = former.Addr().String(); end == "strange" {
 				cfg["listen"] = "192.0.2.1:6379"
 				datagrams.Close()
 			}
 			settings["balancers"], cfg["peer_listen"], cfg["peers"] = 2, peer, []string{peer, "127.0.0.1:1"}
+			cfg["counterfactual"] = map[string]any{"listen": records, "peers": []string{records, "127.0.0.1:1"}, "collectors": []int{1}}
 		}, newHost(t, func([]string) string { return passed("v") }))
 		if end == "strange" {
 			w.line(`event=failed error="listen: listen tcp4 192.0.2.1:6379: bind`)
@@ -612,6 +618,8 @@
 			continue
 		}
 		former.Close()
+		w.line("event=address_taken key=counterfactual addr=" + records)
+		section.Close()
 		w.line("event=serving")
 		w.addr = former.Addr().String()
 		if a := w.client().ask(call("lookup", 1)); a != "v" {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -20,40 +20,43 @@
 
 // addresses takes the gateway's addresses, that of the datagrams first, before anything else of it runs. A former life that
 // still serves what it has open holds them, its datagrams' address up to its end: a process that gave up then would not
-// start at all. It tells false where it is called to stop meanwhile.
-func (n *Node) addresses(stop <-chan struct{}) (listener *net.TCPListener, ok bool, err error) {
+// start at all.
+func (n *Node) addresses(stop <-chan struct{}) (listener *net.TCPListener, err error) {
 	if len(n.cfg.Peers) > 0 {
-		ok, err = claim("peer_listen", n.cfg.PeerListen, stop, func() (err error) {
+		err = claim("peer_listen", n.cfg.PeerListen, stop, func() (err error) {
 			n.post, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
 			return err
 		})
-		if !ok {
-			return nil, false, err
+		if err != nil {
+			return nil, err
 		}
 	}
-	ok, err = claim("listen", n.cfg.Listen, stop, func() (err error) {
+	err = claim("listen", n.cfg.Listen, stop, func() (err error) {
 		listener, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(n.cfg.Listen))
 		return err
 	})
-	return listener, ok, err
+	return listener, err
 }
 
+var errCalled = errors.New("called to stop before it had its addresses")
+
 // claim tries to take an address until it is free.
-func claim(key string, addr netip.AddrPort, stop <-chan struct{}, try func() error) (ok bool, err error) {
+func claim(key string, addr netip.AddrPort, stop <-chan struct{}, try func() error) error {
 	limit := time.Now().Add(former)
 	for told := false; ; told = true {
-		if err = try(); err == nil {
-			return true, nil
+		err := try()
+		if err == nil {
+			return nil
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(limit) {
-			return false, fmt.Errorf("%s: %w", key, err)
+			return fmt.Errorf("%s: %w", key, err)
 		}
 		if !told {
 			log.Printf("event=address_taken key=%s addr=%s wait=%s", key, addr, former)
 		}
 		select {
 		case <-stop:
-			return false, nil
+			return errCalled
 		case <-time.After(knock):
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,30 +135,33 @@
 func (n *Node) now() int64 { return n.unix + int64(time.Since(n.epoch)) }
 
 // Run serves until it is called to stop and owes nothing more.
-func (n *Node) Run(stop <-chan struct{}) error {
-	listener, ok, err := n.addresses(stop)
+func (n *Node) Run(stop <-chan struct{}) (err error) {
+	defer func() {
+		if err == errCalled {
+			log.Printf("event=stopped")
+			err = nil
+		}
+	}()
+	listener, err := n.addresses(stop)
 	if n.post != nil {
 		defer n.post.Close()
 	}
 	if listener != nil {
 		defer listener.Close()
 	}
-	if !ok {
-		if err == nil {
-			log.Printf("event=stopped")
-		}
+	if err != nil {
 		return err
 	}
 	if n.counter != nil {
 		defer n.counter.Close()
 		n.counter.Connect()
 	}
-	unwatch, err := n.watchOver()
+	unwatch, err := n.watchOver(stop)
 	if err != nil {
 		return err
 	}
 	defer unwatch()
-	unpool, err := n.poolUp()
+	unpool, err := n.poolUp(stop)
 	if err != nil {
 		return err
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -22,7 +22,7 @@
 const poolLine = int64(5 * time.Second)
 
 // poolUp starts the holder, and the voter where this gateway is one; the returned function ends them.
-func (n *Node) poolUp() (stop func(), err error) {
+func (n *Node) poolUp(stop <-chan struct{}) (end func(), err error) {
 	cfg := n.cfg.Pool
 	if cfg == nil {
 		return func() {}, nil
@@ -31,14 +31,18 @@
 	if err != nil {
 		return nil, err
 	}
-	stop = client.Close
+	end = client.Close
 	if me := cfg.Voter(n.cfg.Seat.Index); me >= 0 {
-		voter, err := pooler.Start(cfg, me)
+		var voter *pooler.Voter
+		err := claim("pool.listen", cfg.Listen, stop, func() (err error) {
+			voter, err = pooler.Start(cfg, me)
+			return err
+		})
 		if err != nil {
 			client.Close()
 			return nil, err
 		}
-		stop = func() {
+		end = func() {
 			client.Close()
 			voter.Close()
 		}
@@ -50,7 +54,7 @@
 	n.pool = p
 	go client.Listen(func(g *pool.Grant) { p.holder.Hear(n.now(), g) })
 	log.Printf("event=pool_on seat=%d floor=%d capacity=%d voters=%d", n.cfg.Seat.Index, cfg.Terms.Floor, cfg.Capacity, len(cfg.Voters))
-	return stop, nil
+	return end, nil
 }
 
 // turn tells what is to be told, and when it next has to look; 0 where there is no quota.
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -30,7 +30,7 @@
 }
 
 // watchOver starts the task, where it is configured; the returned function ends it.
-func (n *Node) watchOver() (stop func(), err error) {
+func (n *Node) watchOver(stop <-chan struct{}) (end func(), err error) {
 	if n.cfg.Counterfactual == nil {
 		return func() {}, nil
 	}
@@ -38,8 +38,11 @@
 	for _, f := range n.cfg.Fronts {
 		targets = append(targets, f.Target)
 	}
-	task, err := witness.Open(n.cfg.Counterfactual, n.cfg.Seat.Index, n.cfg.Seat.Zone, n.cfg.Seat.Count,
-		n.cfg.FrontNames, targets)
+	var task *witness.Witness
+	err = claim("counterfactual", n.cfg.Counterfactual.Listen, stop, func() (err error) {
+		task, err = witness.Open(n.cfg.Counterfactual, n.cfg.Seat.Index, n.cfg.Seat.Zone, n.cfg.Seat.Count, n.cfg.FrontNames, targets)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -123,6 +123,9 @@
 	if slices.Contains(set.Collectors, seat) {
 		if w.tcp, err = net.Listen("tcp4", set.Ask.String()); err != nil {
 			w.udp.Close()
+			if w.records != nil {
+				w.records.Close()
+			}
 			return nil, fmt.Errorf("counterfactual.ask: %w", err)
 		}
 		at = w.tcp.Addr().String()
