Test: ten troubles of a watch, pushed and asked for, on the real program

Silent, ended, reset, 503, a redirect, half a list that ends, is reset or falls silent, a whole list and a reset, and no HTTP: asked for anew from the version had, nothing of a half list counts, the drain told at last is kept.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -495,6 +495,95 @@
 	}
 }
 
+// Whatever becomes of a watch and of the call after it, the list is asked for anew from where it was, nothing of a half
+// list counts, and a drain told at last is kept.
+func TestWatchTroubles(t *testing.T) {
+	answer := func([]string) string { return passed("v") }
+	for name, trouble := range map[string]func(c net.Conn, list string){
+		"silent":      func(c net.Conn, _ string) { io.Copy(io.Discard, c) },
+		"ended":       func(net.Conn, string) {},
+		"reset":       func(c net.Conn, _ string) { c.(*net.TCPConn).SetLinger(0) },
+		"turned away": func(c net.Conn, _ string) { io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") },
+		"sent away": func(c net.Conn, _ string) {
+			io.WriteString(c, "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n\r\n")
+		},
+		"half, ended": func(c net.Conn, list string) { io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+list[:len(list)-1]) },
+		"half, reset": func(c net.Conn, list string) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+list[:len(list)-1])
+			c.(*net.TCPConn).SetLinger(0)
+		},
+		"half, silent": func(c net.Conn, list string) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+list[:len(list)-1])
+			io.Copy(io.Discard, c)
+		},
+		"whole, reset": func(c net.Conn, list string) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+list)
+			c.(*net.TCPConn).SetLinger(0)
+		},
+		"no HTTP": func(c net.Conn, list string) { io.WriteString(c, "SSH-2.0\r\n"+list) },
+	} {
+		for _, mode := range []string{"pushed", "on_request"} {
+			t.Run(name+" "+mode, func(t *testing.T) {
+				t.Parallel() // the silent ones take their time
+				a, b := newHost(t, answer), newHost(t, answer)
+				agent, err := net.Listen("tcp4", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer agent.Close()
+				asks := make(chan string, 9)
+				go func() {
+					for n := range 3 { // the first brings a list and is reset, the next is in trouble, the last brings the drain
+						c, err := agent.Accept()
+						if err != nil {
+							return
+						}
+						ask, _ := bufio.NewReader(c).ReadString('\n')
+						asks <- ask
+						text := func(entry map[string]any) string {
+							l, _ := json.Marshal(map[string]any{"version": 42 + n, "full": false, "servers": []any{entry}})
+							return string(l)
+						}
+						switch n {
+						case 0:
+							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(entry("h0", a.Addr().String(), "active")))
+							c.(*net.TCPConn).SetLinger(0)
+						case 1:
+							trouble(c, text(entry("h1", b.Addr().String(), "leaving")))
+						default:
+							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(entry("h0", a.Addr().String(), "leaving")))
+							defer io.Copy(io.Discard, c)
+						}
+						if n < 2 {
+							c.Close()
+						}
+					}
+				}()
+				w := start(t, func(cfg, settings map[string]any) {
+					cfg["discovery"], settings["membership_mode"] = agent.Addr().String(), mode
+				}, a, b)
+				after := []string{"after=41 ", "after=42 ", "after=42 "}
+				if name == "whole, reset" {
+					after[2] = "after=43 "
+				}
+				for _, want := range after {
+					if ask := take(w, asks); !strings.Contains(ask, want) {
+						t.Errorf("asked with %q, not %s", ask, want)
+					}
+				}
+				w.line("event=host id=h0 state=draining version=44")
+				got, want := w.client().ask(call("lookup", 1)), "v"
+				if name == "whole, reset" { // told as leaving, both
+					want = "-BUSY"
+				}
+				if !strings.HasPrefix(got, want) || len(a.got()) > 0 {
+					t.Errorf("%s, or sent to the host that leaves", got)
+				}
+			})
+		}
+	}
+}
+
 // A gateway that stood still finds reqs and news of the list in its sockets together, whichever came first: the news count
 // before the first of the reqs is sent on.
 func TestStoodStill(t *testing.T) {
