Hosts: an attempt begins in one place, which looks at its connection, its host and its time

Cause: the look at a connection (Quiet) stood where a send was given one, its bytes went out later in the turn, and nothing at all was looked at there. In between, each forced: - A second answer that came after the look was read as the answer of the next req: a value of another req was served. - A host that ended the connection after the look: the req was written to it, and ended as one that may have run (lost to an unsafe class, a repeat spent by the others). - A connection that came up when the wait of its send was over carried it all the same unless the node's clock happened to end it first; bytes that a full socket had left behind went out whenever it took them. - Behind a quota, a write that failed put its send on another connection while the list of writes was being compacted: it was dropped from the list and never written. - A send given a connection in the same batch of work in which its host was told as leaving or gone was written.

Change: Fleet.Flush goes through a list that may grow; conn.flush looks at the connection (what came on it sends the req to another: it never ran), then at the time, then writes, with nothing in between. Bytes enter the connection's ring only there, so Writing means begun. What was read before the write is no answer to it. A new connection on which something came first counts as one that did not come up. Hold and Drop also end what has a connection and has not begun.

Tests, on real sockets, the crossings forced by a desk whose loop turns when told: TestComesBeforeTheNext, TestComesUpLate and TestBreaks stop on the old code (they wait for what it does not do); the lines of TestBreaks on resets before, within and after the write held before too.

--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -23,7 +23,10 @@
 	whole   = 500 * time.Millisecond // from an answer's first byte to its last
 )
 
-var errUnasked = errors.New("answer to nothing")
+var (
+	errUnasked = errors.New("answer to nothing")
+	errShut    = errors.New("ended before anything was sent")
+)
 
 // Fleet holds all connections to hosts. Its fields belong to the loop that do brings work to.
 type Fleet struct {
@@ -64,7 +67,9 @@
 	result Ended
 	urgent bool
 	until  int64 // its turn comes by then, where there is a quota
-	began  int64 // on its connection
+	by     int64 // its last byte is written by then, or it is given up
+	begun  bool  // bytes of it went out,
+	wrote  int64 // and none before this time
 }
 
 type conn struct {
@@ -112,27 +117,32 @@
 	delete(f.hosts, id)
 	h.gone = true
 	h.drop()
-	for len(h.waiting) > 0 {
-		s := h.waiting[0]
-		h.waiting = h.waiting[1:]
-		s.fail(&Failure{Connecting, errGone})
-	}
+	h.withhold(errGone)
 }
 
-// Hold takes in that a host wants nothing new: what waits for a connection to it goes nowhere, since that may come up when
-// the time for late sends is over. The module knows of the drain before it hears of these ends, and sends elsewhere.
+// Hold takes in that a host wants nothing new: what has not begun goes nowhere, since a connection that it waits for may come
+// up when the time for late sends is over. The module knows of the drain before it hears of these ends, and sends elsewhere.
 func (f *Fleet) Hold(id uint32) {
-	h := f.hosts[id]
-	if h == nil {
-		return
+	if h := f.hosts[id]; h != nil {
+		h.withhold(ErrCanceled)
 	}
-	all := h.waiting
+}
+
+// withhold ends all sends to a host of which no byte is written.
+func (h *Host) withhold(why error) {
+	f := h.fleet
+	all := slices.Clone(h.waiting)
 	if f.gate != nil {
-		all = append(slices.Clone(f.gate.queue), all...)
+		all = append(all, f.gate.queue...)
 	}
-	for _, s := range slices.Clone(all) {
-		if s.host == h {
-			s.Stop(ErrCanceled)
+	for _, c := range f.dirty {
+		if c.send != nil {
+			all = append(all, c.send)
+		}
+	}
+	for _, s := range all {
+		if s.host == h && !s.begun {
+			s.Stop(why)
 		}
 	}
 }
@@ -167,30 +177,31 @@
 		s.fail(&Failure{Connecting, errGone})
 		return s
 	}
-	s := &Send{host: h, text: text, result: result, urgent: f.urgent}
+	s := &Send{host: h, text: text, result: result, urgent: f.urgent, by: f.now() + wait}
 	if f.gate != nil {
 		f.gate.take(s, wait)
 		return s
 	}
-	if c := h.clean(f.now()); c != nil {
+	h.place(s)
+	return s
+}
+
+// place has a free connection carry a send, or one that is dialed for it.
+func (h *Host) place(s *Send) {
+	if c := h.rested(h.fleet.now()); c != nil {
 		c.carry(s)
-		return s
+		return
 	}
 	h.waiting = append(h.waiting, s)
 	h.dial()
-	return s
 }
 
-// clean gives the free connection used last that surely holds nothing but what belongs to its next send. Some
-// hosts send more behind an answer, a second copy of it even: the next req must never be given that as its own.
-// So a connection rests a little, and one on which anything came since its last answer ends.
-func (h *Host) clean(now int64) *conn {
+// rested gives the free connection used last that has rested. Some hosts send more behind an answer, a second copy of it
+// even, some milliseconds later: the next req must never be given that as its own. What has come by then is seen as
+// the next req is written; what came later could not be told from its answer.
+func (h *Host) rested(now int64) *conn {
 	for i := len(h.free) - 1; i >= 0; i-- {
-		switch c := h.free[i]; {
-		case now-c.freed < settle:
-		case !c.link.Quiet(c.read):
-			c.close()
-		default:
+		if c := h.free[i]; now-c.freed >= settle {
 			return c
 		}
 	}
@@ -318,15 +329,21 @@
 		h.dial()
 		return
 	}
-	if g := h.fleet.gate; g != nil && c.read == 0 {
+	now := h.fleet.now()
+	g := h.fleet.gate
+	if g != nil && c.read == 0 {
 		g.rest(h)
-	} else if len(h.waiting) > 0 && c.read == 0 {
+	}
+	for g == nil && c.read == 0 && len(h.waiting) > 0 {
 		s := h.waiting[0]
 		h.waiting = h.waiting[1:]
-		c.carry(s)
-		return
+		if now <= s.by {
+			c.carry(s)
+			return
+		}
+		s.fail(&Failure{Connecting, ErrTimedOut}) // it came up too late for this one
 	}
-	c.freed = h.fleet.now()
+	c.freed = now
 	h.free = append(h.free, c)
 }
 
@@ -334,12 +351,9 @@
 	if i := slices.Index(c.host.free, c); i >= 0 {
 		c.host.free = slices.Delete(c.host.free, i, i+1)
 	}
-	c.send, s.conn, c.used = s, c, true
-	c.link.Out.Write(s.text)
+	c.send, s.conn = s, c
 	if g := c.host.fleet.gate; g != nil {
-		g.carried(s) // the text is kept: the store may refuse the connection
-	} else {
-		s.text = nil
+		g.carried(s)
 	}
 	if !c.marked {
 		c.marked = true
@@ -358,7 +372,7 @@
 		g.refused(s, errStore)
 		return
 	}
-	if s == nil || c.link.Out.Len() > 0 {
+	if s == nil || s.stage() != Sent || came < s.wrote {
 		c.fail(errUnasked)
 		return
 	}
@@ -445,7 +459,7 @@
 	switch {
 	case s.conn == nil:
 		return Connecting
-	case s.conn.link.Out.Len() > 0:
+	case !s.begun || s.conn.link.Out.Len() > 0:
 		return Writing
 	}
 	return Sent
@@ -469,23 +483,76 @@
 }
 
 // Flush writes all that was dispatched since the last call, one write a connection. It tells whether any had
-// to stay behind.
+// to stay behind. A write that fails may put its send on another connection, and so add to the list that it goes through.
 func (f *Fleet) Flush() bool {
 	if f.gate != nil {
 		f.gate.pump()
 	}
-	f.dirty = slices.DeleteFunc(f.dirty, func(c *conn) bool {
-		if !c.closed {
-			if err := c.link.Flush(); err != nil {
-				c.fail(err)
-			} else if c.link.Out.Len() > 0 {
-				return false
-			}
+	n := 0
+	for i := 0; i < len(f.dirty); i++ {
+		if c := f.dirty[i]; c.flush() {
+			f.dirty[n] = c
+			n++
+		} else {
+			c.marked = false
 		}
-		c.marked = false
-		return true
-	})
-	return len(f.dirty) > 0
+	}
+	clear(f.dirty[n:])
+	f.dirty = f.dirty[:n]
+	return n > 0
+}
+
+// flush writes what the connection carries, as far as its socket takes it, and tells whether some is left. An attempt begins
+// here and nowhere else, so what must hold of its connection and its time is looked at here: the loop may have decided on it
+// long before.
+func (c *conn) flush() (left bool) {
+	s := c.send
+	if s == nil {
+		return false
+	}
+	if !s.begun && !(c.reads == 0 && c.link.Fresh() || c.reads > 0 && c.link.Quiet(c.read)) {
+		c.stale(s)
+		return false
+	}
+	now := c.host.fleet.now()
+	if now > s.by {
+		c.fail(ErrTimedOut)
+		return false
+	}
+	if !s.begun {
+		s.begun, s.wrote, c.used = true, now, true
+		c.link.Out.Write(s.text)
+		if c.host.fleet.gate == nil { // else the store may refuse the connection
+			s.text = nil
+		}
+	}
+	if err := c.link.Flush(); err != nil {
+		c.fail(err)
+		return false
+	}
+	return c.link.Out.Len() > 0
+}
+
+// stale ends a connection on which something came, bytes or its end, before its send was written: that never ran, and goes
+// to another. A new connection that the host ended so counts as one that did not come up.
+func (c *conn) stale(s *Send) {
+	h, g := c.host, c.host.fleet.gate
+	c.send, s.conn = nil, nil
+	c.close()
+	if g != nil {
+		g.done(s, false)
+	}
+	switch {
+	case c.reads == 0:
+		if g == nil || !g.refused(s, errStore) {
+			s.fail(&Failure{Connecting, errShut})
+		}
+	case g != nil:
+		g.queue = append([]*Send{s}, g.queue...)
+		g.pump()
+	default:
+		h.place(s)
+	}
 }
 
 // Tidy closes connections that have been free for too long: the host's machine closes them soon after, and
--- a/internal/hosts/gate.go
+++ b/internal/hosts/gate.go
@@ -138,7 +138,7 @@
 		case now >= s.until:
 			g.away(s)
 		default:
-			if c := h.clean(now); c != nil {
+			if c := h.rested(now); c != nil {
 				g.drop(s)
 				c.carry(s)
 			} else if now >= g.dialAt && len(h.free) == 0 && (f.count < allowed || f.count == allowed && f.closeOldest(h)) {
@@ -198,7 +198,7 @@
 		return false
 	}
 	g.slow()
-	s.conn = nil
+	s.conn, s.begun = nil, false
 	if g.fleet.now() >= s.until {
 		g.away(s)
 	} else {
@@ -226,7 +226,6 @@
 
 // carried and done count a send on and off a connection.
 func (g *Gate) carried(s *Send) {
-	s.began = g.fleet.now()
 	if s.urgent {
 		g.urgent++
 	}
@@ -238,7 +237,7 @@
 	}
 	if well {
 		g.pause = 0
-		if long := float64(g.fleet.now() - s.began); g.service == 0 {
+		if long := float64(g.fleet.now() - s.wrote); g.service == 0 {
 			g.service = long
 		} else {
 			g.service += (long - g.service) / 16
--- a/internal/ring/link.go
+++ b/internal/ring/link.go
@@ -81,6 +81,10 @@
 	return l.raw.Control(l.peek) == nil && l.quiet && !l.pulling.Load() && l.reads.Load() == reads
 }
 
+// Fresh tells whether nothing has come at all. A Read that is just at it does not count: the first one of a connection begins
+// together with its first write, and there is no earlier answer whose rest it could bring.
+func (l *Link) Fresh() bool { return l.raw.Control(l.peek) == nil && l.quiet && l.reads.Load() == 0 }
+
 // Reads counts the Reads that brought something.
 func (l *Link) Reads() int64 { return l.reads.Load() }
 
