--- a/lab/coldsim/coldsim_test.go
+++ b/lab/coldsim/coldsim_test.go
@@ -36,6 +36,7 @@
 			{Cold: z.hosts / 2, Apart: 4 * s, Skew: 10},
 			{Cold: 1, Failing: 0.6, Lull: 3 * s, Surge: 1.5, InTurn: true},
 			{Cold: z.hosts * 6 / 10, Failing: 0.3, Skew: 10},
+			{Cold: 1, Failing: 1, Lull: s, Surge: 1, InTurn: true}, // all others, when it has just started
 		} {
 			seeds := uint64(2)
 			if z.gateways >= 300 {
