Lab: a stand-in host's port is let go at once, also while processes are being started

Cause: two cases run at a time in one test process. While one starts gateways, each child holds copies of all descriptors until close-on-exec, so the listener that Host.Start has just closed still listens. Change: the listener is shut down before it is closed, which ends it whoever holds a copy.

--- a/lab/standin/host.go
+++ b/lab/standin/host.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -408,6 +409,10 @@
 		return
 	}
 	h.running, h.hang, h.held = false, false, nil
+	// A process that this one is just starting holds copies of its descriptors until it runs: closed alone, the listener went on.
+	if raw, err := h.ln.(*net.TCPListener).SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
 	h.ln.Close()
 	for k := range h.conns {
 		k.end("lost")
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -237,3 +239,35 @@
 	ask("INCRBYFLOAT", "b", "3")
 	golden.Check(t, text)
 }
+
+// A process that is just being started holds a copy of each descriptor until it runs: a host that ends meanwhile, in
+// the same test process, must let go of its port all the same.
+func TestHostStartsBesideForks(t *testing.T) {
+	h, err := NewHost(HostPlan{ID: "s-0001", Listen: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	stop := make(chan struct{})
+	var forks sync.WaitGroup
+	for range 4 {
+		forks.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					exec.Command("/bin/true").Run()
+				}
+			}
+		})
+	}
+	for i := range 2000 {
+		if _, err := h.Start(); err != nil {
+			t.Errorf("start %d: %v", i, err)
+			break
+		}
+	}
+	close(stop)
+	forks.Wait()
+}
