Lab: the front of a planned restart goes by the clock, not by a timer that may be late

Change: the clients note the time just before the signal, and open none from 0.3 s on by their clock. A connection that the rig itself opened later than 0.4 s is not used, refused or not: a front would have sent the req elsewhere. One refused earlier counts against the gateway as before.

--- a/lab/fleet/scenario.go
+++ b/lab/fleet/scenario.go
@@ -97,11 +97,12 @@
 func Roll(at time.Duration, n int, name string) Step {
 	return Step{at, fmt.Sprintf("roll %d gateways (%s)", n, name), func(ctx context.Context, f *Fleet) error {
 		some := f.Some(n, name)
-		if err := f.Each(some, (*Gateway).Term); err != nil {
+		if err := f.Each(some, func(g *Gateway) error {
+			f.Clients.Lame(true, g.Index)
+			return g.Term()
+		}); err != nil {
 			return err
 		}
-		time.Sleep(300 * time.Millisecond)
-		f.Clients.Lame(true, some...)
 		f.later.Go(func() error {
 			err := f.Each(some, func(g *Gateway) error {
 				return errors.Join(g.WaitExit(ctx), g.Restart(ctx, false))
--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -88,7 +88,7 @@
 	patience time.Duration // beyond the client timeout, until a req counts as unheard
 	addrs    []string      // by gateway; "" stands for one that the front does not use
 	avoid    map[int]bool
-	lame     map[int]bool
+	lame     map[int]int64 // told to restart since then
 	idle     [][]*clientConn
 	conns    map[*clientConn]bool
 	log      ClientLog
@@ -116,7 +116,7 @@
 // NewClients starts clients of gateways at these addresses. They send nothing yet.
 func NewClients(addrs []string) *Clients {
 	return &Clients{Task: task.New(), patience: 20 * time.Second, addrs: slices.Clone(addrs), avoid: map[int]bool{},
-		lame: map[int]bool{}, idle: make([][]*clientConn, len(addrs)), conns: map[*clientConn]bool{}}
+		lame: map[int]int64{}, idle: make([][]*clientConn, len(addrs)), conns: map[*clientConn]bool{}}
 }
 
 // Place tells where a gateway listens.
@@ -134,20 +134,36 @@
 	})
 }
 
-// Lame keeps clients from opening connections to gateways, as a front does that was told of their restart; they go on
-// using those that are open and free. Or it ends that.
+// The front's part of a planned restart: new connections still come for so long after the call to stop, and what was
+// opened before may be on its way for a little longer.
+const (
+	stillNew = 300 * time.Millisecond
+	onTheWay = 400 * time.Millisecond
+)
+
+// Lame tells that gateways are called to stop from now on: soon no client opens a connection to them, as a front does that
+// was told of their restart; they go on using those that are open and free. Or it ends that.
 func (c *Clients) Lame(on bool, gateways ...int) {
 	c.Ask(func() {
 		for _, g := range gateways {
-			if c.lame[g] = on; !on {
+			if c.lame[g] = task.Now(); !on {
 				delete(c.lame, g)
 			}
 		}
 	})
 }
 
+// late tells whether at a time a gateway was called to stop for longer than that. The clock decides, not a timer that may
+// itself be late.
+func (c *Clients) late(g int, at int64, than time.Duration) bool {
+	since, lame := c.lame[g]
+	return lame && at-since > int64(than)
+}
+
 // out tells whether no req goes to a gateway now.
-func (c *Clients) out(g int) bool { return c.avoid[g] || c.lame[g] && len(c.idle[g]) == 0 }
+func (c *Clients) out(g int) bool {
+	return c.avoid[g] || c.late(g, task.Now(), stillNew) && len(c.idle[g]) == 0
+}
 
 // Run is a load under way.
 type Run struct {
@@ -304,6 +320,7 @@
 	addr := c.addrs[g]
 	go func() {
 		conn, err := net.DialTimeout("tcp4", addr, p.wait)
+		at := task.Now()
 		c.Do(func() {
 			for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL} {
 				if errors.Is(err, own) {
@@ -311,6 +328,13 @@
 					return
 				}
 			}
+			if !p.again && c.late(g, at, onTheWay) { // the rig was late: a front would not have opened it any more
+				if err == nil {
+					conn.Close()
+				}
+				c.elsewhere(p)
+				return
+			}
 			if err != nil {
 				c.end(p, Refused)
 				return
@@ -326,6 +350,18 @@
 	}()
 }
 
+// elsewhere gives a req to the next gateway that is in use.
+func (c *Clients) elsewhere(p *pending) {
+	for k := 1; k < len(c.addrs); k++ {
+		if g := (p.Gateway + k) % len(c.addrs); !c.out(g) {
+			p.Gateway, c.log.Reqs[p.at].Gateway = g, g
+			c.give(p)
+			return
+		}
+	}
+	c.end(p, Refused)
+}
+
 func (k *clientConn) carry(p *pending) {
 	k.req = p
 	verb, n := "CALL.GET", 4
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -271,3 +271,31 @@
 	close(stop)
 	forks.Wait()
 }
+
+// Told of a restart, clients open no more connections after a while, and none that the rig opened late counts against the
+// gateway; one that is refused before that does.
+func TestLame(t *testing.T) {
+	down, err := NewHost(HostPlan{ID: "s-0001", Listen: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer down.Close()
+	down.Kill()
+	up, err := NewHost(HostPlan{ID: "s-0002", Listen: "127.0.0.1:0", Model: Model{Slots: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer up.Close()
+	c := NewClients([]string{down.Addr(), up.Addr()})
+	defer c.Close()
+	var text string
+	for _, ago := range []time.Duration{-time.Hour, time.Hour} { // called to stop just now, and long ago
+		c.Lame(true, 0)
+		c.Ask(func() { c.lame[0] -= int64(ago) })
+		var out bool
+		c.Ask(func() { out = c.out(0) })
+		q := c.Send(Req{ID: "a", Customer: "0000000000000001", Gateway: 0}, names, "", false, patience)
+		text += fmt.Sprintf("out %t, %s at %d\n", out, q.Result, q.Gateway)
+	}
+	golden.Check(t, text)
+}
