Hosts: a connection rests 10 ms after an answer, not 1: second answers come up to 4 ms late

A connection was used again after 1 ms, and a second answer that comes when the next command is out can't be told from its answer: the value of one req would be served to another.

Change: settle is 10 ms. Behind a quota of connections it stays 1 ms: these are too few to rest, and the crossing is open there.

Test: TestComesWithTheNext puts the second answer 4 ms after the first, under the next command; with 1 ms it does not come to its second connection. go test of hosts, node and pooler (three times) and of cmd/ravensill passed.

--- a/internal/hosts/begin_test.go
+++ b/internal/hosts/begin_test.go
@@ -161,6 +161,22 @@
 	golden.Check(t, all.String())
 }
 
+// A second answer that comes milliseconds after the first, when the next command is out, is not taken for the answer of that:
+// nothing would tell the two apart.
+func TestComesWithTheNext(t *testing.T) {
+	f := newFar(t)
+	c := f.first()
+	f.now.Add(4e6 - settle)
+	f.ask("b", 0)
+	f.Flush()
+	io.WriteString(c, value("a"))
+	f.pass(1)
+	c = f.up()
+	io.WriteString(c, value(f.reads(c)))
+	f.until(2)
+	golden.Check(t, strings.Join(f.out, "\n")+"\n")
+}
+
 // How far a command came when its connection broke tells whether it may have run.
 func TestBreaks(t *testing.T) {
 	const large = 150 << 10 // more than the sockets take
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	mostOut = 160 << 10 // a command with the largest body, and to spare
-	settle  = int64(time.Millisecond)
-	whole   = 500 * time.Millisecond // from an answer's first byte to its last
+	mostOut = 160 << 10                    // a command with the largest body, and to spare
+	settle  = int64(10 * time.Millisecond) // a connection rests after an answer: what belongs to it has come by then
+	whole   = 500 * time.Millisecond       // from an answer's first byte to its last
 )
 
 var (
@@ -35,6 +35,7 @@
 	names       []string // of load reports
 	idle        int64    // a connection is kept for so long
 	most, count int      // connections
+	settle      int64    // until a free one is used again
 	hosts       map[uint32]*Host
 	dirty       []*conn
 	Dial        func(addr string) (net.Conn, error)
@@ -87,7 +88,7 @@
 
 func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
 	d := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
-	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, hosts: map[uint32]*Host{},
+	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, hosts: map[uint32]*Host{},
 		Dial: func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) }}
 }
 
@@ -201,7 +202,7 @@
 // the next req is written; what came later could not be told from its answer.
 func (h *Host) rested(now int64) *conn {
 	for i := len(h.free) - 1; i >= 0; i-- {
-		if c := h.free[i]; now-c.freed >= settle {
+		if c := h.free[i]; now-c.freed >= h.fleet.settle {
 			return c
 		}
 	}
--- a/internal/hosts/gate.go
+++ b/internal/hosts/gate.go
@@ -10,6 +10,7 @@
 var (
 	errTurn   = errors.New("no connection in time") // of the quota; it never ran
 	errStore  = errors.New("the store refused the connection")
+	brief     = int64(time.Millisecond)      // connections of a quota are too few to rest for long
 	dialAgain = int64(50 * time.Millisecond) // after a refusal, doubled up to
 	dialMost  = int64(400 * time.Millisecond)
 	shortest  = int64(50 * time.Millisecond) // that a client is told to stay away,
@@ -39,6 +40,7 @@
 
 // Limit puts a gate in front of the fleet, from the start on.
 func (f *Fleet) Limit(floor int, turn time.Duration, allowed func(now int64) int, turned func(long int64)) *Gate {
+	f.settle = brief
 	f.gate = &Gate{fleet: f, allowed: allowed, turned: turned, floor: floor, turn: int64(turn)}
 	return f.gate
 }
@@ -165,7 +167,7 @@
 func (g *Gate) resting(now int64) int64 {
 	for _, s := range g.queue {
 		if len(s.host.free) > 0 {
-			return settle
+			return brief
 		}
 	}
 	if len(g.queue) > 0 && now < g.dialAt {
