--- a/internal/hosts/begin_test.go
+++ b/internal/hosts/begin_test.go
@@ -57,7 +57,7 @@
 
 // ask dispatches a command with a body and does not yet write it.
 func (f *far) ask(name string, body int) *Send {
-	return f.Dispatch(1, []byte(name+" "), nil, nil, make([]byte, body), 20e9, func(e gateway.Event, value []byte, _ int64) {
+	return f.Dispatch(1, []byte(name+" "), nil, nil, make([]byte, body), 20e9, f.now.Load()+20e9, func(e gateway.Event, value []byte, _ int64) {
 		f.out = append(f.out, fmt.Sprintf("%s: result %d, value %q", name, e.Result, value))
 	})
 }
@@ -161,6 +161,22 @@
 	golden.Check(t, all.String())
 }
 
+// A second answer that comes milliseconds after the first, when the next command is out, is not taken for the answer of that:
+// nothing would tell the two apart.
+func TestComesWithTheNext(t *testing.T) {
+	f := newFar(t)
+	c := f.first()
+	f.now.Add(4e6 - settle)
+	f.ask("b", 0)
+	f.Flush()
+	io.WriteString(c, value("a"))
+	f.pass(1)
+	c = f.up()
+	io.WriteString(c, value(f.reads(c)))
+	f.until(2)
+	golden.Check(t, strings.Join(f.out, "\n")+"\n")
+}
+
 // How far a command came when its connection broke tells whether it may have run.
 func TestBreaks(t *testing.T) {
 	const large = 150 << 10 // more than the sockets take
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	mostOut = 160 << 10 // a command with the largest body, and to spare
-	settle  = int64(time.Millisecond)
-	whole   = 500 * time.Millisecond // from an answer's first byte to its last
+	mostOut = 160 << 10                    // a command with the largest body, and to spare
+	settle  = int64(10 * time.Millisecond) // a connection rests after an answer: what belongs to it has come by then
+	whole   = 500 * time.Millisecond       // from an answer's first byte to its last
 )
 
 var (
@@ -35,6 +35,7 @@
 	names       []string // of load reports
 	idle        int64    // a connection is kept for so long
 	most, count int      // connections
+	settle      int64    // until a free one is used again
 	hosts       map[uint32]*Host
 	dirty       []*conn
 	Dial        func(addr string) (net.Conn, error)
@@ -87,7 +88,7 @@
 
 func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
 	d := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
-	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, hosts: map[uint32]*Host{},
+	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, hosts: map[uint32]*Host{},
 		Dial: func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) }}
 }
 
@@ -153,31 +154,32 @@
 	}
 }
 
-// Dispatch sends a command: head, before, the time it will wait, after, tail. result is called once.
-func (f *Fleet) Dispatch(id uint32, head, before, after, tail []byte, wait int64, result Ended) *Send {
+// Dispatch sends a command: head, before, the time it will wait, after, tail. It is written by a time, or not at all. result is
+// called once.
+func (f *Fleet) Dispatch(id uint32, head, before, after, tail []byte, wait, by int64, result Ended) *Send {
 	ms := strconv.AppendInt(nil, max((wait+999_999)/1_000_000, 1), 10)
 	text := make([]byte, 0, len(head)+len(before)+len(after)+len(tail)+32)
 	text = append(text, head...)
 	text = append(strconv.AppendInt(append(text, '$'), int64(len(before)+len(ms)+len(after)), 10), '\r', '\n')
 	text = append(append(append(append(text, before...), ms...), after...), '\r', '\n')
-	return f.send(id, append(text, tail...), wait, result)
+	return f.send(id, append(text, tail...), wait, by, result)
 }
 
 // Probe asks a host for its load.
 func (f *Fleet) Probe(id uint32, result Ended) *Send {
-	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), int64(time.Second), result)
+	s := f.send(id, resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load"), int64(time.Second), f.now()+int64(time.Second), result)
 	s.probe = true
 	return s
 }
 
-func (f *Fleet) send(id uint32, text []byte, wait int64, result Ended) *Send {
+func (f *Fleet) send(id uint32, text []byte, wait, by int64, result Ended) *Send {
 	h := f.hosts[id]
 	if h == nil {
 		s := &Send{host: &Host{fleet: f, gone: true}, text: text, result: result}
 		s.fail(&Failure{Connecting, errGone})
 		return s
 	}
-	s := &Send{host: h, text: text, result: result, urgent: f.urgent, by: f.now() + wait}
+	s := &Send{host: h, text: text, result: result, urgent: f.urgent, by: by}
 	if f.gate != nil {
 		f.gate.take(s, wait)
 		return s
@@ -201,7 +203,7 @@
 // the next req is written; what came later could not be told from its answer.
 func (h *Host) rested(now int64) *conn {
 	for i := len(h.free) - 1; i >= 0; i-- {
-		if c := h.free[i]; now-c.freed >= settle {
+		if c := h.free[i]; now-c.freed >= h.fleet.settle {
 			return c
 		}
 	}
