Node: a caught panic leaves no dispatch out for ever

Cause: d.ended took the dispatch from the list of open ones, handed its answer on and told the module last; a panic on the way (in the answer, the quota or the witness) was caught by the loop and the module held the dispatch as out for ever, its req with it. One in Fleet.Dispatch left the dispatch open with nothing that could end it: its time came again and again. One in expire kept the others that were due from their ends.

Change: the module's event is a deferred step, a req that passed is closed before its answer is handed on, the witness is told last; expire ends each by itself, also one whose send is gone (as timed out: it may have run).

--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/netip"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -146,3 +149,34 @@
 	}
 	golden.Check(t, m.String())
 }
+
+// A panic where a dispatch is sent, or where its answer is handed on, leaves it neither out for the module nor held here.
+func TestPanics(t *testing.T) {
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	m := &eager{}
+	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
+		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
+	n.fleet.Place(1, netip.MustParseAddrPort("127.0.0.1:1"))
+	arrive := func(id string) *clients.Answer {
+		a := new(clients.Line).Add() // its line has no ring: an answer panics
+		n.arrive(a, n.now(), id, "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
+		return a
+	}
+	arrive("answered")
+	n.step()
+	d := n.reqs["answered"].sends[0]
+	n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.Passed}, []byte("v"), n.now()) })
+	n.step()
+	fleet := n.fleet
+	n.fleet = nil
+	a := arrive("sent")
+	n.step()
+	n.fleet = fleet
+	n.unix += 2e12
+	n.step()
+	a.Left()
+	n.step()
+	fmt.Fprintf(m, "%d requests and %d attempts are held\n", len(n.reqs), len(n.open))
+	golden.Check(t, m.String())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -342,8 +342,11 @@
 			n.dueAt = d.due
 		}
 	}
-	for _, d := range due { // each ends at once, and none ends another
-		d.send.Stop(hosts.ErrTimedOut)
+	for _, d := range due { // each ends at once, also one whose send a panic has swallowed
+		n.guard("loop", func() { d.send.Stop(hosts.ErrTimedOut) })
+		if slices.Contains(n.open, d) {
+			n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.TimedOut}, nil, now) })
+		}
 	}
 }
 
@@ -464,25 +467,28 @@
 	r, n := d.req, d.node
 	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
 	e.Kind, e.Host, e.Dispatch, e.Lag = gateway.Ended, d.host, d.n, came-d.at
-	n.witness.ended(d, e.Result, e.Lag)
 	if r == nil {
 		e.Kind = gateway.Probed
-	} else {
-		r.out--
-		if r.ranAt == 0 && !e.Result.NeverRan() {
-			r.ranAt = d.at
-		}
-		n.pool.ended(r)
-		if e.Result == gateway.Passed && !r.closed {
-			r.answer.Passed(value)
-			r.closed = true
-		}
+		n.events = append(n.events, e)
+		return
+	}
+	r.out--
+	if r.ranAt == 0 && !e.Result.NeverRan() {
+		r.ranAt = d.at
+	}
+	defer func() { // also behind a panic: else the module holds the dispatch as out for ever
 		if r.closed {
 			r.close()
 		}
 		e.Req, e.Closed = r.id, r.closed
+		n.events = append(n.events, e)
+	}()
+	n.pool.ended(r)
+	if e.Result == gateway.Passed && !r.closed {
+		r.closed = true
+		r.answer.Passed(value)
 	}
-	n.events = append(n.events, e)
+	n.witness.ended(d, e.Result, e.Lag)
 }
 
 func (n *Node) Cancel(id string, dispatch int) {
