--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
@@ -160,3 +161,38 @@
 		})
 	}
 }
+
+// A link is closed when Close returns, though a Read waits on it: what is dispatched after an attempt was given up is no second
+// copy beside it.
+func TestCloseUnderRead(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	link, err := NewLink(near.(*net.TCPConn), 1<<10, 1<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var socket int
+	link.raw.Control(func(fd uintptr) { socket = int(fd) })
+	waits, pull := make(chan struct{}), link.read
+	link.read = func(fd uintptr) bool {
+		defer close(waits)
+		return pull(fd)
+	}
+	ended := make(chan error)
+	go func() { ended <- link.Read() }()
+	<-waits // nothing has come: it waits, or is about to, and holds the descriptor
+	link.Close()
+	if _, _, errno := syscall.Syscall(syscall.SYS_FCNTL, uintptr(socket), syscall.F_GETFD, 0); errno != syscall.EBADF {
+		t.Errorf("the descriptor is open still: %v", errno)
+	}
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
