Lab: the collector's address lies below the ports that systems deal out, as the voters' do

Cause (read, not seen): lab/truth took two ports of the system, freed them, and gave them to a process that starts later, and again after a kill; any connection made meanwhile on the machine may be given the same port. lab/pools had its own answer to that. Change: that answer is standin.Free, and both use it.

--- a/lab/pools/pools.go
+++ b/lab/pools/pools.go
@@ -6,9 +6,7 @@
 	"context"
 	"fmt"
 	"math"
-	"net"
 	"net/netip"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,25 +53,6 @@
 		Rate: 210, Hot: 4, Times: 6, Seed: 3}
 }
 
-// free gives an address for a voter, below the ports that systems deal out: its TCP and UDP must stay free until it
-// starts, and while it is down.
-func free(k int) (a netip.AddrPort, err error) {
-	for try := range 200 {
-		a = netip.AddrPortFrom(standin.Loopback(120, k), uint16(20000+(os.Getpid()*31+try*97+k)%12000))
-		var l net.Listener
-		var p net.PacketConn
-		if l, err = net.Listen("tcp4", a.String()); err != nil {
-			continue
-		}
-		l.Close()
-		if p, err = net.ListenPacket("udp4", a.String()); err == nil {
-			p.Close()
-			return a, nil
-		}
-	}
-	return a, err
-}
-
 // Longest is the client timeout.
 func (z Size) Longest() time.Duration { return 3 * time.Second }
 
@@ -97,7 +76,7 @@
 			return err
 		}
 		for k := range z.Voters {
-			at, err := free(k)
+			at, err := standin.Free(120, k)
 			if err != nil {
 				return err
 			}
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -86,6 +87,25 @@
 	return netip.AddrFrom4([4]byte{127, net, byte((i + 1) >> 8), byte(i + 1)})
 }
 
+// Free gives an address of number i of a net, below the ports that systems deal out: its TCP and UDP stay free until who
+// is told of it starts, and while that is down.
+func Free(of byte, i int) (a netip.AddrPort, err error) {
+	for try := range 200 {
+		a = netip.AddrPortFrom(Loopback(of, i), uint16(20000+(os.Getpid()*31+try*97+i)%12000))
+		var l net.Listener
+		var p net.PacketConn
+		if l, err = net.Listen("tcp4", a.String()); err != nil {
+			continue
+		}
+		l.Close()
+		if p, err = net.ListenPacket("udp4", a.String()); err == nil {
+			p.Close()
+			return a, nil
+		}
+	}
+	return a, err
+}
+
 // Number gives i back, -1 where the address is none of the net's.
 func Number(net byte, a netip.Addr) int {
 	b := a.Unmap().As4()
--- a/lab/truth/truth.go
+++ b/lab/truth/truth.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"math"
 	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -67,18 +66,12 @@
 		if net_, err = f.Relay.Datagrams("witness", fleet.Names(0, c.Gateways)); err != nil {
 			return err
 		}
-		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		at, err := standin.Free(121, 0) // the collector's, in all its lives
 		if err != nil {
 			return err
 		}
-		t, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		listen, ask = u.LocalAddr().String(), t.Addr().String()
-		u.Close() // free again for the collector, in all its lives
-		t.Close()
-		net_.Place(0, netip.MustParseAddrPort(listen))
+		listen, ask = at.String(), at.String()
+		net_.Place(0, at)
 		return nil
 	}
 	p.Config = func(f *fleet.Fleet, i int, cfg map[string]any) error {
