--- a/lab/standing/standing.go
+++ b/lab/standing/standing.go
@@ -1,20 +1,26 @@
 // Package standing reads the journal of the mass standing test and tells how near each day came to its gates: what
-// was served over what the gate wants, for the day, its classes and its plans. It decides nothing.
+// was served over what the gate wants, for the day, its classes and its plans, the price of sends beyond quotas beside the
+// late-seeing policy's, and the short days over a whole set. Thirds of days are in no journal. It decides nothing.
 package standing
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 )
 
 // Run is one score in the journal.
 type Run struct {
-	ID      string
-	Why     string
+	ID, Why string
+	Site    string
+	Panel   string // the days' names and the seed: real:SITE:SEED:DAY,DAY...
+	Digest  string // as printed; for a single day its whole report
 	Figures struct {
 		Gate  float64
 		Score float64 `json:"real_score"`
@@ -28,7 +34,10 @@
 	G, Score float64
 	Fault    *string
 	Served   float64
+	Late     float64        `json:"served_late"`  // by the late-seeing policy
 	Least    float64        `json:"served_least"` // what the gate wants
+	Over     float64        // the late-seeing policy's price of sends beyond quotas; ours is in a single day's digest alone
+	Unsafe   bool           `json:"made_unsafe"` // the settings made its classes unsafe to repeat
 	Classes  []Share        `json:"by_class"`
 	Plans    []Share        `json:"by_tenant"`
 	Starved  []float64      // worth of customers who get under a tenth, beside the late-seeing policy's
@@ -62,21 +71,71 @@
 }
 
 // Last gives the newest run of the whole standing test, soak included, in a journal's folder.
-func Last(folder string) (r Run, err error) {
+func Last(folder string) (Run, error) {
+	return last(folder, `"soak"`, func(r *Run) bool { return len(r.Days) >= 7 })
+}
+
+// last gives the newest run whose file holds a text and that is wanted.
+func last(folder, text string, wanted func(*Run) bool) (r Run, err error) {
 	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
 	if err != nil {
 		return r, err
 	}
 	slices.Sort(files) // their names begin with the time
 	for _, file := range slices.Backward(files) {
-		if text, err := os.ReadFile(file); err != nil || !strings.Contains(string(text), `"soak"`) {
+		if all, err := os.ReadFile(file); err != nil || !strings.Contains(string(all), text) {
 			continue
 		}
-		if r, err = Read(file); err == nil && len(r.Days) >= 7 {
+		if r, err = Read(file); err == nil && wanted(&r) {
 			return r, nil
 		}
 	}
-	return Run{}, fmt.Errorf("%s: no run of the whole standing test", folder)
+	return Run{}, fmt.Errorf("%s: no run with %s", folder, text)
+}
+
+// LastCalm gives the newest calm day that was played by itself, and our price of sends beyond quotas on it.
+func LastCalm(folder string) (r Run, ours float64, err error) {
+	r, err = last(folder, `"calm+mass"`, func(r *Run) bool {
+		return len(r.Days) == 1 && r.Days[0].Name == "calm+mass" && r.Days[0].Fault == nil && price.MatchString(r.Digest)
+	})
+	if err == nil {
+		ours, err = strconv.ParseFloat(price.FindStringSubmatch(r.Digest)[1], 64)
+	}
+	return r, ours, err
+}
+
+var price = regexp.MustCompile(`prices:.* over_quota ([0-9.]+)`)
+
+// LastShort gives the newest whole set of short days on a site.
+func LastShort(folder, site string) (Run, error) {
+	return last(folder, `+brink+mass-12"`, func(r *Run) bool { return r.Site == site && len(r.Days) == 12 })
+}
+
+// Seed is the seed that a run's days were drawn with.
+func (r *Run) Seed() string { return strings.Split(r.Panel+"::", ":")[2] }
+
+// Short is the least share of a whole set of short days over a third of the late-seeing policy's: in all, by class, and by class
+// on the days that made classes unsafe.
+func (r *Run) Short() (least float64, whose string) {
+	served, late := map[string]float64{}, map[string]float64{}
+	for i := range r.Days {
+		d := &r.Days[i]
+		served["days"], late["days"] = served["days"]+d.Served, late["days"]+d.Late
+		for _, c := range d.Classes {
+			for key, holds := range map[string]bool{"class " + c.Name: true, "unsafe days, class " + c.Name: d.Unsafe} {
+				if holds && c.Want > 0 { // what a day wants is half of the late-seeing policy's
+					served[key], late[key] = served[key]+c.Served, late[key]+2*c.Want
+				}
+			}
+		}
+	}
+	least = math.Inf(1)
+	for key := range served {
+		if m := served[key] * 3 / late[key]; m < least || m == least && key < whose {
+			least, whose = m, key
+		}
+	}
+	return least, whose
 }
 
 // Margin is the least share served over the gate that wants it, and whose that is. 1 is at the gate.
@@ -114,7 +173,8 @@
 // Table gives a line a day, as for a page.
 func (r *Run) Table() string {
 	var b strings.Builder
-	b.WriteString("| day | G | score | served over its gate | nearest to its gate | rules | memory |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("| day | G | score | served over its gate | nearest to its gate | over quotas, late-seeing | rules | memory |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for i := range r.Days {
 		d := &r.Days[i]
 		m, whose := d.Margin()
@@ -122,8 +182,8 @@
 		if b := d.Broken(); b != "" {
 			rules = b
 		}
-		fmt.Fprintf(&b, "| %s | %.3f | %.2f | %.2f | %s, %.2f | %s | %.0f of %.0f MB |\n", d.Name, d.G, d.Score, d.Served/d.Least, whose, m,
-			rules, d.Memory, d.Caps[0])
+		fmt.Fprintf(&b, "| %s | %.3f | %.2f | %.2f | %s, %.2f | %.3f | %s | %.0f of %.0f MB |\n", d.Name, d.G, d.Score, d.Served/d.Least,
+			whose, m, d.Over, rules, d.Memory, d.Caps[0])
 	}
 	return b.String()
 }
--- a/lab/standing/standing_test.go
+++ b/lab/standing/standing_test.go
@@ -1,6 +1,10 @@
 package standing
 
-import "testing"
+import (
+	"maps"
+	"slices"
+	"testing"
+)
 
 // The newest whole run in the journal passed, with a margin of a quarter over each gate.
 func TestLastRun(t *testing.T) {
@@ -23,6 +27,39 @@
 	}
 }
 
+// The newest calm day in full: our price of sends beyond quotas keeps a quarter of its allowance of 0.1 over the late-seeing policy's.
+func TestOverQuota(t *testing.T) {
+	r, ours, err := LastCalm("../../journal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s, %s: %.3f, the late-seeing policy %.3f", r.ID, r.Site, ours, r.Days[0].Over)
+	if ours > r.Days[0].Over+0.08 {
+		t.Errorf("calm day %s: price %.3f of sends beyond quotas, the late-seeing policy %.3f", r.ID, ours, r.Days[0].Over)
+	}
+}
+
+// The newest set of short days on each deployment passed, with a margin of a quarter over what all its days have to serve.
+func TestShortDays(t *testing.T) {
+	for _, site := range []string{"east-mids-checkin", "joburg-panels", "porto-tickets", "oslo-tap"} {
+		r, err := LastShort("../../journal", site)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		m, whose := r.Short()
+		t.Logf("%s, %s, seed %s, score %.3f: %s at %.2f of its gate", r.ID, site, r.Seed(), r.Figures.Score, whose, m)
+		if r.Figures.Gate != 1 || m < 1.25 {
+			t.Errorf("%s, seed %s: gate %.0f, %s at %.2f of its gate", site, r.Seed(), r.Figures.Gate, whose, m)
+		}
+		for i := range r.Days {
+			if d := &r.Days[i]; d.Fault != nil || slices.Max(slices.Collect(maps.Values(d.Rules))) > 0 {
+				t.Errorf("%s, seed %s, %s: %s", site, r.Seed(), d.Name, d.Broken())
+			}
+		}
+	}
+}
+
 // What fails a day is seen.
 func TestBroken(t *testing.T) {
 	fault := "a crash"
@@ -33,3 +70,12 @@
 		}
 	}
 }
+
+// What a set of short days falls short in is seen, also where only the days with unsafe classes do.
+func TestShort(t *testing.T) {
+	r := Run{Days: []Day{{Served: 0.9, Late: 0.9, Classes: []Share{{"tap", 0.9, 0.45}}},
+		{Served: 0.2, Late: 0.9, Unsafe: true, Classes: []Share{{"tap", 0.2, 0.45}}}}}
+	if m, whose := r.Short(); whose != "unsafe days, class tap" || m > 0.67 || m < 0.66 {
+		t.Errorf("%s at %.2f", whose, m)
+	}
+}
