Tests: the two ends of a connection and the host that holds are made in one place

Seen by the look for duplicates: three tests wrote the same pair of sockets, two the same host. What they assert is the same.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -73,6 +73,18 @@
 
 func bulk(s string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(s), s) }
 
+// holding is a host that answers, but holds the first customer's command, told by came, until the gate is closed.
+func holding(t *testing.T) (h *host, came, gate chan struct{}) {
+	came, gate = make(chan struct{}), make(chan struct{})
+	return newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			close(came)
+			<-gate
+		}
+		return passed("v")
+	}), came, gate
+}
+
 func passed(value string) string {
 	return "*3\r\n" + bulk(value) + bulk("used=3") + bulk("utilization=0.5")
 }
@@ -1221,14 +1233,7 @@
 
 // A client that goes away is owed nothing; its dispatch ends as it ends, and others are served.
 func TestLeft(t *testing.T) {
-	came, gate := make(chan struct{}), make(chan struct{})
-	h := newHost(t, func(cmd []string) string {
-		if cmd[1] == "0000000000000001" {
-			close(came)
-			<-gate
-		}
-		return passed("v")
-	})
+	h, came, gate := holding(t)
 	w := start(t, nil, h)
 	c := w.client()
 	c.send(call("order", 1), call("lookup", 2))
--- a/cmd/ravensill/signals_test.go
+++ b/cmd/ravensill/signals_test.go
@@ -150,14 +150,7 @@
 
 // Under a request: it has its answer, and so has what is sent after, on the same connection, until all connections end.
 func TestSignalsUnderRequest(t *testing.T) {
-	came, gate := make(chan struct{}), make(chan struct{})
-	h := newHost(t, func(cmd []string) string {
-		if cmd[1] == "0000000000000001" {
-			close(came)
-			<-gate
-		}
-		return passed("v")
-	})
+	h, came, gate := holding(t)
 	w := start(t, nil, h)
 	c := w.client()
 	c.send(call("order", 1))
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -45,23 +45,27 @@
 	}
 }
 
-// A peer that reads nothing must not hold up the loop: Flush returns, and what is left goes out later.
-func TestSlowPeer(t *testing.T) {
+// pair gives the two ends of a connection.
+func pair(t testing.TB) (near, far net.Conn) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	near, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
+	if near, err = net.Dial("tcp4", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer near.Close()
-	far, err := l.Accept()
-	if err != nil {
+	t.Cleanup(func() { near.Close() })
+	if far, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
+	t.Cleanup(func() { far.Close() })
+	return near, far
+}
+
+// A peer that reads nothing must not hold up the loop: Flush returns, and what is left goes out later.
+func TestSlowPeer(t *testing.T) {
+	near, far := pair(t)
 	link, err := NewLink(near.(*net.TCPConn), 1<<20, 64<<20)
 	if err != nil {
 		t.Fatal(err)
@@ -89,21 +93,7 @@
 
 // The system holds back no small write, of a connection dialed or taken in: a reset that follows would take it along.
 func TestNoDelay(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	near, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer near.Close()
-	far, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer far.Close()
+	near, far := pair(t)
 	for _, c := range []net.Conn{near, far} {
 		link, err := NewLink(c.(*net.TCPConn), 1, 1)
 		if err != nil {
@@ -123,21 +113,7 @@
 	command := bytes.Repeat([]byte("c"), 120)
 	for _, buffered := range []bool{false, true} {
 		b.Run(map[bool]string{false: "ring", true: "bufio and ring"}[buffered], func(b *testing.B) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer l.Close()
-			near, err := net.Dial("tcp4", l.Addr().String())
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer near.Close()
-			far, err := l.Accept()
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer far.Close()
+			near, far := pair(b)
 			link, err := NewLink(far.(*net.TCPConn), 1<<16, 1<<16)
 			if err != nil {
 				b.Fatal(err)
