Node: work that waits is done in one place; news of leaving are looked for by their kind first

The loop and catchUp drained the inbox by the same lines; forget looked each event's request up in a map, on the hot path, though only a client's end counts; left wrote its event twice; TestCloseUnderRead made its own pair of sockets. No decision, bound or assertion changes.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -89,9 +89,7 @@
 		case <-time.After(time.Millisecond):
 		}
 	}
-	for k := len(n.work); k > 0; k-- { // what was handed on is there by now
-		n.guard("loop", <-n.work)
-	}
+	n.drain() // what was handed on is there by now
 }
 
 // Reload takes in the configuration file as it is now: it read it as cfg, or failed to. Only where discovery is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,9 +195,7 @@
 			stop = nil
 			n.stop()
 		}
-		for k := len(n.work); k > 0; k-- {
-			n.guard("loop", <-n.work)
-		}
+		n.drain()
 		n.catchUp()
 		timer.Reset(n.step())
 	}
@@ -205,6 +203,13 @@
 	return nil
 }
 
+// drain does the work that waits by now.
+func (n *Node) drain() {
+	for k := len(n.work); k > 0; k-- {
+		n.guard("loop", <-n.work)
+	}
+}
+
 // stop begins the end. Clients go on sending on what they have open, and a close that crosses a command leaves
 // that unanswered. So what is open is served until shortly before the platform kills, which counts from the
 // longest client timeout, and ends then: a kill that crosses a command would lose it. One that serves nobody yet ends at once.
@@ -378,10 +383,10 @@
 	}
 	r.answer, r.closed = nil, true
 	r.out++
-	if r.round == n.rounds {
-		n.events[r.event] = gateway.Event{Kind: gateway.Left, Req: r.id}
+	if e := (gateway.Event{Kind: gateway.Left, Req: r.id}); r.round == n.rounds {
+		n.events[r.event] = e
 	} else {
-		n.events = append(n.events, gateway.Event{Kind: gateway.Left, Req: r.id})
+		n.events = append(n.events, e)
 	}
 	for _, d := range r.sends {
 		d.withdraw()
@@ -399,7 +404,10 @@
 // forget lets go of the reqs whose leaving the module has now heard of.
 func (n *Node) forget() {
 	for _, e := range n.round.Events {
-		if r := n.reqs[e.Req]; e.Kind == gateway.Left && r != nil {
+		if e.Kind != gateway.Left {
+			continue
+		}
+		if r := n.reqs[e.Req]; r != nil {
 			r.out--
 			r.close()
 		}
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -141,15 +141,7 @@
 // A link is closed when Close returns, though a Read waits on it: what is dispatched after an attempt was given up is no second
 // copy beside it.
 func TestCloseUnderRead(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	near, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	near, _ := pair(t)
 	link, err := NewLink(near.(*net.TCPConn), 1<<10, 1<<10)
 	if err != nil {
 		t.Fatal(err)
