--- a/counterfactual/table.go
+++ b/counterfactual/table.go
@@ -161,7 +161,7 @@
 		}
 		n, loose := s.curve(t, skip, byCount, f)
 		if n == 0 {
-			n, loose = s.curve(t, -1, byCount, f)
+			_, loose = s.curve(t, -1, byCount, f)
 		}
 		held := s.n >= fewest
 		for _, r := range rules {
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -94,7 +94,6 @@
 	encode func(age uint32) []byte
 	end    time.Time
 	size   int
-	tries  int
 }
 
 type question struct {
--- a/lab/fleetsim/fleetsim.go
+++ b/lab/fleetsim/fleetsim.go
@@ -206,20 +206,19 @@
 
 // sim is one day's state.
 type sim struct {
-	cfg    Config
-	rnd    *rand.Rand
-	now    int64
-	q      agenda.Agenda[*event]
-	gws    []*gw
-	hosts  []*host
-	custs  []*customer
-	plans  []gateway.Plan
-	reqs   map[string]*req
-	rep    Report
-	next   int // req numbers
-	cur    int // the gateway whose round runs
-	began  int64
-	events []gateway.Event
+	cfg   Config
+	rnd   *rand.Rand
+	now   int64
+	q     agenda.Agenda[*event]
+	gws   []*gw
+	hosts []*host
+	custs []*customer
+	plans []gateway.Plan
+	reqs  map[string]*req
+	rep   Report
+	next  int // req numbers
+	cur   int // the gateway whose round runs
+	began int64
 }
 
 // Run plays one day and reports it.
--- a/lab/poolsim/poolsim.go
+++ b/lab/poolsim/poolsim.go
@@ -37,8 +37,7 @@
 	lives  uint64
 	Notes  []pool.Note
 	Noted  map[string]int
-	Told   int // reports and grants sent
-	ghosts []int64
+	Told   int            // reports and grants sent
 	cut    map[int]string // up, down, both: what does not pass
 }
 
