--- /dev/null
+++ b/configsync/configsync.go
@@ -0,0 +1,48 @@
+// Package configsync holds the rules by which one configuration reaches a fleet of gateways: numbered versions, the
+// deltas between them, what a publisher sends to whom, and when a gateway accepts, refuses or falls back. It does no
+// I/O and keeps no clock: internal/publisher and internal/subscriber own sockets, disks and time, and ask it.
+//
+// The design is that of delta distribution with acknowledgement (xDS incremental, envoyproxy.io) over a replicated log
+// (Raft, Ongaro and Ousterhout 2014), with followers that start from their own last good copy (static stability).
+// docs/configuration-sync.md has the options weighed.
+package configsync
+
+// LogID names one replicated log of versions. It is drawn once, when the publishers' log is made; versions of different
+// logs can't be compared, so a gateway that holds a version of one log takes nothing of another.
+type LogID string
+
+// Version numbers the states of the configuration in a log, from 1 on. 0 is the state before the first publication, in
+// which a gateway goes by its own configuration file.
+type Version uint64
+
+// Digest identifies the content of a Document: equal documents have equal digests, whatever order their changes came in.
+type Digest [32]byte
+
+// Resource names one part of the configuration. The kinds are listed at the constants below.
+type Resource string
+
+// Kinds of resources. A kind that ends in a slash is followed by a name.
+const (
+	PlanPrefix   = "plans/"   // a quota plan by its name: the object as in settings.plans
+	ClassPrefix  = "classes/" // a request class by its name: the object as in settings.profiles
+	MemberPrefix = "members/" // a gateway by its member index: a string, the address that it gossips at
+	LimitsName   = "limits"   // the object as in settings.limits, the keys that may change in a running gateway
+)
+
+// Change sets a resource or removes it.
+type Change struct {
+	Resource Resource `cbor:"1,keyasint"`
+	Value    []byte   `cbor:"2,keyasint,omitempty"` // JSON; empty: the resource is removed
+}
+
+// Removed tells whether the change removes its resource.
+func (c *Change) Removed() bool { return len(c.Value) == 0 }
+
+// Delta leads from one version of a log to a later one. Its changes are sorted by resource, each named once.
+type Delta struct {
+	Log     LogID    `cbor:"1,keyasint"`
+	From    Version  `cbor:"2,keyasint"`
+	To      Version  `cbor:"3,keyasint"`
+	Changes []Change `cbor:"4,keyasint"`
+	Digest  Digest   `cbor:"5,keyasint"` // of the document at To
+}
