--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,6 +148,7 @@
 
 // Plan is the quota of each customer on it, over all gateways together.
 type Plan struct {
+	ID                               uint32  // names the plan in gossip on all gateways alike; 0: named by its index
 	Rate, Burst                      float64 // units a second, units; rate 0: none
 	Open                             int     // dispatches out at once; 0: none
 	CeilingRate, CeilingBurst, Slack float64 // hard ceiling; rate 0: none
