--- a/logic/state.go
+++ b/logic/state.go
@@ -1,6 +1,10 @@
 package logic
 
-import "ravensill/gateway"
+import (
+	"ravensill/gateway"
+	"ravensill/limit"
+	"ravensill/spread"
+)
 
 // The records that the module keeps of reqs, customers and gateways; logic.go decides by them, and nothing is decided
 // here.
@@ -62,3 +66,62 @@
 	life, number, said      uint64    // its start by its own clock; its last message; messages to it
 	credit                  float64   // messages that it can take
 }
+
+type Gateway struct {
+	now, start, heard, beaten       int64 // heard: any peer; beaten: the last beat
+	nextSweep, nextAsk, asked, deaf int64 // asked for the list, or lost it; the counter is not asked until deaf
+	out                             gateway.Writer
+	seat                            gateway.Seat
+	fronts                          []front
+	plans                           []gateway.Plan
+	limits                          gateway.Limits
+	options                         []gateway.Option // scratch, for a Witness
+	customers                       map[uint32]*customer
+	reqs                            map[string]*req
+	calls                           map[uint64][]*req // of the counter, by number, in order
+	rows                            int               // that the gateways stand in
+	links                           []*peer           // the gateways that it tells or hears
+	peers, to, from                 []*peer           // by seat: it, if linked; the link there, and back
+	rate, age, largest              float64           // messages a second to a peer; a total, in s; units
+	pause, silence, hush            int64             // between signs of life; with none: peers gone, net cut
+	fleet                           fleet
+	worth, spare                    float64 // usual worth of a req for its time; repeats in stock
+	rnd                             *mwc
+	passed, came, asks, unheard     int // reqs sent on, come since a beat; lists lost, calls unanswered
+	denied                          [Reasons]int
+}
+
+type front struct { // with how long its answers usually take and what its reqs ask
+	gateway.Frontend
+	nth          int
+	usual, units float64
+}
+
+type fleet struct { // the hosts
+	hosts       []*host // in a fixed order
+	cold        gateway.Cold
+	rnd         *mwc
+	utilAt, out int       // place of the busy share in load reports, -1 none; dispatches out from here
+	seat, seats int       // where this gateway stands, among so many: for its subset
+	fronts      int       // frontends
+	limit       limit.Out // on these
+	woke, stood int64     // the gateway last stood still until then, and how long
+}
+
+type host struct {
+	spread.Host // of this gateway's subset or not
+	id          uint32
+	state       gateway.State
+	since       int64 // its last start
+	out         []*send
+	pace, util  float64 // its answers' time against the usual; told busy share
+	load, allow float64 // how long an answer would take; dispatches it may get while cold
+	fronts      []health
+}
+
+// health is how a host serves a frontend: it may fail one and serve the others.
+type health struct {
+	good, any, failed int64   // last good answer, last answer, last failure
+	bad               float64 // part of the dispatches that go unanswered,
+	at                int64   // as it was then
+}
