--- a/cmd/ravensill/counterfactual_test.go
+++ b/cmd/ravensill/counterfactual_test.go
@@ -10,39 +10,9 @@
 	"testing"
 	"time"
 
-	"github.com/prometheus/procfs"
-
 	"ravensill/counterfactual"
 )
 
-// udp gives how many sockets for datagrams the program has open.
-func (w *world) udp() (n int) {
-	p, err := procfs.NewProc(w.cmd.Process.Pid)
-	if err != nil {
-		w.Fatal(err)
-	}
-	targets, err := p.FileDescriptorTargets()
-	if err != nil {
-		w.Fatal(err)
-	}
-	fs, err := procfs.NewDefaultFS()
-	if err != nil {
-		w.Fatal(err)
-	}
-	all, err := fs.NetUDP()
-	if err != nil {
-		w.Fatal(err)
-	}
-	for _, s := range all {
-		for _, t := range targets {
-			if t == fmt.Sprintf("socket:[%d]", s.Inode) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // Without the section there is no socket, no goroutine and no line of it; a faulty one ends the start.
 func TestCounterfactualOff(t *testing.T) {
 	h := newHost(t, func([]string) string { return passed("v") })
--- a/cmd/ravensill/signals_test.go
+++ b/cmd/ravensill/signals_test.go
@@ -13,62 +13,9 @@
 	"syscall"
 	"testing"
 
-	"golang.org/x/sys/unix"
-
 	"ravensill/internal/golden"
 )
 
-// signal sends one, and waits until the program has said so.
-func (w *world) signal(s syscall.Signal, line string) {
-	w.cmd.Process.Signal(s)
-	if line != "" {
-		w.line(line)
-	}
-}
-
-// all sends each signal that a platform sends, in the order that is the worst: none may end the program before its time.
-func (w *world) all() {
-	w.signal(syscall.SIGHUP, "event=reloaded")
-	w.signal(syscall.SIGTERM, "event=stopping clients=")
-	w.signal(syscall.SIGHUP, "event=reloaded")
-	w.signal(syscall.SIGTERM, "event=stopping_already")
-}
-
-// untilHalfClosed waits for the end of what the other side sends; what came before it stays unread.
-func (c *client) untilHalfClosed() {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		c.Fatal(err)
-	}
-	raw.Control(func(fd uintptr) {
-		ends := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		for n := 0; n == 0; {
-			if n, err = unix.Poll(ends, 20_000); err == unix.EINTR {
-				n, err = 0, nil
-			} else if n == 0 {
-				err = errors.New("it is not half-closed")
-				return
-			}
-		}
-	})
-	if err != nil {
-		c.Fatal(err)
-	}
-}
-
-func (w *world) exited() string {
-	if err := take(w, w.exit); err != nil {
-		return err.Error()
-	}
-	return "exit 0"
-}
-
-func short(_, settings map[string]any) { // it ends all 0.8 s after the call to stop
-	for _, p := range settings["profiles"].([]any) {
-		p.(map[string]any)["target_us"], p.(map[string]any)["hard_limit_us"] = 200000, 300000
-	}
-}
-
 // A signal in the first moments, while the configuration is read: SIGHUP does not end it, SIGTERM does.
 func TestSignalWhileStarting(t *testing.T) {
 	var trace strings.Builder
