--- a/cmd/ravensill/clients_test.go
+++ b/cmd/ravensill/clients_test.go
@@ -10,46 +10,47 @@
 	"time"
 )
 
-// Descriptors are few: the longest idle client makes room for the next.
+// TestRoom checks that, short of descriptors, the longest idle client makes room for the next.
 func TestRoom(t *testing.T) {
-	w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
+	gateway := startGateway(t, func(config, _ map[string]any) { config["limits"] = map[string]any{"sockets": 64} },
 		newHost(t, func([]string) string { return "" }))
-	first := w.client()
-	first.ask(array("PING"))
+	first := gateway.connect()
+	first.roundTrip(respArray("PING"))
 	for range 31 {
-		w.client().ask(array("PING"))
+		gateway.connect().roundTrip(respArray("PING"))
 	}
-	next := w.client()
-	next.send(array("PING"))
-	if a := first.answer(); a != "EOF" {
+	next := gateway.connect()
+	next.send(respArray("PING"))
+	if a := first.readAnswer(); a != "EOF" {
 		t.Errorf("the longest idle: %s", a)
 	}
 	first.Close()
-	if a := next.answer(); a != "+PONG" {
+	if a := next.readAnswer(); a != "+PONG" {
 		t.Errorf("the next: %s", a)
 	}
 }
 
-// Bad clients get an error line, then a close, in time; nothing of theirs reaches a host, and usual clients are served.
+// TestBadClients checks that malformed input gets an error line and a close in time, that none of it reaches a host, and that
+// other clients are served.
 func TestBadClients(t *testing.T) {
-	h := newHost(t, func([]string) string { return passed("v") })
-	w := start(t, nil, h)
-	good := call("lookup", 1)
-	var all []*client
+	h := newHost(t, func([]string) string { return successReply("v") })
+	gateway := startGateway(t, nil, h)
+	validCommand := requestCommand("lookup", 1)
+	var clients []*testClient
 	began := time.Now()
-	for _, text := range []string{"", good[:40], "*4\r\n$8\r\nCALL.GET\r\n$60000000\r\n" + strings.Repeat("v", 1<<20), strings.Repeat("x", 9000), "*" + strings.Repeat("9", 9000),
-		strings.Repeat(strings.Replace(good, "lookup", "lookus", 1), 600)} {
-		c := w.client()
-		all = append(all, c)
+	for _, text := range []string{"", validCommand[:40], "*4\r\n$8\r\nCALL.GET\r\n$60000000\r\n" + strings.Repeat("v", 1<<20), strings.Repeat("x", 9000), "*" + strings.Repeat("9", 9000),
+		strings.Repeat(strings.Replace(validCommand, "lookup", "lookus", 1), 600)} {
+		c := gateway.connect()
+		clients = append(clients, c)
 		go c.send(text)
 	}
-	for i, c := range all {
-		a := c.answer()
+	for i, c := range clients {
+		a := c.readAnswer()
 		if !strings.HasPrefix(a, "-ERR ") {
 			t.Errorf("bad client %d: %s", i, a)
 		}
 		for strings.HasPrefix(a, "-ERR ") {
-			a = c.answer()
+			a = c.readAnswer()
 		}
 		if a != "EOF" && !strings.Contains(a, "reset") {
 			t.Errorf("bad client %d, at its end: %s", i, a)
@@ -58,134 +59,137 @@
 	if d := time.Since(began); d < 1500*time.Millisecond { // the silent one had its time
 		t.Errorf("all turned away after %v", d)
 	}
-	if cmds := h.got(); len(cmds) > 0 {
+	if cmds := h.takeReceived(); len(cmds) > 0 {
 		t.Errorf("passed on: %q", cmds)
 	}
-	if a := w.client().ask(good); a != "v" {
+	if a := gateway.connect().roundTrip(validCommand); a != "v" {
 		t.Errorf("a usual client: %s", a)
 	}
 }
 
-// Many more clients than places ask once, stay, and don't close when the gateway does: none waits for another's end.
+// TestStayingCrowd connects many more clients than there are places; each asks once and stays connected, also when the gateway
+// closes its side: none waits for another's end.
 func TestStayingCrowd(t *testing.T) {
-	tried(t, func() string {
-		w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
-			newHost(t, func([]string) string { return passed("v") }))
+	retryWhenSlow(t, func() string {
+		gateway := startGateway(t, func(config, _ map[string]any) { config["limits"] = map[string]any{"sockets": 64} },
+			newHost(t, func([]string) string { return successReply("v") }))
 		var waits []time.Duration
 		for i := range 150 {
 			began := time.Now()
-			if a := w.client().ask(call("lookup", i)); a != "v" {
+			if a := gateway.connect().roundTrip(requestCommand("lookup", i)); a != "v" {
 				t.Fatal(a)
 			}
 			waits = append(waits, time.Since(began))
 		}
 		slices.Sort(waits[:20]) // places were free
 		slices.Sort(waits[20:])
-		if free, d := waits[10], waits[85]; d > 10*free+5*time.Millisecond { // none waits for another to close
-			return fmt.Sprintf("half of them waited %v and more, with places free %v", d, free)
+		if free, slow := waits[10], waits[85]; slow > 10*free+5*time.Millisecond { // none waits for another to close
+			return fmt.Sprintf("half of them waited %v and more, with places free %v", slow, free)
 		}
 		return ""
 	})
 }
 
-// One that asked before is kept when a crowd asks once and stays; left idle, each connection ends.
+// TestRegularClient checks that a client that asked before is kept when a crowd asks once and stays, and that an idle
+// connection ends.
 func TestRegularClient(t *testing.T) {
-	tried(t, func() string {
-		w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
-			newHost(t, func([]string) string { return passed("v") }))
-		regular := w.client()
-		regular.ask(array("PING"))
+	retryWhenSlow(t, func() string {
+		gateway := startGateway(t, func(config, _ map[string]any) { config["limits"] = map[string]any{"sockets": 64} },
+			newHost(t, func([]string) string { return successReply("v") }))
+		regular := gateway.connect()
+		regular.roundTrip(respArray("PING"))
 		said := time.Now()
-		regular.ask(array("PING"))
+		regular.roundTrip(respArray("PING"))
 		for i := range 60 { // three times the places
-			w.client().ask(call("lookup", i))
+			gateway.connect().roundTrip(requestCommand("lookup", i))
 		}
-		if a := regular.ask(call("lookup", 100)); a != "v" {
+		if a := regular.roundTrip(requestCommand("lookup", 100)); a != "v" {
 			if d := time.Since(said); d > 2*time.Second { // idle for too long by then
 				return fmt.Sprintf("%s after %v", a, d)
 			}
 			t.Errorf("gave way to the crowd: %s", a)
 		}
-		if a := regular.answer(); a != "EOF" { // without a line
+		if a := regular.readAnswer(); a != "EOF" { // without a line
 			t.Errorf("left idle: %s", a)
 		}
 		return ""
 	})
 }
 
-// Silent clients take all places: they make room for one that asks, and it is served at once.
+// TestSilentCrowd fills all places with silent clients: they make room for one that asks, and it is served at once.
 func TestSilentCrowd(t *testing.T) {
-	tried(t, func() string {
-		w := start(t, func(cfg, _ map[string]any) { cfg["limits"] = map[string]any{"sockets": 64} },
-			newHost(t, func([]string) string { return passed("v") }))
-		var crowd []*client
+	retryWhenSlow(t, func() string {
+		gateway := startGateway(t, func(config, _ map[string]any) { config["limits"] = map[string]any{"sockets": 64} },
+			newHost(t, func([]string) string { return successReply("v") }))
+		var crowd []*testClient
 		for range 80 {
-			crowd = append(crowd, w.client())
+			crowd = append(crowd, gateway.connect())
 		}
 		began := time.Now()
-		if a := w.client().ask(call("lookup", 1)); a != "v" {
+		if a := gateway.connect().roundTrip(requestCommand("lookup", 1)); a != "v" {
 			t.Error(a)
 		}
 		if d := time.Since(began); d > 1500*time.Millisecond { // the crowd's own time was not up
 			return fmt.Sprintf("served after %v", d)
 		}
-		if a := crowd[0].answer(); a != "EOF" && !strings.Contains(a, "reset") {
+		if a := crowd[0].readAnswer(); a != "EOF" && !strings.Contains(a, "reset") {
 			t.Errorf("the first of the crowd: %s", a)
 		}
 		return ""
 	})
 }
 
-// Silent clients fill the descriptors while discovery is down, and the system allows fewer of them than the configuration
-// says: the watch is back with the agent, what it tells is kept, and clients that ask get in, at hosts too.
+// TestDescriptorsFilled fills the descriptors with silent clients while discovery is down and the system allows fewer
+// descriptors than configured: the watch returns with the agent, its updates count, and clients that ask are served.
 func TestDescriptorsFilled(t *testing.T) {
-	answer := func([]string) string { return passed("v") }
+	answer := func([]string) string { return successReply("v") }
 	a, b := newHost(t, answer), newHost(t, answer)
-	w := start(t, func(cfg, _ map[string]any) { cfg["ulimit"] = 64 }, a, b)
-	w.line("event=few_descriptors limit=64 sockets=1024")
-	take(w, w.asked)
-	watch := take(w, w.watches)
-	w.agent.Close()
+	gateway := startGateway(t, func(config, _ map[string]any) { config["ulimit"] = 64 }, a, b)
+	gateway.waitForLog("event=few_descriptors limit=64 sockets=1024")
+	receive(gateway, gateway.watchRequests)
+	watch := receive(gateway, gateway.watches)
+	gateway.discoveryAgent.Close()
 	watch.Close()
-	w.line("event=watch_lost")
+	gateway.waitForLog("event=watch_lost")
 	for range 100 {
-		w.client()
+		gateway.connect()
 	}
-	w.line("event=clients_full") // of their own part, far below the configuration's
-	if a := w.client().ask(array("PING")); a != "+PONG" {
+	gateway.waitForLog("event=clients_full") // of their own part, far below the configuration's
+	if a := gateway.connect().roundTrip(respArray("PING")); a != "+PONG" {
 		t.Errorf("with the descriptors filled: %s", a)
 	}
-	agent, err := net.Listen("tcp4", w.agent.Addr().String())
+	agent, err := net.Listen("tcp4", gateway.discoveryAgent.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer agent.Close()
-	go w.discover(agent)
-	take(w, w.asked)
-	list(take(w, w.watches), 42, entry("h0", a.Addr().String(), "leaving"))
-	w.line("event=host id=h0 state=draining version=42")
+	go gateway.serveDiscovery(agent)
+	receive(gateway, gateway.watchRequests)
+	sendHostList(receive(gateway, gateway.watches), 42, hostEntry("h0", a.Addr().String(), "leaving"))
+	gateway.waitForLog("event=host id=h0 state=draining version=42")
 	for i := range 8 {
-		w.client() // one that is silent before each that asks
-		if got := w.client().ask(call("lookup", i)); got != "v" || len(a.got()) > 0 {
+		gateway.connect() // one that is silent before each that asks
+		if got := gateway.connect().roundTrip(requestCommand("lookup", i)); got != "v" || len(a.takeReceived()) > 0 {
 			t.Errorf("%s, or sent to the host that leaves", got)
 		}
 	}
 }
 
-// A client that reads nothing is cut off once too much waits for it, and costs no other client anything.
+// TestSlowClient checks that a client that reads nothing is disconnected once too much waits for it, and costs no other client
+// anything.
 func TestSlowClient(t *testing.T) {
-	large := passed(strings.Repeat("v", 60<<10))
-	w := start(t, func(_, settings map[string]any) {
+	large := successReply(strings.Repeat("v", 60<<10))
+	gateway := startGateway(t, func(_, settings map[string]any) {
 		settings["plans"] = []any{map[string]any{"name": "team", "worth_factor": 1}} // no quota
 	}, newHost(t, func([]string) string { return large }))
-	slow := w.client()
+	slow := gateway.connect()
 	go func() {
 		for err := error(nil); err == nil; {
-			_, err = io.WriteString(slow.Conn, call("lookup", 1))
+			_, err = io.WriteString(slow.Conn, requestCommand("lookup", 1))
 		}
 	}()
-	w.line(`event=client_fault error="answers are read too slowly"`)
-	if a := w.client().ask(array("PING")); a != "+PONG" {
+	gateway.waitForLog(`event=client_fault error="answers are read too slowly"`)
+	if a := gateway.connect().roundTrip(respArray("PING")); a != "+PONG" {
 		t.Error(a)
 	}
 }
--- a/cmd/ravensill/counterfactual_test.go
+++ b/cmd/ravensill/counterfactual_test.go
@@ -13,56 +13,57 @@
 	"ravensill/counterfactual"
 )
 
-// Without the section there is no socket, no goroutine and no line of it; a faulty one ends the start.
+// TestCounterfactualOff checks that without its section the observer has no socket and logs nothing, and that an invalid
+// section ends the start.
 func TestCounterfactualOff(t *testing.T) {
-	h := newHost(t, func([]string) string { return passed("v") })
-	w := start(t, nil, h)
-	if a := w.client().ask(call("lookup", 1)); a != "v" {
+	h := newHost(t, func([]string) string { return successReply("v") })
+	gateway := startGateway(t, nil, h)
+	if a := gateway.connect().roundTrip(requestCommand("lookup", 1)); a != "v" {
 		t.Error(a)
 	}
-	if n := w.udp(); n != 0 {
+	if n := gateway.countUDPSockets(); n != 0 {
 		t.Errorf("%d sockets for datagrams", n)
 	}
-	w.cmd.Process.Signal(os.Interrupt)
-	for l := range w.log {
+	gateway.cmd.Process.Signal(os.Interrupt)
+	for l := range gateway.log {
 		if strings.Contains(l, "witness") {
 			t.Error(l)
 		}
 	}
-	w = start(t, func(cfg, _ map[string]any) {
-		cfg["counterfactual"] = map[string]any{"listen": "127.0.0.1:0", "queue": -1}
+	gateway = startGateway(t, func(config, _ map[string]any) {
+		config["counterfactual"] = map[string]any{"listen": "127.0.0.1:0", "queue": -1}
 	}, h)
-	if !strings.Contains(w.addr, "counterfactual: queue: -1 is not from 1 to") {
-		t.Errorf("the line does not name the key: %s", w.addr)
+	if !strings.Contains(gateway.addr, "counterfactual: queue: -1 is not from 1 to") {
+		t.Errorf("the line does not name the key: %s", gateway.addr)
 	}
 }
 
-// A collector folds its own dispatches and those told by a peer; malformed, oversized and forged datagrams and
-// questions are counted or turned away, and end nothing.
+// TestCounterfactual checks that a collector folds its own attempts and those reported by a peer; malformed, oversized and
+// forged datagrams and queries are counted or rejected, and end nothing.
 func TestCounterfactual(t *testing.T) {
 	peer, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer peer.Close()
-	w := start(t, func(cfg, settings map[string]any) {
+	gateway := startGateway(t, func(config, settings map[string]any) {
 		settings["balancers"] = 2
 		settings["limits"].(map[string]any)["peer_messages"] = false
-		cfg["counterfactual"] = map[string]any{"listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:9", peer.LocalAddr().String()},
+		config["counterfactual"] = map[string]any{"listen": "127.0.0.1:0", "peers": []string{"127.0.0.1:9", peer.LocalAddr().String()},
 			"collectors": []int{0}, "part": 1, "window_ms": 100, "grace_ms": 100}
-	}, newHost(t, func([]string) string { return passed("v") }))
-	w2 := w.client()
-	if n := w.udp(); n != 1 {
+	}, newHost(t, func([]string) string { return successReply("v") }))
+	client := gateway.connect()
+	if n := gateway.countUDPSockets(); n != 1 {
 		t.Errorf("%d sockets for datagrams", n)
 	}
 	ask := func(q string) string {
-		at := w.witnessing[strings.Index(w.witnessing, "ask=")+4:]
+		at := gateway.observerLine[strings.Index(gateway.observerLine, "ask=")+4:]
 		c, err := net.Dial("tcp4", at)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		c.SetDeadline(time.Now().Add(patience))
+		c.SetDeadline(time.Now().Add(waitLimit))
 		fmt.Fprintln(c, q)
 		line, err := bufio.NewReader(c).ReadString('\n')
 		if err != nil {
@@ -70,7 +71,7 @@
 		}
 		return line
 	}
-	far, _ := net.ResolveUDPAddr("udp4", strings.Fields(w.witnessing[strings.Index(w.witnessing, "listen=")+7:])[0])
+	far, _ := net.ResolveUDPAddr("udp4", strings.Fields(gateway.observerLine[strings.Index(gateway.observerLine, "listen=")+7:])[0])
 	part := func(seat uint32) []byte {
 		return append([]byte{'S'}, counterfactual.Encode(counterfactual.Part{Gateway: seat, Life: 1, Length: 100}, nil)[0](0)...)
 	}
@@ -87,18 +88,18 @@
 	dropped := 0
 	for dropped < len(bad) { // an empty one counts for none; the stranger's does
 		n := 0
-		l := w.line("event=witness_dropped")
+		l := gateway.waitForLog("event=witness_dropped")
 		fmt.Sscanf(l[strings.Index(l, "datagrams="):], "datagrams=%d", &n)
 		dropped += n
 	}
 	peer.WriteToUDP(part(1), far)
-	peer.SetReadDeadline(time.Now().Add(patience))
+	peer.SetReadDeadline(time.Now().Add(waitLimit))
 	buf := make([]byte, 100)
 	if n, err := peer.Read(buf); err != nil || buf[0] != 'A' || n < 3 {
 		t.Errorf("not confirmed: %v", err)
 	}
 	for i := range 5 {
-		if a := w2.ask(call("lookup", i)); a != "v" {
+		if a := client.roundTrip(requestCommand("lookup", i)); a != "v" {
 			t.Error(a)
 		}
 	}
--- a/cmd/ravensill/example_test.go
+++ b/cmd/ravensill/example_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// README's start is one command on a shipped file. It is run as README has it, from the root; only the port is free
-// to choose, since others may run beside it.
+// TestExample runs README's start command on its shipped file, from the root; only the port is free to choose, since others
+// may run beside it.
 func TestExample(t *testing.T) {
 	readme, err := os.ReadFile("../../README.md")
 	if err != nil {
@@ -19,16 +19,16 @@
 	if m == nil {
 		t.Fatal("README has no command that starts a gateway")
 	}
-	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1)}
-	w.cmd = exec.Command(os.Args[0])
-	w.cmd.Dir = "../.."
-	w.cmd.Env = append(os.Environ(), asProgram+"=1", m[1], "GW_LISTEN=127.0.0.1:0")
-	w.follow()
+	gateway := &gatewayProcess{T: t, log: make(chan string, 999), exited: make(chan error, 1)}
+	gateway.cmd = exec.Command(os.Args[0])
+	gateway.cmd.Dir = "../.."
+	gateway.cmd.Env = append(os.Environ(), runAsGateway+"=1", m[1], "GW_LISTEN=127.0.0.1:0")
+	gateway.startAndWait()
 	for _, c := range []struct{ cmd, want string }{
-		{array("PING"), "+PONG"},
-		{array("CALL.GET", "00000000b4d65521", "id1", "c=lookup,t=team,d=480,units=1,spread=1,first=0"), "-BUSY"}, // no host runs
+		{respArray("PING"), "+PONG"},
+		{respArray("CALL.GET", "00000000b4d65521", "id1", "c=lookup,t=team,d=480,units=1,spread=1,first=0"), "-BUSY"}, // no host runs
 	} {
-		if a := w.client().ask(c.cmd); !strings.HasPrefix(a, c.want) {
+		if a := gateway.connect().roundTrip(c.cmd); !strings.HasPrefix(a, c.want) {
 			t.Errorf("%q is answered %s, not %s", c.cmd, a, c.want)
 		}
 	}
--- /dev/null
+++ b/cmd/ravensill/harness_host_test.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// readReply reads one RESP value: the elements of an array, or a single line or bulk string.
+func readReply(r *bufio.Reader) ([]string, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	n, _ := strconv.Atoi(line[1:])
+	switch line[0] {
+	case '*':
+		var elements []string
+		for range n {
+			element, err := readReply(r)
+			if err != nil {
+				return nil, err
+			}
+			elements = append(elements, element...)
+		}
+		return elements, nil
+	case '$':
+		body := make([]byte, n+2)
+		_, err := io.ReadFull(r, body)
+		return []string{string(body[:n])}, err
+	}
+	return []string{line}, nil
+}
+
+// respArray encodes elements as a RESP array of bulk strings.
+func respArray(elements ...string) string {
+	text := fmt.Sprintf("*%d\r\n", len(elements))
+	for _, element := range elements {
+		text += respBulk(element)
+	}
+	return text
+}
+
+// respBulk encodes a RESP bulk string.
+func respBulk(value string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(value), value) }
+
+// successReply is a host's reply with a value and a load report.
+func successReply(value string) string {
+	return "*3\r\n" + respBulk(value) + respBulk("used=3") + respBulk("utilization=0.5")
+}
+
+// testHost stands in for one host of the back end. reply gives the bytes to write; a trailing "close" closes the
+// connection after them.
+type testHost struct {
+	net.Listener
+	reply        func(cmd []string) string
+	mu           sync.Mutex
+	received     [][]string    // commands since the last takeReceived
+	disconnected chan struct{} // receives a value each time the gateway closes a connection
+	inOrder      bool          // replies are written in the order of the commands
+}
+
+// newHost starts a host on a loopback port.
+func newHost(t *testing.T, reply func(cmd []string) string) *testHost {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := &testHost{Listener: listener, reply: reply, disconnected: make(chan struct{}, 100)}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go host.serve(conn)
+		}
+	}()
+	return host
+}
+
+func (h *testHost) serve(conn net.Conn) {
+	defer conn.Close()
+	for r := bufio.NewReader(conn); ; {
+		command, err := readReply(r)
+		if err != nil {
+			h.disconnected <- struct{}{}
+			return
+		}
+		h.mu.Lock()
+		h.received = append(h.received, command)
+		h.mu.Unlock()
+		respond := func() {
+			text, closeAfter := strings.CutSuffix(h.reply(command), "close")
+			if io.WriteString(conn, text); closeAfter {
+				conn.Close()
+			}
+		}
+		if h.inOrder {
+			respond()
+		} else {
+			go respond()
+		}
+	}
+}
+
+// takeReceived returns the commands received since the last call.
+func (h *testHost) takeReceived() [][]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	commands := h.received
+	h.received = nil
+	return commands
+}
+
+// newBlockingHost starts a host that answers all commands but that of customer 1, which it holds back: received is closed when
+// that command arrives, and it is answered once the test closes release.
+func newBlockingHost(t *testing.T) (host *testHost, received, release chan struct{}) {
+	received, release = make(chan struct{}), make(chan struct{})
+	return newHost(t, func(cmd []string) string {
+		if cmd[1] == "0000000000000001" {
+			close(received)
+			<-release
+		}
+		return successReply("v")
+	}), received, release
+}
--- a/cmd/ravensill/harness_test.go
+++ b/cmd/ravensill/harness_test.go
@@ -11,9 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,314 +20,220 @@
 	"golang.org/x/sys/unix"
 )
 
-// The tests start the program itself: this test binary, which runs main where this is set.
-const asProgram = "RAVENSILL_PROGRAM"
+// runAsGateway is the environment variable that makes this test binary run the gateway's main instead of the tests.
+const runAsGateway = "RAVENSILL_PROGRAM"
 
-const patience = 20 * time.Second // for what must happen; no test passes by waiting
+// waitLimit bounds each wait for an event that must happen; no test passes by reaching it.
+const waitLimit = 20 * time.Second
 
 func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) == "1" {
+	if os.Getenv(runAsGateway) == "1" {
 		main()
 		os.Exit(0)
 	}
 	os.Exit(m.Run())
 }
 
-// words reads one RESP value as the words of an array, or as one line or bulk.
-func words(r *bufio.Reader) ([]string, error) {
-	line, err := r.ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	line = strings.TrimSuffix(line, "\r\n")
-	n, _ := strconv.Atoi(line[1:])
-	switch line[0] {
-	case '*':
-		var all []string
-		for range n {
-			w, err := words(r)
-			if err != nil {
-				return nil, err
-			}
-			all = append(all, w...)
-		}
-		return all, nil
-	case '$':
-		b := make([]byte, n+2)
-		_, err := io.ReadFull(r, b)
-		return []string{string(b[:n])}, err
-	}
-	return []string{line}, nil
-}
-
-func array(words ...string) string {
-	s := fmt.Sprintf("*%d\r\n", len(words))
-	for _, w := range words {
-		s += bulk(w)
-	}
-	return s
-}
-
-func bulk(s string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(s), s) }
-
-// holding is a host that answers, but holds the first customer's command, told by came, until the gate is closed.
-func holding(t *testing.T) (h *host, came, gate chan struct{}) {
-	came, gate = make(chan struct{}), make(chan struct{})
-	return newHost(t, func(cmd []string) string {
-		if cmd[1] == "0000000000000001" {
-			close(came)
-			<-gate
-		}
-		return passed("v")
-	}), came, gate
-}
-
-func passed(value string) string {
-	return "*3\r\n" + bulk(value) + bulk("used=3") + bulk("utilization=0.5")
-}
-
-// host stands in for one of the back end. answer gives the bytes to write; with "close" at their end the
-// connection ends after them.
-type host struct {
-	net.Listener
-	answer  func(cmd []string) string
-	mu      sync.Mutex
-	cmds    [][]string
-	closed  chan struct{} // a connection was ended by the gateway
-	ordered bool          // answers go in the order of the commands
-}
-
-func newHost(t *testing.T, answer func(cmd []string) string) *host {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := &host{Listener: l, answer: answer, closed: make(chan struct{}, 100)}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c)
-		}
-	}()
-	return h
-}
-
-func (h *host) serve(c net.Conn) {
-	defer c.Close()
-	for r := bufio.NewReader(c); ; {
-		cmd, err := words(r)
-		if err != nil {
-			h.closed <- struct{}{}
-			return
-		}
-		h.mu.Lock()
-		h.cmds = append(h.cmds, cmd)
-		h.mu.Unlock()
-		reply := func() {
-			a, end := strings.CutSuffix(h.answer(cmd), "close")
-			if io.WriteString(c, a); end {
-				c.Close()
-			}
-		}
-		if h.ordered {
-			reply()
-		} else {
-			go reply()
-		}
-	}
-}
-
-// got gives the commands that came since the last call.
-func (h *host) got() [][]string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	cmds := h.cmds
-	h.cmds = nil
-	return cmds
-}
-
-// world is one program with all that it speaks to.
-type world struct {
+// gatewayProcess is one running gateway with its configuration, its log and the discovery agent that it watches.
+type gatewayProcess struct {
 	*testing.T
-	cmd        *exec.Cmd
-	file       string
-	agent      net.Listener // discovery's first
-	cfg        map[string]any
-	addr, peer string        // where it listens
-	witnessing string        // the line of the task that records dispatches, where that is on
-	watches    chan net.Conn // discovery's, past the head of the answer
-	asked      chan string   // by these
-	early      []string      // of the log, up to the start
-	log        chan string
-	logs       io.Closer
-	exit       chan error
-}
-
-func entry(id, addr, state string) map[string]any {
+	cmd            *exec.Cmd
+	configFile     string
+	discoveryAgent net.Listener // the agent named by the first configuration
+	config         map[string]any
+	addr           string        // where clients connect
+	peerAddr       string        // where datagrams of other gateways arrive
+	observerLine   string        // log line of the counterfactual observer's start, if it is configured
+	watches        chan net.Conn // discovery watches whose response head was sent
+	watchRequests  chan string   // request lines of these watches
+	startupLog     []string      // log lines up to the start that no test has taken
+	log            chan string   // later log lines
+	logs           io.Closer     // read end of the log
+	exited         chan error
+}
+
+// hostEntry is one host of a host list, as discovery sends it.
+func hostEntry(id, addr, state string) map[string]any {
 	return map[string]any{"id": id, "addr": addr, "zone": "a", "kind": "m", "cell": 0, "state": state, "weight": 1, "started_ms": 0}
 }
 
-func start(t *testing.T, set func(cfg, settings map[string]any), hosts ...*host) *world {
-	agent, err := net.Listen("tcp4", "127.0.0.1:0")
+// startGateway writes a configuration, changed by configure if that is not nil, starts a gateway with it and a discovery agent
+// beside it, and waits until the gateway serves or has failed to start.
+func startGateway(t *testing.T, configure func(config, settings map[string]any), hosts ...*testHost) *gatewayProcess {
+	discoveryAgent, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, agent: agent, watches: make(chan net.Conn, 9), asked: make(chan string, 9), log: make(chan string, 999), exit: make(chan error, 1)}
-	t.Cleanup(func() { agent.Close() })
-	front := func(name, effect string, target int) map[string]any {
+	gateway := &gatewayProcess{
+		T:              t,
+		discoveryAgent: discoveryAgent,
+		watches:        make(chan net.Conn, 9),
+		watchRequests:  make(chan string, 9),
+		log:            make(chan string, 999),
+		exited:         make(chan error, 1),
+	}
+	t.Cleanup(func() { discoveryAgent.Close() })
+	requestClass := func(name, effect string, target int) map[string]any {
 		return map[string]any{"name": name, "effect": effect, "target_us": target, "hard_limit_us": 5000000, "points": 1, "window_us": 5000000}
 	}
 	settings := map[string]any{"balancers": 1, "position": 0, "zones": []string{"a"}, "skus": []string{"m"},
 		"limits":   map[string]any{"max_attempts": 3, "cancelling": true, "retry_after": true, "conn_idle_us": 30000000, "connect_timeout_us": 250000, "peer_messages": true},
-		"profiles": []any{front("lookup", "safe", 4000000), front("order", "keyed", 4000000), front("pay", "unsafe", 4000000), front("quick", "safe", 300000)},
+		"profiles": []any{requestClass("lookup", "safe", 4000000), requestClass("order", "keyed", 4000000), requestClass("pay", "unsafe", 4000000), requestClass("quick", "safe", 300000)},
 		"plans":    []any{map[string]any{"name": "team", "rate": 0.01, "burst": 8, "worth_factor": 1}},
 		"report":   map[string]any{"how": "inline", "names": []string{"utilization"}}, "family_info": map[string]any{"mail_per_s": 40}}
-	var known []any
+	var hostList []any
 	for i, h := range hosts {
-		known = append(known, entry(fmt.Sprint("h", i), h.Addr().String(), "active"))
-	}
-	cfg := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": agent.Addr().String(), "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": map[string]any{"version": 41, "full": true, "servers": known}, "settings": settings}
-	if set != nil {
-		set(cfg, settings)
-	}
-	first, _ := cfg["agent"].([]any) // what discovery's agent has from the first moment on
-	go w.discover(agent, first...)
-	w.file, w.cfg = filepath.Join(t.TempDir(), "config.json"), cfg
-	w.write()
-	w.cmd = exec.Command(os.Args[0])
-	if n := cfg["ulimit"]; n != nil { // descriptors that the system allows
-		w.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, n), os.Args[0])
-	}
-	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file, "GW_DISCOVERY="+cfg["discovery"].(string), "GORACE=halt_on_error=1")
-	w.follow()
-	return w
+		hostList = append(hostList, hostEntry(fmt.Sprint("h", i), h.Addr().String(), "active"))
+	}
+	config := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discoveryAgent.Addr().String(), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": map[string]any{"version": 41, "full": true, "servers": hostList}, "settings": settings}
+	if configure != nil {
+		configure(config, settings)
+	}
+	initialHosts, _ := config["agent"].([]any) // what discovery's agent has from the first moment on
+	go gateway.serveDiscovery(discoveryAgent, initialHosts...)
+	gateway.configFile, gateway.config = filepath.Join(t.TempDir(), "config.json"), config
+	gateway.writeConfig()
+	gateway.cmd = exec.Command(os.Args[0])
+	if n := config["ulimit"]; n != nil { // descriptors that the system allows
+		gateway.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, n), os.Args[0])
+	}
+	gateway.cmd.Env = append(os.Environ(), runAsGateway+"=1", "GW_CONFIG="+gateway.configFile, "GW_DISCOVERY="+config["discovery"].(string), "GORACE=halt_on_error=1")
+	gateway.startAndWait()
+	return gateway
 }
 
-// follow starts the program and waits for its first event.
-func (w *world) follow() {
-	w.launch()
-	w.started()
+// startAndWait starts the program and waits for its first event.
+func (g *gatewayProcess) startAndWait() {
+	g.startProcess()
+	g.waitUntilStarted()
 }
 
-func (w *world) launch() {
-	out, err := w.cmd.StderrPipe()
+// startProcess starts the program and follows its log; a logged panic kills it.
+func (g *gatewayProcess) startProcess() {
+	out, err := g.cmd.StderrPipe()
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
-	w.logs = out
-	if err := w.cmd.Start(); err != nil {
-		w.Fatal(err)
+	g.logs = out
+	if err := g.cmd.Start(); err != nil {
+		g.Fatal(err)
 	}
 	go func() {
 		for s := bufio.NewScanner(out); s.Scan(); {
-			if w.log <- s.Text(); strings.Contains(s.Text(), "event=panic") {
-				w.cmd.Process.Kill()
+			if g.log <- s.Text(); strings.Contains(s.Text(), "event=panic") {
+				g.cmd.Process.Kill()
 			}
 		}
-		w.exit <- w.cmd.Wait()
-		close(w.log)
+		g.exited <- g.cmd.Wait()
+		close(g.log)
 	}()
-	w.Cleanup(func() { w.cmd.Process.Kill() })
+	g.Cleanup(func() { g.cmd.Process.Kill() })
 }
 
-func (w *world) started() {
-	line, early := "", []string(nil)
-	for !strings.Contains(line, "event=s") && !strings.Contains(line, "event=address") && !strings.Contains(line, "event=failed") || strings.Contains(line, "event=settings") { // of the start, or of its end
-		line = w.line("event=")
-		if early = append(early, line); strings.Contains(line, "event=witnessing") {
-			w.witnessing = line
+// waitUntilStarted reads the log up to the line that tells the outcome of the start. After a failed start addr holds that line.
+func (g *gatewayProcess) waitUntilStarted() {
+	line, lines := "", []string(nil)
+	for !endsStart(line) {
+		line = g.waitForLog("event=")
+		if lines = append(lines, line); strings.Contains(line, "event=witnessing") {
+			g.observerLine = line
 		}
 	}
-	w.early = early
+	g.startupLog = lines
 	if strings.Contains(line, "event=start_failed") {
-		w.addr = line
+		g.addr = line
 	} else if strings.Contains(line, "event=serving") {
-		fmt.Sscanf(line[strings.Index(line, "listen="):], "listen=%s peer_listen=%s", &w.addr, &w.peer)
+		fmt.Sscanf(line[strings.Index(line, "listen="):], "listen=%s peer_listen=%s", &g.addr, &g.peerAddr)
+	}
+}
+
+// endsStart tells whether a log line is the last one of a start, successful or not.
+func endsStart(line string) bool {
+	if strings.Contains(line, "event=settings") {
+		return false
 	}
+	return strings.Contains(line, "event=s") || strings.Contains(line, "event=address") || strings.Contains(line, "event=failed")
 }
 
-// write makes the configuration file anew.
-func (w *world) write() {
-	text, _ := json.Marshal(w.cfg)
-	if err := os.WriteFile(w.file, text, 0o644); err != nil {
-		w.Fatal(err)
+// writeConfig writes config to the configuration file.
+func (g *gatewayProcess) writeConfig() {
+	text, _ := json.Marshal(g.config)
+	if err := os.WriteFile(g.configFile, text, 0o644); err != nil {
+		g.Fatal(err)
 	}
 }
 
-// discover stands in for discovery's agent: it answers each watch at once with what it has.
-func (w *world) discover(agent net.Listener, has ...any) {
+// serveDiscovery is a discovery agent: it answers each watch at once with entries.
+func (g *gatewayProcess) serveDiscovery(agent net.Listener, entries ...any) {
 	for {
-		c, err := agent.Accept()
+		conn, err := agent.Accept()
 		if err != nil {
 			return
 		}
-		r := bufio.NewReader(c)
-		ask, _ := r.ReadString('\n')
-		for line := ask; len(line) > 2; {
-			line, _ = r.ReadString('\n')
+		reader := bufio.NewReader(conn)
+		requestLine, _ := reader.ReadString('\n')
+		for line := requestLine; len(line) > 2; {
+			line, _ = reader.ReadString('\n')
 		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		version := 0
-		fmt.Sscanf(ask, "GET /v1/servers?watch=1&after=%d ", &version)
-		list(c, version, has...)
-		w.asked <- ask
-		w.watches <- c
+		fmt.Sscanf(requestLine, "GET /v1/servers?watch=1&after=%d ", &version)
+		sendHostList(conn, version, entries...)
+		g.watchRequests <- requestLine
+		g.watches <- conn
 	}
 }
 
-// list tells the program news, in two chunks; odd versions come indented.
-func list(c net.Conn, version int, entries ...any) {
-	news := map[string]any{"version": version, "full": false, "servers": entries}
-	text, _ := json.Marshal(news)
+// sendHostList sends a delta of the host list in two HTTP chunks; odd versions are indented.
+func sendHostList(conn net.Conn, version int, entries ...any) {
+	update := map[string]any{"version": version, "full": false, "servers": entries}
+	text, _ := json.Marshal(update)
 	if version%2 == 1 {
-		text, _ = json.MarshalIndent(news, "", "\t")
+		text, _ = json.MarshalIndent(update, "", "\t")
 	}
-	fmt.Fprintf(c, "%x\r\n%s\r\n%x\r\n%s\n\r\n", 5, text[:5], len(text)-4, text[5:])
+	fmt.Fprintf(conn, "%x\r\n%s\r\n%x\r\n%s\n\r\n", 5, text[:5], len(text)-4, text[5:])
 }
 
-// line waits for a line of the log that holds text.
-func (w *world) line(text string) string {
-	if i := slices.IndexFunc(w.early, func(l string) bool { return strings.Contains(l, text) }); i >= 0 {
-		l := w.early[i]
-		w.early = w.early[i+1:]
+// waitForLog waits for a log line that contains text.
+func (g *gatewayProcess) waitForLog(text string) string {
+	if i := slices.IndexFunc(g.startupLog, func(l string) bool { return strings.Contains(l, text) }); i >= 0 {
+		l := g.startupLog[i]
+		g.startupLog = g.startupLog[i+1:]
 		return l
 	}
-	for limit := time.After(patience); ; {
+	for limit := time.After(waitLimit); ; {
 		select {
-		case l, ok := <-w.log:
+		case l, ok := <-g.log:
 			if !ok {
-				w.Fatalf("the program ended before saying %q", text)
+				g.Fatalf("the program ended before saying %q", text)
 			}
 			if strings.Contains(l, text) {
 				return l
 			}
 		case <-limit:
-			w.Fatalf("never said %q", text)
+			g.Fatalf("never said %q", text)
 		}
 	}
 }
 
-func take[T any](w *world, c chan T) T {
+// receive takes the next value of a channel.
+func receive[T any](gateway *gatewayProcess, c chan T) T {
 	select {
-	case v := <-c:
-		return v
-	case <-time.After(patience):
-		w.Fatal("nothing came")
+	case value := <-c:
+		return value
+	case <-time.After(waitLimit):
+		gateway.Fatal("nothing came")
 		panic("")
 	}
 }
 
-// tried plays until the machine did not slow a play down: play tells what a slow machine may excuse, "" where all was in
-// time. A program at fault is slow in every play.
-func tried(t *testing.T, play func() (slow string)) {
+// retryWhenSlow repeats a run of which the machine's load may have delayed a step: run returns that delay, or "" when every step
+// was in time. A faulty program is slow in every run and fails the test.
+func retryWhenSlow(t *testing.T, run func() (slow string)) {
 	slow := ""
 	for range 6 {
-		if slow = play(); slow == "" || t.Failed() {
+		if slow = run(); slow == "" || t.Failed() {
 			return
 		}
 		t.Log(slow)
@@ -337,90 +241,93 @@
 	t.Error(slow)
 }
 
-// inTime is a fault of a program that was called to stop: only in its last moments, which it takes by its own clock and no
-// sooner, may a command on an open connection have no answer.
-func inTime(t *testing.T, called time.Time, fault string) string {
-	if time.Since(called) < 3*time.Second {
+// faultUnlessLate reports a command that a stopping gateway left unanswered. Only in the last moments before it exits, which
+// begin 3 s after the request to stop at the earliest, may a command on an open connection have no answer.
+func faultUnlessLate(t *testing.T, stopRequested time.Time, fault string) string {
+	if time.Since(stopRequested) < 3*time.Second {
 		t.Error(fault)
 	}
 	return fault
 }
 
-// stand stops the program where it is.
-func (w *world) stand() {
-	w.cmd.Process.Signal(syscall.SIGSTOP)
-	for p, err := procfs.NewProc(w.cmd.Process.Pid); ; {
-		s, bad := p.Stat()
-		if err != nil || bad != nil {
-			w.Fatal(err, bad)
+// pause stops the process with SIGSTOP and waits until it stands still.
+func (g *gatewayProcess) pause() {
+	g.cmd.Process.Signal(syscall.SIGSTOP)
+	for process, err := procfs.NewProc(g.cmd.Process.Pid); ; {
+		stat, statErr := process.Stat()
+		if err != nil || statErr != nil {
+			g.Fatal(err, statErr)
 		}
-		if s.State == "T" {
+		if stat.State == "T" {
 			return
 		}
 	}
 }
 
-type client struct {
-	*world
+// testClient is one client connection to a gateway.
+type testClient struct {
+	*gatewayProcess
 	net.Conn
-	r *bufio.Reader
+	reader *bufio.Reader
 }
 
-func (w *world) client() *client {
-	c, err := net.Dial("tcp4", w.addr)
+// connect opens a client connection.
+func (g *gatewayProcess) connect() *testClient {
+	conn, err := net.Dial("tcp4", g.addr)
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
-	w.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	return &client{w, c, bufio.NewReader(c)}
+	g.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(waitLimit))
+	return &testClient{g, conn, bufio.NewReader(conn)}
 }
 
-func (c *client) send(cmds ...string) { io.WriteString(c.Conn, strings.Join(cmds, "")) }
+func (c *testClient) send(cmds ...string) { io.WriteString(c.Conn, strings.Join(cmds, "")) }
 
-func (c *client) answer() string {
-	v, err := words(c.r)
+// readAnswer returns the next answer, or the text of the error that ended the connection.
+func (c *testClient) readAnswer() string {
+	elements, err := readReply(c.reader)
 	if err != nil {
 		return err.Error()
 	}
-	return v[0]
+	return elements[0]
 }
 
-func (c *client) ask(cmd string) string {
+func (c *testClient) roundTrip(cmd string) string {
 	c.send(cmd)
-	return c.answer()
+	return c.readAnswer()
 }
 
-var ids int
+var lastRequestID int
 
-// call is a command of customer n.
-func call(front string, n int, body ...string) string {
-	ids++
+// requestCommand encodes a request of a customer in a request class.
+func requestCommand(class string, customer int, body ...string) string {
+	lastRequestID++
 	verb := "CALL.POST"
-	if front == "lookup" || front == "quick" {
+	if class == "lookup" || class == "quick" {
 		verb = "CALL.GET"
 	}
-	return array(append([]string{verb, fmt.Sprintf("%016x", n), fmt.Sprint("id", ids), "c=" + front + ",t=team,d=3000,k=00ff,units=1,spread=1,first=0"}, body...)...)
+	return respArray(append([]string{verb, fmt.Sprintf("%016x", customer), fmt.Sprint("id", lastRequestID), "c=" + class + ",t=team,d=3000,k=00ff,units=1,spread=1,first=0"}, body...)...)
 }
 
-// signal sends one, and waits until the program has said so.
-func (w *world) signal(s syscall.Signal, line string) {
-	w.cmd.Process.Signal(s)
+// signal sends a signal and waits for a log line, if one is given.
+func (g *gatewayProcess) signal(s syscall.Signal, line string) {
+	g.cmd.Process.Signal(s)
 	if line != "" {
-		w.line(line)
+		g.waitForLog(line)
 	}
 }
 
-// all sends each signal that a platform sends, in the order that is the worst: none may end the program before its time.
-func (w *world) all() {
-	w.signal(syscall.SIGHUP, "event=reloaded")
-	w.signal(syscall.SIGTERM, "event=stopping clients=")
-	w.signal(syscall.SIGHUP, "event=reloaded")
-	w.signal(syscall.SIGTERM, "event=stopping_already")
+// sendAllSignals sends each signal that a platform sends, in the worst order: none may end the program before its time.
+func (g *gatewayProcess) sendAllSignals() {
+	g.signal(syscall.SIGHUP, "event=reloaded")
+	g.signal(syscall.SIGTERM, "event=stopping clients=")
+	g.signal(syscall.SIGHUP, "event=reloaded")
+	g.signal(syscall.SIGTERM, "event=stopping_already")
 }
 
-// untilHalfClosed waits for the end of what the other side sends; what came before it stays unread.
-func (c *client) untilHalfClosed() {
+// waitUntilHalfClosed waits until the gateway has closed its sending side; received bytes stay unread.
+func (c *testClient) waitUntilHalfClosed() {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		c.Fatal(err)
@@ -441,40 +348,42 @@
 	}
 }
 
-func (w *world) exited() string {
-	if err := take(w, w.exit); err != nil {
+// exitStatus waits for the end of the process.
+func (g *gatewayProcess) exitStatus() string {
+	if err := receive(g, g.exited); err != nil {
 		return err.Error()
 	}
 	return "exit 0"
 }
 
-func short(_, settings map[string]any) { // it ends all 0.8 s after the call to stop
+// configureShortDeadlines sets latency objectives so short that a gateway ends all connections 0.8 s after a request to stop.
+func configureShortDeadlines(_, settings map[string]any) {
 	for _, p := range settings["profiles"].([]any) {
 		p.(map[string]any)["target_us"], p.(map[string]any)["hard_limit_us"] = 200000, 300000
 	}
 }
 
-// udp gives how many sockets for datagrams the program has open.
-func (w *world) udp() (n int) {
-	p, err := procfs.NewProc(w.cmd.Process.Pid)
+// countUDPSockets returns how many UDP sockets the process has open.
+func (g *gatewayProcess) countUDPSockets() (n int) {
+	process, err := procfs.NewProc(g.cmd.Process.Pid)
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
-	targets, err := p.FileDescriptorTargets()
+	targets, err := process.FileDescriptorTargets()
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
 	fs, err := procfs.NewDefaultFS()
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
-	all, err := fs.NetUDP()
+	sockets, err := fs.NetUDP()
 	if err != nil {
-		w.Fatal(err)
+		g.Fatal(err)
 	}
-	for _, s := range all {
-		for _, t := range targets {
-			if t == fmt.Sprintf("socket:[%d]", s.Inode) {
+	for _, socket := range sockets {
+		for _, target := range targets {
+			if target == fmt.Sprintf("socket:[%d]", socket.Inode) {
 				n++
 			}
 		}
--- a/cmd/ravensill/membership_test.go
+++ b/cmd/ravensill/membership_test.go
@@ -10,55 +10,56 @@
 	"testing"
 )
 
-// A drain told is kept, whatever else comes on the watch; a broken watch is asked for anew from where it was.
+// TestList checks that a drain delivered on the watch is kept, whatever else arrives on it, and that a broken watch is
+// resumed from the last version received.
 func TestList(t *testing.T) {
-	answer := func([]string) string { return passed("v") }
+	answer := func([]string) string { return successReply("v") }
 	a, b, c := newHost(t, answer), newHost(t, answer), newHost(t, answer)
-	w := start(t, nil, a, b)
-	if ask := take(w, w.asked); !strings.HasPrefix(ask, "GET /v1/servers?watch=1&after=41 HTTP/1.1") {
-		t.Errorf("asked for the list with %q", ask)
+	gateway := startGateway(t, nil, a, b)
+	if serveEight := receive(gateway, gateway.watchRequests); !strings.HasPrefix(serveEight, "GET /v1/servers?watch=1&after=41 HTTP/1.1") {
+		t.Errorf("asked for the list with %q", serveEight)
 	}
-	watch := take(w, w.watches)
+	watch := receive(gateway, gateway.watches)
 	io.WriteString(watch, "1\r\n\n\r\n9\r\n{\"no\":\n1}\r\n")
-	w.line("event=list_dropped")
-	list(watch, 43, entry("h0", a.Addr().String(), "leaving"), entry("h2", c.Addr().String(), "active"))
-	w.line("event=host id=h0 state=draining version=43")
-	ask := func() {
+	gateway.waitForLog("event=list_dropped")
+	sendHostList(watch, 43, hostEntry("h0", a.Addr().String(), "leaving"), hostEntry("h2", c.Addr().String(), "active"))
+	gateway.waitForLog("event=host id=h0 state=draining version=43")
+	serveEight := func() {
 		for i := range 8 {
-			if got := w.client().ask(call("lookup", 100+i)); got != "v" {
+			if got := gateway.connect().roundTrip(requestCommand("lookup", 100+i)); got != "v" {
 				t.Fatal(got)
 			}
 		}
 	}
-	ask()
-	if len(a.got()) > 0 || len(b.got())+len(c.got()) != 8 {
+	serveEight()
+	if len(a.takeReceived()) > 0 || len(b.takeReceived())+len(c.takeReceived()) != 8 {
 		t.Error("the drain was not kept")
 	}
 	watch.Close()
-	w.line("event=watch_lost")
-	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
-		t.Errorf("asked for the list with %q", ask)
+	gateway.waitForLog("event=watch_lost")
+	if serveEight := receive(gateway, gateway.watchRequests); !strings.Contains(serveEight, "after=43 ") {
+		t.Errorf("asked for the list with %q", serveEight)
 	}
-	watch = take(w, w.watches)
-	list(watch, 44, entry("h1", "", "left"))
-	w.line("event=watch_back")
-	w.line("event=host id=h1 state=gone version=44")
+	watch = receive(gateway, gateway.watches)
+	sendHostList(watch, 44, hostEntry("h1", "", "left"))
+	gateway.waitForLog("event=watch_back")
+	gateway.waitForLog("event=host id=h1 state=gone version=44")
 	io.WriteString(watch, "2\r\n{]\r\n") // what follows can't be told apart
-	w.line(`event=watch_lost error="invalid character`)
-	if ask := take(w, w.asked); !strings.Contains(ask, "after=44 ") {
-		t.Errorf("asked for the list with %q", ask)
+	gateway.waitForLog(`event=watch_lost error="invalid character`)
+	if serveEight := receive(gateway, gateway.watchRequests); !strings.Contains(serveEight, "after=44 ") {
+		t.Errorf("asked for the list with %q", serveEight)
 	}
-	ask()
-	if len(c.got()) != 8 || len(b.got()) > 0 {
+	serveEight()
+	if len(c.takeReceived()) != 8 || len(b.takeReceived()) > 0 {
 		t.Error("the host that is gone got more")
 	}
 }
 
-// Whatever becomes of a watch and of the call after it, the list is asked for anew from where it was, nothing of a half
-// list counts, and a drain told at last is kept.
+// TestWatchTroubles breaks the watch in each way: the list is requested again from the last whole version, no part of a cut
+// list counts, and a drain delivered at last is kept.
 func TestWatchTroubles(t *testing.T) {
-	answer := func([]string) string { return passed("v") }
-	for name, trouble := range map[string]func(c net.Conn, list string){
+	answer := func([]string) string { return successReply("v") }
+	for name, fault := range map[string]func(c net.Conn, list string){
 		"silent":      func(c net.Conn, _ string) { io.Copy(io.Discard, c) },
 		"ended":       func(net.Conn, string) {},
 		"reset":       func(c net.Conn, _ string) { c.(*net.TCPConn).SetLinger(0) },
@@ -90,7 +91,7 @@
 					t.Fatal(err)
 				}
 				defer agent.Close()
-				asks := make(chan string, 9)
+				watchRequests := make(chan string, 9)
 				go func() {
 					for n := range 3 { // the first brings a list and is reset, the next is in trouble, the last brings the drain
 						c, err := agent.Accept()
@@ -98,19 +99,19 @@
 							return
 						}
 						ask, _ := bufio.NewReader(c).ReadString('\n')
-						asks <- ask
+						watchRequests <- ask
 						text := func(entry map[string]any) string {
 							l, _ := json.Marshal(map[string]any{"version": 42 + n, "full": false, "servers": []any{entry}})
 							return string(l)
 						}
 						switch n {
 						case 0:
-							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(entry("h0", a.Addr().String(), "active")))
+							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(hostEntry("h0", a.Addr().String(), "active")))
 							c.(*net.TCPConn).SetLinger(0)
 						case 1:
-							trouble(c, text(entry("h1", b.Addr().String(), "leaving")))
+							fault(c, text(hostEntry("h1", b.Addr().String(), "leaving")))
 						default:
-							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(entry("h0", a.Addr().String(), "leaving")))
+							io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text(hostEntry("h0", a.Addr().String(), "leaving")))
 							defer io.Copy(io.Discard, c)
 						}
 						if n < 2 {
@@ -118,24 +119,24 @@
 						}
 					}
 				}()
-				w := start(t, func(cfg, settings map[string]any) {
-					cfg["discovery"], settings["membership_mode"] = agent.Addr().String(), mode
+				gateway := startGateway(t, func(config, settings map[string]any) {
+					config["discovery"], settings["membership_mode"] = agent.Addr().String(), mode
 				}, a, b)
 				after := []string{"after=41 ", "after=42 ", "after=42 "}
 				if name == "whole, reset" {
 					after[2] = "after=43 "
 				}
 				for _, want := range after {
-					if ask := take(w, asks); !strings.Contains(ask, want) {
+					if ask := receive(gateway, watchRequests); !strings.Contains(ask, want) {
 						t.Errorf("asked with %q, not %s", ask, want)
 					}
 				}
-				w.line("event=host id=h0 state=draining version=44")
-				got, want := w.client().ask(call("lookup", 1)), "v"
+				gateway.waitForLog("event=host id=h0 state=draining version=44")
+				got, want := gateway.connect().roundTrip(requestCommand("lookup", 1)), "v"
 				if name == "whole, reset" { // told as leaving, both
 					want = "-BUSY"
 				}
-				if !strings.HasPrefix(got, want) || len(a.got()) > 0 {
+				if !strings.HasPrefix(got, want) || len(a.takeReceived()) > 0 {
 					t.Errorf("%s, or sent to the host that leaves", got)
 				}
 			})
@@ -143,52 +144,52 @@
 	}
 }
 
-// A gateway that stood still finds reqs and news of the list in its sockets together, whichever came first: the news count
-// before the first of the reqs is sent on.
+// TestStoodStill pauses a gateway, so that requests and a membership update wait in its sockets together: the update counts
+// before the first of the requests is sent on, whichever came first.
 func TestStoodStill(t *testing.T) {
-	answer := func([]string) string { return passed("v") }
+	answer := func([]string) string { return successReply("v") }
 	a, b := newHost(t, answer), newHost(t, answer)
-	w := start(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, a, b)
-	watch := take(w, w.watches)
-	var all []*client
+	gateway := startGateway(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, a, b)
+	watch := receive(gateway, gateway.watches)
+	var clients []*testClient
 	for i := range 40 {
-		all = append(all, w.client())
-		all[i].ask(call("lookup", 100+i))
+		clients = append(clients, gateway.connect())
+		clients[i].roundTrip(requestCommand("lookup", 100+i))
 	}
-	for round := range 11 {
-		state := []string{"leaving", "active"}[round%2]
-		w.stand()
+	for batch := range 11 {
+		state := []string{"leaving", "active"}[batch%2]
+		gateway.pause()
 		if state == "leaving" {
-			a.got()
+			a.takeReceived()
 		}
-		for i, c := range all {
-			c.send(call("lookup", 100+i))
+		for i, c := range clients {
+			c.send(requestCommand("lookup", 100+i))
 		}
-		list(watch, 50+round, entry("h0", a.Addr().String(), state))
-		w.cmd.Process.Signal(syscall.SIGCONT)
-		for _, c := range all {
-			if got := c.answer(); got != "v" && !strings.HasPrefix(got, "-BUSY") {
+		sendHostList(watch, 50+batch, hostEntry("h0", a.Addr().String(), state))
+		gateway.cmd.Process.Signal(syscall.SIGCONT)
+		for _, c := range clients {
+			if got := c.readAnswer(); got != "v" && !strings.HasPrefix(got, "-BUSY") {
 				t.Fatal(got)
 			}
 		}
-		if got := len(a.got()); state == "leaving" && got > 0 {
-			t.Errorf("%d reqs were sent to a host that was told as leaving before", got)
+		if got := len(a.takeReceived()); state == "leaving" && got > 0 {
+			t.Errorf("%d requests were sent to a host that was delivered as leaving before", got)
 		}
 	}
 }
 
-// What discovery's agent has counts from the first moment on: it is known before the first client is taken in. An
-// agent that says nothing holds the start up for a while only.
+// TestFirstList checks that the agent's host list is applied before the first client is accepted, and that a silent agent
+// delays the start for a bounded time only.
 func TestFirstList(t *testing.T) {
-	answer := func([]string) string { return passed("v") }
+	answer := func([]string) string { return successReply("v") }
 	a, b := newHost(t, answer), newHost(t, answer)
-	w := start(t, func(cfg, _ map[string]any) {
-		cfg["agent"] = []any{entry("h0", a.Addr().String(), "leaving")}
+	gateway := startGateway(t, func(config, _ map[string]any) {
+		config["agent"] = []any{hostEntry("h0", a.Addr().String(), "leaving")}
 	}, a, b)
-	w.line("event=host id=h0 state=draining version=41")
-	w.line("event=serving")
+	gateway.waitForLog("event=host id=h0 state=draining version=41")
+	gateway.waitForLog("event=serving")
 	for i := range 8 {
-		if got := w.client().ask(call("lookup", i)); got != "v" || len(a.got()) > 0 {
+		if got := gateway.connect().roundTrip(requestCommand("lookup", i)); got != "v" || len(a.takeReceived()) > 0 {
 			t.Errorf("%s, of the host that leaves", got)
 		}
 	}
@@ -197,10 +198,10 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	w = start(t, func(cfg, _ map[string]any) { cfg["discovery"] = silent.Addr().String() }, a)
-	w.line("event=no_first_list version=41")
-	w.line("event=serving")
-	if got := w.client().ask(call("lookup", 1)); got != "v" {
+	gateway = startGateway(t, func(config, _ map[string]any) { config["discovery"] = silent.Addr().String() }, a)
+	gateway.waitForLog("event=no_first_list version=41")
+	gateway.waitForLog("event=serving")
+	if got := gateway.connect().roundTrip(requestCommand("lookup", 1)); got != "v" {
 		t.Error(got)
 	}
 }
--- a/cmd/ravensill/reload_test.go
+++ b/cmd/ravensill/reload_test.go
@@ -7,30 +7,30 @@
 	"testing"
 )
 
-// SIGHUP: the new address of discovery is followed at once, though the environment names the one of the start;
-// the list, reqs and connections stay; a faulty file changes nothing; what the old address still says is not heard.
+// TestReload checks SIGHUP: the new address of discovery is followed at once, though the environment names the first one; host
+// list, requests and connections stay; an invalid file changes nothing; the old address is no longer heard.
 func TestReload(t *testing.T) {
-	came, gate := make(chan struct{}), make(chan struct{})
+	received, release := make(chan struct{}), make(chan struct{})
 	a := newHost(t, func(cmd []string) string {
 		if cmd[1] == "0000000000000001" {
-			close(came)
-			<-gate
+			close(received)
+			<-release
 		}
-		return passed("v")
+		return successReply("v")
 	})
-	b := newHost(t, func([]string) string { return passed("of b") })
-	w := start(t, nil, a)
-	take(w, w.asked)
-	old := take(w, w.watches)
-	c := w.client()
-	c.send(call("order", 1))
-	take(w, came)
-	good := w.cfg["discovery"]
+	b := newHost(t, func([]string) string { return successReply("of b") })
+	gateway := startGateway(t, nil, a)
+	receive(gateway, gateway.watchRequests)
+	old := receive(gateway, gateway.watches)
+	c := gateway.connect()
+	c.send(requestCommand("order", 1))
+	receive(gateway, received)
+	good := gateway.config["discovery"]
 	for _, bad := range []any{"nowhere", 7} {
-		w.cfg["discovery"] = bad
-		w.write()
-		w.cmd.Process.Signal(syscall.SIGHUP)
-		if l := w.line("event=reload_failed"); !strings.Contains(l, `error="discovery: `) {
+		gateway.config["discovery"] = bad
+		gateway.writeConfig()
+		gateway.cmd.Process.Signal(syscall.SIGHUP)
+		if l := gateway.waitForLog("event=reload_failed"); !strings.Contains(l, `error="discovery: `) {
 			t.Errorf("the line does not name the key: %s", l)
 		}
 	}
@@ -39,40 +39,40 @@
 		t.Fatal(err)
 	}
 	defer next.Close()
-	go w.discover(next)
-	w.cfg["discovery"] = next.Addr().String()
-	w.write()
-	w.cmd.Process.Signal(syscall.SIGHUP)
-	w.line("event=reloaded discovery=" + next.Addr().String() + " version=41 others_changed=false")
-	if ask := take(w, w.asked); !strings.Contains(ask, "after=41 ") {
+	go gateway.serveDiscovery(next)
+	gateway.config["discovery"] = next.Addr().String()
+	gateway.writeConfig()
+	gateway.cmd.Process.Signal(syscall.SIGHUP)
+	gateway.waitForLog("event=reloaded discovery=" + next.Addr().String() + " version=41 others_changed=false")
+	if ask := receive(gateway, gateway.watchRequests); !strings.Contains(ask, "after=41 ") {
 		t.Errorf("asked for the list with %q", ask)
 	}
-	watch := take(w, w.watches)
-	list(old, 42, entry("h0", "", "left"))
-	list(watch, 43, entry("h0", a.Addr().String(), "leaving"), entry("h1", b.Addr().String(), "active"))
-	if l := w.line("event=host id="); !strings.Contains(l, "id=h0 state=draining version=43") {
+	watch := receive(gateway, gateway.watches)
+	sendHostList(old, 42, hostEntry("h0", "", "left"))
+	sendHostList(watch, 43, hostEntry("h0", a.Addr().String(), "leaving"), hostEntry("h1", b.Addr().String(), "active"))
+	if l := gateway.waitForLog("event=host id="); !strings.Contains(l, "id=h0 state=draining version=43") {
 		t.Errorf("the old address was heard: %s", l)
 	}
-	if a := w.client().ask(call("lookup", 2)); a != "of b" {
+	if a := gateway.connect().roundTrip(requestCommand("lookup", 2)); a != "of b" {
 		t.Errorf("after the list came from the new address: %s", a)
 	}
-	close(gate)
-	if a := c.answer(); a != "v" {
+	close(release)
+	if a := c.readAnswer(); a != "v" {
 		t.Errorf("open during the reload: %s", a)
 	}
-	w.cfg["discovery"] = good
-	w.cfg["limits"] = map[string]any{"memory_mb": 64}
-	w.write()
-	w.cmd.Process.Signal(syscall.SIGHUP)
-	w.line("others_changed=true")
-	if ask := take(w, w.asked); !strings.Contains(ask, "after=43 ") {
+	gateway.config["discovery"] = good
+	gateway.config["limits"] = map[string]any{"memory_mb": 64}
+	gateway.writeConfig()
+	gateway.cmd.Process.Signal(syscall.SIGHUP)
+	gateway.waitForLog("others_changed=true")
+	if ask := receive(gateway, gateway.watchRequests); !strings.Contains(ask, "after=43 ") {
 		t.Errorf("asked for the list with %q", ask)
 	}
-	list(take(w, w.watches), 42, entry("h0", a.Addr().String(), "active")) // it is behind
-	w.line("event=list_older version=42 had=43")
-	w.line("event=host id=h0 state=draining version=42")
+	sendHostList(receive(gateway, gateway.watches), 42, hostEntry("h0", a.Addr().String(), "active")) // it is behind
+	gateway.waitForLog("event=list_older version=42 had=43")
+	gateway.waitForLog("event=host id=h0 state=draining version=42")
 	for i := range 8 {
-		if a := w.client().ask(call("lookup", 10+i)); a != "of b" {
+		if a := gateway.connect().roundTrip(requestCommand("lookup", 10+i)); a != "of b" {
 			t.Errorf("a list older than had put the host back that leaves: %s", a)
 		}
 	}
--- a/cmd/ravensill/requests_test.go
+++ b/cmd/ravensill/requests_test.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Many commands on one connection: answers in their order, values byte for byte, denials with a time to come back.
+// TestServe sends many commands on one connection: answers come in their order, values byte for byte, rejections with a
+// retry-after time.
 func TestServe(t *testing.T) {
 	gate := make(chan struct{})
 	h := newHost(t, func(cmd []string) string {
@@ -17,61 +18,63 @@
 		} else if cmd[1] == "0000000000000002" {
 			defer close(gate)
 		}
-		return passed("of " + cmd[1] + "\r\n\x00$-1\r\n")
+		return successReply("of " + cmd[1] + "\r\n\x00$-1\r\n")
 	})
-	w := start(t, nil, h)
-	c := w.client()
-	if a := c.ask(array("PING")); a != "+PONG" {
+	gateway := startGateway(t, nil, h)
+	c := gateway.connect()
+	if a := c.roundTrip(respArray("PING")); a != "+PONG" {
 		t.Fatal(a)
 	}
-	c.send(call("lookup", 1), array("EVAL", "x"), call("order", 2, "BO\r\nDY"), array("PING"))
+	c.send(requestCommand("lookup", 1), respArray("EVAL", "x"), requestCommand("order", 2, "BO\r\nDY"), respArray("PING"))
 	for _, want := range []string{"of 0000000000000001\r\n\x00$-1\r\n", `-ERR unknown command "EVAL"`, "of 0000000000000002\r\n\x00$-1\r\n", "+PONG"} {
-		if a := c.answer(); a != want {
+		if a := c.readAnswer(); a != want {
 			t.Errorf("%q, not %q", a, want)
 		}
 	}
-	for _, cmd := range h.got() {
+	for _, cmd := range h.takeReceived() {
 		if cmd[0] == "CALL.POST" && (len(cmd) != 5 || cmd[4] != "BO\r\nDY" || cmd[3] != "c=order,t=team,d=3000,k=00ff,units=1,spread=1,first=0") {
 			t.Errorf("passed on as %q", cmd)
 		}
 	}
 	for i := range 8 {
-		if a := c.ask(call("lookup", 3)); !strings.HasPrefix(a, "of ") {
-			t.Errorf("req %d inside the quota: %s", i, a)
+		if a := c.roundTrip(requestCommand("lookup", 3)); !strings.HasPrefix(a, "of ") {
+			t.Errorf("request %d inside the quota: %s", i, a)
 		}
 	}
 	var ms int
-	if a := c.ask(call("lookup", 3)); !strings.HasPrefix(a, "-BUSY ") || len(h.got()) != 8 {
+	if a := c.roundTrip(requestCommand("lookup", 3)); !strings.HasPrefix(a, "-BUSY ") || len(h.takeReceived()) != 8 {
 		t.Errorf("beyond the quota: %s", a)
 	} else if fmt.Sscanf(a, "-BUSY %d", &ms); ms < 1000 {
 		t.Errorf("come back after %d ms", ms)
 	}
-	bad := w.client()
-	bad.send("*1\r\n:9\r\n", call("lookup", 4))
-	if a, end := bad.answer(), bad.answer(); !strings.HasPrefix(a, "-ERR") || end != "EOF" {
+	bad := gateway.connect()
+	bad.send("*1\r\n:9\r\n", requestCommand("lookup", 4))
+	if a, end := bad.readAnswer(), bad.readAnswer(); !strings.HasPrefix(a, "-ERR") || end != "EOF" {
 		t.Errorf("stream that can't be trusted: %q, then %q", a, end)
 	}
-	if a := c.ask(array("PING")); a != "+PONG" {
+	if a := c.roundTrip(respArray("PING")); a != "+PONG" {
 		t.Errorf("another client's rubbish cost this one: %s", a)
 	}
 }
 
-// What a host does to a dispatch, and what may follow: a repeat only where nothing ran or a repeat is harmless.
+// TestDispatches checks what follows each outcome of an attempt: a retry only if the host ran nothing or a repeat is harmless.
 func TestDispatches(t *testing.T) {
-	for _, x := range []struct {
-		front, first, want string
-		dispatches         int
+	for _, test := range []struct {
+		class      string // request class
+		firstReply string // of the host that gets the first attempt
+		want       string // prefix of the client's answer
+		attempts   int
 	}{
-		{"pay", "-BUSY\r\n", "value", 2},               // never ran: the next host
-		{"pay", "-ERR failed\r\n", "-ERR", 1},          // may have run
-		{"pay", "close", "-ERR", 1},                    // so may this
-		{"pay", "%3\r\n", "-ERR", 1},                   // malformed
-		{"pay", passed("v")[:20] + "close", "-ERR", 1}, // cut short
-		{"lookup", "close", "-BUSY", 1},                // harmless, but no repeat in stock yet
-		{"quick", "", "-BUSY", 1},                      // no answer by the response target
-		{"order", "$-1\r\n", "-BUSY", 1},               // null is no value; keyed for all hosts
-		{"pay", "*1\r\n$-1\r\n", "-ERR", 1},            // nor here
-		{"pay", "-BUSY used=9 x=2\r\n", "value", 2},    // figures in an error line
+		{"pay", "-BUSY\r\n", "value", 2},                     // never ran: the next host
+		{"pay", "-ERR failed\r\n", "-ERR", 1},                // may have run
+		{"pay", "close", "-ERR", 1},                          // so may this
+		{"pay", "%3\r\n", "-ERR", 1},                         // malformed
+		{"pay", successReply("v")[:20] + "close", "-ERR", 1}, // cut short
+		{"lookup", "close", "-BUSY", 1},                      // harmless, but no repeat in stock yet
+		{"quick", "", "-BUSY", 1},                            // no answer by the latency objective
+		{"order", "$-1\r\n", "-BUSY", 1},                     // null is no value; keyed for all hosts
+		{"pay", "*1\r\n$-1\r\n", "-ERR", 1},                  // nor here
+		{"pay", "-BUSY used=9 x=2\r\n", "value", 2},          // figures in an error line
 	} {
 		var mu sync.Mutex
 		n := 0
@@ -79,56 +82,56 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if n++; n > 1 {
-				return passed("value")
+				return successReply("value")
 			}
-			return x.first
+			return test.firstReply
 		}
 		a, b := newHost(t, answer), newHost(t, answer)
-		w := start(t, nil, a, b)
-		c := w.client()
-		if got := c.ask(call(x.front, 1)); !strings.HasPrefix(got, x.want) {
-			t.Errorf("%s, %q: %s", x.front, x.first, got)
+		gateway := startGateway(t, nil, a, b)
+		c := gateway.connect()
+		if got := c.roundTrip(requestCommand(test.class, 1)); !strings.HasPrefix(got, test.want) {
+			t.Errorf("%s, %q: %s", test.class, test.firstReply, got)
 		}
-		if got := len(a.got()) + len(b.got()); got != x.dispatches {
-			t.Errorf("%s, %q: %d dispatches", x.front, x.first, got)
+		if got := len(a.takeReceived()) + len(b.takeReceived()); got != test.attempts {
+			t.Errorf("%s, %q: %d attempts", test.class, test.firstReply, got)
 		}
-		if x.first == "" {
-			select { // a dispatch given up ends its connection: the host may stop its work
-			case <-a.closed:
-			case <-b.closed:
-			case <-time.After(patience):
+		if test.firstReply == "" {
+			select { // a attempt given up ends its connection: the host may stop its work
+			case <-a.disconnected:
+			case <-b.disconnected:
+			case <-time.After(waitLimit):
 				t.Error("given up, but its connection stays")
 			}
 		}
 	}
 }
 
-// A client that goes away is owed nothing; its dispatch ends as it ends, and others are served.
+// TestLeft checks that a client that disconnects is owed nothing, and that others are served while its attempt ends.
 func TestLeft(t *testing.T) {
-	h, came, gate := holding(t)
-	w := start(t, nil, h)
-	c := w.client()
-	c.send(call("order", 1), call("lookup", 2))
-	take(w, came)
+	h, received, release := newBlockingHost(t)
+	gateway := startGateway(t, nil, h)
+	c := gateway.connect()
+	c.send(requestCommand("order", 1), requestCommand("lookup", 2))
+	receive(gateway, received)
 	c.Close()
-	close(gate)
+	close(release)
 	for i := range 5 {
-		if a := w.client().ask(call("lookup", 10+i)); a != "v" {
+		if a := gateway.connect().roundTrip(requestCommand("lookup", 10+i)); a != "v" {
 			t.Error(a)
 		}
 	}
 }
 
-// A host that refuses connections costs no req, not even one that must not run twice.
+// TestRefused checks that a host that refuses connections costs no request, not even one that must not run twice.
 func TestRefused(t *testing.T) {
-	a, b := newHost(t, nil), newHost(t, func([]string) string { return passed("v") })
+	a, b := newHost(t, nil), newHost(t, func([]string) string { return successReply("v") })
 	a.Close()
-	w := start(t, nil, a, b)
-	c := w.client()
+	gateway := startGateway(t, nil, a, b)
+	c := gateway.connect()
 	for i := range 20 {
-		if got := c.ask(call("pay", i)); got != "v" {
+		if got := c.roundTrip(requestCommand("pay", i)); got != "v" {
 			t.Fatal(got)
 		}
 	}
-	w.line("event=host_failing addr=" + a.Addr().String() + " stage=connecting")
+	gateway.waitForLog("event=host_failing addr=" + a.Addr().String() + " stage=connecting")
 }
--- a/cmd/ravensill/shutdown_test.go
+++ b/cmd/ravensill/shutdown_test.go
@@ -9,101 +9,101 @@
 	"time"
 )
 
-// Called to stop, it goes on taking in for a while, answers what it has, and ends each connection after that.
+// TestStop checks that a stopping gateway accepts connections for a while, answers what it has, and then closes each connection.
 func TestStop(t *testing.T) {
-	tried(t, func() string {
-		came, later, gate := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	retryWhenSlow(t, func() string {
+		received, receivedLater, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
 		h := newHost(t, func(cmd []string) string {
 			switch cmd[1] {
 			case "0000000000000001":
-				close(came)
-				<-gate
+				close(received)
+				<-release
 			case "0000000000000003":
-				close(later)
+				close(receivedLater)
 			}
-			return passed("v")
+			return successReply("v")
 		})
-		w := start(t, nil, h)
-		idle, busy := w.client(), w.client()
-		idle.ask(array("PING"))
-		busy.send(call("order", 1))
-		take(w, came)
-		called := time.Now()
-		w.cmd.Process.Signal(syscall.SIGTERM)
-		w.line("event=stopping")
-		if c, err := net.Dial("tcp4", w.addr); err == nil {
+		gateway := startGateway(t, nil, h)
+		idle, active := gateway.connect(), gateway.connect()
+		idle.roundTrip(respArray("PING"))
+		active.send(requestCommand("order", 1))
+		receive(gateway, received)
+		stopRequested := time.Now()
+		gateway.cmd.Process.Signal(syscall.SIGTERM)
+		gateway.waitForLog("event=stopping")
+		if c, err := net.Dial("tcp4", gateway.addr); err == nil {
 			defer c.Close()
-			late := &client{w, c, bufio.NewReader(c)}
-			if a := late.ask(call("lookup", 2)); a != "v" && time.Since(called) < 300*time.Millisecond {
+			late := &testClient{gateway, c, bufio.NewReader(c)}
+			if a := late.roundTrip(requestCommand("lookup", 2)); a != "v" && time.Since(stopRequested) < 300*time.Millisecond {
 				t.Errorf("new after the call to stop: %s", a)
 			}
-		} else if time.Since(called) < 300*time.Millisecond { // a machine that stood still tells nothing
+		} else if time.Since(stopRequested) < 300*time.Millisecond { // a machine that stood still tells nothing
 			t.Error(err)
 		}
-		w.line("event=closed_to_new")
+		gateway.waitForLog("event=closed_to_new")
 		answers := make(chan string, 2)
 		go func() {
 			for range 2 {
-				answers <- busy.answer()
+				answers <- active.readAnswer()
 			}
 		}()
-		busy.send(call("lookup", 3)) // taken in while the one before is open
+		active.send(requestCommand("lookup", 3)) // taken in while the one before is open
 		select {
-		case <-later:
+		case <-receivedLater:
 		case a := <-answers:
-			close(gate)
-			return inTime(t, called, fmt.Sprintf("%q, and the host has not had what came later", a))
+			close(release)
+			return faultUnlessLate(t, stopRequested, fmt.Sprintf("%q, and the host has not had what came later", a))
 		}
-		close(gate)
+		close(release)
 		for range 2 {
-			if a := take(w, answers); a != "v" {
-				return inTime(t, called, fmt.Sprintf("%q, not v", a))
+			if a := receive(gateway, answers); a != "v" {
+				return faultUnlessLate(t, stopRequested, fmt.Sprintf("%q, not v", a))
 			}
 		}
 		idle.Close()
-		busy.Close()
-		if err := take(w, w.exit); err != nil {
+		active.Close()
+		if err := receive(gateway, gateway.exited); err != nil {
 			t.Error(err)
 		}
 		return ""
 	})
 }
 
-// Clients that don't look for the end of the stream go on sending on all that they have open. Of 40 with a command
-// at a time each lost one: its connection was half-closed, and what crossed the close was dropped unanswered. Each
-// command has its answer now, long after the listener closed. All connections end before a platform may kill.
+// TestStopServesOpenConnections has clients that don't look for the end of the stream and go on sending on their open
+// connections. Of 40 with one command at a time each lost one, which crossed the half-close and was dropped unanswered. Each
+// command is answered long after the listener closed, and all connections end before a platform may kill the process.
 func TestStopServesOpenConnections(t *testing.T) {
-	tried(t, func() string {
-		h := newHost(t, func([]string) string { return passed("v") })
-		w := start(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, h)
-		var all []*client
+	retryWhenSlow(t, func() string {
+		h := newHost(t, func([]string) string { return successReply("v") })
+		gateway := startGateway(t, func(_, settings map[string]any) { settings["plans"].([]any)[0].(map[string]any)["burst"] = 1e6 }, h)
+		var clients []*testClient
 		for range 40 {
-			all = append(all, w.client())
+			clients = append(clients, gateway.connect())
 		}
 		n := 0
-		round := func() (served int) { // one command each
-			for _, c := range all {
-				if n++; c.ask(call("lookup", n)) == "v" {
+		sendAll := func() (served int) { // one command each
+			for _, c := range clients {
+				if n++; c.roundTrip(requestCommand("lookup", n)) == "v" {
 					served++
 				}
 			}
 			return served
 		}
-		round()
-		called := time.Now()
-		w.cmd.Process.Signal(syscall.SIGTERM)
-		w.line("event=closed_to_new")
+		sendAll()
+		stopRequested := time.Now()
+		gateway.cmd.Process.Signal(syscall.SIGTERM)
+		gateway.waitForLog("event=closed_to_new")
 		for i := range 3 {
-			if served := round(); served < len(all) {
-				return inTime(t, called, fmt.Sprintf("round %d after the listener closed: %d of %d have an answer", i, served, len(all)))
+			if served := sendAll(); served < len(clients) {
+				return faultUnlessLate(t, stopRequested, fmt.Sprintf("round %d after the listener closed: %d of %d have an answer", i, served, len(clients)))
 			}
 		}
-		for _, c := range all { // by itself
-			if a := c.answer(); a != "EOF" {
+		for _, c := range clients { // by itself
+			if a := c.readAnswer(); a != "EOF" {
 				t.Errorf("at last: %s", a)
 			}
 		}
-		if err := take(w, w.exit); err != nil {
+		if err := receive(gateway, gateway.exited); err != nil {
 			t.Error(err)
 		}
 		return ""
--- a/cmd/ravensill/signals_test.go
+++ b/cmd/ravensill/signals_test.go
@@ -16,7 +16,7 @@
 	"ravensill/internal/golden"
 )
 
-// A signal in the first moments, while the configuration is read: SIGHUP does not end it, SIGTERM does.
+// TestSignalWhileStarting sends signals while the configuration is read: SIGHUP does not end the program, SIGTERM does.
 func TestSignalWhileStarting(t *testing.T) {
 	var trace strings.Builder
 	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
@@ -33,28 +33,28 @@
 			t.Fatal(err)
 		}
 		defer silent.Close()
-		w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1)}
-		w.cmd = exec.Command(os.Args[0])
-		w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+pipe, "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+silent.Addr().String())
-		w.launch()
+		gateway := &gatewayProcess{T: t, log: make(chan string, 999), exited: make(chan error, 1)}
+		gateway.cmd = exec.Command(os.Args[0])
+		gateway.cmd.Env = append(os.Environ(), runAsGateway+"=1", "GW_CONFIG="+pipe, "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+silent.Addr().String())
+		gateway.startProcess()
 		f, err := os.OpenFile(pipe, os.O_WRONLY, 0) // it has opened it, too, and waits for what it says
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.cmd.Process.Signal(s)
+		gateway.cmd.Process.Signal(s)
 		f.Write(text)
 		f.Close()
 		if s == syscall.SIGHUP {
-			w.line("event=serving") // without a list: the agent says nothing
-			w.signal(syscall.SIGTERM, "event=stopping clients=0")
+			gateway.waitForLog("event=serving") // without a list: the agent says nothing
+			gateway.signal(syscall.SIGTERM, "event=stopping clients=0")
 		}
-		fmt.Fprintf(&trace, "%v: %s\n", s, w.exited())
+		fmt.Fprintf(&trace, "%v: %s\n", s, gateway.exitStatus())
 	}
 	golden.Check(t, trace.String())
 }
 
-// While it waits for the agent's first answer it serves nobody: SIGHUP is heard, and called to stop it ends at once, whatever
-// the agent says then.
+// TestSignalsBeforeServing sends signals while the program waits for the agent's first answer and serves nobody: SIGHUP is
+// followed, and a stop request ends it at once, whatever the agent says then.
 func TestSignalsBeforeServing(t *testing.T) {
 	silent, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -65,129 +65,130 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, log: make(chan string, 999), exit: make(chan error, 1), file: filepath.Join(t.TempDir(), "config")}
-	if err := json.Unmarshal(text, &w.cfg); err != nil {
+	gateway := &gatewayProcess{T: t, log: make(chan string, 999), exited: make(chan error, 1), configFile: filepath.Join(t.TempDir(), "config")}
+	if err := json.Unmarshal(text, &gateway.config); err != nil {
 		t.Fatal(err)
 	}
-	w.cfg["discovery"], w.cfg["listen"] = silent.Addr().String(), "127.0.0.1:0"
-	w.write()
-	w.cmd = exec.Command(os.Args[0])
-	w.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+w.file)
-	w.launch()
+	gateway.config["discovery"], gateway.config["listen"] = silent.Addr().String(), "127.0.0.1:0"
+	gateway.writeConfig()
+	gateway.cmd = exec.Command(os.Args[0])
+	gateway.cmd.Env = append(os.Environ(), runAsGateway+"=1", "GW_CONFIG="+gateway.configFile)
+	gateway.startProcess()
 	c, err := silent.Accept() // it asks for the list: it is up
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	w.signal(syscall.SIGHUP, "event=reloaded")
-	w.signal(syscall.SIGTERM, "event=stopping")
+	gateway.signal(syscall.SIGHUP, "event=reloaded")
+	gateway.signal(syscall.SIGTERM, "event=stopping")
 	io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") // too late
-	list(c, 1)
+	sendHostList(c, 1)
 	var lines []string
-	for l := range w.log {
+	for l := range gateway.log {
 		lines = append(lines, l)
 	}
 	if text := strings.Join(lines, "\n"); strings.Contains(text, "event=serving") || !strings.Contains(text, "event=stopped") {
 		t.Errorf("it took in clients, or did not end:\n%s", text)
 	}
-	if e := w.exited(); e != "exit 0" {
+	if e := gateway.exitStatus(); e != "exit 0" {
 		t.Error(e)
 	}
 }
 
-// Under a request: it has its answer, and so has what is sent after, on the same connection, until all connections end.
+// TestSignalsUnderRequest sends signals during a request: it is answered, and so are later ones on the same connection, until
+// all connections end.
 func TestSignalsUnderRequest(t *testing.T) {
-	h, came, gate := holding(t)
-	w := start(t, nil, h)
-	c := w.client()
-	c.send(call("order", 1))
-	take(w, came)
-	w.all()
-	close(gate)
-	trace := fmt.Sprintln("open:", c.answer())
-	trace += fmt.Sprintln("after:", c.ask(call("lookup", 2)))
-	w.line("event=closed_to_new")
-	trace += fmt.Sprintln("after it takes in no more:", c.ask(call("lookup", 3)))
+	h, received, release := newBlockingHost(t)
+	gateway := startGateway(t, nil, h)
+	c := gateway.connect()
+	c.send(requestCommand("order", 1))
+	receive(gateway, received)
+	gateway.sendAllSignals()
+	close(release)
+	trace := fmt.Sprintln("open:", c.readAnswer())
+	trace += fmt.Sprintln("after:", c.roundTrip(requestCommand("lookup", 2)))
+	gateway.waitForLog("event=closed_to_new")
+	trace += fmt.Sprintln("after it takes in no more:", c.roundTrip(requestCommand("lookup", 3)))
 	c.Close()
-	golden.Check(t, trace+w.exited()+"\n")
+	golden.Check(t, trace+gateway.exitStatus()+"\n")
 }
 
-// Under a command of which a part is read: its rest is taken in, and it has its answer. One whose rest never comes ends with
-// all others.
+// TestSignalsUnderHalfCommand sends signals while a command is partly read: its rest is read, and it is answered. One whose rest
+// never comes ends with all other connections.
 func TestSignalsUnderHalfCommand(t *testing.T) {
-	h := newHost(t, func([]string) string { return passed("v") })
-	w := start(t, short, h)
-	c, never := w.client(), w.client()
-	cmd := call("order", 1, strings.Repeat("b", 9000))
-	for _, c := range []*client{c, never} {
-		c.send(array("PING"), cmd[:4000])
-		if a := c.answer(); a != "+PONG" {
+	h := newHost(t, func([]string) string { return successReply("v") })
+	gateway := startGateway(t, configureShortDeadlines, h)
+	c, never := gateway.connect(), gateway.connect()
+	cmd := requestCommand("order", 1, strings.Repeat("b", 9000))
+	for _, c := range []*testClient{c, never} {
+		c.send(respArray("PING"), cmd[:4000])
+		if a := c.readAnswer(); a != "+PONG" {
 			t.Fatal(a)
 		}
 	}
-	w.all()
+	gateway.sendAllSignals()
 	c.send(cmd[4000:])
-	trace := fmt.Sprintln("its rest came:", c.answer())
-	trace += fmt.Sprintln("never:", never.answer())
-	trace += fmt.Sprintln("at last:", c.answer())
-	golden.Check(t, trace+w.exited()+"\n")
-	if cmds := h.got(); len(cmds) != 1 {
+	trace := fmt.Sprintln("its rest came:", c.readAnswer())
+	trace += fmt.Sprintln("never:", never.readAnswer())
+	trace += fmt.Sprintln("at last:", c.readAnswer())
+	golden.Check(t, trace+gateway.exitStatus()+"\n")
+	if cmds := h.takeReceived(); len(cmds) != 1 {
 		t.Errorf("passed on: %.99q", cmds)
 	}
 }
 
-// Between an answer and the close: the answer is whole, though a command comes behind the close that nobody takes. That one
-// is not sent on, and its client sees the end.
+// TestSignalsBetweenAnswerAndClose sends a command after the half-close: the answers before it arrive whole, the command is not
+// sent on, and its client sees the end of the stream.
 func TestSignalsBetweenAnswerAndClose(t *testing.T) {
 	large := strings.Repeat("v", 20<<10)
-	h := newHost(t, func([]string) string { return passed(large) })
-	w := start(t, short, h)
-	c := w.client()
-	c.send(call("lookup", 1), call("lookup", 2), call("lookup", 3))
-	w.all()
-	c.untilHalfClosed() // it has taken nothing of its answers yet
-	c.send(call("lookup", 4))
-	w.signal(syscall.SIGTERM, "event=stopping_already")
+	h := newHost(t, func([]string) string { return successReply(large) })
+	gateway := startGateway(t, configureShortDeadlines, h)
+	c := gateway.connect()
+	c.send(requestCommand("lookup", 1), requestCommand("lookup", 2), requestCommand("lookup", 3))
+	gateway.sendAllSignals()
+	c.waitUntilHalfClosed() // it has taken nothing of its answers yet
+	c.send(requestCommand("lookup", 4))
+	gateway.signal(syscall.SIGTERM, "event=stopping_already")
 	var trace strings.Builder
 	for range 3 {
-		a := c.answer()
+		a := c.readAnswer()
 		fmt.Fprintln(&trace, "its answer, whole:", a == large)
 	}
-	fmt.Fprintln(&trace, "behind the close:", c.answer())
-	fmt.Fprintln(&trace, "commands passed on:", len(h.got()))
-	fmt.Fprintln(&trace, w.exited()) // though no client closes
+	fmt.Fprintln(&trace, "behind the close:", c.readAnswer())
+	fmt.Fprintln(&trace, "commands passed on:", len(h.takeReceived()))
+	fmt.Fprintln(&trace, gateway.exitStatus()) // though no client closes
 	golden.Check(t, trace.String())
 }
 
-// From a terminal, called a second time, it ends at once.
+// TestInterruptTwice checks that a second interrupt ends the program at once.
 func TestInterruptTwice(t *testing.T) {
-	w := start(t, nil, newHost(t, func([]string) string { return "" }))
-	w.client().ask(array("PING"))
-	w.signal(syscall.SIGINT, "event=stopping")
-	w.signal(syscall.SIGINT, "event=stopped_at_once")
+	gateway := startGateway(t, nil, newHost(t, func([]string) string { return "" }))
+	gateway.connect().roundTrip(respArray("PING"))
+	gateway.signal(syscall.SIGINT, "event=stopping")
+	gateway.signal(syscall.SIGINT, "event=stopped_at_once")
 	var exit *exec.ExitError
-	if err := take(w, w.exit); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+	if err := receive(gateway, gateway.exited); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 		t.Error(err)
 	}
 }
 
-// Who reads its log goes: it serves on.
+// TestLogReaderGoes checks that the program serves on when the reader of its log has gone.
 func TestLogReaderGoes(t *testing.T) {
-	w := start(t, nil, newHost(t, func([]string) string { return passed("v") }))
-	c := w.client()
-	w.logs.Close()
+	gateway := startGateway(t, nil, newHost(t, func([]string) string { return successReply("v") }))
+	c := gateway.connect()
+	gateway.logs.Close()
 	for range 3 {
-		w.cmd.Process.Signal(syscall.SIGHUP) // each writes a line
-		if a := c.ask(call("lookup", 1)); a != "v" {
+		gateway.cmd.Process.Signal(syscall.SIGHUP) // each writes a line
+		if a := c.roundTrip(requestCommand("lookup", 1)); a != "v" {
 			t.Fatal(a)
 		}
 	}
-	w.cmd.Process.Signal(syscall.SIGTERM)
-	if a := c.ask(call("lookup", 1)); a != "v" {
+	gateway.cmd.Process.Signal(syscall.SIGTERM)
+	if a := c.roundTrip(requestCommand("lookup", 1)); a != "v" {
 		t.Error(a)
 	}
 	c.Close()
-	if e := w.exited(); e != "exit 0" {
+	if e := gateway.exitStatus(); e != "exit 0" {
 		t.Error(e)
 	}
 }
--- a/cmd/ravensill/startup_test.go
+++ b/cmd/ravensill/startup_test.go
@@ -9,73 +9,73 @@
 	"testing"
 )
 
-// The addresses are held by a former life that drains: the start waits for each, told once, and serves when they are
-// free. Called to stop meanwhile, it ends as one that serves nobody; an address of another machine ends the start at once.
+// TestFormerLife starts a gateway while a draining predecessor holds its addresses: the start waits for each, logs that once,
+// and serves when they are free. A stop request meanwhile ends it at once, and so does an address of another machine.
 func TestFormerLife(t *testing.T) {
-	for _, end := range []string{"free", "stop", "strange"} {
+	for _, outcome := range []string{"free", "stop", "strange"} {
 		datagrams, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer datagrams.Close()
-		former, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer former.Close()
-		section, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		defer listener.Close()
+		records, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer section.Close()
-		peer, records := datagrams.LocalAddr().String(), section.LocalAddr().String()
-		w := start(t, func(cfg, settings map[string]any) {
-			if cfg["listen"] = former.Addr().String(); end == "strange" {
-				cfg["listen"] = "192.0.2.1:6379"
+		defer records.Close()
+		peerAddr, recordsAddr := datagrams.LocalAddr().String(), records.LocalAddr().String()
+		gateway := startGateway(t, func(config, settings map[string]any) {
+			if config["listen"] = listener.Addr().String(); outcome == "strange" {
+				config["listen"] = "192.0.2.1:6379"
 				datagrams.Close()
 			}
-			settings["balancers"], cfg["peer_listen"], cfg["peers"] = 2, peer, []string{peer, "127.0.0.1:1"}
-			cfg["counterfactual"] = map[string]any{"listen": records, "peers": []string{records, "127.0.0.1:1"}, "collectors": []int{1}}
-		}, newHost(t, func([]string) string { return passed("v") }))
-		if end == "strange" {
-			w.line(`event=failed error="listen: listen tcp4 192.0.2.1:6379: bind`)
-			if take(w, w.exit) == nil {
+			settings["balancers"], config["peer_listen"], config["peers"] = 2, peerAddr, []string{peerAddr, "127.0.0.1:1"}
+			config["counterfactual"] = map[string]any{"listen": recordsAddr, "peers": []string{recordsAddr, "127.0.0.1:1"}, "collectors": []int{1}}
+		}, newHost(t, func([]string) string { return successReply("v") }))
+		if outcome == "strange" {
+			gateway.waitForLog(`event=failed error="listen: listen tcp4 192.0.2.1:6379: bind`)
+			if receive(gateway, gateway.exited) == nil {
 				t.Error("it ended well")
 			}
 			continue
 		}
-		w.line("event=address_taken key=peer_listen addr=" + peer)
+		gateway.waitForLog("event=address_taken key=peer_listen addr=" + peerAddr)
 		datagrams.Close()
-		w.line("event=address_taken key=listen addr=" + former.Addr().String())
-		if end == "stop" {
-			w.cmd.Process.Signal(syscall.SIGTERM)
-			w.line("event=stopped")
-			if err := take(w, w.exit); err != nil {
+		gateway.waitForLog("event=address_taken key=listen addr=" + listener.Addr().String())
+		if outcome == "stop" {
+			gateway.cmd.Process.Signal(syscall.SIGTERM)
+			gateway.waitForLog("event=stopped")
+			if err := receive(gateway, gateway.exited); err != nil {
 				t.Error(err)
 			}
 			continue
 		}
-		former.Close()
-		w.line("event=address_taken key=counterfactual addr=" + records)
-		section.Close()
-		w.line("event=serving")
-		w.addr = former.Addr().String()
-		if a := w.client().ask(call("lookup", 1)); a != "v" {
+		listener.Close()
+		gateway.waitForLog("event=address_taken key=counterfactual addr=" + recordsAddr)
+		records.Close()
+		gateway.waitForLog("event=serving")
+		gateway.addr = listener.Addr().String()
+		if a := gateway.connect().roundTrip(requestCommand("lookup", 1)); a != "v" {
 			t.Error(a)
 		}
 	}
 }
 
-// A faulty configuration ends the start with a message that names the key.
+// TestFaultyConfig checks that an invalid configuration ends the start with a message that names the key.
 func TestFaultyConfig(t *testing.T) {
-	w := start(t, func(_, settings map[string]any) {
+	gateway := startGateway(t, func(_, settings map[string]any) {
 		settings["plans"] = []any{map[string]any{"rate": "many"}}
 	}, newHost(t, nil))
-	if !strings.Contains(w.addr, "settings: plans.0.rate: unexpected value") {
-		t.Errorf("the line does not name the key: %s", w.addr)
+	if !strings.Contains(gateway.addr, "settings: plans.0.rate: unexpected value") {
+		t.Errorf("the line does not name the key: %s", gateway.addr)
 	}
 	var exit *exec.ExitError
-	if err := take(w, w.exit); !errors.As(err, &exit) || exit.ExitCode() != 2 {
+	if err := receive(gateway, gateway.exited); !errors.As(err, &exit) || exit.ExitCode() != 2 {
 		t.Error(err)
 	}
 }
