Clients: the server split by job (accept, conn, reader, loglimit); standard names

server.go had 548 lines and house words (mailbox, ask, taken, said, told). Accepting and eviction, a connection on the loop, its reader with the command queue, and log limiting have a file each; long conditions (eviction, idle and command timeouts, flush) are functions of their own. Exported methods, Words, Door and Line keep their names: packages in work elsewhere call them.

No behaviour change: traces in testdata unaltered.

--- /dev/null
+++ b/internal/clients/conn.go
@@ -0,0 +1,201 @@
+package clients
+
+import (
+	"fmt"
+	"log"
+	"runtime/debug"
+
+	"ravensill/internal/ring"
+)
+
+// Conn is one client connection. Its fields belong to the loop, but for the queue and the reader's fields. Times are in
+// nanoseconds of the server's clock.
+type Conn struct {
+	server *Server
+	link   *ring.Link
+	Line
+	commandQueue
+	receiveFunc  func()        // receive as a value, made once
+	done         chan struct{} // closed when the connection has ended: its reader waits for nothing then
+	readsSeen    int64         // the link's count of reads whose commands the loop has received
+	partialSince int64         // when the first byte of an incomplete command was read, as far as received; 0: none is
+	flushPending bool          // in the server's list of unflushed or stalled connections
+	commandCount int           // whole commands received
+	lastAnswer   int64         // when the last answer was given; before that, when it connected
+	stalledSince int64         // when its client last took some of the unsent bytes; 0: nothing is unsent
+	closing      bool          // no command is sent on; it ends when all are answered
+	halfClosed   bool          // the sending side is closed
+	closed       bool
+
+	// The reader's.
+	readAt       int64 // when the bytes last read arrived
+	partialBegan int64 // when the first byte of an incomplete command was read; 0: none is
+	malformed    int   // malformed commands in a row
+}
+
+// register adds the connection to its server.
+func (c *Conn) register() {
+	c.server.conns[c] = true
+	c.lastAnswer = c.server.now()
+	c.halfCloseIfIdle()
+}
+
+// receive takes over what the reader has queued.
+func (c *Conn) receive() {
+	c.mu.Lock()
+	c.notified = false
+	c.readsSeen = c.readsPosted
+	c.partialSince = c.partialPosted
+	c.mu.Unlock()
+	c.startCommands()
+	c.halfCloseIfIdle()
+}
+
+// startCommands starts queued commands up to the limit of commands in flight, and none of a client that is known to be gone.
+func (c *Conn) startCommands() {
+	for !c.closed && !c.left.Load() && len(c.wait) < maxInFlight {
+		command, ok := c.dequeue()
+		if !ok {
+			return
+		}
+		c.commandCount++
+		switch {
+		case c.halfClosed: // the close crossed the command: the client sees the end and sends it again elsewhere
+		case c.closing:
+			c.Add().Denied(0) // never sent on: the client may retry elsewhere at once, idempotent or not
+		default:
+			c.start(command.run)
+		}
+	}
+}
+
+// start runs one command. After a panic it is still answered: a missing answer would hold back all later ones for ever.
+func (c *Conn) start(run func(*Answer)) {
+	answer := c.Add()
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=loop error=%q stack=%q", fmt.Sprint(p), debug.Stack())
+			answer.Aborted("aborted")
+		}
+	}()
+	run(answer)
+}
+
+// answerReady schedules a flush of the answers that became ready.
+func (c *Conn) answerReady(int) {
+	if c.full {
+		c.closeOnFault(errSlowReader)
+		c.close()
+		return
+	}
+	c.lastAnswer = c.server.now()
+	if !c.flushPending {
+		c.flushPending = true
+		c.server.unflushed = append(c.server.unflushed, c)
+	}
+}
+
+// tidy ends the connection if its client is too slow or idle.
+func (c *Conn) tidy(now int64) {
+	switch {
+	case c.stalledSince > 0 && now-c.stalledSince > writeStallTimeout:
+		c.closeOnFault(errSlowReader)
+		c.close()
+	case c.closing, c.server.draining:
+		c.halfCloseIfIdle()
+	case c.commandOverdue(now):
+		c.closeWithError(errCommandTimeout)
+	case c.idleTooLong(now):
+		c.closing = true // half-closed only: closing over bytes that arrive now would be a reset
+		c.halfCloseIfIdle()
+	}
+}
+
+// commandOverdue reports whether a command is incomplete, or the first one missing, for too long.
+func (c *Conn) commandOverdue(now int64) bool {
+	if c.partialSince > 0 {
+		return now-c.partialSince > commandTimeout
+	}
+	return c.commandCount == 0 && now-c.lastAnswer > commandTimeout && c.link.Quiet(c.readsSeen)
+}
+
+// idleTooLong reports whether a connection that had commands is idle for too long.
+func (c *Conn) idleTooLong(now int64) bool {
+	if !c.idle() || c.commandCount == 0 || c.partialSince > 0 {
+		return false
+	}
+	return now-c.lastAnswer > idleTimeout && c.link.Quiet(c.readsSeen)
+}
+
+// flush writes answers, as far as the socket takes them, and starts commands that waited for them.
+func (c *Conn) flush() {
+	unsentBefore := c.out.Len()
+	if err := c.link.Flush(); err != nil {
+		c.close()
+		return
+	}
+	unsent := c.out.Len()
+	if unsent == 0 {
+		c.stalledSince = 0
+	} else {
+		if unsent < unsentBefore || c.stalledSince == 0 {
+			c.stalledSince = c.server.now()
+		}
+		c.flushPending = true
+		c.server.stalled = append(c.server.stalled, c)
+	}
+	c.startCommands()
+	c.halfCloseIfIdle()
+}
+
+// idle reports whether no command is in flight and no answer unsent.
+func (c *Conn) idle() bool { return len(c.wait) == 0 && c.out.Len() == 0 }
+
+// halfCloseIfIdle closes the sending side of a connection that is to end and owes nothing, so that neither the last answer nor
+// a command on its way is reset away. While the server drains, a whole command that is unread, or on its way to the loop, is
+// received first; a partial one is not waited for.
+func (c *Conn) halfCloseIfIdle() {
+	if c.closed || c.halfClosed || !c.idle() {
+		return
+	}
+	if c.closing || c.server.draining && (c.partialSince > 0 || c.link.Quiet(c.readsSeen)) {
+		c.closing, c.halfClosed = true, true
+		c.link.CloseWrite(lingerTimeout)
+	}
+}
+
+// closeOnFault logs a fault of the client and ends the connection after the answers that are due.
+func (c *Conn) closeOnFault(err error) {
+	if c.closed {
+		return
+	}
+	s := c.server
+	now := s.now()
+	if s.faultLog.due(now) {
+		log.Printf("event=client_fault error=%q open=%d count=%d", err, len(c.wait), s.faultLog.logged(now))
+	}
+	c.closing = true
+	c.halfCloseIfIdle()
+}
+
+// closeWithError ends the connection with an error line after the answers that are due.
+func (c *Conn) closeWithError(why error) {
+	c.Add().give(refused(why.Error()))
+	c.closeOnFault(why)
+}
+
+// close ends the connection at once. Its place is released first, whatever happens in the callbacks after that.
+func (c *Conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(c.server.conns, c)
+	close(c.done)
+	c.link.Close()
+	select {
+	case c.server.placeFreed <- struct{}{}:
+	default:
+	}
+	c.Line.end()
+}
--- /dev/null
+++ b/internal/clients/reader.go
@@ -0,0 +1,176 @@
+package clients
+
+import (
+	"log"
+	"runtime/debug"
+	"sync"
+
+	"ravensill/internal/resp"
+)
+
+// queuedOverhead is what a queued command takes beside its text, in bytes.
+const queuedOverhead = 128
+
+// commandQueue passes commands from a connection's reader to the loop. The loop is notified of it once at a time: a flood of
+// commands neither fills the loop's inbox nor keeps the reader from seeing that the client has gone, and commands not started
+// by then never are.
+type commandQueue struct {
+	mu            sync.Mutex
+	commands      []queuedCommand // not started, from head on
+	head          int             // index of the next one to start
+	queuedBytes   int             // size of the commands from head on
+	readsPosted   int64           // the link's count of reads up to the last notification
+	partialPosted int64           // partialBegan at that time
+	notified      bool            // a notification is on its way to the loop
+	hasRoom       chan struct{}   // holds a value once fewer than maxQueuedBytes are queued
+}
+
+// queuedCommand is one command that waits to be started.
+type queuedCommand struct {
+	size int // bytes
+	run  func(*Answer)
+}
+
+// readCommands reads the connection until it ends and queues its commands for the loop.
+func (c *Conn) readCommands() {
+	s := c.server
+	defer func() {
+		if p := recover(); p != nil {
+			log.Printf("event=panic where=client error=%q stack=%q", p, debug.Stack())
+		}
+		c.left.Store(true)
+		s.runOnLoop(c.close)
+	}()
+	commands := Commands{words: &s.words}
+	for {
+		if err := c.link.Read(); err != nil {
+			return // the client is gone, or the connection was closed here
+		}
+		c.readAt = s.now()
+		if err := c.parseCommands(&commands); err != nil {
+			c.enqueue(0, func(a *Answer) {
+				a.give(refused(err.Error()))
+				c.closeOnFault(err)
+			})
+			c.notifyLoop()
+			c.link.Discard()
+			return
+		}
+		if c.link.In.Len() == 0 {
+			c.partialBegan = 0
+		} else if c.partialBegan == 0 {
+			c.partialBegan = c.readAt
+		}
+		c.notifyLoop()
+	}
+}
+
+// parseCommands queues all whole commands that were read. An error ends the connection.
+func (c *Conn) parseCommands(commands *Commands) error {
+	for {
+		ok, err := commands.Next(c.link.In, c)
+		if err != nil {
+			return err
+		}
+		if c.malformed >= maxMalformed {
+			return errTooManyMalformed
+		}
+		if !ok {
+			return nil
+		}
+	}
+}
+
+// Arrive implements Door: it copies the request out of the read buffer, as the command to send to a host, and queues it.
+func (c *Conn) Arrive(id, customer []byte, class, plan int, wait int64, units float64, spread, first int,
+	retry bool, verb, before, after, body []byte) {
+	elements, receivedAt := 4, c.readAt
+	if body != nil {
+		elements = 5
+	}
+	text := make([]byte, 0, len(verb)+len(customer)+len(id)+len(before)+len(after)+len(body)+64)
+	text = resp.Bulk(resp.Bulk(resp.Bulk(resp.Array(text, elements), verb), customer), id)
+	idEnd := len(text)
+	text = append(text, before...)
+	beforeEnd := len(text)
+	text = append(text, after...)
+	afterEnd := len(text)
+	if body != nil {
+		text = resp.Bulk(text, body)
+	}
+	c.malformed = 0
+	requestID, customerID := string(id), string(customer)
+	c.enqueue(len(text), func(a *Answer) {
+		c.server.onRequest(a, receivedAt, requestID, customerID, class, plan, receivedAt+wait, units, spread, first, retry,
+			text[:idEnd], text[idEnd:beforeEnd], text[beforeEnd:afterEnd], text[afterEnd:])
+	})
+}
+
+// Ping implements Door.
+func (c *Conn) Ping() { c.enqueue(0, func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
+
+// Refuse implements Door: a malformed command is answered with an error.
+func (c *Conn) Refuse(why error) {
+	c.malformed++
+	c.enqueue(0, func(a *Answer) { a.give(refused(why.Error())) })
+}
+
+// enqueue adds a command of so many bytes to the queue.
+func (c *Conn) enqueue(size int, run func(*Answer)) {
+	c.partialBegan = 0
+	size += queuedOverhead
+	c.mu.Lock()
+	c.commands = append(c.commands, queuedCommand{size, run})
+	c.queuedBytes += size
+	c.mu.Unlock()
+}
+
+// notifyLoop tells the loop of queued commands, and waits while too many bytes are queued.
+func (c *Conn) notifyLoop() {
+	c.mu.Lock()
+	c.readsPosted, c.partialPosted = c.link.Reads(), c.partialBegan
+	notify := !c.notified
+	c.notified = true
+	queued := c.queuedBytes
+	c.mu.Unlock()
+	if notify {
+		c.server.runOnLoop(c.receiveFunc)
+	}
+	for queued > maxQueuedBytes {
+		select {
+		case <-c.hasRoom:
+		case <-c.done:
+			return
+		}
+		c.mu.Lock()
+		queued = c.queuedBytes
+		c.mu.Unlock()
+	}
+}
+
+// dequeue removes the first queued command.
+func (c *Conn) dequeue() (command queuedCommand, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == len(c.commands) {
+		return command, false
+	}
+	command = c.commands[c.head]
+	c.commands[c.head] = queuedCommand{} // for the garbage collector
+	c.head++
+	if c.head == len(c.commands) {
+		c.commands = c.commands[:0]
+		c.head = 0
+		if cap(c.commands) > maxInFlight { // grown by a flood
+			c.commands = nil
+		}
+	}
+	c.queuedBytes -= command.size
+	if c.queuedBytes <= maxQueuedBytes {
+		select {
+		case c.hasRoom <- struct{}{}:
+		default:
+		}
+	}
+	return command, true
+}
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -13,312 +13,320 @@
 	"ravensill/internal/golden"
 )
 
-// rig is a server whose loop the test turns, by hand: what its readers bring lies in work until then.
-type rig struct {
+// testServer is a server whose loop the test runs: functions for the loop stay in work until then.
+type testServer struct {
 	*testing.T
 	*Server
-	work  chan func()
-	clock atomic.Int64
-	open  []*Answer // arrived, in order
-	have  map[*Conn]bool
-	trace strings.Builder
-	addr  string
+	work      chan func()
+	clock     atomic.Int64
+	requests  []*Answer      // the answers of requests received, in order
+	connected map[*Conn]bool // connections of clients that connect has returned
+	trace     strings.Builder
+	addr      string
 }
 
-func newRig(t *testing.T, most int) *rig {
-	r := &rig{T: t, work: make(chan func(), 99), have: map[*Conn]bool{}}
-	r.clock.Store(1)
-	r.Server = NewServer(words, most, func(f func()) { r.work <- f }, r.clock.Load, func(a *Answer, _ int64, id, _ string, _, _ int, _ int64,
+// newTestServer listens on a loopback port. A request with the id "panic" panics in its handler.
+func newTestServer(t *testing.T, maxConns int) *testServer {
+	s := &testServer{T: t, work: make(chan func(), 99), connected: map[*Conn]bool{}}
+	s.clock.Store(1)
+	s.Server = NewServer(words, maxConns, func(f func()) { s.work <- f }, s.clock.Load, func(answer *Answer, _ int64, id, _ string, _, _ int, _ int64,
 		_ float64, _, _ int, _ bool, _, _, _, _ []byte) {
 		if id == "panic" {
 			panic("fault")
 		}
-		r.open = append(r.open, a)
+		s.requests = append(s.requests, answer)
 	})
-	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(r.End)
-	r.addr = l.Addr().String()
-	r.Listen(l)
-	return r
+	t.Cleanup(s.End)
+	s.addr = listener.Addr().String()
+	s.Listen(listener)
+	return s
 }
 
-func (r *rig) note(text string) { fmt.Fprintln(&r.trace, text) }
+// record adds a line to the trace.
+func (s *testServer) record(text string) { fmt.Fprintln(&s.trace, text) }
 
-// wait waits for what readers and sockets do by themselves.
-func (r *rig) wait(what string, ok func() bool) {
-	r.Helper()
-	for limit := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+// waitFor waits for a condition that readers and sockets bring about by themselves.
+func (s *testServer) waitFor(what string, condition func() bool) {
+	s.Helper()
+	for limit := time.Now().Add(20 * time.Second); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
-			r.Fatalf("never: %s; so far:\n%s", what, r.trace.String())
+			s.Fatalf("never: %s; so far:\n%s", what, s.trace.String())
 		}
 	}
 }
 
-// turn turns the loop until ok, as the node does.
-func (r *rig) turn(what string, ok func() bool) {
-	r.Helper()
-	r.wait(what, func() bool {
-		for k := len(r.work); k > 0; k-- {
-			(<-r.work)()
+// runLoop runs the loop until a condition holds, as the node does.
+func (s *testServer) runLoop(what string, condition func() bool) {
+	s.Helper()
+	s.waitFor(what, func() bool {
+		for n := len(s.work); n > 0; n-- {
+			(<-s.work)()
 		}
-		r.Flush()
-		return ok()
+		s.Flush()
+		return condition()
 	})
 }
 
-type far struct {
-	*rig
+// testClient is a client connected to a testServer.
+type testClient struct {
+	*testServer
 	*net.TCPConn
-	r *bufio.Reader
-	c *Conn // the near end
+	reader *bufio.Reader
+	conn   *Conn // the server's end
 }
 
-// client connects one that the loop knows.
-func (r *rig) client() *far {
-	r.Helper()
-	c, err := net.Dial("tcp4", r.addr)
+// connect connects a client and waits until the loop has registered it.
+func (s *testServer) connect() *testClient {
+	s.Helper()
+	conn, err := net.Dial("tcp4", s.addr)
 	if err != nil {
-		r.Fatal(err)
+		s.Fatal(err)
 	}
-	r.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	f := &far{rig: r, TCPConn: c.(*net.TCPConn), r: bufio.NewReader(c)}
-	r.turn("known", func() bool {
-		for k := range r.conns {
-			if !r.have[k] {
-				r.have[k], f.c = true, k
+	s.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	client := &testClient{testServer: s, TCPConn: conn.(*net.TCPConn), reader: bufio.NewReader(conn)}
+	s.runLoop("known", func() bool {
+		for k := range s.conns {
+			if !s.connected[k] {
+				s.connected[k], client.conn = true, k
 			}
 		}
-		return f.c != nil
+		return client.conn != nil
 	})
-	return f
+	return client
 }
 
-func (f *far) send(ids ...string) {
+// send sends one request for each id.
+func (c *testClient) send(ids ...string) {
 	text := ""
 	for _, id := range ids {
 		text += command("CALL.GET", get, id, list)
 	}
-	io.WriteString(f.TCPConn, text)
+	io.WriteString(c.TCPConn, text)
 }
 
-// got gives a line that the client gets, or the end of the stream.
-func (f *far) got() string {
-	line, err := f.r.ReadString('\n')
+// readLine returns the next line, or the error that ended the stream.
+func (c *testClient) readLine() string {
+	line, err := c.reader.ReadString('\n')
 	if err != nil {
 		return line + err.Error()
 	}
 	return strings.TrimSuffix(line, "\r\n")
 }
 
-func many(n int) (ids []string) {
+// requestIDs returns n different ids.
+func requestIDs(n int) (ids []string) {
 	for i := range n {
 		ids = append(ids, fmt.Sprint("r", i))
 	}
 	return ids
 }
 
-// A client pipelines far more than may be open, and goes while its commands lie before the loop; another while the first of them
-// are open. Its reader waited for a place among the open, did not see the end, and all were sent on one after the other.
+// TestFloodGoes has a client pipeline far more commands than may be in flight and disconnect while they are queued, and another
+// while the first of them are in flight. The reader once waited for a place in flight, did not see the end, and all commands were
+// sent on one after the other.
 func TestFloodGoes(t *testing.T) {
-	r := newRig(t, 9)
-	a, b := r.client(), r.client()
-	a.send(many(1000)...)
+	server := newTestServer(t, 9)
+	a, b := server.connect(), server.connect()
+	a.send(requestIDs(1000)...)
 	a.Close()
-	r.wait("the end seen", a.c.left.Load)
-	r.turn("ended", func() bool { return a.c.closed })
-	r.note(fmt.Sprintf("of a client gone before the loop turned: %d arrived", len(r.open)))
-	b.send(many(1000)...)
-	r.turn("as many open as may be", func() bool { return len(r.open) == mostOpen })
+	server.waitFor("the end seen", a.conn.left.Load)
+	server.runLoop("ended", func() bool { return a.conn.closed })
+	server.record(fmt.Sprintf("of a client gone before the loop turned: %d arrived", len(server.requests)))
+	b.send(requestIDs(1000)...)
+	server.runLoop("as many open as may be", func() bool { return len(server.requests) == maxInFlight })
 	b.Close()
-	r.wait("the end seen", b.c.left.Load)
-	for _, o := range r.open[:9] {
-		if !o.Gone() {
+	server.waitFor("the end seen", b.conn.left.Load)
+	for _, answer := range server.requests[:9] {
+		if !answer.Gone() {
 			t.Error("an open one is not told as gone")
 		}
-		o.Denied(0) // the module has not heard of it
+		answer.Denied(0) // the module has not heard of it
 	}
-	r.Flush() // nor has the loop, yet no other takes their places
-	r.turn("ended", func() bool { return b.c.closed })
-	r.note(fmt.Sprintf("of one that goes later: %d arrived", len(r.open)))
-	golden.Check(t, r.trace.String())
+	server.Flush() // nor has the loop, yet no other takes their places
+	server.runLoop("ended", func() bool { return b.conn.closed })
+	server.record(fmt.Sprintf("of one that goes later: %d arrived", len(server.requests)))
+	golden.Check(t, server.trace.String())
 }
 
-// A client pipelines more than its reader takes ahead of the loop, and stays: it waits, goes on, and each has its answer.
+// TestFloodStays has a client pipeline more than its reader queues, and stay: reading waits and goes on, and each command is
+// answered.
 func TestFloodStays(t *testing.T) {
-	r := newRig(t, 9)
-	f := r.client()
-	go f.send(many(9000)...)
-	r.wait("the reader waits", func() bool {
-		f.c.mu.Lock()
-		defer f.c.mu.Unlock()
-		return f.c.bytes > mostAhead
+	server := newTestServer(t, 9)
+	client := server.connect()
+	go client.send(requestIDs(9000)...)
+	server.waitFor("the reader waits", func() bool {
+		client.conn.mu.Lock()
+		defer client.conn.mu.Unlock()
+		return client.conn.queuedBytes > maxQueuedBytes
 	})
 	answers := make(chan int)
 	go func() {
 		n := 0
-		for ; n < 9000 && f.got() == "-BUSY"; n++ {
+		for ; n < 9000 && client.readLine() == "-BUSY"; n++ {
 		}
 		answers <- n
 	}()
-	r.turn("all answered", func() bool {
-		for _, o := range r.open {
-			o.Denied(0)
+	server.runLoop("all answered", func() bool {
+		for _, answer := range server.requests {
+			answer.Denied(0)
 		}
-		r.open = nil
+		server.requests = nil
 		select {
 		case n := <-answers:
-			r.note(fmt.Sprintf("%d answers; %d bytes ahead, %d open", n, f.c.bytes, len(f.c.wait)))
+			server.record(fmt.Sprintf("%d answers; %d bytes ahead, %d open", n, client.conn.queuedBytes, len(client.conn.wait)))
 			return true
 		default:
 			return false
 		}
 	})
-	golden.Check(t, r.trace.String())
+	golden.Check(t, server.trace.String())
 }
 
-// An idle connection is closed, to be tidy, for room, or at the end, and a command comes: read and on its way to the loop,
-// unread, or behind the close. The first two are answered, the last is never sent on, and its client sees the end, no reset.
+// TestCommandCrossesClose ends an idle connection, by its timeout, to make room, or while draining, as a command comes: read and
+// on its way to the loop, unread, or after the close. The first two are answered; the last is never sent on, and its client sees
+// the end of the stream, not a reset.
 func TestCommandCrossesClose(t *testing.T) {
 	var all strings.Builder
-	for _, x := range []struct {
+	for _, test := range []struct {
 		name  string
-		close func(r *rig)
-	}{{"tidy", func(r *rig) { r.Tidy() }}, {"room", func(r *rig) { r.makeRoom() }}, {"retire", func(r *rig) { r.Retire() }}} {
-		r := newRig(t, 1)
-		f := r.client()
-		f.send("first")
-		r.turn("first arrived", func() bool { return len(r.open) == 1 })
-		r.open[0].Passed([]byte("one"))
-		r.Flush()
-		r.clock.Add(quiet + 1)
-		r.tidied = r.now() // it did not stand still
-		f.send("second")
-		r.wait("second read", func() bool { return f.c.link.Reads() > f.c.seen && len(r.work) > 0 })
-		x.close(r)
-		r.turn("second arrived, or the end", func() bool { return len(r.open) == 2 || f.c.closed })
-		r.note(fmt.Sprintf("%s: a command on its way: %d arrived, closed %t", x.name, len(r.open), f.c.closed || f.c.half))
-		if len(r.open) == 2 {
-			r.open[1].Passed([]byte("two"))
+		close func(server *testServer)
+	}{{"tidy", func(server *testServer) { server.Tidy() }}, {"room", func(server *testServer) { server.makeRoom() }}, {"retire", func(server *testServer) { server.Retire() }}} {
+		server := newTestServer(t, 1)
+		client := server.connect()
+		client.send("first")
+		server.runLoop("first arrived", func() bool { return len(server.requests) == 1 })
+		server.requests[0].Passed([]byte("one"))
+		server.Flush()
+		server.clock.Add(idleTimeout + 1)
+		server.lastSweep = server.now() // it did not stand still
+		client.send("second")
+		server.waitFor("second read", func() bool { return client.conn.link.Reads() > client.conn.readsSeen && len(server.work) > 0 })
+		test.close(server)
+		server.runLoop("second arrived, or the end", func() bool { return len(server.requests) == 2 || client.conn.closed })
+		server.record(fmt.Sprintf("%s: a command on its way: %d arrived, closed %t", test.name, len(server.requests), client.conn.closed || client.conn.halfClosed))
+		if len(server.requests) == 2 {
+			server.requests[1].Passed([]byte("two"))
 		}
-		r.Flush()
-		r.clock.Add(quiet + 1)
-		r.tidied = r.now()
-		r.turn("quiet", func() bool { return f.c.half || f.c.link.Quiet(f.c.seen) })
-		x.close(r)
-		r.note(fmt.Sprintf("%s: nothing on its way: closed %t", x.name, f.c.closed || f.c.half))
-		f.send("third") // behind the close, the answers not taken yet
-		r.note(fmt.Sprintf("%s: its client gets %s %s %s %s, then %s", x.name, f.got(), f.got(), f.got(), f.got(), f.got()))
-		f.Close()
-		r.turn("forgotten", func() bool { return f.c.closed })
-		r.note(fmt.Sprintf("%s: %d arrived, %d open", x.name, len(r.open), r.Count()))
-		all.WriteString(r.trace.String())
+		server.Flush()
+		server.clock.Add(idleTimeout + 1)
+		server.lastSweep = server.now()
+		server.runLoop("quiet", func() bool { return client.conn.halfClosed || client.conn.link.Quiet(client.conn.readsSeen) })
+		test.close(server)
+		server.record(fmt.Sprintf("%s: nothing on its way: closed %t", test.name, client.conn.closed || client.conn.halfClosed))
+		client.send("third") // behind the close, the answers not taken yet
+		server.record(fmt.Sprintf("%s: its client gets %s %s %s %s, then %s", test.name, client.readLine(), client.readLine(), client.readLine(), client.readLine(), client.readLine()))
+		client.Close()
+		server.runLoop("forgotten", func() bool { return client.conn.closed })
+		server.record(fmt.Sprintf("%s: %d arrived, %d open", test.name, len(server.requests), server.Count()))
+		all.WriteString(server.trace.String())
 	}
 	golden.Check(t, all.String())
 }
 
-// A client is turned away under a half-read command while it is owed an answer, and what comes until its connection can end is
-// answered, too: none is read and left without a word.
+// TestTurnedAwayUnderAnswer lets a partial command time out while an answer is due: commands that come until the connection can
+// end are answered, too.
 func TestTurnedAwayUnderAnswer(t *testing.T) {
-	r := newRig(t, 9)
-	f := r.client()
-	f.send("owed")
-	r.turn("arrived", func() bool { return len(r.open) == 1 })
+	server := newTestServer(t, 9)
+	client := server.connect()
+	client.send("owed")
+	server.runLoop("arrived", func() bool { return len(server.requests) == 1 })
 	half := command("CALL.GET", get, "late", list)
-	io.WriteString(f.TCPConn, half[:30])
-	r.turn("half of it read", func() bool { return f.c.part > 0 })
-	r.clock.Add(unasked + 1)
-	r.tidied = r.now()
-	r.Tidy()
-	io.WriteString(f.TCPConn, half[30:])
-	f.send("behind")
-	r.turn("both come", func() bool { return f.c.asked == 3 })
-	r.open[0].Denied(0)
-	r.Flush()
+	io.WriteString(client.TCPConn, half[:30])
+	server.runLoop("half of it read", func() bool { return client.conn.partialSince > 0 })
+	server.clock.Add(commandTimeout + 1)
+	server.lastSweep = server.now()
+	server.Tidy()
+	io.WriteString(client.TCPConn, half[30:])
+	client.send("behind")
+	server.runLoop("both come", func() bool { return client.conn.commandCount == 3 })
+	server.requests[0].Denied(0)
+	server.Flush()
 	for range 5 {
-		r.note(f.got())
+		server.record(client.readLine())
 	}
-	r.note(fmt.Sprintf("%d arrived", len(r.open)))
-	golden.Check(t, r.trace.String())
+	server.record(fmt.Sprintf("%d arrived", len(server.requests)))
+	golden.Check(t, server.trace.String())
 }
 
-// A fault in the program under one of three pipelined commands: each has its answer, in order, and the connection goes on.
+// TestPanicUnderCommand panics under one of three pipelined commands: each is answered, in order, and the connection goes on.
 func TestPanicUnderCommand(t *testing.T) {
-	r := newRig(t, 9)
-	f := r.client()
-	f.send("a", "panic", "b")
-	r.turn("all begun", func() bool { return len(r.open) == 2 })
-	r.open[1].Passed([]byte("b"))
-	r.open[0].Passed([]byte("a"))
-	f.send("c")
-	r.turn("the next", func() bool { return len(r.open) == 3 })
-	r.open[2].Denied(0)
-	r.Flush()
+	server := newTestServer(t, 9)
+	client := server.connect()
+	client.send("a", "panic", "b")
+	server.runLoop("all begun", func() bool { return len(server.requests) == 2 })
+	server.requests[1].Passed([]byte("b"))
+	server.requests[0].Passed([]byte("a"))
+	client.send("c")
+	server.runLoop("the next", func() bool { return len(server.requests) == 3 })
+	server.requests[2].Denied(0)
+	server.Flush()
 	for range 6 {
-		r.note(f.got())
+		server.record(client.readLine())
 	}
-	golden.Check(t, r.trace.String())
+	golden.Check(t, server.trace.String())
 }
 
-// A client that takes nothing of what it is owed, and never closes, is cut off in the end, and holds no place; so is one that was
-// asked to end.
+// TestClientTakesNothing checks that a client that reads no answers and never closes is disconnected at last and holds no place,
+// also if its connection was to end anyway.
 func TestClientTakesNothing(t *testing.T) {
 	for _, end := range []bool{false, true} {
-		r := newRig(t, 9)
-		f := r.client()
-		f.send(many(mostOpen)...)
-		r.turn("arrived", func() bool { return len(r.open) == mostOpen })
-		for i := 0; f.c.slowAt == 0; i++ { // until the system takes no more
-			r.open[i].Passed(make([]byte, 60<<10))
-			r.Flush()
+		server := newTestServer(t, 9)
+		client := server.connect()
+		client.send(requestIDs(maxInFlight)...)
+		server.runLoop("arrived", func() bool { return len(server.requests) == maxInFlight })
+		for i := 0; client.conn.stalledSince == 0; i++ { // until the system takes no more
+			server.requests[i].Passed(make([]byte, 60<<10))
+			server.Flush()
 		}
 		if end {
-			f.c.fault(errBad)
+			client.conn.closeOnFault(errTooManyMalformed)
 		}
-		for _, step := range []int64{stuck, 1} {
-			r.clock.Add(step)
-			r.tidied = r.now()
-			r.Tidy()
-			r.note(fmt.Sprintf("asked to end %t: open %d", end, r.Count()))
+		for _, step := range []int64{writeStallTimeout, 1} {
+			server.clock.Add(step)
+			server.lastSweep = server.now()
+			server.Tidy()
+			server.record(fmt.Sprintf("asked to end %t: open %d", end, server.Count()))
 		}
 		if !end {
-			golden.Check(t, r.trace.String())
-		} else if r.Count() > 0 {
+			golden.Check(t, server.trace.String())
+		} else if server.Count() > 0 {
 			t.Error("one that was asked to end is held for ever")
 		}
 	}
 }
 
-// Connections that the system took in while the loop was busy, up to the moment when no more are taken in: each is served.
+// TestUnlistenBehind checks that connections that the system completed before Unlisten, while the loop was busy, are served.
 func TestUnlistenBehind(t *testing.T) {
-	r := newRig(t, 99)
-	var all []*far
+	server := newTestServer(t, 99)
+	var clients []*testClient
 	for range 20 {
-		c, err := net.Dial("tcp4", r.addr)
+		c, err := net.Dial("tcp4", server.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
 		c.SetDeadline(time.Now().Add(20 * time.Second))
 		io.WriteString(c, command("PING"))
-		all = append(all, &far{rig: r, TCPConn: c.(*net.TCPConn), r: bufio.NewReader(c)})
+		clients = append(clients, &testClient{testServer: server, TCPConn: c.(*net.TCPConn), reader: bufio.NewReader(c)})
 	}
-	r.Unlisten()
-	r.turn("no more taken in", func() bool { return !r.accepting })
-	r.turn("asked", func() bool {
+	server.Unlisten()
+	server.runLoop("no more taken in", func() bool { return !server.accepting })
+	server.runLoop("asked", func() bool {
 		n := 0
-		for c := range r.conns {
-			n += c.asked
+		for c := range server.conns {
+			n += c.commandCount
 		}
-		return n == len(all)
+		return n == len(clients)
 	})
-	r.Flush()
-	for i, f := range all {
-		if a := f.got(); a != "+PONG" {
-			t.Errorf("connection %d of %d: %s", i, len(all), a)
+	server.Flush()
+	for i, client := range clients {
+		if a := client.readLine(); a != "+PONG" {
+			t.Errorf("connection %d of %d: %s", i, len(clients), a)
 		}
 	}
 }
