Module and gossip: plans, classes, limits and the fleet's size change in a running gateway

A customer comes under its plan's new version when next refilled: no new units by a raise, no more than the new burst by a cut, a ceiling likewise; what is in flight keeps its class. Where plans have IDs (message form 4) totals name them by ID, what is unknown or of another plan than the customer's is dropped and counted, and messages between fleets of another size are not read; after a change of size the first totals tell what was not told yet. Without IDs form 3 goes out as before.

--- a/cmd/ravensill/main_test.go
+++ b/cmd/ravensill/main_test.go
@@ -953,8 +953,8 @@
 				return
 			}
 			ends[0].WriteToUDP(buf[:n], far)
-			mail.Read(buf[:n], 1, 2, func(uint64, uint64) bool { return true }, func(uint16) {},
-				func(_ uint32, _, _, _ int, total, _ uint64) {
+			mail.Form{Plans: 1, Members: 2}.Read(buf[:n], func(uint64, uint64) bool { return true }, func(uint16) {},
+				func(_, _ uint32, _, _ int, total, _ uint64) {
 					if total == 8*16 { // all of it, in parts of a unit
 						told <- struct{}{}
 					}
@@ -974,7 +974,7 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	stranger.Write(mail.Head(1, 1, nil)) // sound, but from nowhere known
+	stranger.Write(mail.Form{}.Head(1, 1, nil)) // sound, but from nowhere known
 	ends[0].WriteToUDP([]byte("hello"), far)
 	for n, all := 0, 0; all < 2; all += n {
 		l := w[1].line("event=datagrams_dropped")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,7 +47,8 @@
 		}
 		seat := slices.Index(p.peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		sound := false
-		mail.Read(buf[:n], p.plans, len(p.peers), func(uint64, uint64) bool {
+		form := mail.Form{Plans: p.plans, Members: len(p.peers)}
+		form.Read(buf[:n], func(uint64, uint64) bool {
 			sound = true
 			return false
 		}, nil, nil)
--- a/logic/customer.go
+++ b/logic/customer.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"ravensill/gateway"
 	"slices"
 )
 
@@ -12,24 +13,40 @@
 	if c := g.customers[hash]; c != nil {
 		return c
 	}
-	p := &g.plans[plan]
+	p := g.plans[plan]
 	c := &customer{hash: hash, plan: p, planID: plan, spread: spread, first: first, begun: g.now, at: g.now,
-		ties: make([]tie, 0, min(spread, len(g.links))), moved: g.now, level: p.Burst,
-		ceilDepth: p.CeilingBurst / float64(max(spread, 1))}
-	for i := range spread {
-		s := (first + i) % len(g.peers)
-		if s == g.seat.Index {
-			c.ceilRate = p.CeilingRate / float64(spread)
-		}
-		c.tie(g.from[s], false)
-		c.tie(g.to[s], true)
-	}
+		moved: g.now, level: p.Burst}
+	g.tieUp(c)
+	g.share(c)
 	// A former life of this gateway may have just spent its part: it fills from the start of this one on.
 	c.ceiling = min(c.ceilDepth, c.ceilRate*seconds(g.now-g.start))
 	g.customers[hash] = c
 	return c
 }
 
+// share sets this gateway's part of the ceiling, none where it is not of the customer's set.
+func (g *Gateway) share(c *customer) {
+	n := len(g.peers)
+	c.ceilDepth, c.ceilRate = c.plan.CeilingBurst/float64(max(c.spread, 1)), 0
+	if (g.seat.Index-c.first%n+n)%n < c.spread {
+		c.ceilRate = c.plan.CeilingRate / float64(c.spread)
+	}
+}
+
+// change puts a customer under another plan, or a new version of its own. It gives no units, and binds at
+// once. Totals are of one plan: under another they begin anew, or peers would charge that for this one.
+func (g *Gateway) change(c *customer, p *gateway.Plan) {
+	if p.ID != c.plan.ID {
+		c.total = [2]float64{}
+		for i := range c.ties {
+			c.ties[i].told, c.ties[i].at = 0, 0
+		}
+	}
+	c.plan = p
+	g.share(c)
+	c.level, c.ceiling = max(min(c.level, p.Burst), -debt*p.Burst), min(c.ceiling, c.ceilDepth)
+}
+
 // refill brings a copy up to now. Where no peer is heard the design denies all. The copy keeps its due as if
 // all of the customer's gateways were cut off alike: safe, but the last one alive serves a part only.
 func (g *Gateway) refill(c *customer) {
@@ -45,6 +62,9 @@
 	c.level = min(c.level+c.plan.Rate*t*part, max(c.plan.Burst*part, min(c.plan.Burst, g.largest)))
 	c.ceiling = min(c.ceiling+c.ceilRate*t, c.ceilDepth)
 	c.others, c.ask, c.got, c.presumed = c.others*fade, c.ask*fade, c.got*fade, c.presumed*fade
+	if p := g.plans[c.planID]; p != nil && p != c.plan {
+		g.change(c, p)
+	}
 }
 
 func (g *Gateway) idle(c *customer) bool {
--- a/logic/gauges.go
+++ b/logic/gauges.go
@@ -45,5 +45,8 @@
 	for i, n := range g.denied {
 		text += fmt.Sprintf(" %s=%d", reasonNames[i], n)
 	}
+	if g.form.ByID {
+		text += fmt.Sprintf(" totals_unmatched=%d", g.unmatched)
+	}
 	return text
 }
--- a/logic/gossip.go
+++ b/logic/gossip.go
@@ -5,32 +5,25 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"ravensill/internal/mail"
 	"slices"
 )
 
-func (c *customer) tie(p *peer, tells bool) {
-	if p == nil {
-		return
-	} else if p.latest != c {
-		p.latest, p.nth = c, len(c.ties)
-		c.ties = append(c.ties, tie{customer: c, peer: p})
-	}
-	c.ties[p.nth].tells = c.ties[p.nth].tells || tells
-}
-
-// row is where a gateway stands. Where a message to each peer an interval is more than they take in, each
-// tells its own admissions to its row, and its row's to its column: two steps, few messages for any number.
-func (g *Gateway) row(seat int) int { return seat * g.rows / len(g.peers) }
-
-// via is the gateway in from's row that tells to what the row admits: the one in to's column, or the last.
-func (g *Gateway) via(from, to int) int {
-	n := len(g.peers)
-	head := func(row int) int { return (row*n + g.rows - 1) / g.rows }
-	if g.row(from) == g.row(to) {
-		return to
+// resize takes in how many gateways there are: which of them this one tells and hears, and how often. Totals
+// are first totals again on both sides: among another number who tells what to whom may differ.
+func (g *Gateway) resize(n int) {
+	perSecond := g.seat.PerSecond
+	g.form.Members, g.rows = n, 1
+	if float64(n-1) > perSecond*mailLeast*seconds(interval) {
+		g.rows = int(math.Sqrt(float64(n)) + 0.5)
 	}
-	return min(head(g.row(from))+to-head(g.row(to)), head(g.row(from)+1)-1)
+	g.arrange(n)
+	g.rate = max(perSecond*mailLeast/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
+	g.pause = max(interval, int64(float64(second)/g.rate))
+	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
+	g.hush = max(g.silence/int64(max(len(g.links), 1)), 2*stall) // when several signs of life are overdue
+	g.fleet.seats, g.fleet.limit.Start = n, firstOpen/float64(n)
 }
 
 // note queues the customer for those to be told: of admissions here all peers, else the column; or one peer.
@@ -63,21 +56,27 @@
 		}
 	}
 	p.said, p.credit = p.said+1, p.credit-1
-	msg := mail.Head(uint64(g.start/1e6), p.said, tags)
+	msg := g.form.Head(uint64(g.start/1e6), p.said, tags)
 	slices.SortStableFunc(p.queue, func(a, b *tie) int { return cmp.Compare(b.untold(), a.untold()) })
 	for len(p.queue) > 0 {
 		t := p.queue[0]
 		c, total := t.customer, uint64(t.customer.total[p.wants]*unit)
 		g.refill(c)
 		owed, lack := uint64(0), max(c.plan.Burst-c.level, 0)*unit
-		if g.now-c.begun < g.silence { // a copy there that has not heard of it is to lose the whole,
+		if g.joined > 0 && g.now-g.joined < g.silence { // after a change of the fleet's size what was not told,
+			owed = uint64(t.untold() * unit)
+		} else if g.now-c.begun < g.silence { // a copy there that has not heard of it is to lose the whole,
 			owed = total
 		} else if g.now-p.born < g.silence { // of a new life, full, this gateway's part of what is gone,
 			owed = uint64(lack / float64(len(c.ties)))
 		} else if t.told == 0 { // if first told late, what has not been refilled since
 			owed = min(total, uint64(lack))
 		}
-		if entry := mail.Total(c.hash, c.planID, c.spread, c.first, total, owed); owed > 0 || t.untold() > 0 {
+		name := uint32(c.planID)
+		if g.form.ByID {
+			name = c.plan.ID
+		}
+		if entry := g.form.Total(c.hash, name, c.spread, c.first, total, owed); owed > 0 || t.untold() > 0 {
 			if len(msg)+len(entry) > mail.Most {
 				break
 			}
@@ -93,7 +92,7 @@
 		return
 	}
 	p := g.peers[from]
-	mail.Read(msg, len(g.plans), len(g.peers), func(life, number uint64) bool {
+	g.form.Read(msg, func(life, number uint64) bool {
 		if life < p.life || life == p.life && number <= p.number { // overtaken
 			return false
 		}
@@ -108,7 +107,15 @@
 		}
 		p.heard, g.heard, p.number = g.now, g.now, number
 		return true
-	}, g.fleet.vouched, func(hash uint32, plan, spread, first int, total, owed uint64) {
+	}, g.fleet.vouched, func(hash, name uint32, spread, first int, total, owed uint64) {
+		plan, known := int(name), true
+		if g.form.ByID {
+			plan, known = g.byID[name]
+		}
+		if c := g.customers[hash]; !known || g.form.ByID && c != nil && c.planID != plan {
+			g.unmatched++ // of a plan that is unknown here, or that the customer is not on
+			return
+		}
 		g.told(p, g.customer(hash, plan, spread, first), total, owed)
 	})
 }
--- a/logic/hosts.go
+++ b/logic/hosts.go
@@ -9,7 +9,7 @@
 	"slices"
 )
 
-// of is how the host serves a frontend. Most hosts of a large list are never asked: their records are made when looked at.
+// of is how the host serves a frontend. Most hosts of a large list are never asked: records are made late.
 func (h *host) of(fr *front) *health {
 	if missing := fr.nth + 1 - len(h.fronts); missing > 0 {
 		h.fronts = append(h.fronts, make([]health, missing)...)
@@ -96,7 +96,7 @@
 	return first
 }
 
-// weigh sets the hosts' loads for a frontend and gives the least; one that may get nothing now has an infinite load.
+// weigh sets the hosts' loads for a frontend, infinite for one that may get nothing now, and gives the least.
 func (f *fleet) weigh(hosts []*host, fr *front, now int64, last *host) float64 {
 	least := math.Inf(1)
 	f.weighed = hosts
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,7 +18,7 @@
 	"slices"
 
 	"ravensill/gateway"
-	"ravensill/limit"
+	"ravensill/internal/mail"
 )
 
 const (
@@ -51,39 +51,19 @@
 
 func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
-	n, me, rnd := max(seat.Count, 1), seat.Index, mwc(seed|1)
-	g := &Gateway{start: -1, rows: 1, seat: seat, plans: plans, limits: limits, rnd: &rnd,
-		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*req{},
-		peers: make([]*peer, n), to: make([]*peer, n), from: make([]*peer, n)}
-	for i, f := range fronts {
-		g.fronts = append(g.fronts, front{f, i, float64(f.Target) / 6, 1})
+	rnd := mwc(seed | 1)
+	g := &Gateway{start: -1, seat: seat, limits: limits, rnd: &rnd, byID: map[uint32]int{},
+		customers: map[uint32]*customer{}, reqs: map[string]*req{}, calls: map[uint64][]*req{}}
+	g.fleet = fleet{rnd: g.rnd, cold: cold, seat: seat.Index}
+	g.fleet.utilAt = slices.Index(report.Fields, gateway.BusyShare)
+	for i := range fronts {
+		g.class(&gateway.ClassUpdate{Index: i, Class: fronts[i]})
 	}
-	if float64(n-1) > seat.PerSecond*mailLeast*seconds(interval) {
-		g.rows = int(math.Sqrt(float64(n)) + 0.5)
+	for i := range plans {
+		g.quota(&gateway.PlanUpdate{Index: i, Plan: plans[i]})
 	}
-	hop := func(from, to, i int) *peer { // the other end of the step from or to here, on the way between the two
-		v := g.via(from, to)
-		if v == me {
-			v = i
-		}
-		if g.peers[v] == nil {
-			g.peers[v] = &peer{seat: v, wants: cmp.Compare(g.row(v), g.row(me)) & 1, credit: g.rnd.part()}
-			g.links = append(g.links, g.peers[v])
-		}
-		return g.peers[v]
-	}
-	for i := range g.peers {
-		if i != me && seat.Messages {
-			g.to[i], g.from[i] = hop(me, i, i), hop(i, me, i)
-			g.to[i].tells = true
-		}
-	}
-	g.rate = max(seat.PerSecond*mailLeast/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
-	g.pause = max(interval, int64(float64(second)/g.rate))
-	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
-	g.hush = max(g.silence/int64(max(len(g.links), 1)), 2*stall) // when several signs of life are overdue
-	g.fleet = fleet{rnd: g.rnd, cold: cold, limit: limit.Out{Start: firstOpen / float64(n)},
-		utilAt: slices.Index(report.Fields, gateway.BusyShare), seat: me, seats: n, fronts: len(fronts)}
+	g.form = mail.Form{Plans: len(plans), ByID: len(plans) > 0 && plans[0].ID != 0}
+	g.resize(max(seat.Count, 1))
 	return g
 }
 
@@ -135,12 +115,15 @@
 }
 
 func (g *Gateway) arrive(e *gateway.Event, at int64) {
-	c, fr := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First), &g.fronts[e.Frontend]
+	c, fr := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First), g.fronts[e.Frontend]
 	r := &req{id: e.Req, customer: c, front: fr, units: e.Units, arrived: at, until: e.Until}
 	g.reqs[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
 	g.came++
 	g.largest = max(g.largest, r.units)
+	if g.form.ByID { // its plan may be gone, or it is on another now
+		c.planID = e.Plan
+	}
 	g.refill(c)
 	c.ask += r.units
 	// The counter may be asked about the cap where it answers and the client will still be there.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -383,7 +383,7 @@
 		w.end(0, 1, gateway.Canceled, false)
 	}
 	w.arrive(0, "b", 2)
-	w.seats[1].g.fleet.hosts[0].of(&w.seats[1].g.fronts[0]).good = w.now // the peer hears well of it
+	w.seats[1].g.fleet.hosts[0].of(w.seats[1].g.fronts[0]).good = w.now // the peer hears well of it
 	w.wait(600*ms, true)
 	w.arrive(0, "c", 2)
 	golden.Check(t, w.trace.String())
@@ -557,7 +557,7 @@
 	w.end(0, 0, gateway.Spoilt, false)
 	w.pass(0)
 	for _, h := range w.seats[0].g.fleet.hosts {
-		if h.of(&w.seats[0].g.fronts[0]).bad != 0 {
+		if h.of(w.seats[0].g.fronts[0]).bad != 0 {
 			t.Errorf("host %d is set aside", h.id)
 		}
 	}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -40,7 +40,7 @@
 		t.Fatal("no message to a peer")
 	}
 	for _, body := range w.seats[0].mail {
-		mail.Read(body, 1, 300, func(uint64, uint64) bool { return true },
+		mail.Form{Plans: 1, Members: 300}.Read(body, func(uint64, uint64) bool { return true },
 			func(uint16) { t.Error("a peer is told of a host that is not near") }, nil)
 	}
 	far := g.fleet.hosts[slices.IndexFunc(g.fleet.hosts, func(h *host) bool { return !h.Held })]
@@ -63,10 +63,10 @@
 	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.seats[0])
 	for _, h := range g.fleet.near {
 		h.pace = 1000
-		h.of(&g.fronts[0]).any = second
+		h.of(g.fronts[0]).any = second
 	}
 	c := g.customer(1, 0, 1, 0)
-	if h := g.fleet.pick(c, &g.fronts[0], second, 1, nil); h == nil || h.Held {
+	if h := g.fleet.pick(c, g.fronts[0], second, 1, nil); h == nil || h.Held {
 		t.Fatalf("pick gave %v, not a host outside the subset", h)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"ravensill/gateway"
+	"ravensill/internal/mail"
 	"ravensill/limit"
 	"ravensill/spread"
 )
@@ -72,8 +73,11 @@
 	nextSweep, nextAsk, asked, deaf int64 // asked for the list, or lost it; the counter is not asked until deaf
 	out                             gateway.Writer
 	seat                            gateway.Seat
-	fronts                          []front
-	plans                           []gateway.Plan
+	fronts                          []*front
+	plans                           []*gateway.Plan // by index; nil: removed
+	byID                            map[uint32]int  // indices of the plans by their IDs
+	form                            mail.Form
+	joined                          int64 // the fleet's size changed last; 0 never
 	limits                          gateway.Limits
 	options                         []gateway.Option // scratch, for a Witness
 	customers                       map[uint32]*customer
@@ -88,6 +92,7 @@
 	worth, spare                    float64 // usual worth of a req for its time; repeats in stock
 	rnd                             *mwc
 	passed, came, asks, unheard     int // reqs sent on, come since a beat; lists lost, calls unanswered
+	unmatched                       int // totals dropped for their plan
 	denied                          [Reasons]int
 }
 
@@ -105,7 +110,6 @@
 	rnd         *mwc
 	utilAt, out int       // place of the busy share in load reports, -1 none; dispatches out from here
 	seat, seats int       // where this gateway stands, among so many: for its subset
-	fronts      int       // frontends
 	limit       limit.Out // on these
 	woke, stood int64     // the gateway last stood still until then, and how long
 }
