--- /dev/null
+++ b/internal/config/class.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"errors"
+
+	"ravensill/gateway"
+)
+
+// errBareClass is told of a request class that commands could not name, or whose requests would never end.
+var errBareClass = errors.New("name and hard_limit_us wanted")
+
+// DecodeRequestClass reads one request class from its own JSON object, by the same code as the list of a whole
+// configuration. path is its place among the settings, such as "profiles.3"; errors and adjustments name keys by it.
+// limits are those in force: of a class that must never run twice, parallel tries are taken out of them.
+func DecodeRequestClass(path, raw string, limits *gateway.Limits) (class gateway.Frontend, name string,
+	adjusted []Adjustment, err error) {
+	item, err := newSettings(path, raw)
+	if err != nil {
+		return gateway.Frontend{}, "", nil, err
+	}
+	class, name = item.requestClass()
+	adjusted = item.shapeClass(&class, limits)
+	if item.err == nil {
+		item.err = keyed(path+": ", checkClass(name, class))
+	}
+	return class, name, adjusted, item.err
+}
+
+// requestClass reads the object as one request class, by its letter.
+func (s *settings) requestClass() (class gateway.Frontend, name string) {
+	name = s.text("name")
+	class = gateway.Frontend{
+		Effect:  gateway.Effect(s.word("effect", "safe", "keyed", "unsafe")),
+		Group:   gateway.Group(s.word("group", "all", "zone", "cell")),
+		Window:  s.time("window_us"),
+		Target:  s.time("target_us"),
+		Timeout: s.time("hard_limit_us"),
+		Value:   s.num("points"),
+		Late:    s.num("late_worth"),
+		Stream:  s.yes("stream"),
+	}
+	return class, name
+}
+
+// shapeClass gives keys of a request class that contradict each other, or the limits, their one meaning.
+func (s *settings) shapeClass(class *gateway.Frontend, limits *gateway.Limits) (adjusted []Adjustment) {
+	adjust := func(key, meaning string, args ...any) {
+		adjusted = append(adjusted, adjustment(key, meaning, args...))
+	}
+	if limits.Two && class.Effect == gateway.NonReplayable {
+		adjust("limits.parallel_tries", "as false: %seffect is unsafe", s.prefix)
+		limits.Two = false
+	}
+	if class.Effect == gateway.Uniqued && class.Window == 0 { // no host drops a repeat
+		if s.get("window_us").Exists() {
+			adjust(s.prefix+"window_us", "0 is no window: as unsafe, what may have run is never sent again")
+		}
+		class.Effect = gateway.NonReplayable
+	}
+	if class.Late > 1 {
+		adjust(s.prefix+"late_worth", "as 1: a late answer earns no more than one in time")
+		class.Late = 1
+	}
+	if class.Target == 0 && class.Timeout > 0 {
+		adjust(s.prefix+"target_us", "as hard_limit_us: none is told")
+		class.Target = class.Timeout
+	}
+	if class.Target > class.Timeout && class.Timeout > 0 {
+		adjust(s.prefix+"target_us", "as hard_limit_us: nobody waits for longer")
+		class.Target = class.Timeout
+	}
+	if limits.Counter && 2*limits.CounterWait >= class.Timeout && class.Timeout > 0 {
+		adjust("family_info.count_wait_us", "half of %shard_limit_us or more: its reqs are decided without the counter", s.prefix)
+	}
+	return adjusted
+}
+
+// checkClass looks for what a gateway on sockets can't do without.
+func checkClass(name string, class gateway.Frontend) error {
+	if name == "" || class.Timeout <= 0 {
+		return errBareClass
+	}
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
+	"hash/maphash"
+	"io"
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -24,7 +26,7 @@
 	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
 	Counter    netip.AddrPort   // the shared counter; none where the settings know none
 	Known      string           // the list as last had; may be empty
-	Fixed      uint64           // a hash of the keys that count from the start on only
+	Fixed      uint64           // a hash of the keys that count from the start on only; it holds in this process alone
 	*Settings
 	Counterfactual *Counterfactual // nil: off
 	Pool           *Pool           // nil: off
@@ -42,19 +44,19 @@
 	if file == "" {
 		return nil, errors.New("GW_CONFIG: not set; it names the configuration file")
 	}
-	text, err := os.ReadFile(file)
+	text, err := readText(file)
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
+	s, err := newSettings("", text)
+	if err != nil {
 		return nil, errors.New("GW_CONFIG: the file holds no JSON object")
 	}
-	s := &settings{obj: gjson.ParseBytes(text)}
 	word := func(key, env, def string) string {
 		if v := getenv(env); env != "" && v != "" {
 			return v
 		}
-		if v := s.at(key, gjson.String).Str; v != "" {
+		if v := s.text(key); v != "" {
 			return v
 		}
 		return def
@@ -83,7 +85,7 @@
 		}
 		return v
 	}
-	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: s.at("known", gjson.JSON).Raw}
+	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: strings.Clone(s.at("known", gjson.JSON).Raw)}
 	c.Listen = addr("listen", word("listen", "GW_LISTEN", ""))
 	if at := word("discovery", "", ""); again && at != "" {
 		c.Discovery = addr("discovery", at).String()
@@ -97,14 +99,7 @@
 		c.Seed, err = strconv.ParseUint(seed, 16, 64)
 		fail("seed", err)
 	}
-	fixed := fnv.New64a()
-	s.obj.ForEach(func(key, value gjson.Result) bool {
-		if k := key.Str; k != "discovery" && k != "known" && k != "seed" {
-			fmt.Fprintln(fixed, k, value.Raw)
-		}
-		return true
-	})
-	c.Fixed = fixed.Sum64()
+	c.Fixed = fixedKeys(s.obj)
 	c.Settings, err = Decode(s.at("settings", gjson.JSON).Raw)
 	fail("settings", err)
 	if s.err == nil {
@@ -136,19 +131,53 @@
 	return c, s.err
 }
 
+// readText reads a file into one string, with no second copy beside it: the document may be as large as the rest of the
+// gateway.
+func readText(name string) (string, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	var text strings.Builder
+	if info, err := file.Stat(); err == nil && info.Mode().IsRegular() {
+		text.Grow(int(info.Size()))
+	}
+	_, err = io.Copy(&text, file)
+	return text.String(), err
+}
+
+var fixedSeed = maphash.MakeSeed()
+
+// fixedKeys hashes the keys that count from the start on only.
+func fixedKeys(document gjson.Result) uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(fixedSeed)
+	document.ForEach(func(key, value gjson.Result) bool {
+		if k := key.Str; k != "discovery" && k != "known" && k != "seed" {
+			hash.WriteString(k)
+			hash.WriteByte(' ')
+			hash.WriteString(value.Raw)
+			hash.WriteByte('\n')
+		}
+		return true
+	})
+	return hash.Sum64()
+}
+
 // check looks for what a gateway on sockets can't do without, and gives defaults.
 func (s *Settings) check() error {
 	if len(s.Fronts) == 0 || len(s.Plans) == 0 {
 		return errors.New("profiles, plans: one of each wanted at least")
 	}
-	for i, f := range s.Fronts {
-		if s.FrontNames[i] == "" || f.Timeout <= 0 {
-			return fmt.Errorf("profiles.%d: name and hard_limit_us wanted", i)
+	for i, class := range s.Fronts {
+		if err := checkClass(s.FrontNames[i], class); err != nil {
+			return keyed(elementPath("profiles", i)+": ", err)
 		}
 	}
 	for i, name := range s.PlanNames {
-		if name == "" {
-			return fmt.Errorf("plans.%d.name: missing", i)
+		if err := checkPlan(name); err != nil {
+			return keyed(elementPath("plans", i)+".", err)
 		}
 	}
 	if s.ConnIdle == 0 {
@@ -159,3 +188,11 @@
 	}
 	return nil
 }
+
+// keyed puts a path in front of an error, where there is one.
+func keyed(prefix string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s%w", prefix, err)
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -4,6 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -12,37 +15,68 @@
 
 const us = 1000 // nanoseconds
 
-// settings reads values of the settings object by path; it keeps the first fault. Absent keys read as zero.
+// settings reads values of one JSON object by path; it keeps the first fault. Absent keys read as zero.
 type settings struct {
-	obj gjson.Result
-	err error
+	obj     gjson.Result
+	prefix  string // of the object's keys in messages: its own path and a dot
+	err     error
+	scanned int // bytes that all lookups may have gone through, so that a test sees how they grow
 }
 
+// errNoObject is told of text that should hold a JSON object.
+var errNoObject = errors.New("not a JSON object")
+
+// newSettings reads the one object that a text holds. path is its place among the settings, empty for the whole of them.
+func newSettings(path, text string) (*settings, error) {
+	if !gjson.Valid(text) || !gjson.Parse(text).IsObject() {
+		if path == "" {
+			return nil, errNoObject
+		}
+		return nil, fmt.Errorf("%s: %w", path, errNoObject)
+	}
+	s := &settings{obj: gjson.Parse(text)}
+	if path != "" {
+		s.prefix = path + "."
+	}
+	return s, nil
+}
+
+// get looks a value up, whatever its type.
+func (s *settings) get(path string) gjson.Result {
+	s.scanned += len(s.obj.Raw)
+	return s.obj.Get(path)
+}
+
+// at looks a value up that has to be of one of the types wanted.
 func (s *settings) at(path string, want ...gjson.Type) gjson.Result {
-	v := s.obj.Get(path)
+	v := s.get(path)
 	if !v.Exists() || v.Type == gjson.Null || s.err != nil {
 		return gjson.Result{}
 	}
-	for _, t := range want {
-		if v.Type == t {
-			return v
-		}
+	if slices.Contains(want, v.Type) {
+		return v
 	}
-	s.err = fmt.Errorf("%s: unexpected value %.40s", path, v.Raw)
+	s.err = fmt.Errorf("%s%s: unexpected value %.40s", s.prefix, path, v.Raw)
 	return gjson.Result{}
 }
 
 func (s *settings) num(path string) float64 {
 	v := s.at(path, gjson.Number).Num
 	if v < 0 && s.err == nil {
-		s.err = fmt.Errorf("%s: below zero", path)
+		s.err = fmt.Errorf("%s%s: below zero", s.prefix, path)
 	}
 	return v
 }
+
 func (s *settings) whole(path string) int  { return int(s.num(path)) }
 func (s *settings) time(path string) int64 { return int64(s.num(path) * us) }
 func (s *settings) yes(path string) bool   { return s.at(path, gjson.True, gjson.False).Bool() }
 
+// text gives a copy: a part of the document would keep all of it in memory.
+func (s *settings) text(path string) string {
+	return strings.Clone(s.at(path, gjson.String).Str)
+}
+
 // word gives the index of the text at path in the choices, the first standing for an absent key too.
 func (s *settings) word(path string, choices ...string) int {
 	v := s.at(path, gjson.String)
@@ -52,22 +86,44 @@
 		}
 	}
 	if v.Exists() && s.err == nil {
-		s.err = fmt.Errorf("%s: unknown word %q", path, v.Str)
+		s.err = fmt.Errorf("%s%s: unknown word %q", s.prefix, path, v.Str)
 	}
 	return 0
 }
 
-// each calls f with the path of every object in the list at path.
-func (s *settings) each(path string, f func(item string)) {
-	list := s.obj.Get(path)
+// says tells whether the value at path is there and reads as a word, whatever its type.
+func (s *settings) says(path, word string) bool {
+	v := s.get(path)
+	return v.Exists() && v.String() == word
+}
+
+// each calls f with a reader of every object in the list at path. The list is gone through once, and each reader looks
+// through its own object alone: the cost grows with the length of the list, not with its square.
+func (s *settings) each(path string, f func(item *settings)) {
+	list := s.get(path)
 	if list.Exists() && !list.IsArray() && s.err == nil {
-		s.err = fmt.Errorf("%s: not a list", path)
+		s.err = fmt.Errorf("%s%s: not a list", s.prefix, path)
 	}
-	for i := range list.Array() {
-		f(fmt.Sprintf("%s.%d", path, i))
+	if !list.IsArray() {
+		return
 	}
+	index := 0
+	list.ForEach(func(_, value gjson.Result) bool {
+		item := &settings{prefix: s.prefix + elementPath(path, index) + ".", err: s.err}
+		if value.IsObject() { // anything else has no keys
+			item.obj = value
+		}
+		f(item)
+		s.err = item.err
+		s.scanned += item.scanned
+		index++
+		return true
+	})
 }
 
+// elementPath names an element of a list.
+func elementPath(list string, index int) string { return list + "." + strconv.Itoa(index) }
+
 // Settings is what a deployment tells each of its gateways, on every wire.
 type Settings struct {
 	Seat   gateway.Seat
@@ -86,27 +142,26 @@
 
 // Decode reads the settings object.
 func Decode(text string) (*Settings, error) {
-	if !gjson.Valid(text) || !gjson.Parse(text).IsObject() {
-		return nil, errors.New("not a JSON object")
-	}
-	s, d := &settings{obj: gjson.Parse(text)}, &Settings{}
-	s.each("profiles", func(p string) {
-		d.FrontNames = append(d.FrontNames, s.at(p+".name", gjson.String).Str)
-		d.Fronts = append(d.Fronts, gateway.Frontend{
-			Effect: gateway.Effect(s.word(p+".effect", "safe", "keyed", "unsafe")),
-			Group:  gateway.Group(s.word(p+".group", "all", "zone", "cell")),
-			Window: s.time(p + ".window_us"), Target: s.time(p + ".target_us"), Timeout: s.time(p + ".hard_limit_us"),
-			Value: s.num(p + ".points"), Late: s.num(p + ".late_worth"), Stream: s.yes(p + ".stream"),
-		})
+	s, err := newSettings("", text)
+	if err != nil {
+		return nil, err
+	}
+	return s.decode()
+}
+
+func (s *settings) decode() (*Settings, error) {
+	d := &Settings{}
+	s.each("profiles", func(item *settings) {
+		class, name := item.requestClass()
+		d.Fronts = append(d.Fronts, class)
+		d.FrontNames = append(d.FrontNames, name)
 	})
-	s.each("plans", func(p string) {
-		d.PlanNames = append(d.PlanNames, s.at(p+".name", gjson.String).Str)
-		d.Plans = append(d.Plans, gateway.Plan{
-			Rate: s.num(p + ".rate"), Burst: s.num(p + ".burst"), Open: s.whole(p + ".parallel"),
-			CeilingRate: s.num(p + ".ceiling_rate"), CeilingBurst: s.num(p + ".cap_depth"),
-			Slack: s.num(p + ".ceiling_slack"), Price: s.num(p + ".worth_factor"),
-			BeyondValue: s.num(p + ".extra_worth"), BeyondCost: s.num(p + ".beyond_costs"),
-		})
+	var ofPlans []Adjustment
+	s.each("plans", func(item *settings) {
+		plan, name, adjusted := item.plan()
+		d.Plans = append(d.Plans, plan)
+		d.PlanNames = append(d.PlanNames, name)
+		ofPlans = append(ofPlans, adjusted...)
 	})
 	d.Seat = gateway.Seat{
 		Index: s.whole("position"), Count: s.whole("balancers"), Zone: s.whole("locality"),
@@ -135,13 +190,13 @@
 	if s.err == nil && (d.Seat.Count < 1 || d.Seat.Index >= d.Seat.Count) {
 		s.err = fmt.Errorf("position: %d is not below balancers", d.Seat.Index)
 	}
-	d.shape(s.obj)
+	d.shape(s, ofPlans)
 	return d, s.err
 }
 
 func (s *settings) names(path string) (names []string) {
 	for _, n := range s.at(path, gjson.JSON).Array() {
-		names = append(names, n.Str)
+		names = append(names, strings.Clone(n.Str))
 	}
 	return names
 }
