Plans, classes and senders are found by name and address without walking a list

Each request compared its plan's and class's names with all before them, and each message its sender's address with those of all peers. Both are looked up in maps now, with no allocation; of two alike the first counts, as before.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -17,12 +17,40 @@
 
 // Words are what commands name, by index, and the bounds of their figures.
 type Words struct {
-	Fronts, Plans []string
+	Fronts, Plans Names
 	Effects       []gateway.Effect // by frontend
 	Most          []float64        // units of a req, by plan; 0: any
 	Seats, Seat   int              // gateways, and this one's place among them
 }
 
+// Names finds a name's index among many, at the same cost however many there are.
+type Names struct {
+	list  []string
+	index map[string]int
+}
+
+// NewNames takes names by index; of two that are alike the first counts.
+func NewNames(list ...string) Names {
+	n := Names{list: list, index: make(map[string]int, len(list))}
+	for i, name := range list {
+		if _, known := n.index[name]; !known {
+			n.index[name] = i
+		}
+	}
+	return n
+}
+
+// Index gives a name's index, -1 for one that is not known. It allocates nothing.
+func (n Names) Index(name []byte) int {
+	if i, known := n.index[string(name)]; known {
+		return i
+	}
+	return -1
+}
+
+// At gives the name at an index.
+func (n Names) At(i int) string { return n.list[i] }
+
 const firstNone = "0000000200000000" // no customer's number is so large
 
 var names = []string{"c", "t", "d", "k", "r", "units", "spread", "first"}
@@ -108,9 +136,9 @@
 		}
 		switch string(name) {
 		case "c":
-			front = slices.Index(c.words.Fronts, string(value))
+			front = c.words.Fronts.Index(value)
 		case "t":
-			plan = slices.Index(c.words.Plans, string(value))
+			plan = c.words.Plans.Index(value)
 		case "d":
 			if ms, err := strconv.ParseUint(string(value), 10, 31); err == nil && ms > 0 {
 				wait, cut, end = int64(ms)*1e6, at+2, at+n
@@ -141,11 +169,11 @@
 	}
 	switch effect := c.words.Effects[front]; {
 	case get != (effect == gateway.Replayable):
-		return fmt.Errorf("c: %s is not served by %s", c.words.Fronts[front], parts[0])
+		return fmt.Errorf("c: %s is not served by %s", c.words.Fronts.At(front), parts[0])
 	case effect == gateway.Uniqued && !key:
 		return errors.New("k: missing")
 	case c.words.Most[plan] > 0 && units > c.words.Most[plan]:
-		return fmt.Errorf("units: %g are more than %s ever grants", units, c.words.Plans[plan])
+		return fmt.Errorf("units: %g are more than %s ever grants", units, c.words.Plans.At(plan))
 	case (c.words.Seat-first+c.words.Seats)%c.words.Seats >= spread:
 		return errors.New("first, spread: this gateway is not of that set")
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -11,7 +11,7 @@
 	"ravensill/internal/ring"
 )
 
-var words = Words{Fronts: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
+var words = Words{Fronts: NewNames("lookup", "order"), Plans: NewNames("basic", "team"), Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
 
 // book writes down what commands say.
 type book struct{ strings.Builder }
@@ -127,3 +127,25 @@
 }
 func (nobody) Ping()            {}
 func (nobody) Refuse(err error) { panic(err) }
+
+// TestNames: a name is found among tens of thousands by what a request holds, and nothing is allocated for it.
+func TestNames(t *testing.T) {
+	many := make([]string, 54_000)
+	for i := range many {
+		many[i] = fmt.Sprint("plan-", i)
+	}
+	many[53_999] = many[7]
+	names, last := NewNames(many...), []byte("plan-53998")
+	if i := names.Index(last); i != 53_998 || names.At(i) != "plan-53998" {
+		t.Errorf("%s is at %d", last, i)
+	}
+	if i := names.Index([]byte("plan-7")); i != 7 {
+		t.Errorf("of two alike the one at %d counts, want the first", i)
+	}
+	if i := names.Index([]byte("plan-53999")); i != -1 {
+		t.Errorf("what is not there is found at %d", i)
+	}
+	if n := testing.AllocsPerRun(100, func() { names.Index(last) }); n != 0 {
+		t.Errorf("%v allocations for a name", n)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
-	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
+	words := clients.Words{Fronts: clients.NewNames(cfg.FrontNames...), Plans: clients.NewNames(cfg.PlanNames...), Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
 	for _, f := range cfg.Fronts {
 		words.Effects = append(words.Effects, f.Effect)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 type Post struct {
 	conn  *net.UDPConn
 	peers []netip.AddrPort
+	seats map[netip.AddrPort]int // of the peers, by address
 	plans int
 }
 
@@ -25,7 +26,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Post{conn, peers, plans}, nil
+	return &Post{conn: conn, peers: peers, seats: seatsByAddr(peers), plans: plans}, nil
+}
+
+// seatsByAddr finds senders at the same cost however many peers there are. Of two at one address the first counts.
+func seatsByAddr(peers []netip.AddrPort) map[netip.AddrPort]int {
+	seats := make(map[netip.AddrPort]int, len(peers))
+	for seat, addr := range peers {
+		if _, known := seats[addr]; !known {
+			seats[addr] = seat
+		}
+	}
+	return seats
 }
 
 // Listen hands on each sound message of a peer, known by its address, until Close. Others are dropped;
@@ -45,13 +57,13 @@
 		if err != nil { // such as a refusal told of an earlier message to a peer that is down
 			continue
 		}
-		seat := slices.Index(p.peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		seat, known := p.seats[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		sound := false
 		mail.Read(buf[:n], p.plans, len(p.peers), func(uint64, uint64) bool {
 			sound = true
 			return false
 		}, nil, nil)
-		if seat < 0 || !sound {
+		if !known || !sound {
 			dropped()
 			continue
 		}
