--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -26,7 +26,7 @@
 	receiver.seats = seatsByAddr(receiver.peers)
 	seats, dropped := make(chan int, 1), make(chan struct{}, 1)
 	go receiver.Listen(func(seat int, _ []byte) { seats <- seat }, func() { dropped <- struct{}{} })
-	sound := mail.Head(1, 1, nil)
+	sound := mail.Form{}.Head(1, 1, nil)
 	sender.Tell(0, sound)
 	if seat := <-seats; seat != 1 {
 		t.Errorf("the message is of seat %d, want 1", seat)
