Schedule: the simulations' event queue, so far package agenda

Package lab/agenda is lab/schedule, with Add for Put and whole names; its four users follow. No behaviour change. Passed: go test ./lab/spreadsim ./lab/world ./lab/fleetsim ./lab/coldsim.

--- a/lab/coldsim/coldsim.go
+++ b/lab/coldsim/coldsim.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"ravensill/gateway"
-	"ravensill/lab/agenda"
+	"ravensill/lab/schedule"
 	"ravensill/logic"
 )
 
@@ -74,7 +74,7 @@
 	Config
 	rnd   *rand.Rand
 	now   int64
-	q     agenda.Agenda[event]
+	q     schedule.Schedule[event]
 	reqs  int
 	gws   []*logic.Gateway
 	turn  int
@@ -115,7 +115,7 @@
 	s.arrival()
 	for i := range s.gws {
 		at := s.since + int64(s.rnd.Float64()*float64(c.Apart))
-		s.q.Put(at, event{gw: i, e: gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]}})
+		s.q.Add(at, event{gw: i, e: gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]}})
 	}
 	for end := s.since + int64(c.Length); s.q.Len() > 0; {
 		at, e := s.q.Next()
@@ -140,7 +140,7 @@
 	} else if after >= int64(s.Lull) && s.Surge > 0 {
 		rate *= s.Surge
 	}
-	s.q.Put(s.now+int64(s.rnd.ExpFloat64()/rate*1e9), event{arrival: true})
+	s.q.Add(s.now+int64(s.rnd.ExpFloat64()/rate*1e9), event{arrival: true})
 }
 
 func (s *sim) arrive() {
@@ -186,7 +186,7 @@
 		}
 	}
 	e.Lag, e.Closed = int64(lag), e.Result == gateway.Passed
-	s.q.Put(s.now+int64(lag), event{gw: s.turn, e: e})
+	s.q.Add(s.now+int64(lag), event{gw: s.turn, e: e})
 }
 
 // cut tells whether the part is cut off just now that one of two, and not the other, is in.
@@ -196,12 +196,12 @@
 
 func (s *sim) Tell(peer int, body []byte) {
 	if !s.cut(s.turn%3 == 0, peer%3 == 0) {
-		s.q.Put(s.now+int64(mail), event{gw: peer, e: gateway.Event{Kind: gateway.Heard, Peer: s.turn, Body: bytes.Clone(body)}})
+		s.q.Add(s.now+int64(mail), event{gw: peer, e: gateway.Event{Kind: gateway.Heard, Peer: s.turn, Body: bytes.Clone(body)}})
 	}
 }
 
 func (s *sim) Wake(after int64) {
-	s.q.Put(s.now+max(after, int64(beat)), event{gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
+	s.q.Add(s.now+max(after, int64(beat)), event{gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
 }
 
 func (s *sim) Cancel(string, int)           {}
--- a/lab/fleetsim/fleetsim.go
+++ b/lab/fleetsim/fleetsim.go
@@ -27,7 +27,7 @@
 	"time"
 
 	"ravensill/gateway"
-	"ravensill/lab/agenda"
+	"ravensill/lab/schedule"
 	"ravensill/logic"
 )
 
@@ -209,7 +209,7 @@
 	cfg   Config
 	rnd   *rand.Rand
 	now   int64
-	q     agenda.Agenda[*event]
+	q     schedule.Schedule[*event]
 	gws   []*gw
 	hosts []*host
 	custs []*customer
@@ -317,7 +317,7 @@
 	return s.rep
 }
 
-func (s *sim) push(e *event) { s.q.Put(e.at, e) }
+func (s *sim) push(e *event) { s.q.Add(e.at, e) }
 
 // gap is the time to the next arrival of a Poisson stream of rate a second.
 func (s *sim) gap(rate float64) int64 {
--- /dev/null
+++ b/lab/schedule/schedule.go
@@ -0,0 +1,57 @@
+// Package schedule is the event queue of a discrete-event simulation: events come out in the order of their times, and
+// events of the same time in the order in which they were added. So the same simulation runs alike each time.
+package schedule
+
+import "container/heap"
+
+// Schedule holds events that are to happen. Its zero value is empty and ready to use.
+type Schedule[T any] struct {
+	events eventHeap[T]
+	added  int64 // events added so far
+}
+
+// scheduled is an event with its time and its place in the order of addition.
+type scheduled[T any] struct {
+	at    int64 // ns
+	order int64
+	event T
+}
+
+// eventHeap implements heap.Interface.
+type eventHeap[T any] []scheduled[T]
+
+func (h eventHeap[T]) Len() int { return len(h) }
+
+func (h eventHeap[T]) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap[T]) Push(x any) { *h = append(*h, x.(scheduled[T])) }
+
+func (h *eventHeap[T]) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	(*h)[last] = scheduled[T]{} // for the garbage collector
+	*h = (*h)[:last]
+	return x
+}
+
+// Add schedules an event at a time in nanoseconds.
+func (s *Schedule[T]) Add(at int64, event T) {
+	s.added++
+	heap.Push(&s.events, scheduled[T]{at, s.added, event})
+}
+
+// Next removes the earliest event and returns it with its time. It panics if there is none.
+func (s *Schedule[T]) Next() (at int64, event T) {
+	x := heap.Pop(&s.events).(scheduled[T])
+	return x.at, x.event
+}
+
+// Len returns the number of scheduled events.
+func (s *Schedule[T]) Len() int { return len(s.events) }
--- a/lab/spreadsim/day.go
+++ b/lab/spreadsim/day.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"ravensill/gateway"
-	"ravensill/lab/agenda"
+	"ravensill/lab/schedule"
 	"ravensill/logic"
 	"ravensill/spread"
 )
@@ -63,7 +63,7 @@
 	day     Day
 	rnd     *rand.Rand
 	now     int64
-	q       agenda.Agenda[func()]
+	q       schedule.Schedule[func()]
 	gws     []*gw
 	hosts   []*host // by number less 1, gone ones too
 	reqs    int
@@ -113,7 +113,7 @@
 	return cold + (1-cold)*float64(now-h.since)/float64(warmUp)
 }
 
-func (w *world) at(t int64, do func()) { w.q.Put(t, do) }
+func (w *world) at(t int64, do func()) { w.q.Add(t, do) }
 
 // Play plays a day.
 func Play(d Day) Result {
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -12,7 +12,7 @@
 	"slices"
 
 	"ravensill/counterfactual"
-	"ravensill/lab/agenda"
+	"ravensill/lab/schedule"
 )
 
 const (
@@ -93,7 +93,7 @@
 	cfg     Config
 	rnd     *rand.Rand
 	now     int64
-	queue   agenda.Agenda[func()]
+	queue   schedule.Schedule[func()]
 	hosts   []*Host
 	gates   []*gate
 	truth   map[truthKey]*Sample
@@ -134,7 +134,7 @@
 	done   bool
 }
 
-func (w *World) at(t int64, do func()) { w.queue.Put(t, do) }
+func (w *World) at(t int64, do func()) { w.queue.Add(t, do) }
 
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
