Simulated environment and ground truth: packages simenv and groundtruth, split by job

Long functions (a run, an attempt, reading the records) are split into steps, each type and function documented. One closure now keeps an attempt's time under a rule as it was when the attempt began; no figure is read from a run where that differed.

--- /dev/null
+++ b/lab/groundtruth/cases.go
@@ -0,0 +1,71 @@
+package groundtruth
+
+import (
+	"context"
+	"time"
+
+	"ravensill/lab/fleet"
+	"ravensill/lab/relay"
+	"ravensill/lab/standin"
+)
+
+const second = time.Second
+
+// Size is the size of the cases.
+type Size struct {
+	Gateways    int
+	Hosts       int
+	RequestRate float64 // requests a second of the whole fleet
+	Duration    time.Duration
+	Window      time.Duration // of the observers' summaries
+	Seed        uint64
+}
+
+// newCase returns a case of this size.
+func (s Size) newCase(name string, steps ...fleet.Step) Case {
+	return Case{
+		Name:        name,
+		Gateways:    s.Gateways,
+		Hosts:       s.Hosts,
+		RequestRate: s.RequestRate,
+		Duration:    s.Duration,
+		Window:      s.Window,
+		Seed:        s.Seed,
+		Steps:       steps,
+	}
+}
+
+// Cases returns the hard cases with real processes.
+func (s Size) Cases() []Case {
+	noisy := relay.Rule{Way: relay.Way{Loss: 0.2, Double: 0.2, Reorder: 0.2, Jitter: 50 * time.Millisecond}}
+	partitioned := max(s.Gateways/8, 1)
+	partition := []relay.Rule{{From: fleet.Names(1, 1+partitioned), To: fleet.Names(0, 1), Way: relay.Way{Cut: true}}}
+	half := s.Duration / 2
+
+	loadedHost := s.newCase("a host slow only under load, each customer at one gateway")
+	loadedHost.ConfigureLoad = func(l *standin.Load) { l.Spread = 1 }
+	loadedHost.ConfigureHost = func(i int, h *standin.HostPlan) {
+		if i == 1 {
+			h.Model.Knee, h.Model.Slope = 0.75, 2
+		}
+	}
+	faults := s.newCase("lost, doubled, out of order; a cut that heals; a gateway killed and back", fleet.Faults(0, "noise", noisy),
+		fleet.Faults(half/2, "cut", partition...), fleet.Faults(half/2+2*s.Window, "cut"),
+		fleet.Kill(half, 1, "one", second/2), fleet.Restart(half+second, 1, "one", true))
+	replaced := s.newCase("hosts replaced within the window", fleet.Join(half, s.Hosts))
+	replaced.ReplacementHosts = 1
+	replaced.Steps = append(replaced.Steps, fleet.Leave(half, second, 0)...)
+	slowHost := s.newCase("a host that slows down fourfold and times out", fleet.Step{At: half, What: "slow",
+		Do: func(_ context.Context, f *fleet.Fleet) error {
+			f.Host(2).Slow(4)
+			return nil
+		}})
+	killedGateways := s.newCase("a third of the gateways killed for good", fleet.Step{At: half, What: "kill a third",
+		Do: func(_ context.Context, f *fleet.Fleet) error {
+			killed := fleet.Seats(1, 1+s.Gateways/3)
+			f.Clients.Avoid(true, killed...)
+			return f.Each(killed, (*fleet.Gateway).Kill)
+		}})
+	killedGateways.RefusedWith = "gateways missing"
+	return []Case{loadedHost, faults, replaced, slowHost, killedGateways}
+}
--- /dev/null
+++ b/lab/groundtruth/records.go
@@ -0,0 +1,190 @@
+package groundtruth
+
+import (
+	"bufio"
+	"encoding/json"
+	"math"
+	"os"
+	"slices"
+
+	"ravensill/counterfactual"
+	"ravensill/internal/witness"
+	"ravensill/lab/fleet"
+	"ravensill/lab/simenv"
+	"ravensill/lab/standin"
+)
+
+// attemptRecords holds the response times of all attempts that gateways recorded, as each rule and each host would have had them.
+type attemptRecords struct {
+	count   int // attempts
+	delayed int // attempts that the machine delayed
+	byRule  map[counterfactual.Rule]*simenv.Sample
+	byHost  map[string]*simenv.Sample
+}
+
+// received is a command as a host received it.
+type received struct {
+	host    int
+	command standin.Command
+}
+
+// hostLogs is what the stand-in hosts logged.
+type hostLogs struct {
+	logs     []standin.HostLog     // by host
+	commands map[string][]received // by request id
+	numbers  map[uint32]int        // host by its number in the gateways' records
+}
+
+// readRecords reads the gateways' records and the hosts' logs.
+func readRecords(f *fleet.Fleet) (*attemptRecords, error) {
+	var entries []witness.Entry
+	for i := range f.Gateways() {
+		more, err := readFile(recordsPath(f, i))
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, more...)
+	}
+	hosts := readHostLogs(f, entries)
+	records := &attemptRecords{
+		count:  len(entries),
+		byRule: map[counterfactual.Rule]*simenv.Sample{},
+		byHost: map[string]*simenv.Sample{},
+	}
+	for i := range entries {
+		records.add(f, hosts, &entries[i])
+	}
+	return records, nil
+}
+
+// readFile reads the records of one gateway.
+func readFile(path string) (entries []witness.Entry, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		var entry witness.Entry
+		if json.Unmarshal(lines.Bytes(), &entry) != nil {
+			break // the last line of a killed gateway
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// readHostLogs reads the hosts' logs and finds the hosts' numbers, which are known from requests that went to one host only.
+func readHostLogs(f *fleet.Fleet, entries []witness.Entry) *hostLogs {
+	hosts := &hostLogs{
+		logs:     make([]standin.HostLog, len(f.Hosts())),
+		commands: map[string][]received{},
+		numbers:  map[uint32]int{},
+	}
+	for i, host := range f.Hosts() {
+		hosts.logs[i] = host.Log()
+		for _, command := range hosts.logs[i].Commands {
+			hosts.commands[command.ID] = append(hosts.commands[command.ID], received{i, command})
+		}
+	}
+	votes := map[uint32]map[int]int{}
+	for _, entry := range entries {
+		commands := hosts.commands[entry.Req]
+		if len(commands) != 1 {
+			continue
+		}
+		number := entry.Options[0].Host
+		if votes[number] == nil {
+			votes[number] = map[int]int{}
+		}
+		votes[number][commands[0].host]++
+	}
+	for number, byHost := range votes {
+		best := -1
+		for host, count := range byHost {
+			if best < 0 || count > byHost[best] {
+				best = host
+			}
+		}
+		hosts.numbers[number] = best
+	}
+	return hosts
+}
+
+// add adds one attempt to the samples, unless it never came to a host.
+func (r *attemptRecords) add(f *fleet.Fleet, hosts *hostLogs, entry *witness.Entry) {
+	chosen, known := hosts.numbers[entry.Options[0].Host]
+	commands := hosts.commands[entry.Req]
+	i := slices.IndexFunc(commands, func(c received) bool { return known && c.host == chosen })
+	if i < 0 {
+		return
+	}
+	command := commands[i].command
+	hostTime := float64(command.Time) / 1e6
+	overhead := max(float64(entry.Lag-int64(command.Time))/1e6, 0) // ms; of an attempt that was cut off, at least
+	if overhead > 10+hostTime/4 {
+		r.delayed++
+	}
+	times := responseTimes(f, hosts, entry, command, overhead)
+	add := func(sample *simenv.Sample, rule counterfactual.Rule, host uint32) {
+		for k, share := range simenv.RuleShares(rule, entry.Options, host) {
+			if share > 0 {
+				sample.Add(times[k], share)
+			}
+		}
+	}
+	for rule := counterfactual.Logged; rule < counterfactual.Single; rule++ {
+		if r.byRule[rule] == nil {
+			r.byRule[rule] = &simenv.Sample{}
+		}
+		add(r.byRule[rule], rule, 0)
+	}
+	for _, candidate := range entry.Options {
+		host, ok := hosts.numbers[candidate.Host]
+		if !ok {
+			continue
+		}
+		id := f.Host(host).ID
+		if r.byHost[id] == nil {
+			r.byHost[id] = &simenv.Sample{}
+		}
+		add(r.byHost[id], counterfactual.Single, candidate.Host)
+	}
+}
+
+// responseTimes returns the response time of an attempt at each candidate in ms: +Inf where it fails, NaN where it is not known.
+func responseTimes(f *fleet.Fleet, hosts *hostLogs, entry *witness.Entry, command standin.Command, overhead float64) []float64 {
+	times := make([]float64, len(entry.Options))
+	for k, candidate := range entry.Options {
+		times[k] = math.NaN()
+		number, ok := hosts.numbers[candidate.Host]
+		if !ok {
+			continue
+		}
+		model := f.Host(number).Model
+		if k == 0 {
+			times[k] = float64(command.Time)/1e6 + overhead
+		} else if time, _, ok := hosts.logs[number].WouldAt(model, entry.Req, command.Class, entry.At); ok {
+			times[k] = float64(time)/1e6 + overhead
+		}
+		if model.Fails(entry.Req) {
+			times[k] = math.Inf(1)
+		}
+	}
+	return times
+}
+
+// groundTruth returns what a rule would have met; host is that of rule Single. Its mean is not a number where a relevant host
+// never received anything: no estimate may be given for it.
+func (r *attemptRecords) groundTruth(rule counterfactual.Rule, host string) simenv.GroundTruth {
+	sample := r.byRule[rule]
+	if rule == counterfactual.Single {
+		sample = r.byHost[host]
+	}
+	if sample == nil {
+		return simenv.GroundTruth{Mean: math.NaN()}
+	}
+	return sample.Summary(float64(objective) / 1e6)
+}
--- /dev/null
+++ b/lab/simenv/config.go
@@ -0,0 +1,63 @@
+package simenv
+
+import "ravensill/counterfactual"
+
+// Host is a simulated host. Its response time for an attempt is lognormal around BaseTime, grows with the attempts in flight,
+// and is fixed by the attempt, the host and its load.
+type Host struct {
+	ID           uint32
+	Zone         int
+	BaseTime     float64 // median response time without load, ms
+	LoadScale    float64 // attempts in flight at which the time has doubled
+	LoadExponent float64 // power of the growth with load: 1 linear, 4 slow only under load
+	Sigma        float64 // standard deviation of the time's logarithm
+	FailureRate  float64 // fraction of attempts that fail at once
+	From         int64   // listed from then on, ns since the begin
+	Until        int64   // and until then; 0: always
+	NeverChosen  bool    // listed and available, but never chosen by any gateway
+	incarnation  uint32
+	inFlight     int
+}
+
+// Config describes one simulated fleet. Rates are of the whole fleet, times in nanoseconds unless said otherwise.
+type Config struct {
+	Seed                uint64
+	Gateways            int
+	Subset              int // hosts in a gateway's subset; 0: all
+	Hosts               []Host
+	Customers           int
+	CustomerSigma       float64 // standard deviation of the logarithm of the work of a customer's requests
+	GatewaysPerCustomer int
+	RequestRate         float64 // requests a second
+	SwingAmplitude      float64 // fraction by which the rate rises and falls
+	SwingPeriod         float64 // seconds
+	Duration            int64
+	Window              int64     // of the observers' summaries
+	Objectives          []int64   // latency objective by request class
+	WorkFactors         []float64 // multiple of the hosts' base time by request class
+	ClientLeaveRate     float64   // fraction of clients that leave before the objective
+	CrossZoneDelay      float64   // ms more to a host in another zone
+
+	Network Network
+	Faults  []Fault
+
+	Rule      counterfactual.Rule // replaces the gateways' rule for a share of the attempts
+	RuleShare float64
+	MaxCells  int // cells that a gateway's folder holds; 0: ample
+}
+
+// Network describes what happens to messages on their way to the ledger.
+type Network struct {
+	Loss        float64 // fraction of messages and of confirmations
+	Duplication float64 // fraction of messages
+	MaxDelay    int64   // messages are delayed by up to so many ns, so that they are reordered
+	MaxAttempts int     // sends of an unconfirmed message, a window apart
+}
+
+// Fault stops or partitions a gateway.
+type Fault struct {
+	Gateway   int
+	At        int64 // ns since the begin
+	Until     int64 // when a partition heals or a stopped gateway restarts; 0: never
+	Partition bool  // its messages are lost; otherwise it is stopped and loses what it had not sent
+}
--- /dev/null
+++ b/lab/simenv/random.go
@@ -0,0 +1,26 @@
+package simenv
+
+import (
+	"math"
+)
+
+// hashMix scatters the bits of a number.
+func hashMix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// uniform returns the number from 0 to 1 that a seed and a name determine.
+func uniform(seed uint64, parts ...uint64) float64 {
+	for _, p := range parts {
+		seed = hashMix(seed ^ p*0x9e3779b97f4a7c15 + 0x1234567)
+	}
+	return float64(seed>>11) / (1 << 53)
+}
+
+// gaussian returns the number of the standard normal distribution that a seed and a name determine.
+func gaussian(seed uint64, parts ...uint64) float64 {
+	u := max(uniform(seed, append(parts, 1)...), 1e-12)
+	return math.Sqrt(-2*math.Log(u)) * math.Cos(2*math.Pi*uniform(seed, append(parts, 2)...))
+}
--- /dev/null
+++ b/lab/simenv/request.go
@@ -0,0 +1,185 @@
+package simenv
+
+import (
+	"math"
+	"slices"
+
+	"ravensill/counterfactual"
+)
+
+// scheduleRequest draws the next request and schedules it; each request schedules the one after it.
+func (e *Environment) scheduleRequest(number uint64) {
+	config := &e.config
+	elapsed := float64(e.now-e.begin) / 1e9
+	rate := config.RequestRate
+	if config.SwingAmplitude > 0 {
+		rate *= 1 + config.SwingAmplitude*math.Sin(2*math.Pi*elapsed/config.SwingPeriod)
+	}
+	next := e.now + int64(e.random.ExpFloat64()/rate*1e9)
+	if next >= e.begin+config.Duration {
+		return
+	}
+	draw := e.random.Float64() * e.cumulativeRates[len(e.cumulativeRates)-1]
+	customer, _ := slices.BinarySearch(e.cumulativeRates, draw)
+	gatewaysOfCustomer := max(min(config.GatewaysPerCustomer, config.Gateways), 1)
+	first := int(hashMix(uint64(customer)+config.Seed) % uint64(config.Gateways))
+	gateway := e.gateways[(first+e.random.IntN(gatewaysOfCustomer))%config.Gateways]
+	class := e.random.IntN(len(config.Objectives))
+	e.at(next, func() {
+		e.route(gateway, number, customer, class)
+		e.scheduleRequest(number + 1)
+	})
+}
+
+// attempt is one request sent to a host.
+type attempt struct {
+	gateway    *gatewayModel
+	request    uint64
+	customer   int
+	class      int
+	objective  float64 // ms
+	candidates []counterfactual.Option
+	hosts      []*Host   // by candidate
+	times      []float64 // by candidate, ms: what each host would have taken; +Inf: it fails
+	outcomes   []func()  // record the ground truth of this attempt
+}
+
+// route sends a request to a host.
+func (e *Environment) route(gateway *gatewayModel, request uint64, customer, class int) {
+	if gateway.stopped {
+		return
+	}
+	candidates, hosts := e.candidateSet(gateway, customer)
+	if candidates == nil {
+		return
+	}
+	a := &attempt{
+		gateway:    gateway,
+		request:    request,
+		customer:   customer,
+		class:      class,
+		objective:  float64(e.config.Objectives[class]) / 1e6,
+		candidates: candidates,
+		hosts:      hosts,
+	}
+	for _, host := range hosts {
+		a.times = append(a.times, e.responseTime(gateway, host, request, customer, class))
+	}
+	e.collectOutcomes(a)
+	e.applyRule(a)
+	a.outcomes = append(a.outcomes, func() { e.recordOutcome(outcomeKey{ruleInForce, class, 0}, a.times[0], 1) })
+	e.start(a)
+}
+
+// collectOutcomes notes what each rule would have met with this attempt. The times are known at once, under the load of now.
+func (e *Environment) collectOutcomes(a *attempt) {
+	add := func(rule counterfactual.Rule, host uint32) {
+		for i, share := range RuleShares(rule, a.candidates, host) {
+			if share > 0 {
+				time := a.times[i]
+				a.outcomes = append(a.outcomes, func() { e.recordOutcome(outcomeKey{rule, a.class, host}, time, share) })
+			}
+		}
+	}
+	for rule := counterfactual.Logged; rule < counterfactual.Single; rule++ {
+		add(rule, 0)
+	}
+	for i := range a.candidates {
+		add(counterfactual.Single, a.candidates[i].Host)
+	}
+}
+
+// applyRule lets Config.Rule choose in place of the gateway for its share of the attempts.
+func (e *Environment) applyRule(a *attempt) {
+	if e.config.RuleShare <= 0 || uniform(e.config.Seed, a.request, 31) >= e.config.RuleShare {
+		return
+	}
+	draw := uniform(e.config.Seed, a.request, 32)
+	for i, share := range RuleShares(e.config.Rule, a.candidates, 0) {
+		draw -= share
+		if draw < 0 {
+			a.candidates[0], a.candidates[i] = a.candidates[i], a.candidates[0]
+			a.hosts[0], a.hosts[i] = a.hosts[i], a.hosts[0]
+			a.times[0], a.times[i] = a.times[i], a.times[0]
+			return
+		}
+	}
+}
+
+// start begins the attempt at the first candidate and schedules its end.
+func (e *Environment) start(a *attempt) {
+	host := a.hosts[0]
+	latency, end := e.observed(a)
+	host.inFlight++
+	a.gateway.inFlight[host.ID]++
+	incarnation := a.gateway.incarnation
+	workEnd := e.now + int64(workTime(a.times[0], a.objective)*1e6)
+	e.at(workEnd, func() { host.inFlight-- }) // a host works on after the gateway has given up
+	e.at(e.now+int64(latency*1e6), func() {
+		if a.gateway.incarnation != incarnation || a.gateway.stopped {
+			e.LostRecords++ // the record died with the gateway
+		} else {
+			e.finish(a, latency, end)
+		}
+		for _, record := range a.outcomes {
+			record()
+		}
+	})
+}
+
+// observed returns the attempt's latency at the gateway, in ms, and how it ends there.
+func (e *Environment) observed(a *attempt) (latency float64, end counterfactual.End) {
+	latency = a.times[0]
+	leave := uniform(e.config.Seed, a.request, 41) * a.objective
+	leaves := uniform(e.config.Seed, a.request, 40) < e.config.ClientLeaveRate
+	switch {
+	case math.IsInf(latency, 1):
+		return 1, counterfactual.Failed
+	case leaves && leave < latency:
+		return leave, counterfactual.Cut
+	case latency > a.objective:
+		return a.objective, counterfactual.Cut
+	}
+	return latency, counterfactual.Answered
+}
+
+// finish ends an attempt at its gateway and hands its record to the folder.
+func (e *Environment) finish(a *attempt, latency float64, end counterfactual.End) {
+	host := a.hosts[0]
+	a.gateway.inFlight[host.ID]--
+	if end != counterfactual.Failed {
+		a.gateway.learn(host, a.class, latency)
+	}
+	a.gateway.folder.Add(&counterfactual.Record{
+		Frontend: a.class,
+		Customer: uint32(hashMix(uint64(a.customer) + 3)),
+		Options:  a.candidates,
+		Lag:      int64(latency * 1e6),
+		End:      end,
+	})
+}
+
+// responseTime returns how long a host would take for an attempt with its current load, in ms; +Inf if it fails.
+func (e *Environment) responseTime(gateway *gatewayModel, host *Host, request uint64, customer, class int) float64 {
+	seed := e.config.Seed
+	if uniform(seed, request, uint64(host.ID), 77) < host.FailureRate {
+		return math.Inf(1)
+	}
+	size := math.Exp(e.config.CustomerSigma * gaussian(seed, uint64(customer), 5))
+	loadFactor := 1 + math.Pow(float64(host.inFlight)/host.LoadScale, host.LoadExponent)
+	noise := math.Exp(host.Sigma * gaussian(seed, request, uint64(host.ID)))
+	time := e.config.WorkFactors[class] * host.BaseTime * size * loadFactor * noise
+	if host.Zone != gateway.zone {
+		time += e.config.CrossZoneDelay
+	}
+	return time
+}
+
+// workTime returns how long a host works on an attempt, in ms: on one that fails briefly, and never longer than thrice the
+// latency objective.
+func workTime(time, objective float64) float64 {
+	if math.IsInf(time, 1) {
+		return 1
+	}
+	return min(time, 3*objective)
+}
--- /dev/null
+++ b/lab/simenv/rules.go
@@ -0,0 +1,103 @@
+package simenv
+
+import (
+	"math"
+
+	"ravensill/counterfactual"
+)
+
+// RuleShares returns the share of an attempt that a rule sends to each candidate. single is the host of rule Single. It implements
+// the rules of package counterfactual once more: the ground truth must not rest on the code that it checks.
+func RuleShares(rule counterfactual.Rule, candidates []counterfactual.Option, single uint32) []float64 {
+	shares := make([]float64, len(candidates))
+	switch rule {
+	case counterfactual.Logged:
+		shares[0] = 1
+	case counterfactual.Next:
+		if len(candidates) > 1 && candidates[1].Chance > 0 {
+			shares[1] = 1
+		} else {
+			shares[0] = 1
+		}
+	case counterfactual.Least:
+		shareAmongLeastLoaded(shares, candidates)
+	case counterfactual.Two:
+		shareByPairs(shares, candidates)
+	case counterfactual.Chance:
+		for i := range candidates {
+			shares[i] = 1 / float64(len(candidates))
+		}
+	case counterfactual.Zone:
+		shareAmongOtherZones(shares, candidates)
+	case counterfactual.Single:
+		for i, c := range candidates {
+			if c.Host == single && c.Chance > 0 {
+				shares[i] = 1
+			}
+		}
+	}
+	return shares
+}
+
+// shareAmongLeastLoaded shares evenly among the candidates with the least load.
+func shareAmongLeastLoaded(shares []float64, candidates []counterfactual.Option) {
+	least := math.Inf(1)
+	ties := 0.0
+	for _, c := range candidates {
+		if c.Load < least {
+			least = c.Load
+			ties = 0
+		}
+		if c.Load == least {
+			ties++
+		}
+	}
+	for i, c := range candidates {
+		if c.Load == least {
+			shares[i] = 1 / ties
+		}
+	}
+}
+
+// shareByPairs sends to the less loaded of two candidates drawn at random.
+func shareByPairs(shares []float64, candidates []counterfactual.Option) {
+	if len(candidates) == 1 {
+		shares[0] = 1
+		return
+	}
+	n := float64(len(candidates))
+	pair := 2 / (n * (n - 1)) // probability of each pair
+	for i := range candidates {
+		for j := range candidates[:i] {
+			switch {
+			case candidates[i].Load < candidates[j].Load:
+				shares[i] += pair
+			case candidates[j].Load < candidates[i].Load:
+				shares[j] += pair
+			default:
+				shares[i] += pair / 2
+				shares[j] += pair / 2
+			}
+		}
+	}
+}
+
+// shareAmongOtherZones shares evenly among the eligible candidates outside the chosen one's zone. Without one, the choice stays.
+func shareAmongOtherZones(shares []float64, candidates []counterfactual.Option) {
+	eligible := func(c counterfactual.Option) bool { return c.Zone != candidates[0].Zone && c.Chance > 0 }
+	count := 0.0
+	for _, c := range candidates {
+		if eligible(c) {
+			count++
+		}
+	}
+	if count == 0 {
+		shares[0] = 1
+		return
+	}
+	for i, c := range candidates {
+		if eligible(c) {
+			shares[i] = 1 / count
+		}
+	}
+}
--- /dev/null
+++ b/lab/simenv/simenv.go
@@ -0,0 +1,142 @@
+// Package simenv simulates a fleet of gateways before hosts on a simulated clock, for the tests of package counterfactual. A
+// host's time for an attempt is a fixed function of the attempt, the host and its attempts in flight, so that the environment
+// knows what any other host would have answered to the very same attempt: the ground truth that estimates are compared with.
+// The gateways choose by a small form of the module's rule (the customer's first host in hashed rank among those not much above
+// the least load); their messages pass a network that loses, duplicates, delays and reorders. A run is deterministic for a seed
+// and does no I/O.
+package simenv
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"ravensill/counterfactual"
+	"ravensill/lab/schedule"
+)
+
+// Units of simulated time, in nanoseconds.
+const (
+	Millisecond = int64(1e6)
+	Second      = int64(1e9)
+)
+
+// Environment is a run that has ended.
+type Environment struct {
+	Ledger      *counterfactual.Ledger
+	From        int64 // first bin of the run
+	To          int64 // last bin of the run
+	Undecodable int   // messages that could not be decoded
+	LostRecords int   // attempts whose record was never reported
+
+	config          Config
+	random          *rand.Rand
+	begin           int64 // ns
+	now             int64 // ns
+	schedule        schedule.Schedule[func()]
+	hosts           []*Host
+	gateways        []*gatewayModel
+	outcomes        map[outcomeKey]*Sample
+	cumulativeRates []float64 // by customer: the sum of the relative request rates up to this one
+}
+
+// Run simulates a fleet to the end of its run.
+func Run(config Config) *Environment {
+	e := &Environment{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, 1)),
+		begin:    1000 * Second,
+		now:      1000 * Second,
+		outcomes: map[outcomeKey]*Sample{},
+		Ledger:   newLedger(config),
+	}
+	e.addHosts()
+	e.addGateways()
+	e.scheduleFaults()
+	e.addCustomers()
+	e.scheduleRequest(0)
+	end := e.begin + config.Duration
+	e.runUntil(end + 20*config.Window)
+	e.From = e.begin / config.Window
+	e.To = end/config.Window + 2
+	return e
+}
+
+// newLedger returns the collector's ledger.
+func newLedger(config Config) *counterfactual.Ledger {
+	settings := counterfactual.Settings{
+		Gateways: config.Gateways,
+		Window:   config.Window,
+		Grace:    3 * config.Window,
+		Bins:     int(config.Duration/config.Window) + 50,
+		Cells:    1 << 20,
+		Missing:  0.05,
+		Targets:  config.Objectives,
+	}
+	for i := range config.Objectives {
+		settings.Names = append(settings.Names, string(rune('a'+i)))
+	}
+	return counterfactual.NewLedger(settings)
+}
+
+func (e *Environment) addHosts() {
+	for _, host := range e.config.Hosts {
+		host.incarnation = uint32(host.From / Second)
+		e.hosts = append(e.hosts, &host)
+	}
+}
+
+func (e *Environment) addGateways() {
+	for i := range e.config.Gateways {
+		gateway := &gatewayModel{index: i, zone: i % 2, incarnation: 1}
+		e.gateways = append(e.gateways, gateway)
+		e.startGateway(gateway)
+	}
+}
+
+func (e *Environment) scheduleFaults() {
+	for _, fault := range e.config.Faults {
+		gateway := e.gateways[fault.Gateway]
+		e.at(e.begin+fault.At, func() {
+			gateway.partitioned = fault.Partition
+			if !fault.Partition {
+				e.LostRecords += gateway.unreported()
+				gateway.stopped = true
+				gateway.generation++
+			}
+		})
+		if fault.Until == 0 {
+			continue
+		}
+		e.at(e.begin+fault.Until, func() {
+			gateway.partitioned = false
+			if gateway.stopped {
+				gateway.incarnation++
+				e.startGateway(gateway)
+			}
+		})
+	}
+}
+
+// addCustomers draws the customers' request rates: some send many more requests than others.
+func (e *Environment) addCustomers() {
+	total := 0.0
+	for customer := range e.config.Customers {
+		total += math.Exp(1.2 * gaussian(e.config.Seed, uint64(customer), 9))
+		e.cumulativeRates = append(e.cumulativeRates, total)
+	}
+}
+
+// at schedules an event.
+func (e *Environment) at(at int64, event func()) { e.schedule.Add(at, event) }
+
+// runUntil runs all events up to a time.
+func (e *Environment) runUntil(end int64) {
+	for e.schedule.Len() > 0 {
+		at, event := e.schedule.Next()
+		if at > end {
+			return
+		}
+		e.now = at
+		event()
+	}
+}
