Fleet simulation: fleetsim.go split by job, named by the field's terms

Configuration, report, model, events, the simulation and the writer have a file each; setting up a run, its events and its summary are functions of their own. House words (reqs, dispatches, denied, mail, worth) are requests, attempts, rejected, gossip and value; two report fields that nothing set are gone. The texts of the reports stay as they are.

--- /dev/null
+++ b/lab/fleetsim/config.go
@@ -0,0 +1,50 @@
+package fleetsim
+
+import "time"
+
+// QuotaPlan is one quota plan of the model with its customers.
+type QuotaPlan struct {
+	Name                string
+	Rate                float64 // units a second, of each customer over all gateways
+	Burst               float64 // units
+	MaxInFlight         int     // cap on a customer's requests in flight over all gateways; 0: none
+	CeilingRate         float64 // units a second of the hard ceiling; 0: none
+	CeilingBurst        float64 // units
+	Customers           int
+	Spread              [2]float64 // range of the fraction of all gateways that a customer's set holds
+	GatewaysPerCustomer int        // size of each customer's set instead of Spread; 0: by Spread
+}
+
+// Config is one experiment. Times are durations of the simulated clock.
+type Config struct {
+	Seed     uint64
+	Gateways int
+	Duration time.Duration // of the run
+	Plans    []QuotaPlan
+
+	Hosts       int
+	Slots       int           // requests that a host serves at once
+	Queue       int           // requests that wait at a host
+	ServiceTime time.Duration // mean
+
+	Objective time.Duration // latency objective of the one request class
+	Deadline  time.Duration // after which a client gives a request up
+	Retries   int           // of a client after a rejection
+
+	Demand      [2]float64    // range of a usual customer's demand over its quota
+	HeavyShare  float64       // fraction of the customers that ask a multiple of their quota
+	HeavyDemand [2]float64    // range of that multiple
+	SpikyShare  float64       // fraction of the customers that ask HeavyDemand of their quota in spikes
+	SpikeOn     time.Duration // length of a spike
+	SpikeEvery  time.Duration // period of the spikes
+	StepAt      time.Duration // from then on heavy customers ask StepTo of their quota; 0: never
+	StepTo      float64
+
+	GossipPerSecond float64 // messages that a gateway receives within a second; 0: no gossip
+	GossipDelay     time.Duration
+	GossipLoss      float64       // fraction of the messages
+	NetDelay        time.Duration // one way, gateway to host
+	GatewaySigma    float64       // sigma of the log-normal shares of a customer's requests by gateway; 0: even
+
+	Trace time.Duration // interval of the samples of bucket copies; 0: none
+}
--- a/lab/fleetsim/customers.go
+++ b/lab/fleetsim/customers.go
@@ -4,170 +4,193 @@
 	"fmt"
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
-// CustomerReport is what one customer met. Counts are of reqs of one unit.
-type CustomerReport struct {
-	Name, Plan          string
-	Spread              int     // gateways in its set
-	Times               float64 // demand over quota rate (while it asks)
-	Heavy, Spiky        bool
-	First, Ideal        int // first tries; of these what one who sees them all would let in
-	Tries, Sent, Beyond int
-	DeniedWithRoom      int
-	price, cost         float64
+// between draws a number from a range.
+func (s *simulation) between(bounds [2]float64) float64 {
+	return bounds[0] + s.random.Float64()*(bounds[1]-bounds[0])
 }
 
-// Sample is the state of one heavy customer of each plan at one time: the true bucket beside several copies.
-type Sample struct {
-	At     time.Duration
-	Name   string
-	True   float64   // units in the true bucket
-	Copies []float64 // units in the copies of some of its gateways
-	Others []float64 // units a second that these take their peers to admit
+// newCustomer draws a customer of a plan.
+func (s *simulation) newCustomer(plan int) *customer {
+	config, p := &s.config, &s.config.Plans[plan]
+	c := &customer{id: len(s.customers), plan: plan, bucket: p.Burst, ceiling: p.CeilingBurst, refilledAt: s.now}
+	c.name = fmt.Sprintf("%016x", s.random.Uint64()>>31)
+	spread := int(math.Round(float64(config.Gateways) * s.between(p.Spread)))
+	if p.GatewaysPerCustomer > 0 {
+		spread = p.GatewaysPerCustomer
+	}
+	c.spread = max(1, min(config.Gateways, spread))
+	c.first = s.random.IntN(config.Gateways)
+	demand := s.between(config.Demand)
+	if s.random.Float64() < config.HeavyShare {
+		demand = s.between(config.HeavyDemand)
+		c.heavy = true
+	}
+	c.requestRate = demand * p.Rate
+	s.drawHabits(c)
+	return c
 }
 
-// habits draws how unevenly a customer's reqs come, over its gateways and in time.
-func (s *sim) habits(c *customer) {
-	cfg, p := s.cfg, s.plans[c.plan]
-	if cfg.Uneven > 0 {
+// drawHabits draws how unevenly a customer's requests come, over its gateways and in time.
+func (s *simulation) drawHabits(c *customer) {
+	config, plan := &s.config, s.plans[c.plan]
+	if config.GatewaySigma > 0 {
 		sum := 0.0
 		for range c.spread {
-			sum += math.Exp(s.rnd.NormFloat64() * cfg.Uneven)
-			c.parts = append(c.parts, sum)
+			sum += math.Exp(s.random.NormFloat64() * config.GatewaySigma)
+			c.cumulativeShares = append(c.cumulativeShares, sum)
 		}
 	}
-	if cfg.Spiky > 0 && !c.heavy && s.rnd.Float64() < cfg.Spiky {
-		c.spiky, c.spikeAt = true, int64(s.rnd.Float64()*float64(cfg.SpikeEvery))
-		c.rate = p.Rate * (cfg.HeavyTimes[0] + s.rnd.Float64()*(cfg.HeavyTimes[1]-cfg.HeavyTimes[0]))
+	if config.SpikyShare > 0 && !c.heavy && s.random.Float64() < config.SpikyShare {
+		c.spiky = true
+		c.spikeOffset = int64(s.random.Float64() * float64(config.SpikeEvery))
+		c.requestRate = plan.Rate * s.between(config.HeavyDemand)
+	}
+	c.idealBucket = plan.Burst
+	c.idealRefilledAt = s.now
+	c.report = &CustomerReport{
+		Name:            c.name,
+		Plan:            config.Plans[c.plan].Name,
+		Spread:          c.spread,
+		DemandOverQuota: c.requestRate / plan.Rate,
+		Heavy:           c.heavy,
+		Spiky:           c.spiky,
+		weight:          plan.Price,
+		beyondCost:      plan.BeyondCost,
+	}
+}
+
+// interArrival draws the time to the next arrival of a Poisson process of so many requests a second, in ns.
+func (s *simulation) interArrival(rate float64) int64 {
+	if rate <= 0 {
+		return math.MaxInt64 / 4
+	}
+	return int64(s.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+// requestArrives sends a customer's next request, unless the customer pauses between two spikes, and schedules the one after it.
+func (s *simulation) requestArrives(c *customer) {
+	s.add(&event{at: s.now + s.interArrival(c.requestRate), kind: requestArrives, customer: c.id})
+	if c.spiky && !s.inSpike(c) {
+		return
 	}
-	c.ideal, c.idealAt = p.Burst, s.now
-	c.report = &CustomerReport{Name: c.name, Plan: cfg.Plans[c.plan].Name, Spread: c.spread, Times: c.rate / p.Rate,
-		Heavy: c.heavy, Spiky: c.spiky, price: p.Price, cost: p.BeyondCost}
+	s.countFirstTry(c)
+	s.send(c, s.now+int64(s.config.Deadline), 0)
 }
 
-// spell tells whether a spiky customer asks now.
-func (s *sim) spell(c *customer) bool {
-	return (s.now+c.spikeAt)%int64(s.cfg.SpikeEvery) < int64(s.cfg.SpikeOn)
+// inSpike reports whether a spiky customer sends requests now.
+func (s *simulation) inSpike(c *customer) bool {
+	return (s.now+c.spikeOffset)%int64(s.config.SpikeEvery) < int64(s.config.SpikeOn)
 }
 
-// step changes what the heavy customers ask, for the rest of the day.
-func (s *sim) step() {
-	for _, c := range s.custs {
+// stepDemand changes the demand of heavy customers for the rest of the run.
+func (s *simulation) stepDemand() {
+	for _, c := range s.customers {
 		if c.heavy {
-			c.rate = s.cfg.StepTo * s.plans[c.plan].Rate
+			c.requestRate = s.config.StepTo * s.plans[c.plan].Rate
 		}
 	}
 }
 
-// place draws the gateway of its set that a req of c comes to.
-func (s *sim) place(c *customer) int {
-	if c.parts == nil {
-		return s.rnd.IntN(c.spread)
+// drawGateway draws the gateway of a customer's set that a request goes to.
+func (s *simulation) drawGateway(c *customer) int {
+	if c.cumulativeShares == nil {
+		return s.random.IntN(c.spread)
 	}
-	i, _ := slices.BinarySearch(c.parts, s.rnd.Float64()*c.parts[c.spread-1])
+	draw := s.random.Float64() * c.cumulativeShares[c.spread-1]
+	i, _ := slices.BinarySearch(c.cumulativeShares, draw)
 	return min(i, c.spread-1)
 }
 
-// first counts a first try, and whether one who sees all first tries would have let it in.
-func (s *sim) first(c *customer) {
-	c.report.First++
-	p := s.plans[c.plan]
-	t := float64(s.now-c.idealAt) / float64(time.Second)
-	c.idealAt = s.now
-	if c.ideal = math.Min(c.ideal+t*p.Rate, p.Burst); c.ideal >= 1 {
-		c.ideal--
-		c.report.Ideal++
+// countFirstTry counts a first try, and whether an observer who sees all first tries would have admitted it.
+func (s *simulation) countFirstTry(c *customer) {
+	c.report.FirstTries++
+	plan := s.plans[c.plan]
+	elapsed := float64(s.now-c.idealRefilledAt) / float64(time.Second)
+	c.idealRefilledAt = s.now
+	c.idealBucket = math.Min(c.idealBucket+elapsed*plan.Rate, plan.Burst)
+	if c.idealBucket >= 1 {
+		c.idealBucket--
+		c.report.IdealAdmitted++
+	}
+}
+
+// refill brings a customer's true buckets up to now.
+func (s *simulation) refill(c *customer) {
+	plan := s.plans[c.plan]
+	elapsed := float64(s.now-c.refilledAt) / float64(time.Second)
+	c.refilledAt = s.now
+	c.bucket = math.Min(c.bucket+plan.Rate*elapsed, plan.Burst)
+	c.ceiling = math.Min(c.ceiling+plan.CeilingRate*elapsed, plan.CeilingBurst)
+}
+
+// admit takes a unit from a customer's true buckets, or counts what they lack.
+func (s *simulation) admit(c *customer) {
+	s.refill(c)
+	plan, planReport := s.plans[c.plan], &s.report.Plans[c.plan]
+	s.report.Admitted++
+	planReport.Admitted++
+	c.report.Sent++
+	if c.heavy && c.plan == 0 {
+		index := min(int((s.now-startTime)/windowLength), len(s.report.Windows)-1)
+		window := &s.report.Windows[index]
+		window.Sent++
+		if c.bucket < 1 {
+			window.Beyond++
+		}
+	}
+	if c.bucket >= 1 {
+		c.bucket--
+	} else {
+		c.report.Beyond++
+		s.report.Beyond++
+		planReport.Beyond++
+	}
+	if plan.Open > 0 && c.inFlight >= plan.Open {
+		s.report.OverInFlight++
+	}
+	if plan.CeilingRate > 0 {
+		if c.ceiling >= 1 {
+			c.ceiling--
+		} else {
+			s.report.OverCeiling++
+		}
+	}
+}
+
+// reject counts a rejection, and whether the true bucket had room.
+func (s *simulation) reject(c *customer) {
+	s.report.Rejected++
+	s.report.Plans[c.plan].Rejected++
+	s.refill(c)
+	if c.bucket >= s.plans[c.plan].Burst/2 {
+		s.report.RejectedWithRoom++
+		c.report.RejectedWithRoom++
+		s.report.Plans[c.plan].RejectedWithRoom++
 	}
 }
 
-// sample notes the first heavy customer of each plan.
-func (s *sim) sample(at time.Duration) {
+// sampleCopies samples the first heavy customer of each plan.
+func (s *simulation) sampleCopies(at time.Duration) {
 	seen := map[int]bool{}
-	for _, c := range s.custs {
+	for _, c := range s.customers {
 		if !c.heavy || seen[c.plan] {
 			continue
 		}
 		seen[c.plan] = true
 		s.refill(c)
-		x := Sample{At: at, Name: c.report.Plan, True: c.level}
+		sample := Sample{At: at, Name: c.report.Plan, True: c.bucket}
 		for i := range min(4, c.spread) {
-			g := s.gws[(c.first+i*c.spread/4)%len(s.gws)]
-			level, others, known := g.g.Copy(c.name)
+			g := s.gateways[(c.first+i*c.spread/4)%len(s.gateways)]
+			level, others, known := g.module.Copy(c.name)
 			if !known {
 				level = s.plans[c.plan].Burst
 			}
-			x.Copies, x.Others = append(x.Copies, level), append(x.Others, others)
-		}
-		s.rep.Trace = append(s.rep.Trace, x)
-	}
-}
-
-// Worth is what was sent within the true buckets less the cost of what was sent beyond them, of what one who
-// sees all first tries would let in; each customer's worth counts at most once over.
-func (r Report) Worth() float64 {
-	got, all := 0.0, 0.0
-	for _, c := range r.Customers {
-		within := math.Min(float64(c.Sent-c.Beyond), float64(c.Ideal))
-		got += c.price * (within - c.cost*float64(c.Beyond))
-		all += c.price * float64(c.Ideal)
-	}
-	return got / math.Max(all, 1e-9)
-}
-
-// Used is the part of what the quotas would let in that was sent within them.
-func (r Report) Used() float64 {
-	within, ideal := 0, 0
-	for _, c := range r.Customers {
-		within += min(c.Sent-c.Beyond, c.Ideal)
-		ideal += c.Ideal
-	}
-	return share(within, ideal)
-}
-
-// Table tells who sends beyond the quotas and who is denied with room: by plan and by demand over quota.
-func (r Report) Table() string {
-	bands := []struct {
-		name string
-		in   func(c CustomerReport) bool
-	}{
-		{"under 0.6", func(c CustomerReport) bool { return !c.Spiky && c.Times < 0.6 }},
-		{"0.6 to 1", func(c CustomerReport) bool { return !c.Spiky && c.Times >= 0.6 && c.Times < 1 }},
-		{"1 to 2.5", func(c CustomerReport) bool { return !c.Spiky && c.Times >= 1 && c.Times < 2.5 }},
-		{"2.5 up", func(c CustomerReport) bool { return !c.Spiky && c.Times >= 2.5 }},
-		{"spiky", func(c CustomerReport) bool { return c.Spiky }},
-	}
-	var plans []string
-	for _, c := range r.Customers {
-		if !slices.Contains(plans, c.Plan) {
-			plans = append(plans, c.Plan)
-		}
-	}
-	b := &strings.Builder{}
-	fmt.Fprintf(b, "%-9s %-9s %5s %6s %6s %6s | %6s %6s %9s %8s\n", "plan", "demand", "custs", "spread", "first/s*",
-		"ideal", "within", "beyond", "of beyond", "with room")
-	for _, plan := range plans {
-		for _, band := range bands {
-			n, spread, x := 0, 0, CustomerReport{}
-			for _, c := range r.Customers {
-				if c.Plan != plan || !band.in(c) {
-					continue
-				}
-				n, spread, x.First, x.Ideal = n+1, spread+c.Spread, x.First+c.First, x.Ideal+c.Ideal
-				x.Tries, x.Sent, x.Beyond = x.Tries+c.Tries, x.Sent+c.Sent, x.Beyond+c.Beyond
-				x.DeniedWithRoom += c.DeniedWithRoom
-			}
-			if n == 0 {
-				continue
-			}
-			fmt.Fprintf(b, "%-9s %-9s %5d %6d %8d %6d | %6.3f %6.3f %9.3f %8.3f\n", plan, band.name, n, spread/n,
-				x.First, x.Ideal, share(x.Sent-x.Beyond, x.Ideal), share(x.Beyond, x.Sent),
-				float64(x.Beyond)/math.Max(r.Beyond, 1), share(x.DeniedWithRoom, x.Tries))
+			sample.Copies = append(sample.Copies, level)
+			sample.Others = append(sample.Others, others)
 		}
+		s.report.Trace = append(s.report.Trace, sample)
 	}
-	fmt.Fprintf(b, "worth %.3f, quota used %.3f, beyond %.3f, denied with room %.3f, messages %d, %.0f B\n", r.Worth(), r.Used(),
-		r.BeyondShare(), r.WithRoomShare(), r.Messages, float64(r.MessageBytes)/math.Max(float64(r.Messages), 1))
-	return b.String()
 }
--- a/lab/fleetsim/fleetsim_test.go
+++ b/lab/fleetsim/fleetsim_test.go
@@ -6,19 +6,19 @@
 	"time"
 )
 
-// TestDeterministic: one config, one report.
+// TestDeterministic checks that the same configuration gives the same report.
 func TestDeterministic(t *testing.T) {
 	cfg := Mass(20, 12, 3*time.Second, 7)
 	a, b := Run(cfg), Run(cfg)
 	if a.String() != b.String() {
 		t.Errorf("two runs differ:\n%v\n%v", a, b)
 	}
-	if a.Reqs == 0 || a.Passed == 0 || a.Messages == 0 {
+	if a.Requests == 0 || a.Succeeded == 0 || a.Messages == 0 {
 		t.Errorf("nothing happened: %v", a)
 	}
 }
 
-// TestMassReport plays a mass day when FLEETSIM=1: a measurement, not a test for CI.
+// TestMassReport reports Mass at several sizes if FLEETSIM=1: a measurement, not a test for CI.
 func TestMassReport(t *testing.T) {
 	if os.Getenv("FLEETSIM") != "1" {
 		t.Skip("set FLEETSIM=1 to play the mass day")
--- a/lab/fleetsim/quota_test.go
+++ b/lab/fleetsim/quota_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// TestQuotaTable plays fleets of the sizes in QUOTA (as 80,300) and prints who loses what: a measurement.
+// TestQuotaTable simulates fleets of the sizes in QUOTA (as 80,300) and prints their tables: a measurement.
 func TestQuotaTable(t *testing.T) {
 	sizes := os.Getenv("QUOTA")
 	if sizes == "" {
--- /dev/null
+++ b/lab/fleetsim/sim.go
@@ -0,0 +1,337 @@
+package fleetsim
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ravensill/gateway"
+	"ravensill/lab/schedule"
+	"ravensill/logic"
+)
+
+const (
+	millisecond  = int64(time.Millisecond)
+	second       = int64(time.Second)
+	startTime    = 100 * second // of the simulated clock
+	windowLength = 5 * second   // of Report.Windows
+)
+
+// simulation is the state of one run.
+type simulation struct {
+	config      Config
+	random      *rand.Rand
+	now         int64 // ns
+	schedule    schedule.Schedule[*event]
+	gateways    []*gatewayModel
+	hosts       []*host
+	customers   []*customer
+	plans       []gateway.Plan
+	requests    map[string]*request
+	lastRequest int // number of the last request
+	samples     int // samples of the gateways' gauges
+	report      Report
+}
+
+// Run simulates one experiment and returns its report.
+func Run(config Config) Report {
+	s := &simulation{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Seed^0x5deece66d)),
+		now:      startTime,
+		requests: map[string]*request{},
+	}
+	s.addPlans()
+	s.addGateways(s.addHosts())
+	s.addCustomers()
+	s.report.Windows = make([]Window, int(int64(config.Duration)/windowLength)+1)
+	s.runEvents()
+	s.summarize()
+	return s.report
+}
+
+func (s *simulation) addPlans() {
+	for _, p := range s.config.Plans {
+		s.plans = append(s.plans, gateway.Plan{
+			Rate:         p.Rate,
+			Burst:        p.Burst,
+			Open:         p.MaxInFlight,
+			CeilingRate:  p.CeilingRate,
+			CeilingBurst: p.CeilingBurst,
+			Price:        1,
+			BeyondCost:   0.5,
+		})
+		s.report.Plans = append(s.report.Plans, PlanReport{Name: p.Name})
+	}
+}
+
+// addHosts adds the hosts and returns the list of them.
+func (s *simulation) addHosts() (list []gateway.Listing) {
+	for i := range s.config.Hosts {
+		s.hosts = append(s.hosts, &host{})
+		list = append(list, gateway.Listing{Host: uint32(i + 1), Cell: i % 8, State: gateway.Running, Share: 1})
+	}
+	return list
+}
+
+// addGateways adds the gateways, each with the host list.
+func (s *simulation) addGateways(list []gateway.Listing) {
+	config := &s.config
+	classes := []gateway.Frontend{{
+		Effect:  gateway.Replayable,
+		Target:  int64(config.Objective),
+		Timeout: int64(config.Deadline),
+		Value:   1,
+		Late:    0.2,
+	}}
+	limits := gateway.Limits{Dispatches: 3, Cancel: true, RetryAfter: true, LongestAdvice: 2 * second}
+	warmUp := gateway.Cold{From: 0.3, Warm: 15 * second, Multiple: 3, Window: 3 * second}
+	loadReport := gateway.Report{Fields: []gateway.Field{gateway.BusyShare}, Answers: true}
+	for i := range config.Gateways {
+		member := gateway.Seat{
+			Index:     i,
+			Count:     config.Gateways,
+			Messages:  config.GossipPerSecond > 0 && config.Gateways > 1,
+			PerSecond: config.GossipPerSecond,
+		}
+		module := logic.New(s.random.Uint64(), member, classes, s.plans, limits, warmUp, loadReport)
+		s.gateways = append(s.gateways, &gatewayModel{module: module, hostsUsed: map[int]bool{}})
+		s.runBatch(i, gateway.Event{Kind: gateway.Listed, List: gateway.Old, Hosts: list})
+	}
+}
+
+// addCustomers draws the customers of each plan and schedules their first requests.
+func (s *simulation) addCustomers() {
+	for plan := range s.config.Plans {
+		for range s.config.Plans[plan].Customers {
+			c := s.newCustomer(plan)
+			s.customers = append(s.customers, c)
+			s.add(&event{at: s.now + s.interArrival(c.requestRate), kind: requestArrives, customer: c.id})
+		}
+	}
+}
+
+// add schedules an event.
+func (s *simulation) add(e *event) { s.schedule.Add(e.at, e) }
+
+// runEvents runs all events up to the end, with the samples that fall due between them.
+func (s *simulation) runEvents() {
+	config := &s.config
+	end := startTime + int64(config.Duration)
+	nextSample := startTime + second
+	nextTrace := startTime + int64(config.Trace)
+	stepped := false
+	for s.schedule.Len() > 0 {
+		_, e := s.schedule.Next()
+		if e.at > end {
+			return
+		}
+		for ; e.at >= nextSample; nextSample += second {
+			s.sampleGauges()
+		}
+		for ; config.Trace > 0 && e.at >= nextTrace; nextTrace += int64(config.Trace) {
+			s.now = nextTrace
+			s.sampleCopies(time.Duration(nextTrace - startTime))
+		}
+		if config.StepAt > 0 && !stepped && e.at >= startTime+int64(config.StepAt) {
+			stepped = true
+			s.stepDemand()
+		}
+		s.now = e.at
+		s.handle(e)
+	}
+}
+
+// handle runs one event.
+func (s *simulation) handle(e *event) {
+	switch e.kind {
+	case requestArrives:
+		s.requestArrives(s.customers[e.customer])
+	case clientRetries:
+		s.send(s.customers[e.customer], e.deadline, e.number)
+	case timerFires:
+		s.timerFires(e)
+	case gossipArrives:
+		s.gossipArrives(e)
+	case attemptArrives:
+		s.attemptArrives(s.hosts[e.host], e.request.attempts[e.number])
+	case hostFinishes:
+		s.hostFinishes(s.hosts[e.host], e.request.attempts[e.number])
+	case attemptTimesOut:
+		if a := e.request.attempts[e.number]; a != nil && !a.ended {
+			s.report.TimedOut++
+			s.endAttempt(a, gateway.TimedOut)
+		}
+	case attemptCanceled:
+		if a := e.request.attempts[e.number]; a != nil && !a.ended {
+			s.endAttempt(a, gateway.Canceled)
+		}
+	}
+}
+
+// timerFires runs a gateway's timer, unless it was set anew meanwhile.
+func (s *simulation) timerFires(e *event) {
+	g := s.gateways[e.gateway]
+	if g.timerAt != e.at {
+		return
+	}
+	g.timerAt = 0
+	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Woke})
+}
+
+// gossipArrives delivers a message, unless the receiver has had too many within the last second.
+func (s *simulation) gossipArrives(e *event) {
+	g := s.gateways[e.gateway]
+	expired := 0
+	for expired < len(g.inbox) && g.inbox[expired] <= s.now-second {
+		expired++
+	}
+	g.inbox = g.inbox[expired:]
+	if float64(len(g.inbox)) >= s.config.GossipPerSecond {
+		s.report.Dropped++
+		return
+	}
+	g.inbox = append(g.inbox, s.now)
+	s.report.Messages++
+	s.report.MessageBytes += len(e.body)
+	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Heard, Peer: e.sender, Body: e.body})
+}
+
+// attemptArrives serves an attempt at a host, queues it, or turns it away if the queue is full.
+func (s *simulation) attemptArrives(h *host, a *attempt) {
+	if a == nil || a.ended {
+		return
+	}
+	h.received++
+	switch {
+	case h.inService < s.config.Slots:
+		s.serve(h, a)
+	case len(h.queue) < s.config.Queue:
+		h.queue = append(h.queue, a)
+	default:
+		s.report.Busy++
+		s.endAttempt(a, gateway.Busy, 0)
+	}
+}
+
+// hostFinishes ends an attempt at its host, which goes on with those that wait.
+func (s *simulation) hostFinishes(h *host, a *attempt) {
+	h.inService--
+	for len(h.queue) > 0 && h.inService < s.config.Slots {
+		next := h.queue[0]
+		h.queue = h.queue[1:]
+		if !next.ended { // not given up while it waited
+			s.serve(h, next)
+		}
+	}
+	if a != nil && !a.ended {
+		s.endAttempt(a, gateway.Passed, float64(h.inService)/float64(s.config.Slots))
+	}
+}
+
+// serve starts the service of an attempt at a host.
+func (s *simulation) serve(h *host, a *attempt) {
+	h.inService++
+	service := int64(s.random.ExpFloat64() * float64(s.config.ServiceTime))
+	s.add(&event{
+		at:      s.now + service + int64(s.config.NetDelay),
+		kind:    hostFinishes,
+		host:    a.host,
+		request: a.request,
+		number:  a.number,
+	})
+}
+
+// endAttempt tells the gateway how an attempt ended, with the host's load if its answer reports it.
+func (s *simulation) endAttempt(a *attempt, result gateway.Result, load ...float64) {
+	a.ended = true
+	r := a.request
+	r.customer.inFlight--
+	if result == gateway.Passed && !r.answered {
+		r.answered = true
+		s.report.Succeeded++
+		if s.now-r.arrived > int64(s.config.Objective) {
+			s.report.Late++
+		}
+	}
+	s.runBatch(r.gateway, gateway.Event{
+		Kind:     gateway.Ended,
+		Req:      r.id,
+		Host:     uint32(a.host + 1),
+		Dispatch: a.number,
+		Result:   result,
+		Lag:      s.now - r.arrived,
+		Closed:   r.answered,
+		Load:     load,
+	})
+}
+
+// send sends one try of a customer's client to a gateway of its set.
+func (s *simulation) send(c *customer, deadline int64, retries int) {
+	s.lastRequest++
+	r := &request{
+		id:       fmt.Sprintf("r%d", s.lastRequest),
+		customer: c,
+		arrived:  s.now,
+		deadline: deadline,
+		retries:  retries,
+		attempts: map[int]*attempt{},
+	}
+	r.gateway = (c.first + s.drawGateway(c)) % len(s.gateways)
+	c.report.Tries++
+	s.requests[r.id] = r
+	s.report.Requests++
+	s.report.Plans[c.plan].Requests++
+	s.runBatch(r.gateway, gateway.Event{
+		Kind:     gateway.Arrived,
+		Req:      r.id,
+		Customer: c.name,
+		Plan:     c.plan,
+		Until:    deadline,
+		Units:    1,
+		Spread:   c.spread,
+		First:    c.first,
+	})
+}
+
+// runBatch gives a gateway a batch of one event.
+func (s *simulation) runBatch(i int, e gateway.Event) {
+	s.report.Batches++
+	batch := &gateway.Round{Now: s.now, Events: []gateway.Event{e}}
+	s.gateways[i].module.Round(batch, writer{s, i})
+}
+
+// sampleGauges adds the gateways' gauges to the report's sums.
+func (s *simulation) sampleGauges() {
+	s.samples++
+	for _, g := range s.gateways {
+		gauges := g.module.Gauges()
+		s.report.Limit += gauges.Limit
+		s.report.InFlight += float64(gauges.Out)
+		s.report.Lateness += gauges.Late
+	}
+}
+
+// summarize turns the sums of the report into means, and adds the customers' reports.
+func (s *simulation) summarize() {
+	for _, c := range s.customers {
+		s.report.Customers = append(s.report.Customers, *c.report)
+	}
+	hostsUsed := 0
+	for _, g := range s.gateways {
+		hostsUsed += len(g.hostsUsed)
+	}
+	s.report.HostsUsed = float64(hostsUsed) / float64(len(s.gateways))
+	samples := float64(max(s.samples*len(s.gateways), 1))
+	s.report.Limit /= samples
+	s.report.InFlight /= samples
+	s.report.Lateness /= samples
+	most, total := 0, 0
+	for _, h := range s.hosts {
+		most = max(most, h.received)
+		total += h.received
+	}
+	mean := float64(total) / float64(len(s.hosts))
+	s.report.BusiestHost = float64(most) / math.Max(mean, 1e-9)
+}
