Counter, resp and ring: whole names, units and doc comments; replies parsed in steps

Unexported names were short or house words (most, told, wait, part, got); they are named by the field's terms, with a struct field a line and its unit, and the counter's dialing and reply parsing are functions of their own.

No behaviour change.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -1,11 +1,12 @@
-// Package counter calls the shared counter: a server that speaks RESP2 and knows INCRBYFLOAT and PEXPIRE with NX, as
-// Redis does from version 7 on. Wire names end here; it decides nothing. Each call gets exactly one answer, in time,
-// whatever the server does: none that comes late or not at all holds anything up.
+// Package counter is the client of the shared counter: a server that speaks RESP2 and supports INCRBYFLOAT and PEXPIRE with NX, as
+// Redis does from version 7 on. Each call gets exactly one answer, in time, whatever the server does: a late or missing reply
+// delays nothing.
 package counter
 
 import (
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -17,232 +18,279 @@
 	"ravensill/internal/ring"
 )
 
+// States of the connection, as the log names them.
 const (
-	lost    = "lost" // states
-	back    = "back"
-	prefix  = "ravensill:"
-	most    = 64 << 10        // bytes that wait to be sent; a call beyond that is turned away
-	overdue = 20              // times its wait: a call so old ends its connection
-	pause   = time.Second / 2 // between tries to connect
+	stateLost = "lost"
+	stateBack = "back"
+)
+
+const (
+	keyPrefix      = "ravensill:"
+	maxUnsent      = 64 << 10        // bytes of unsent commands; a call beyond that is rejected
+	overdueFactor  = 20              // a call older than its timeout by this factor ends the connection
+	dialTimeout    = time.Second     // of an attempt to connect
+	reconnectDelay = time.Second / 2 // between attempts to connect
 )
 
 var (
-	errUnasked = errors.New("a reply that nothing was asked for")
-	errReply   = errors.New("a reply that holds no number")
+	errUnsolicitedReply = errors.New("a reply that nothing was asked for")
+	errNotANumber       = errors.New("a reply that holds no number")
 )
 
-// Counter is one gateway's connection to it. All its fields belong to the node's loop.
+// Counter is one gateway's connection to the shared counter. All its fields belong to the loop, the goroutine that runs the
+// functions passed to runOnLoop. Times are in nanoseconds of the clock now.
 type Counter struct {
-	addr    netip.AddrPort
-	wait    int64 // a call is given up after so long
-	do      func(func())
-	now     func() int64
-	done    func(gateway.Event)
-	link    *ring.Link // nil: none is up
-	calls   []call     // under way, in order
-	dialing bool
-	closed  bool
-	state   string // told in the log last, lost or back,
-	endless bool   // as is that numbers are not forgotten
-}
-
-// call awaits two replies: to INCRBYFLOAT, then to PEXPIRE.
+	addr           netip.AddrPort
+	timeout        int64 // of a call
+	runOnLoop      func(func())
+	now            func() int64
+	onAnswer       func(gateway.Event)
+	link           *ring.Link // nil: not connected
+	inFlight       []call     // in the order of their commands
+	dialing        bool
+	closed         bool
+	loggedState    string // the state logged last
+	noExpiryLogged bool   // that the server does not support expiry was logged
+}
+
+// call waits for two replies: to INCRBYFLOAT, then to PEXPIRE.
 type call struct {
-	name  uint64
-	at    int64
-	ended bool // its answer was given: its replies are passed over
-	half  bool // the first reply has come
+	name         uint64
+	started      int64
+	answered     bool // its answer was given: further replies are ignored
+	halfAnswered bool // the first reply has arrived
 }
 
-// New makes one that is not connected yet. done gets each call's answer, in the loop.
-func New(addr netip.AddrPort, wait int64, do func(func()), now func() int64, done func(gateway.Event)) *Counter {
-	return &Counter{addr: addr, wait: wait, do: do, now: now, done: done}
+// New returns a counter that is not connected yet. onAnswer is called on the loop with the answer of each call.
+func New(addr netip.AddrPort, timeout int64, runOnLoop func(func()), now func() int64, onAnswer func(gateway.Event)) *Counter {
+	return &Counter{
+		addr:      addr,
+		timeout:   timeout,
+		runOnLoop: runOnLoop,
+		now:       now,
+		onAnswer:  onAnswer,
+	}
 }
 
-// Count adds an amount to a number that is forgotten life after its first call.
-func (c *Counter) Count(name uint64, amount float64, life int64) {
-	k := call{name: name, at: c.now()}
+// Count adds an amount to a named number, which expires a lifetime after its first call.
+func (c *Counter) Count(name uint64, amount float64, lifetime int64) {
+	newCall := call{name: name, started: c.now()}
 	if c.link == nil {
 		c.Connect()
-		c.end(&k, gateway.Unreached, 0)
+		c.finish(&newCall, gateway.Unreached, 0)
 		return
 	}
-	key := prefix + strconv.FormatUint(name, 10)
-	cmd := resp.Array(nil, 3)
-	cmd = resp.Bulk(resp.Bulk(resp.Bulk(cmd, "INCRBYFLOAT"), key), strconv.FormatFloat(amount, 'f', -1, 64))
-	cmd = resp.Bulk(resp.Bulk(resp.Array(cmd, 4), "PEXPIRE"), key)
-	cmd = resp.Bulk(resp.Bulk(cmd, strconv.FormatInt(max(life/int64(time.Millisecond), 1), 10)), "NX")
-	if !c.link.Out.Write(cmd) {
-		c.end(&k, gateway.Busy, 0)
+	key := keyPrefix + strconv.FormatUint(name, 10)
+	milliseconds := max(lifetime/int64(time.Millisecond), 1)
+	commands := appendCommand(nil, "INCRBYFLOAT", key, strconv.FormatFloat(amount, 'f', -1, 64))
+	commands = appendCommand(commands, "PEXPIRE", key, strconv.FormatInt(milliseconds, 10), "NX")
+	if !c.link.Out.Write(commands) {
+		c.finish(&newCall, gateway.Busy, 0)
 		return
 	}
-	c.calls = append(c.calls, k)
+	c.inFlight = append(c.inFlight, newCall)
+}
+
+// appendCommand appends an encoded command.
+func appendCommand(dst []byte, elements ...string) []byte {
+	dst = resp.Array(dst, len(elements))
+	for _, element := range elements {
+		dst = resp.Bulk(dst, element)
+	}
+	return dst
 }
 
-func (c *Counter) end(k *call, res gateway.Result, total float64) {
-	if !k.ended {
-		k.ended = true
-		c.done(gateway.Event{Kind: gateway.Counted, Name: k.name, Result: res, Total: total, Lag: c.now() - k.at})
+// finish gives the answer of a call, unless it has one.
+func (c *Counter) finish(call *call, result gateway.Result, total float64) {
+	if call.answered {
+		return
 	}
+	call.answered = true
+	c.onAnswer(gateway.Event{
+		Kind:   gateway.Counted,
+		Name:   call.name,
+		Result: result,
+		Total:  total,
+		Lag:    c.now() - call.started,
+	})
 }
 
-// Expire gives up the calls whose time is up, and tells when the next one is; 0 none. A connection on which one is
-// long overdue ends: what its server still holds is of no use.
+// Expire times out calls and returns when to call it next; 0: no call is in flight. A connection with a call that is long overdue
+// is closed.
 func (c *Counter) Expire(now int64) (next int64) {
-	for i := range c.calls {
-		k := &c.calls[i]
-		if now < k.at+c.wait {
-			return k.at + c.wait
+	for i := range c.inFlight {
+		call := &c.inFlight[i]
+		if now < call.started+c.timeout {
+			return call.started + c.timeout
 		}
-		c.end(k, gateway.TimedOut, 0)
+		c.finish(call, gateway.TimedOut, 0)
 	}
-	if len(c.calls) == 0 {
+	if len(c.inFlight) == 0 {
 		return 0
 	}
-	if next = c.calls[0].at + overdue*c.wait; now >= next {
-		c.drop(c.link, "no answer")
+	next = c.inFlight[0].started + overdueFactor*c.timeout
+	if now >= next {
+		c.closeLink(c.link, "no answer")
 		return 0
 	}
 	return next
 }
 
-// Flush sends what waits; it tells whether some is left.
+// Flush writes unsent commands and reports whether some are left.
 func (c *Counter) Flush() bool {
 	if c.link == nil || c.link.Out.Len() == 0 {
 		return false
 	}
 	if err := c.link.Flush(); err != nil {
-		c.drop(c.link, err.Error())
+		c.closeLink(c.link, err.Error())
 		return false
 	}
 	return c.link.Out.Len() > 0
 }
 
-// Connect begins to connect, unless that is under way or done.
+// Connect starts connecting, unless that is under way or done.
 func (c *Counter) Connect() {
 	if c.dialing || c.closed || c.link != nil {
 		return
 	}
 	c.dialing = true
 	go func() {
-		d := net.Dialer{Timeout: time.Second}
-		conn, err := d.Dial("tcp4", c.addr.String())
-		var link *ring.Link
-		if err == nil {
-			link, err = ring.NewLink(conn.(*net.TCPConn), most, most)
-		}
+		link, err := c.dial()
 		if err != nil {
-			time.AfterFunc(pause, func() { c.do(func() { c.dialing = false }) })
-			c.do(func() { c.told(lost, err.Error()) })
+			time.AfterFunc(reconnectDelay, func() { c.runOnLoop(func() { c.dialing = false }) })
+			c.runOnLoop(func() { c.logState(stateLost, err.Error()) })
 			return
 		}
-		c.do(func() {
-			if c.dialing = false; c.closed {
-				link.Close()
-				return
-			}
-			c.link, c.endless = link, false
-			c.told(back, "")
-			go c.read(link)
-		})
+		c.runOnLoop(func() { c.connected(link) })
 	}()
 }
 
-// read decodes what the server answers and brings it to the loop, until the connection ends.
-func (c *Counter) read(link *ring.Link) {
+// dial opens a connection to the server.
+func (c *Counter) dial() (*ring.Link, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.Dial("tcp4", c.addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return ring.NewLink(conn.(*net.TCPConn), maxUnsent, maxUnsent)
+}
+
+// connected takes over a new connection.
+func (c *Counter) connected(link *ring.Link) {
+	c.dialing = false
+	if c.closed {
+		link.Close()
+		return
+	}
+	c.link = link
+	c.noExpiryLogged = false
+	c.logState(stateBack, "")
+	go c.readReplies(link)
+}
+
+// readReplies passes the server's replies to the loop until the connection ends.
+func (c *Counter) readReplies(link *ring.Link) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=counter error=%q stack=%q", p, debug.Stack())
-			c.do(func() { c.drop(link, "panic") })
+			c.runOnLoop(func() { c.closeLink(link, "panic") })
 		}
 	}()
 	var parser resp.Parser
 	for {
 		err := link.Read()
-		for err == nil {
-			var v resp.Value
-			var ok bool
-			if v, ok, err = parser.Next(link.In); err != nil || !ok {
-				break
-			}
-			kind, text, total := v.Kind, string(v.Line), 0.0
-			if kind == '$' {
-				total, err = number(v.Parts[0])
-			}
-			if err == nil {
-				c.do(func() { c.reply(link, kind, text, total) })
-			}
+		if err == nil {
+			err = c.parseReplies(link, &parser)
 		}
 		if err != nil {
-			c.do(func() { c.drop(link, err.Error()) })
+			c.runOnLoop(func() { c.closeLink(link, err.Error()) })
 			return
 		}
 	}
 }
 
-func number(text []byte) (float64, error) {
+// parseReplies passes all whole replies to the loop.
+func (c *Counter) parseReplies(link *ring.Link, parser *resp.Parser) error {
+	for {
+		value, ok, err := parser.Next(link.In)
+		if err != nil || !ok {
+			return err
+		}
+		kind, text, total := value.Kind, string(value.Line), 0.0
+		if kind == '$' {
+			total, err = parseNumber(value.Parts[0])
+			if err != nil {
+				return err
+			}
+		}
+		c.runOnLoop(func() { c.handleReply(link, kind, text, total) })
+	}
+}
+
+// parseNumber parses a finite number.
+func parseNumber(text []byte) (float64, error) {
 	x, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || x-x != 0 { // nor one that is not finite
-		return 0, errReply
+	if err != nil || math.IsInf(x, 0) || math.IsNaN(x) {
+		return 0, errNotANumber
 	}
 	return x, nil
 }
 
-// reply takes in one reply: a number, or a line of its kind.
-func (c *Counter) reply(link *ring.Link, kind byte, text string, total float64) {
+// handleReply handles one reply: a number, or a line of its kind.
+func (c *Counter) handleReply(link *ring.Link, kind byte, text string, total float64) {
 	switch {
 	case c.link != link:
 		return
-	case len(c.calls) == 0:
-		c.drop(link, errUnasked.Error())
+	case len(c.inFlight) == 0:
+		c.closeLink(link, errUnsolicitedReply.Error())
 		return
 	}
-	k := &c.calls[0]
+	call := &c.inFlight[0]
 	switch {
-	case k.half:
-		c.calls = c.calls[1:]
-		if kind == '-' && !c.endless { // older servers don't know NX: their numbers stay for ever
-			c.endless = true
+	case call.halfAnswered:
+		c.inFlight = c.inFlight[1:]
+		if kind == '-' && !c.noExpiryLogged { // older servers don't support NX: their numbers never expire
+			c.noExpiryLogged = true
 			log.Printf("event=counter_no_expiry addr=%s error=%q", c.addr, text)
 		}
 		return
-	case kind == '-': // it was not carried out
-		c.end(k, gateway.Busy, 0)
+	case kind == '-': // not executed
+		c.finish(call, gateway.Busy, 0)
 	case kind == '$':
-		c.end(k, gateway.Passed, total)
+		c.finish(call, gateway.Passed, total)
 	default:
-		c.drop(link, errReply.Error())
+		c.closeLink(link, errNotANumber.Error())
 		return
 	}
-	k.half = true
+	call.halfAnswered = true
 }
 
-// drop ends a connection; what was under way on it may have been carried out.
-func (c *Counter) drop(link *ring.Link, why string) {
+// closeLink closes a connection. The calls in flight on it may have been executed.
+func (c *Counter) closeLink(link *ring.Link, reason string) {
 	if c.link != link || link == nil {
 		return
 	}
-	c.told(lost, why)
+	c.logState(stateLost, reason)
 	link.Close()
 	c.link = nil
-	calls := c.calls
-	c.calls = nil
-	for i := range calls {
-		c.end(&calls[i], gateway.Broken, 0)
+	abandoned := c.inFlight
+	c.inFlight = nil
+	for i := range abandoned {
+		c.finish(&abandoned[i], gateway.Broken, 0)
 	}
 }
 
-// told logs that the counter is lost or back, once each.
-func (c *Counter) told(state, why string) {
-	if c.state == state || c.closed {
+// logState logs a change of the connection's state.
+func (c *Counter) logState(state, reason string) {
+	if c.loggedState == state || c.closed {
 		return
 	}
-	c.state = state
-	log.Printf("event=counter_%s addr=%s error=%q", state, c.addr, why)
+	c.loggedState = state
+	log.Printf("event=counter_%s addr=%s error=%q", state, c.addr, reason)
 }
 
-// Close ends the connection for good.
+// Close closes the connection for good.
 func (c *Counter) Close() {
 	c.closed = true
-	c.drop(c.link, "")
+	c.closeLink(c.link, "")
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -1,5 +1,4 @@
-// Package resp takes RESP2 values out of a ring as their bytes come, and writes them. It knows no socket and
-// decides nothing.
+// Package resp parses RESP2 values out of a ring buffer as their bytes arrive, and encodes them. It does no I/O.
 package resp
 
 import (
@@ -10,14 +9,15 @@
 	"ravensill/internal/ring"
 )
 
+// Limits of a value.
 const (
-	MostBulk  = 64 << 10 // bytes of one bulk
-	mostLine  = 4 << 10
-	mostParts = 16
-	Most      = 128 << 10 // bytes of one value: a ring of this size holds any that is let in
+	MostBulk    = 64 << 10  // bytes of a bulk string
+	Most        = 128 << 10 // bytes of a value: a ring of this size holds any that is accepted
+	maxLine     = 4 << 10   // bytes of a line
+	maxElements = 16        // elements of an array
 )
 
-// Faults of the stream. None can be passed over: where the next value begins is not known.
+// Errors of the stream. None is recoverable: where the next value begins is not known.
 var (
 	ErrKind  = errors.New("unknown kind of value")
 	ErrLine  = errors.New("line too long or not ended by CR LF")
@@ -26,131 +26,138 @@
 	ErrSize  = errors.New("value too large")
 )
 
-// Value is one value: a line (kinds +, - and :), a bulk ($) or a flat array of bulks (*).
+// Value is a line (kinds +, - and :), a bulk string ($) or a flat array of bulk strings (*).
 type Value struct {
 	Kind  byte
-	Line  []byte
+	Line  []byte   // of +, - and :
 	Parts [][]byte // of $ and *; nil stands for null
 }
 
-// Parser is the state between bytes.
+// Parser is the state of parsing a value whose bytes have not all arrived. Its zero value is ready to use.
 type Parser struct {
-	kind  byte
-	at    int // bytes of the value gone through
-	left  int // bulks still to come
-	size  int // of the bulk that is coming
-	body  bool
-	parts []part
-	out   [][]byte
-	done  int // bytes of the last value, dropped with the next call
+	kind         byte // of the value; 0: not known yet
+	offset       int  // bytes of the value parsed so far
+	elementsLeft int  // bulk strings to come
+	inBulk       bool // the header of a bulk string was parsed
+	bulkSize     int  // bytes of that one
+	elements     []element
+	spans        [][]byte // of the last value
+	consumed     int      // bytes of the last value, dropped by the next call
 }
 
-type part struct{ at, n int }
+// element is the place of a bulk string in the value.
+type element struct {
+	offset int
+	size   int // -1: null
+}
 
-// Next gives the next whole value; it holds until the next call and until more is read into the ring.
+// Next returns the next whole value, or false if it has not arrived. The value is valid until the next call and until more bytes
+// are read into the ring.
 func (p *Parser) Next(r *ring.Ring) (v Value, ok bool, err error) {
-	if p.done > 0 {
-		r.Drop(p.done)
-		p.done = 0
+	if p.consumed > 0 {
+		r.Drop(p.consumed)
+		p.consumed = 0
 	}
 	r.Loosen()
 	for {
-		if p.body {
-			if r.Len() < p.at+p.size+2 {
+		if p.inBulk {
+			if r.Len() < p.offset+p.bulkSize+2 {
 				return v, false, nil
 			}
-			if r.At(p.at+p.size) != '\r' || r.At(p.at+p.size+1) != '\n' {
+			if r.At(p.offset+p.bulkSize) != '\r' || r.At(p.offset+p.bulkSize+1) != '\n' {
 				return v, false, ErrCount
 			}
-			p.parts = append(p.parts, part{p.at, p.size})
-			p.at += p.size + 2
-			p.body = false
-			p.left--
+			p.elements = append(p.elements, element{p.offset, p.bulkSize})
+			p.offset += p.bulkSize + 2
+			p.inBulk = false
+			p.elementsLeft--
 		} else {
-			if r.Len() == p.at {
+			if r.Len() == p.offset {
 				return v, false, nil
 			}
-			first := r.At(p.at)
+			first := r.At(p.offset)
 			if p.kind == 0 && bytes.IndexByte([]byte("+-:*$"), first) < 0 {
 				return v, false, ErrKind
 			}
 			if p.kind != 0 && first != '$' {
 				return v, false, ErrNest
 			}
-			n, err := line(r, p.at)
-			if n < 0 || err != nil {
+			length, err := lineLength(r, p.offset)
+			if length < 0 || err != nil {
 				return v, false, err
 			}
-			text := r.Span(p.at+1, n-1)
+			text := r.Span(p.offset+1, length-1)
 			if first != '*' && first != '$' {
-				p.done, p.at = n+2, 0
+				p.consumed, p.offset = length+2, 0
 				return Value{Kind: first, Line: text}, true, nil
 			}
 			if p.kind == 0 {
-				p.kind, p.left = first, 1
+				p.kind, p.elementsLeft = first, 1
 			}
-			count, ok := number(text)
-			switch p.at += n + 2; {
+			count, ok := parseLength(text)
+			p.offset += length + 2
+			switch {
 			case first == '*':
-				if !ok || count < 1 || count > mostParts {
+				if !ok || count < 1 || count > maxElements {
 					return v, false, ErrCount
 				}
-				p.left = count
+				p.elementsLeft = count
 				continue
 			case ok && count == -1:
-				p.parts = append(p.parts, part{0, -1})
-				p.left--
+				p.elements = append(p.elements, element{0, -1})
+				p.elementsLeft--
 			case !ok || count < 0 || count > MostBulk:
 				return v, false, ErrCount
-			case p.at+count+2 > Most:
+			case p.offset+count+2 > Most:
 				return v, false, ErrSize
 			default:
-				p.size, p.body = count, true
+				p.bulkSize, p.inBulk = count, true
 			}
 		}
-		if p.left == 0 {
-			return p.whole(r), true, nil
+		if p.elementsLeft == 0 {
+			return p.value(r), true, nil
 		}
 	}
 }
 
-// More tells whether the ring holds bytes behind the value that Next gave last.
-func (p *Parser) More(r *ring.Ring) bool { return r.Len() > p.done }
+// More reports whether the ring holds bytes after the value that Next returned last.
+func (p *Parser) More(r *ring.Ring) bool { return r.Len() > p.consumed }
 
-func (p *Parser) whole(r *ring.Ring) Value {
-	p.out = p.out[:0]
-	for _, x := range p.parts {
-		if x.n < 0 {
-			p.out = append(p.out, nil)
+// value returns the value, all of whose bytes have arrived, and resets the parser.
+func (p *Parser) value(r *ring.Ring) Value {
+	p.spans = p.spans[:0]
+	for _, element := range p.elements {
+		if element.size < 0 {
+			p.spans = append(p.spans, nil)
 		} else {
-			p.out = append(p.out, r.Span(x.at, x.n))
+			p.spans = append(p.spans, r.Span(element.offset, element.size))
 		}
 	}
-	v := Value{Kind: p.kind, Parts: p.out}
-	p.done = p.at
-	p.kind, p.at, p.parts = 0, 0, p.parts[:0]
-	return v
+	value := Value{Kind: p.kind, Parts: p.spans}
+	p.consumed = p.offset
+	p.kind, p.offset, p.elements = 0, 0, p.elements[:0]
+	return value
 }
 
-// line gives the length of the line from the i-th byte on, without its end; -1 while it is not whole.
-func line(r *ring.Ring, i int) (int, error) {
-	for n := 0; i+n < r.Len(); n++ {
-		if r.At(i+n) != '\n' {
+// lineLength returns the length of the line at an offset, without its CR LF; -1 if it has not arrived.
+func lineLength(r *ring.Ring, offset int) (int, error) {
+	for length := 0; offset+length < r.Len(); length++ {
+		if r.At(offset+length) != '\n' {
 			continue
 		}
-		if n < 2 || r.At(i+n-1) != '\r' {
+		if length < 2 || r.At(offset+length-1) != '\r' {
 			return 0, ErrLine
 		}
-		return n - 1, nil
+		return length - 1, nil
 	}
-	if r.Len()-i > mostLine {
+	if r.Len()-offset > maxLine {
 		return 0, ErrLine
 	}
 	return -1, nil
 }
 
-// number reads a whole number in the one form that it is written in.
-func number(text []byte) (int, bool) {
+// parseLength parses a whole number in its canonical form.
+func parseLength(text []byte) (int, bool) {
 	if len(text) == 0 || len(text) > 7 {
 		return 0, false
 	}
@@ -158,14 +165,15 @@
 	return n, err == nil && text[0] != '+' && (text[0] != '0' || n == 0)
 }
 
-// Array begins an array of n bulks.
-func Array(to []byte, n int) []byte { return size(to, '*', n) }
+// Array appends the header of an array of n bulk strings.
+func Array(dst []byte, n int) []byte { return appendHeader(dst, '*', n) }
 
-// Bulk adds a bulk string.
-func Bulk[T []byte | string](to []byte, b T) []byte {
-	return append(append(size(to, '$', len(b)), b...), '\r', '\n')
+// Bulk appends a bulk string.
+func Bulk[T []byte | string](dst []byte, b T) []byte {
+	return append(append(appendHeader(dst, '$', len(b)), b...), '\r', '\n')
 }
 
-func size(to []byte, kind byte, n int) []byte {
-	return append(strconv.AppendInt(append(to, kind), int64(n), 10), '\r', '\n')
+// appendHeader appends a kind with a length.
+func appendHeader(dst []byte, kind byte, n int) []byte {
+	return append(strconv.AppendInt(append(dst, kind), int64(n), 10), '\r', '\n')
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -9,29 +9,30 @@
 	"ravensill/internal/ring"
 )
 
-// parse takes all values out of the pieces in turn.
+// parse parses the pieces in turn and returns a trace of all values.
 func parse(pieces ...string) string {
-	var said strings.Builder
+	var trace strings.Builder
 	in, p := ring.New(Most), Parser{}
 	for _, piece := range pieces {
 		in.Write([]byte(piece))
 		for {
 			v, ok, err := p.Next(in)
 			if err != nil {
-				return said.String() + err.Error() + "\n"
+				return trace.String() + err.Error() + "\n"
 			}
 			if !ok {
 				break
 			}
-			fmt.Fprintf(&said, "%c %q %q\n", v.Kind, v.Line, v.Parts)
+			fmt.Fprintf(&trace, "%c %q %q\n", v.Kind, v.Line, v.Parts)
 		}
 	}
-	return said.String()
+	return trace.String()
 }
 
 const stream = "*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n-BUSY 12\r\n*3\r\n$10\r\nva\r\nlue\r\n\x00\r\n$-1\r\n$0\r\n\r\n$3\r\na=1\r\n+PONG\r\n:7\r\n"
 
-func TestCut(t *testing.T) { // the same bytes cut anywhere give the same values
+// TestCut checks that the same bytes, cut anywhere, give the same values.
+func TestCut(t *testing.T) {
 	whole := parse(stream)
 	golden.Check(t, whole)
 	for i := range stream {
@@ -44,18 +45,19 @@
 	}
 }
 
+// TestFaults checks the errors of malformed streams.
 func TestFaults(t *testing.T) {
 	var all strings.Builder
 	for _, s := range []string{"x", "\n", "PING\r\n", "+a\n", "*0\r\n", "*-1\r\n", "*17\r\n", "*1\r\n+a\r\n", "*1\r\n*1\r\n", "$-2\r\n",
 		"$65537\r\n", "$99999999\r\n", "$01\r\n", "$+1\r\n", "$1\r\nab\r\n", "$1\r\na\rb", "*2\r\n$1\r\na\r\nb",
-		"+" + strings.Repeat("a", mostLine), fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$%[1]d\r\n", MostBulk, strings.Repeat("b", MostBulk))} {
+		"+" + strings.Repeat("a", maxLine), fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$%[1]d\r\n", MostBulk, strings.Repeat("b", MostBulk))} {
 		got := strings.TrimSpace(parse(s))
 		fmt.Fprintf(&all, "%.20q %s\n", s, got)
 	}
 	golden.Check(t, all.String())
 }
 
-// FuzzParser: no bytes may panic, and none may give more when cut than whole.
+// FuzzParser checks that no input panics, and that a cut input gives the same values as a whole one.
 func FuzzParser(f *testing.F) {
 	f.Add(stream, 7)
 	f.Add("*1\r\n$3\r\nabc\r\n*", 3)
--- a/internal/ring/link.go
+++ b/internal/ring/link.go
@@ -10,103 +10,117 @@
 	"unsafe"
 )
 
-// Link drives one TCP connection: its own goroutine reads into In, the node's loop writes out of Out. It
-// knows no protocol.
+// Link drives one TCP connection. One goroutine reads into In; another one, the loop, writes out of Out.
 type Link struct {
-	In, Out *Ring
-	conn    *net.TCPConn
-	raw     syscall.RawConn
-	write   func(fd uintptr) bool
-	read    func(fd uintptr) bool
-	peek    func(fd uintptr)
-	quiet   bool
-	reads   atomic.Int64
-	pulling atomic.Bool
-	room    []byte // of In, while reading
-	got     int
-	readErr error
-	err     error
+	In  *Ring
+	Out *Ring
+
+	conn      *net.TCPConn
+	raw       syscall.RawConn
+	writeFunc func(fd uintptr) bool // method values, made once
+	readFunc  func(fd uintptr) bool
+	peekFunc  func(fd uintptr)
+
+	// The reader's.
+	readBuffer []byte // free space of In
+	readCount  int    // bytes read into it
+	readErr    error
+	reads      atomic.Int64 // reads that returned bytes or an end
+	reading    atomic.Bool  // a read is between taking bytes from the socket and being counted
+
+	// The loop's.
+	wouldBlock bool // result of peekSocket: nothing to read
+	writeErr   error
 }
 
-func NewLink(conn *net.TCPConn, mostIn, mostOut int) (*Link, error) {
+// NewLink returns the driver of a connection, with rings of at most so many bytes.
+func NewLink(conn *net.TCPConn, maxIn, maxOut int) (*Link, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{In: New(mostIn), Out: New(mostOut), conn: conn, raw: raw}
-	l.write, l.read, l.peek = l.push, l.pull, l.look
-	return l, nil
+	link := &Link{In: New(maxIn), Out: New(maxOut), conn: conn, raw: raw}
+	link.writeFunc = link.writeSocket
+	link.readFunc = link.readSocket
+	link.peekFunc = link.peekSocket
+	return link, nil
 }
 
-// Read waits for bytes and puts them into In.
+// Read waits for bytes and appends them to In.
 func (l *Link) Read() error {
-	if l.room = l.In.Room(); len(l.room) == 0 {
+	l.readBuffer = l.In.Room()
+	if len(l.readBuffer) == 0 {
 		return io.ErrShortBuffer
 	}
-	if err := l.raw.Read(l.read); err != nil {
+	if err := l.raw.Read(l.readFunc); err != nil {
 		return err
 	}
-	l.In.Filled(l.got)
+	l.In.Filled(l.readCount)
 	return l.readErr
 }
 
-// pull and push never wait in the kernel, so the runtime is not told of their calls: told of one that ends an
-// idle spell, it wakes its watching thread, and it takes the processor away from one that lasts (a write to
-// loopback does). That was a sixth to a third of all CPU.
-func (l *Link) pull(fd uintptr) bool {
-	l.pulling.Store(true)
-	defer l.pulling.Store(false)
+// readSocket reads what the socket holds; it returns false if that is nothing.
+//
+// It and writeSocket never wait in the kernel, so they use raw system calls, of which the runtime is not told: told of one that
+// ends an idle period, it wakes its monitor thread, and it takes the processor away from one that lasts (as a write to loopback
+// does). That was a sixth to a third of all processor time.
+func (l *Link) readSocket(fd uintptr) bool {
+	l.reading.Store(true)
+	defer l.reading.Store(false)
 	for {
-		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(&l.room[0])), uintptr(len(l.room)))
+		n, _, errno := syscall.RawSyscall(syscall.SYS_READ, fd, uintptr(unsafe.Pointer(&l.readBuffer[0])), uintptr(len(l.readBuffer)))
 		switch {
 		case errno == syscall.EINTR:
 			continue
 		case errno == syscall.EAGAIN:
 			return false
 		case errno != 0:
-			l.got, l.readErr = 0, os.NewSyscallError("read", errno)
+			l.readCount, l.readErr = 0, os.NewSyscallError("read", errno)
 		case n == 0:
-			l.got, l.readErr = 0, io.EOF
+			l.readCount, l.readErr = 0, io.EOF
 		default:
-			l.got, l.readErr = int(n), nil
+			l.readCount, l.readErr = int(n), nil
 		}
 		l.reads.Add(1)
 		return true
 	}
 }
 
-// Quiet tells whether nothing came since the first so many Reads, neither bytes nor an end. It may be asked while
-// a Read waits. The order counts: what the socket no longer holds is either being counted or has been.
+// Quiet reports whether nothing, neither bytes nor an end, has come since so many reads. It may be called while a Read waits.
+// The order of the checks matters: what the socket no longer holds is either being counted or has been.
 func (l *Link) Quiet(reads int64) bool {
-	return l.raw.Control(l.peek) == nil && l.quiet && !l.pulling.Load() && l.reads.Load() == reads
+	return l.socketEmpty() && !l.reading.Load() && l.reads.Load() == reads
 }
 
-// Fresh tells whether nothing has come at all. A Read that is just at it does not count: the first one of a connection begins
-// together with its first write, and there is no earlier answer whose rest it could bring.
-func (l *Link) Fresh() bool { return l.raw.Control(l.peek) == nil && l.quiet && l.reads.Load() == 0 }
+// Fresh reports whether nothing has come at all. A Read under way does not count: the first one of a connection begins together
+// with its first write, and there is no earlier answer whose rest it could bring.
+func (l *Link) Fresh() bool { return l.socketEmpty() && l.reads.Load() == 0 }
+
+// socketEmpty reports whether the socket holds neither bytes nor an end.
+func (l *Link) socketEmpty() bool { return l.raw.Control(l.peekFunc) == nil && l.wouldBlock }
 
-// Reads counts the Reads that brought something.
+// Reads returns the number of reads that returned bytes or an end.
 func (l *Link) Reads() int64 { return l.reads.Load() }
 
-func (l *Link) look(fd uintptr) {
+// peekSocket looks whether the socket has something to read.
+func (l *Link) peekSocket(fd uintptr) {
 	var b [1]byte
 	_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&b[0])), 1,
 		syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
-	l.quiet = errno == syscall.EAGAIN
+	l.wouldBlock = errno == syscall.EAGAIN
 }
 
-// Patience bounds how long the next Reads wait, all together; 0 lifts the bound.
+// Patience limits how long the next Reads wait, all together; 0 removes the limit.
 func (l *Link) Patience(limit time.Duration) {
-	at := time.Time{}
+	deadline := time.Time{}
 	if limit > 0 {
-		at = time.Now().Add(limit)
+		deadline = time.Now().Add(limit)
 	}
-	l.conn.SetReadDeadline(at)
+	l.conn.SetReadDeadline(deadline)
 }
 
-// Discard takes in what still comes, unseen, until the peer closes or the time that CloseWrite gives is up: a
-// close over unread bytes would reset away the last answer. It reads slowly: a peer with 60 MB to send must not
-// cost the others their part of the core.
+// Discard reads and drops what still comes, until the peer closes or the time limit of CloseWrite has passed: closing over unread
+// bytes would reset away the last answer. It reads slowly: a peer with 60 MB to send must not cost others their processor time.
 func (l *Link) Discard() {
 	for buf := make([]byte, 16<<10); ; time.Sleep(2 * time.Millisecond) {
 		if _, err := l.conn.Read(buf); err != nil {
@@ -115,17 +129,18 @@
 	}
 }
 
-// Flush writes what the socket takes at once and never waits: a slow peer must not hold up the loop that
-// serves all others. What is left stays in Out for the next Flush.
+// Flush writes what the socket takes at once and never waits: a slow peer must not delay the loop, which serves all others. The
+// rest stays in Out for the next Flush.
 func (l *Link) Flush() error {
-	l.err = nil
-	if err := l.raw.Write(l.write); err != nil {
+	l.writeErr = nil
+	if err := l.raw.Write(l.writeFunc); err != nil {
 		return err
 	}
-	return l.err
+	return l.writeErr
 }
 
-func (l *Link) push(fd uintptr) bool {
+// writeSocket writes what the socket takes.
+func (l *Link) writeSocket(fd uintptr) bool {
 	for l.Out.Len() > 0 {
 		p := l.Out.Head()
 		n, _, errno := syscall.RawSyscall(syscall.SYS_WRITE, fd, uintptr(unsafe.Pointer(&p[0])), uintptr(len(p)))
@@ -136,14 +151,14 @@
 		case syscall.EAGAIN:
 			return true
 		default:
-			l.err = os.NewSyscallError("write", errno)
+			l.writeErr = os.NewSyscallError("write", errno)
 			return true
 		}
 	}
 	return true
 }
 
-// CloseWrite ends the sending; the peer is read for a while longer.
+// CloseWrite closes the sending side; the peer may be read for so long.
 func (l *Link) CloseWrite(limit time.Duration) {
 	l.conn.CloseWrite()
 	l.conn.SetReadDeadline(time.Now().Add(limit))
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,98 +1,113 @@
-// Package ring holds the ring buffers of a connection, one a direction, and the thin driver between them and
-// its socket. It decides nothing.
+// Package ring provides the ring buffers of a connection, one for each direction, and the thin driver between them and its
+// socket. It knows no protocol.
 package ring
 
-const least = 4096 // bytes that a ring starts with
+const minSize = 4096 // bytes of a ring's first buffer
 
-// Ring is a buffer that is read in the order it was written. It grows when full, up to most bytes.
+// Ring is a byte buffer that is read in the order in which it was written. It grows when full, up to a limit.
 type Ring struct {
-	buf, spare []byte // spare: for spans that wrap
-	head, n    int
-	most       int
+	buf     []byte
+	wrapped []byte // copies of spans that wrap around the end of buf
+	head    int    // index of the first byte in buf
+	length  int    // bytes held
+	maxSize int    // bytes that buf may grow to
 }
 
-func New(most int) *Ring { return &Ring{most: most} }
+// New returns an empty ring that grows up to maxSize bytes.
+func New(maxSize int) *Ring { return &Ring{maxSize: maxSize} }
 
-func (r *Ring) Len() int { return r.n }
+// Len returns the number of bytes held.
+func (r *Ring) Len() int { return r.length }
 
-// Room gives a free stretch, to be filled from its start; none if the ring is full at its most.
+// Room returns free space to be filled from its start, or none if the ring is full and may not grow.
 func (r *Ring) Room() []byte {
-	if r.n == len(r.buf) && !r.grow(r.n+1) {
+	if r.length == len(r.buf) && !r.grow(r.length+1) {
 		return nil
 	}
-	tail := r.head + r.n
+	tail := r.head + r.length
 	if tail >= len(r.buf) {
 		return r.buf[tail-len(r.buf) : r.head]
 	}
 	return r.buf[tail:]
 }
 
-// Filled says that n bytes were put into Room.
-func (r *Ring) Filled(n int) { r.n += n }
+// Filled appends the first n bytes of the last Room to the ring.
+func (r *Ring) Filled(n int) { r.length += n }
 
-// Write adds p whole, or nothing and says false.
+// Write appends all of p, or returns false and appends nothing if there is no room.
 func (r *Ring) Write(p []byte) bool {
-	if r.n+len(p) > len(r.buf) && !r.grow(r.n+len(p)) {
+	if r.length+len(p) > len(r.buf) && !r.grow(r.length+len(p)) {
 		return false
 	}
 	for len(p) > 0 {
 		n := copy(r.Room(), p)
-		r.n += n
+		r.length += n
 		p = p[n:]
 	}
 	return true
 }
 
-// Head gives the first bytes, as far as they lie together.
-func (r *Ring) Head() []byte { return r.buf[r.head:min(r.head+r.n, len(r.buf))] }
+// Head returns the first bytes, as far as they are contiguous.
+func (r *Ring) Head() []byte { return r.buf[r.head:min(r.head+r.length, len(r.buf))] }
 
-// Drop forgets the first n bytes. An empty ring that has grown gives its memory back.
+// Drop removes the first n bytes. An empty ring that has grown releases its memory.
 func (r *Ring) Drop(n int) {
-	r.n -= n
-	if r.head += n; r.head >= len(r.buf) {
+	r.length -= n
+	r.head += n
+	if r.head >= len(r.buf) {
 		r.head -= len(r.buf)
 	}
-	if r.n == 0 {
-		if r.head = 0; len(r.buf) > least {
-			r.buf, r.spare = nil, nil
-		}
+	if r.length > 0 {
+		return
+	}
+	r.head = 0
+	if len(r.buf) > minSize {
+		r.buf = nil
+		r.wrapped = nil
 	}
 }
 
-func (r *Ring) At(i int) byte {
-	if i += r.head; i >= len(r.buf) {
+// At returns the byte at an offset from the first one.
+func (r *Ring) At(offset int) byte { return r.buf[r.index(offset)] }
+
+// index returns the place in buf of the byte at an offset.
+func (r *Ring) index(offset int) int {
+	i := r.head + offset
+	if i >= len(r.buf) {
 		i -= len(r.buf)
 	}
-	return r.buf[i]
+	return i
 }
 
-// Span gives n bytes from the i-th on, in one piece; it holds until the ring changes or the next Span.
-func (r *Ring) Span(i, n int) []byte {
-	if i += r.head; i >= len(r.buf) {
-		i -= len(r.buf)
-	}
-	if i+n <= len(r.buf) {
-		return r.buf[i : i+n]
+// Span returns bytes from an offset on as one slice. It is valid until the ring changes or Loosen is called.
+func (r *Ring) Span(offset, length int) []byte {
+	start := r.index(offset)
+	if start+length <= len(r.buf) {
+		return r.buf[start : start+length]
 	}
-	at := len(r.spare) // spans of one value hold together
-	r.spare = append(append(r.spare, r.buf[i:]...), r.buf[:i+n-len(r.buf)]...)
-	return r.spare[at:]
+	first := len(r.wrapped) // earlier spans stay valid
+	r.wrapped = append(r.wrapped, r.buf[start:]...)
+	r.wrapped = append(r.wrapped, r.buf[:start+length-len(r.buf)]...)
+	return r.wrapped[first:]
 }
 
-// Loosen ends the hold of all spans.
-func (r *Ring) Loosen() { r.spare = r.spare[:0] }
+// Loosen ends the validity of all spans, so that their copies are reused.
+func (r *Ring) Loosen() { r.wrapped = r.wrapped[:0] }
 
-func (r *Ring) grow(need int) bool {
-	size := max(2*len(r.buf), least)
-	for size < need {
+// grow moves the bytes to a larger buffer, or returns false if so many bytes are not allowed.
+func (r *Ring) grow(needed int) bool {
+	size := max(2*len(r.buf), minSize)
+	for size < needed {
 		size *= 2
 	}
-	if size = min(size, r.most); size < need {
+	size = min(size, r.maxSize)
+	if size < needed {
 		return false
 	}
 	buf := make([]byte, size)
 	n := copy(buf, r.Head())
-	copy(buf[n:], r.buf[:r.n-n])
-	r.buf, r.head = buf, 0
+	copy(buf[n:], r.buf[:r.length-n])
+	r.buf = buf
+	r.head = 0
 	return true
 }
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -9,16 +9,17 @@
 	"testing"
 )
 
-func TestWrap(t *testing.T) { // what is written comes out in order, over the end and while growing
-	r := New(4 * least)
+// TestWrap checks that bytes come out in the order written, around the end of the buffer and while it grows.
+func TestWrap(t *testing.T) {
+	r := New(4 * minSize)
 	var want, got []byte
-	for i := 0; len(want) < 40*least; i++ {
+	for i := 0; len(want) < 40*minSize; i++ {
 		p := bytes.Repeat([]byte{byte(i)}, 1+i*37%1500)
 		if !r.Write(p) {
 			t.Fatalf("no room for %d beside %d", len(p), r.Len())
 		}
 		want = append(want, p...)
-		for r.Len() > 2*least {
+		for r.Len() > 2*minSize {
 			n := min(r.Len(), 1+i*53%700)
 			span := r.Span(0, n)
 			if at := r.At(n - 1); at != span[n-1] {
@@ -37,15 +38,15 @@
 	if !bytes.Equal(got, want) {
 		t.Error("bytes changed on the way")
 	}
-	if r.Write(make([]byte, 4*least+1)) || r.Len() != 0 {
+	if r.Write(make([]byte, 4*minSize+1)) || r.Len() != 0 {
 		t.Error("took more than its most")
 	}
-	if !r.Write(make([]byte, 4*least)) || r.Room() != nil {
+	if !r.Write(make([]byte, 4*minSize)) || r.Room() != nil {
 		t.Error("gave room when full")
 	}
 }
 
-// pair gives the two ends of a connection.
+// pair returns the two ends of a connection.
 func pair(t testing.TB) (near, far net.Conn) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +64,7 @@
 	return near, far
 }
 
-// A peer that reads nothing must not hold up the loop: Flush returns, and what is left goes out later.
+// TestSlowPeer checks that Flush returns at once with a peer that reads nothing, and that the rest is written later.
 func TestSlowPeer(t *testing.T) {
 	near, far := pair(t)
 	link, err := NewLink(near.(*net.TCPConn), 1<<20, 64<<20)
@@ -91,7 +92,8 @@
 	}
 }
 
-// The system holds back no small write, of a connection dialed or taken in: a reset that follows would take it along.
+// TestNoDelay checks that the system delays no small write, on dialed and accepted connections: a reset that follows would
+// discard it.
 func TestNoDelay(t *testing.T) {
 	near, far := pair(t)
 	for _, c := range []net.Conn{near, far} {
@@ -107,8 +109,7 @@
 	}
 }
 
-// The operators ask for bufio and for one ring a direction: this tells what both together would cost. A
-// thousand commands of 120 bytes are read from a socket, in writes of one command.
+// BenchmarkReading compares a ring with a bufio.Reader in front of a ring, for commands of 120 bytes in writes of one command.
 func BenchmarkReading(b *testing.B) {
 	command := bytes.Repeat([]byte("c"), 120)
 	for _, buffered := range []bool{false, true} {
@@ -138,8 +139,8 @@
 	}
 }
 
-// A link is closed when Close returns, though a Read waits on it: what is dispatched after an attempt was given up is no second
-// copy beside it.
+// TestCloseUnderRead checks that the connection is closed when Close returns, though a Read waits on it: an attempt that begins
+// after an earlier one was given up must not run beside it.
 func TestCloseUnderRead(t *testing.T) {
 	near, _ := pair(t)
 	link, err := NewLink(near.(*net.TCPConn), 1<<10, 1<<10)
@@ -148,8 +149,8 @@
 	}
 	var socket int
 	link.raw.Control(func(fd uintptr) { socket = int(fd) })
-	waits, pull := make(chan struct{}), link.read
-	link.read = func(fd uintptr) bool {
+	waits, pull := make(chan struct{}), link.readFunc
+	link.readFunc = func(fd uintptr) bool {
 		defer close(waits)
 		return pull(fd)
 	}
