Stand-in clients split by job: clients, load and connections; standard names

Loads with their arrivals, and connections with their answers, have a file each; dialing, encoding, parsing and choosing a request class or gateway are functions of their own. Unexported house words (lame, out, carry, over, elsewhere) are named by the field's terms; exported names stay, since packages in work elsewhere call them.

No behaviour change: requests are drawn in the same order.

--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -291,9 +291,9 @@
 	var text string
 	for _, ago := range []time.Duration{-time.Hour, time.Hour} { // called to stop just now, and long ago
 		c.Lame(true, 0)
-		c.Ask(func() { c.lame[0] -= int64(ago) })
+		c.Ask(func() { c.restartingSince[0] -= int64(ago) })
 		var out bool
-		c.Ask(func() { out = c.out(0) })
+		c.Ask(func() { out = c.unavailable(0) })
 		q := c.Send(Req{ID: "a", Customer: "0000000000000001", Gateway: 0}, names, "", false, patience)
 		text += fmt.Sprintf("out %t, %s at %d\n", out, q.Result, q.Gateway)
 	}
