--- a/cmd/ravensill/counterfactual_test.go
+++ b/cmd/ravensill/counterfactual_test.go
@@ -73,7 +73,7 @@
 	}
 	far, _ := net.ResolveUDPAddr("udp4", strings.Fields(gateway.observerLine[strings.Index(gateway.observerLine, "listen=")+7:])[0])
 	part := func(seat uint32) []byte {
-		return append([]byte{'S'}, counterfactual.Encode(counterfactual.Part{Gateway: seat, Life: 1, Length: 100}, nil)[0](0)...)
+		return append([]byte{'S'}, counterfactual.Encode(counterfactual.Part{Gateway: seat, Incarnation: 1, WindowLength: 100}, nil)[0](0)...)
 	}
 	stranger, err := net.Dial("udp4", far.String())
 	if err != nil {
--- a/cmd/ravensill/requests_test.go
+++ b/cmd/ravensill/requests_test.go
@@ -96,7 +96,7 @@
 			t.Errorf("%s, %q: %d attempts", test.class, test.firstReply, got)
 		}
 		if test.firstReply == "" {
-			select { // a attempt given up ends its connection: the host may stop its work
+			select { // an attempt given up ends its connection: the host may stop its work
 			case <-a.disconnected:
 			case <-b.disconnected:
 			case <-time.After(waitLimit):
--- a/counterfactual/codec.go
+++ b/counterfactual/codec.go
@@ -7,12 +7,12 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Bounds of what is taken in; a message beyond them is turned away whole.
+// Limits of a message; one beyond them is rejected whole.
 const (
-	MaxBytes = 1400 // of a message: no datagram is cut into fragments
-	mostRows = 16   // of a cell in a message; one with more goes in several
-	maxParts = 4096 // of a window
-	maxUnits = 1 << 24
+	MaxBytes    = 1400    // of a message, so that no datagram is fragmented
+	maxRows     = 16      // of a cell in a message; a cell with more is split
+	maxParts    = 4096    // of a window
+	maxAttempts = 1 << 24 // of a window
 )
 
 var (
@@ -22,63 +22,79 @@
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 )
 
-// wire is a Part with its cells encoded.
-type wire struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint8
-	Gateway uint32
-	Zone    uint8
-	Life    uint64
-	Window  uint32
-	Nth, Of uint16
-	Length  uint32
-	Age     uint32
-	Seen    uint32
-	Lost    uint32
-	Cells   []cbor.RawMessage
+// wirePart is a Part with its cells encoded.
+type wirePart struct {
+	_            struct{} `cbor:",toarray"`
+	Version      uint8
+	Gateway      uint32
+	Zone         uint8
+	Incarnation  uint64
+	Window       uint32
+	Index        uint16
+	Total        uint16
+	WindowLength uint32
+	Age          uint32
+	Attempts     uint32
+	LostRecords  uint32
+	Cells        []cbor.RawMessage
 }
 
-// Encode cuts a window's cells into parts of at most MaxBytes each, and gives each as a function of its age, so
-// that it can be sent again later. There is at least one: a window in which nothing was seen is told, too.
+// newWirePart returns a part without cells.
+func newWirePart(head *Part, index int) *wirePart {
+	return &wirePart{
+		Version:      version,
+		Gateway:      head.Gateway,
+		Zone:         head.Zone,
+		Incarnation:  head.Incarnation,
+		Window:       head.Window,
+		Index:        uint16(index),
+		WindowLength: head.WindowLength,
+		Attempts:     head.Attempts,
+		LostRecords:  head.LostRecords,
+	}
+}
+
+// Encode splits a window's cells into parts of at most MaxBytes each, and returns each as a function of its age, so that it can be
+// sent again later. There is at least one part: a window without attempts is reported, too.
 func Encode(head Part, cells []Cell) (out []func(age uint32) []byte) {
-	var parts []*wire
+	var parts []*wirePart
 	room := 0
 	add := func(c *Cell) {
-		b := marshal(c)
-		if len(parts) == 0 || len(b) > room {
-			parts = append(parts, &wire{Version: version, Gateway: head.Gateway, Zone: head.Zone, Life: head.Life,
-				Window: head.Window, Length: head.Length, Seen: head.Seen, Lost: head.Lost, Nth: uint16(len(parts))})
-			room = MaxBytes - 64 // the head takes less
+		encoded := marshal(c)
+		if len(parts) == 0 || len(encoded) > room {
+			parts = append(parts, newWirePart(&head, len(parts)))
+			room = MaxBytes - 64 // the header takes less
 		}
-		room -= len(b)
-		p := parts[len(parts)-1]
-		p.Cells = append(p.Cells, b)
+		room -= len(encoded)
+		part := parts[len(parts)-1]
+		part.Cells = append(part.Cells, encoded)
 	}
 	for i := range cells {
 		c := cells[i]
-		for len(c.Rows) > mostRows { // sums: the cell is whole again at the other end
-			add(&Cell{Key: c.Key, Rows: c.Rows[:mostRows]})
-			c.Rows = c.Rows[mostRows:]
+		for len(c.Rows) > maxRows { // the receiver adds the rows up again
+			add(&Cell{Key: c.Key, Rows: c.Rows[:maxRows]})
+			c.Rows = c.Rows[maxRows:]
 		}
 		add(&c)
 	}
 	if len(parts) == 0 {
-		head.Version, head.Of = version, 1
+		head.Version, head.Total = version, 1
 		return []func(uint32) []byte{func(age uint32) []byte {
 			head.Age = age
 			return marshal(&head)
 		}}
 	}
-	for _, p := range parts {
-		p.Of = uint16(len(parts))
+	for _, part := range parts {
+		part.Total = uint16(len(parts))
 		out = append(out, func(age uint32) []byte {
-			p.Age = age
-			return marshal(p)
+			part.Age = age
+			return marshal(part)
 		})
 	}
 	return out
 }
 
+// marshal encodes a value.
 func marshal(v any) []byte {
 	b, err := encoder.Marshal(v)
 	if err != nil {
@@ -87,54 +103,54 @@
 	return b
 }
 
-// Decode reads a message and checks all its figures; a fault names the field.
+// Decode decodes a message and checks all its figures; an error names the field.
 func Decode(b []byte) (*Part, error) {
 	if len(b) > MaxBytes {
 		return nil, fmt.Errorf("%d bytes, %d at most", len(b), MaxBytes)
 	}
-	p := &Part{}
-	if err := decoder.Unmarshal(b, p); err != nil {
+	part := &Part{}
+	if err := decoder.Unmarshal(b, part); err != nil {
 		return nil, err
 	}
 	switch {
-	case p.Version != version:
-		return nil, fmt.Errorf("version %d", p.Version)
-	case p.Of == 0 || p.Of > maxParts || p.Nth >= p.Of:
-		return nil, fmt.Errorf("part %d of %d", p.Nth, p.Of)
-	case p.Length == 0 || p.Length > 3600e3:
-		return nil, fmt.Errorf("length of %d ms", p.Length)
-	case p.Lost > p.Seen || p.Seen > maxUnits:
-		return nil, fmt.Errorf("lost %d of %d", p.Lost, p.Seen)
+	case part.Version != version:
+		return nil, fmt.Errorf("version %d", part.Version)
+	case part.Total == 0 || part.Total > maxParts || part.Index >= part.Total:
+		return nil, fmt.Errorf("part %d of %d", part.Index, part.Total)
+	case part.WindowLength == 0 || part.WindowLength > 3600e3:
+		return nil, fmt.Errorf("length of %d ms", part.WindowLength)
+	case part.LostRecords > part.Attempts || part.Attempts > maxAttempts:
+		return nil, fmt.Errorf("lost %d of %d", part.LostRecords, part.Attempts)
 	}
-	for i := range p.Cells {
-		if err := p.Cells[i].check(p); err != nil {
+	for i := range part.Cells {
+		if err := part.Cells[i].check(part); err != nil {
 			return nil, fmt.Errorf("cell %d: %w", i, err)
 		}
 	}
-	return p, nil
+	return part, nil
 }
 
-// check looks for figures that no gateway in good faith can have seen.
-func (c *Cell) check(p *Part) error {
-	if c.Key.Band >= bands || c.Key.From != p.Zone {
+// check looks for figures that no correct gateway can send.
+func (c *Cell) check(part *Part) error {
+	if c.Key.LoadBand >= loadBands || c.Key.GatewayZone != part.Zone {
 		return errors.New("key")
 	}
-	most := uint64(p.Seen) * scale * 2 // rounding of masses included
+	limit := uint64(part.Attempts) * scale * 2 // rounding of masses included
 	for r := range Rules {
-		if c.Want[r] > most || c.None[r] > c.Want[r] || c.Sq[r] > most*mostWeight*mostWeight {
+		if c.Mass[r] > limit || c.Unreachable[r] > c.Mass[r] || c.SquaredWeights[r] > limit*maxWeight*maxWeight {
 			return fmt.Errorf("masses of rule %s", r)
 		}
 	}
-	if len(c.Rows) > mostRows {
+	if len(c.Rows) > maxRows {
 		return errors.New("rows")
 	}
 	for i := range c.Rows {
 		r := &c.Rows[i]
-		if r.Group >= Groups || r.Bucket > never || r.Cut && r.Bucket == never || r.N == 0 || r.N > p.Seen {
+		if r.Group >= Groups || r.Bucket > neverBucket || r.Censored && r.Bucket == neverBucket || r.Count == 0 || r.Count > part.Attempts {
 			return errors.New("row")
 		}
 		for _, w := range r.Weight {
-			if w > uint64(r.N)*mostWeight*scale {
+			if w > uint64(r.Count)*maxWeight*scale {
 				return errors.New("weight")
 			}
 		}
--- a/counterfactual/ledger.go
+++ b/counterfactual/ledger.go
@@ -1,174 +1,213 @@
 package counterfactual
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 )
 
 // Settings of a Ledger.
 type Settings struct {
-	Gateways int     // seats 0 to Gateways-1 are expected to tell
-	Window   int64   // length of a bin, the gateways' windows' too
-	Grace    int64   // after a bin's end; what comes later changes nothing
-	Bins     int     // kept
-	Cells    int     // in all bins together
-	Missing  float64 // part of the fleet's dispatches that may be missing from a figure
-	Targets  []int64 // by frontend: figures are of times up to here
-	Names    []string
-	Host     func(uint32) string // a host's id, for answers; nil: its number
-	Pause    func()              // called between steps of a long computation; may be nil
+	Gateways   int                 // number of gateways that are expected to report
+	Window     int64               // length of a bin and of the gateways' windows, ns
+	Grace      int64               // ns after a bin's end; what arrives later does not count
+	KeptBins   int                 // number of bins kept
+	MaxCells   int                 // in all bins together
+	MaxMissing float64             // fraction of the fleet's attempts that may be missing from a figure
+	Objectives []int64             // latency objective by request class, ns: figures are of times up to it
+	Classes    []string            // names of the request classes
+	HostID     func(uint32) string // returns a host's id; nil: its number is used
+	Yield      func()              // called between steps of a long computation; may be nil
 }
 
-// Counts tells what became of the messages, since the start.
+// Counts counts messages by what became of them.
 type Counts struct {
-	Merged, Twice, Late, OldLife, Strange, Full int
+	Merged  int
+	Twice   int // duplicates
+	Late    int // for a bin that no longer changes
+	OldLife int // of an earlier incarnation
+	Strange int // invalid
+	Full    int // for which there was no room
 }
 
-// Ledger merges what the gateways tell, in bins of its own clock. A message names its place by its age, so that
-// clocks need not agree. A sealed bin never changes.
+// Ledger merges the summaries of the gateways, in bins of its own clock. A message names its bin by its age, so that clocks need
+// not agree. A sealed bin never changes.
 type Ledger struct {
 	Counts   Counts
-	set      Settings
+	settings Settings
 	bins     map[int64]*bin
-	gateways map[uint32]*teller
-	cells    int
+	gateways map[uint32]*reporter
+	cells    int // in all bins and incomplete windows
 }
 
-type bin struct{ cells map[Key]*pile }
+// bin holds the cells of one window length.
+type bin struct{ cells map[Key]*mergedCell }
 
-// pile is a cell with its rows by their places.
-type pile struct {
-	want, none, sq [Rules]uint64
+// mergedCell is a Cell with its rows by their keys.
+type mergedCell struct {
+	mass           [Rules]uint64
+	unreachable    [Rules]uint64
+	squaredWeights [Rules]uint64
 	rows           map[uint32]*Row
 }
 
-// teller is a gateway that tells.
-type teller struct {
-	zone    uint8
-	life    uint64
-	windows []*window // of all lives that have a bin kept
+// reporter is a gateway that has reported.
+type reporter struct {
+	zone        uint8
+	incarnation uint64    // the latest one
+	windows     []*window // of all incarnations that have a bin kept
 }
 
+// window is one window of a gateway. It counts whole or not at all.
 type window struct {
-	life       uint64
-	number     uint32
-	bin        int64
-	of         int
-	parts      map[uint16][]Cell // until it is whole; a window counts whole or not at all
-	whole      bool
-	seen, lost uint32
+	incarnation uint64
+	number      uint32
+	bin         int64
+	total       int               // number of its parts
+	parts       map[uint16][]Cell // received so far, until it is complete
+	complete    bool
+	attempts    uint32
+	lostRecords uint32
 }
 
-func NewLedger(set Settings) *Ledger {
-	return &Ledger{set: set, bins: map[int64]*bin{}, gateways: map[uint32]*teller{}}
+// NewLedger returns an empty ledger.
+func NewLedger(settings Settings) *Ledger {
+	return &Ledger{settings: settings, bins: map[int64]*bin{}, gateways: map[uint32]*reporter{}}
 }
 
-// Hear merges a part that came at now. It tells whether the part need not be sent again.
-func (l *Ledger) Hear(p *Part, now int64) bool {
-	l.sweep(now)
-	age := int64(p.Age) * 1e6
-	at := (now - age) / l.set.Window
+// Receive merges a part that arrived at a time. It returns false if the part should be sent again.
+func (l *Ledger) Receive(part *Part, now int64) bool {
+	l.dropOldBins(now)
+	age := int64(part.Age) * 1e6
+	bin := (now - age) / l.settings.Window
 	switch {
-	case p.Gateway >= uint32(l.set.Gateways) || int64(p.Length)*1e6 != l.set.Window:
+	case part.Gateway >= uint32(l.settings.Gateways) || int64(part.WindowLength)*1e6 != l.settings.Window:
 		l.Counts.Strange++
 		return true
 	case age > now:
 		l.Counts.Late++
 		return true
 	}
-	t := l.gateways[p.Gateway]
-	if t == nil {
-		t = &teller{}
-		l.gateways[p.Gateway] = t
+	gateway := l.gateways[part.Gateway]
+	if gateway == nil {
+		gateway = &reporter{}
+		l.gateways[part.Gateway] = gateway
 	}
-	if p.Life < t.life {
+	if part.Incarnation < gateway.incarnation {
 		l.Counts.OldLife++
 		return true
 	}
-	t.life, t.zone = p.Life, p.Zone
-	var w *window
-	for _, x := range t.windows {
-		if x.life == p.Life && x.number == p.Window {
-			w = x
+	gateway.incarnation = part.Incarnation
+	gateway.zone = part.Zone
+	w := gateway.window(part)
+	if w != nil {
+		if w.contradicts(part) {
+			l.Counts.Strange++
+			return true
 		}
-	}
-	switch {
-	case w != nil && (w.of != int(p.Of) || w.seen != p.Seen || w.lost != p.Lost):
-		l.Counts.Strange++
-		return true
-	case w != nil:
-		if _, told := w.parts[p.Nth]; told || w.whole {
+		if _, received := w.parts[part.Index]; received || w.complete {
 			l.Counts.Twice++
 			return true
 		}
-		at = w.bin
+		bin = w.bin
 	}
-	if l.sealed(at, now) {
+	if l.sealed(bin, now) {
 		l.Counts.Late++
 		return true
 	}
-	if l.cells+len(p.Cells) > l.set.Cells {
+	if l.cells+len(part.Cells) > l.settings.MaxCells {
 		l.Counts.Full++
 		return false
 	}
 	if w == nil {
-		w = &window{life: p.Life, number: p.Window, bin: at, of: int(p.Of), parts: map[uint16][]Cell{},
-			seen: p.Seen, lost: p.Lost}
-		t.windows = append(t.windows, w)
+		w = newWindow(part, bin)
+		gateway.windows = append(gateway.windows, w)
 	}
-	w.parts[p.Nth] = p.Cells
-	l.cells += len(p.Cells)
+	w.parts[part.Index] = part.Cells
+	l.cells += len(part.Cells)
 	l.Counts.Merged++
-	if len(w.parts) == w.of {
+	if len(w.parts) == w.total {
 		l.merge(w)
 	}
 	return true
 }
 
+// window returns the window that a part belongs to, or nil if this is its first part.
+func (r *reporter) window(part *Part) *window {
+	for _, w := range r.windows {
+		if w.incarnation == part.Incarnation && w.number == part.Window {
+			return w
+		}
+	}
+	return nil
+}
+
+// newWindow returns the window of its first part.
+func newWindow(part *Part, bin int64) *window {
+	return &window{
+		incarnation: part.Incarnation,
+		number:      part.Window,
+		bin:         bin,
+		total:       int(part.Total),
+		parts:       map[uint16][]Cell{},
+		attempts:    part.Attempts,
+		lostRecords: part.LostRecords,
+	}
+}
+
+// contradicts reports whether a part does not belong to the same window as the others.
+func (w *window) contradicts(part *Part) bool {
+	return w.total != int(part.Total) || w.attempts != part.Attempts || w.lostRecords != part.LostRecords
+}
+
+// merge adds a complete window to its bin.
 func (l *Ledger) merge(w *window) {
 	b := l.bins[w.bin]
 	if b == nil {
-		b = &bin{cells: map[Key]*pile{}}
+		b = &bin{cells: map[Key]*mergedCell{}}
 		l.bins[w.bin] = b
 	}
 	for _, cells := range w.parts {
 		l.cells -= len(cells)
 		for i := range cells {
-			c := &cells[i]
-			x := b.cells[c.Key]
-			if x == nil {
-				x = &pile{rows: map[uint32]*Row{}}
-				b.cells[c.Key] = x
+			cell := &cells[i]
+			merged := b.cells[cell.Key]
+			if merged == nil {
+				merged = &mergedCell{rows: map[uint32]*Row{}}
+				b.cells[cell.Key] = merged
 				l.cells++
 			}
-			x.add(c)
+			merged.add(cell)
 		}
 	}
-	w.parts, w.whole = nil, true
+	w.parts = nil
+	w.complete = true
 }
 
-func (x *pile) add(c *Cell) {
+// add adds a cell.
+func (m *mergedCell) add(c *Cell) {
 	for r := range Rules {
-		x.want[r] += c.Want[r]
-		x.none[r] += c.None[r]
-		x.sq[r] += c.Sq[r]
+		m.mass[r] += c.Mass[r]
+		m.unreachable[r] += c.Unreachable[r]
+		m.squaredWeights[r] += c.SquaredWeights[r]
 	}
 	for _, r := range c.Rows {
-		if y := x.rows[r.place()]; y != nil {
+		if y := m.rows[r.key()]; y != nil {
 			y.add(&r)
 		} else {
-			x.rows[r.place()] = &r
+			m.rows[r.key()] = &r
 		}
 	}
 }
 
-func (l *Ledger) sealed(bin, now int64) bool { return now >= (bin+1)*l.set.Window+l.set.Grace }
+// sealed reports whether a bin no longer changes.
+func (l *Ledger) sealed(bin, now int64) bool {
+	return now >= (bin+1)*l.settings.Window+l.settings.Grace
+}
 
-// Sealed gives the newest bin that no longer changes.
-func (l *Ledger) Sealed(now int64) int64 { return (now-l.set.Grace)/l.set.Window - 1 }
+// Sealed returns the newest bin that no longer changes.
+func (l *Ledger) Sealed(now int64) int64 { return (now-l.settings.Grace)/l.settings.Window - 1 }
 
-// First gives the oldest bin that holds anything; what has none is asked from 0.
+// First returns the oldest bin that holds anything, or 0 if none does.
 func (l *Ledger) First() (first int64) {
 	for _, t := range l.gateways {
 		for _, w := range t.windows {
@@ -180,14 +219,14 @@
 	return first
 }
 
-// Hosts gives the hosts that a frontend's dispatches of the bins from..to could have gone to.
-func (l *Ledger) Hosts(frontend int, from, to int64) []uint32 {
-	from, to = l.span(from, to)
+// Hosts returns the hosts that attempts of a request class in the bins from..to could have gone to.
+func (l *Ledger) Hosts(class int, from, to int64) []uint32 {
+	from, to = l.boundSpan(from, to)
 	seen := map[uint32]bool{}
 	for at := from; at <= to; at++ {
 		if b := l.bins[at]; b != nil {
 			for k, x := range b.cells {
-				if int(k.Frontend) == frontend && x.want[Single] > 0 {
+				if int(k.Class) == class && x.mass[Single] > 0 {
 					seen[k.Host] = true
 				}
 			}
@@ -196,9 +235,9 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// sweep forgets the bins that are too old.
-func (l *Ledger) sweep(now int64) {
-	oldest := now/l.set.Window - int64(l.set.Bins)
+// dropOldBins drops bins that are too old to keep.
+func (l *Ledger) dropOldBins(now int64) {
+	oldest := now/l.settings.Window - int64(l.settings.KeptBins)
 	for at, b := range l.bins {
 		if at < oldest {
 			l.cells -= len(b.cells)
@@ -217,103 +256,3 @@
 		})
 	}
 }
-
-// Missing names a gateway of which not all is told.
-type Missing struct {
-	Gateway uint32  `json:"gateway"`
-	Windows int     `json:"windows"`        // of its own that are not whole, or all of them
-	Lost    int     `json:"lost,omitempty"` // dispatches that it counted and did not fold
-	Part    float64 `json:"part"`           // estimated, of the fleet's dispatches in the span
-	reqs    float64
-}
-
-// missing names the gateways that are not heard whole in the bins from..to, and the part of the dispatches, at a
-// guess by what they told otherwise, that is missing with them. A gateway tells each window, also one without
-// dispatches, so that silence and idleness differ. The bounds of windows and bins may differ by one.
-func (l *Ledger) missing(from, to int64) (all []Missing, part float64) {
-	span := int(to - from + 1)
-	told, heard := 0.0, 0
-	at := map[int64]float64{} // dispatches that the fleet told of, by bin
-	for _, t := range l.gateways {
-		for _, w := range t.windows {
-			if w.whole && from <= w.bin && w.bin <= to {
-				at[w.bin] += float64(w.seen - w.lost)
-			}
-		}
-	}
-	silent := func(t *teller, seen float64) float64 { // its part, when it was heard, of what was told when it was not
-		with, without := 0.0, 0.0
-		for bin, n := range at {
-			if slices.ContainsFunc(t.windows, func(w *window) bool { return w.whole && w.bin == bin }) {
-				with += n
-			} else {
-				without += n
-			}
-		}
-		return seen / max(with, 1) * without
-	}
-	for seat := range uint32(l.set.Gateways) {
-		m, seen, whole := Missing{Gateway: seat}, 0.0, 0
-		if t := l.gateways[seat]; t != nil {
-			lives := map[uint64][]*window{}
-			first, last := int64(1)<<62, int64(-1)
-			for _, w := range t.windows {
-				if w.bin < from || w.bin > to {
-					continue
-				}
-				lives[w.life] = append(lives[w.life], w)
-				first, last = min(first, w.bin), max(last, w.bin)
-				if w.whole {
-					whole++
-					seen += float64(w.seen - w.lost)
-				}
-				m.Lost += int(w.lost)
-			}
-			for i, life := range slices.Sorted(maps.Keys(lives)) {
-				ws := lives[life]
-				slices.SortFunc(ws, func(a, b *window) int { return cmp.Compare(a.number, b.number) })
-				m.Windows += int(ws[len(ws)-1].number-ws[0].number) + 1
-				if i > 0 { // what the life before had not told, and what this one had not yet told first
-					m.Windows += 1 + int(ws[0].number)
-				} else if ws[0].number > 0 { // it ran before
-					m.Windows += max(int(min(first-from, int64(ws[0].number)))-1, 0)
-				}
-			}
-			m.Windows += max(int(to-last)-1, 0) - whole
-			if len(lives) == 0 {
-				m.Windows = span
-			}
-		} else {
-			m.Windows = span
-		}
-		m.reqs = float64(m.Lost)
-		if whole > 0 {
-			if m.Windows > 0 { // idle times before or after must not make it look small
-				m.reqs += max(float64(m.Windows)*seen/float64(whole), silent(l.gateways[seat], seen))
-			}
-			told += seen
-			heard++
-		} else {
-			m.reqs = unknown // by what the others saw, below
-		}
-		if m.Windows > 0 || m.Lost > 0 {
-			all = append(all, m)
-		}
-	}
-	total := told
-	for i := range all {
-		if all[i].reqs == unknown && heard > 0 {
-			all[i].reqs = told / float64(heard)
-		}
-		total += max(all[i].reqs, 0)
-	}
-	for i := range all {
-		if total > 0 {
-			all[i].Part = max(all[i].reqs, 0) / total
-		}
-		part += all[i].Part
-	}
-	return all, part
-}
-
-const unknown = -1 // no guess of its own
--- a/counterfactual/ledger_test.go
+++ b/counterfactual/ledger_test.go
@@ -14,24 +14,24 @@
 const second = int64(1e9)
 
 func settings(gateways int) Settings {
-	return Settings{Gateways: gateways, Window: second, Grace: 3 * second, Bins: 60, Cells: 1 << 16, Missing: 0.05,
-		Targets: []int64{second}, Names: []string{"a"}}
+	return Settings{Gateways: gateways, Window: second, Grace: 3 * second, KeptBins: 60, MaxCells: 1 << 16, MaxMissing: 0.05,
+		Objectives: []int64{second}, Classes: []string{"a"}}
 }
 
-// seen gives the messages of a gateway's window with n dispatches.
+// seen returns the messages of a gateway's window with n attempts.
 func seen(seat, life, number, n int) (out []func(uint32) []byte) {
 	f, rnd := NewFolder(0, 1000), rand.New(rand.NewPCG(uint64(seat), uint64(number)))
 	for range n {
 		hosts := rnd.Perm(3)
-		r := Record{Customer: rnd.Uint32(), Lag: int64(20e6 * (1 + rnd.Float64()) * float64(1+hosts[0]))}
+		r := Record{Customer: rnd.Uint32(), Latency: int64(20e6 * (1 + rnd.Float64()) * float64(1+hosts[0]))}
 		for _, h := range hosts {
-			r.Options = append(r.Options, Option{Host: uint32(h), Chance: 1. / 3, Load: 1})
+			r.Candidates = append(r.Candidates, Candidate{Host: uint32(h), Chance: 1. / 3, Load: 1})
 		}
 		f.Add(&r)
 	}
 	cells, n0, lost := f.Close()
-	return Encode(Part{Gateway: uint32(seat), Life: uint64(life), Window: uint32(number), Length: 1000, Seen: n0,
-		Lost: lost}, cells)
+	return Encode(Part{Gateway: uint32(seat), Incarnation: uint64(life), Window: uint32(number), WindowLength: 1000, Attempts: n0,
+		LostRecords: lost}, cells)
 }
 
 func hear(t interface{ Fatal(...any) }, l *Ledger, body []byte, now int64) {
@@ -39,10 +39,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Hear(p, now)
+	l.Receive(p, now)
 }
 
-// In whatever order the parts come, and however often, the answers are the same to the last bit.
+// TestOrder checks that the answers are the same to the last bit in whatever order, and however often, the parts arrive.
 func TestOrder(t *testing.T) {
 	type message struct {
 		encode func(uint32) []byte
@@ -69,7 +69,7 @@
 		return string(b)
 	}
 	want := text(straight)
-	if a := straight.Panel(0, 100, 105)[Next]; !a.Mean.Given() || a.Reqs != 4*6*60 || len(a.Missing) > 0 {
+	if a := straight.Panel(0, 100, 105)[Next]; !a.Mean.Given() || a.Requests != 4*6*60 || len(a.Missing) > 0 {
 		t.Fatalf("%+v", a)
 	}
 	rapid.Check(t, func(t *rapid.T) {
@@ -86,7 +86,8 @@
 	})
 }
 
-// What comes twice, late, of an old life or from strangers changes nothing and is counted; what is missing is named.
+// TestMissing checks that messages that are duplicate, late, invalid or of an old incarnation change nothing and are counted, and
+// that missing gateways are named.
 func TestMissing(t *testing.T) {
 	l := NewLedger(settings(3))
 	tell := func(seat, life, number int, end, now int64) {
@@ -125,7 +126,7 @@
 	}
 }
 
-// Idle windows before the traffic do not hide that a gateway fell silent in it.
+// TestMissingAfterIdle checks that idle windows before the traffic do not hide that a gateway fell silent during it.
 func TestMissingAfterIdle(t *testing.T) {
 	l := NewLedger(settings(2))
 	for i := range 50 {
@@ -142,15 +143,15 @@
 			}
 		}
 	}
-	if a := l.Panel(0, 100, 149)[Logged]; !strings.HasPrefix(a.Refused, GatewaysGone) || a.Absent < 0.15 {
-		t.Errorf("%.2f missing, %q", a.Absent, a.Refused)
+	if a := l.Panel(0, 100, 149)[Logged]; !strings.HasPrefix(a.Refused, GatewaysGone) || a.MissingShare < 0.15 {
+		t.Errorf("%.2f missing, %q", a.MissingShare, a.Refused)
 	}
 }
 
-// Memory is bounded, and comes back.
+// TestBounds checks that memory is bounded and released.
 func TestBounds(t *testing.T) {
 	set := settings(1)
-	set.Cells, set.Bins = 3, 5
+	set.MaxCells, set.KeptBins = 3, 5
 	l := NewLedger(set)
 	for i := range 100 {
 		for _, e := range seen(0, 1, i, 50) {
@@ -162,25 +163,25 @@
 	}
 	f := NewFolder(0, 4)
 	for i := range 10 {
-		f.Add(&Record{Options: []Option{{Host: uint32(i), Chance: 1, Load: 1}}})
+		f.Add(&Record{Candidates: []Candidate{{Host: uint32(i), Chance: 1, Load: 1}}})
 	}
-	f.Miss(2)
-	f.Add(&Record{Options: []Option{{Chance: 0.5, Load: 1}}})
+	f.AddLost(2)
+	f.Add(&Record{Candidates: []Candidate{{Chance: 0.5, Load: 1}}})
 	if cells, seen, lost := f.Close(); len(cells) != 4 || seen != 13 || lost != 9 {
 		t.Errorf("%d cells, %d of %d lost", len(cells), lost, seen)
 	}
 }
 
-// A customer group's chances must add up: of gateways that tell other chances than those in force nothing is given.
+// TestBadChances checks that no figure is given if gateways report other probabilities than those in force.
 func TestBadChances(t *testing.T) {
 	l := NewLedger(settings(1))
 	f, rnd := NewFolder(0, 1000), rand.New(rand.NewPCG(1, 1))
 	for range 4000 { // host 0 gets all, it says: each a half
-		f.Add(&Record{Customer: rnd.Uint32(), Lag: 1e6 + rnd.Int64N(1e6),
-			Options: []Option{{Host: 0, Chance: 0.5, Load: 1}, {Host: 1, Chance: 0.5, Load: 2}}})
+		f.Add(&Record{Customer: rnd.Uint32(), Latency: 1e6 + rnd.Int64N(1e6),
+			Candidates: []Candidate{{Host: 0, Chance: 0.5, Load: 1}, {Host: 1, Chance: 0.5, Load: 2}}})
 	}
 	cells, seen, _ := f.Close()
-	for _, e := range Encode(Part{Life: 1, Length: 1000, Seen: seen}, cells) {
+	for _, e := range Encode(Part{Incarnation: 1, WindowLength: 1000, Attempts: seen}, cells) {
 		hear(t, l, e(0), 100*second)
 	}
 	for _, r := range []Rule{Least, Chance} {
@@ -190,7 +191,7 @@
 	}
 }
 
-// Nothing that comes in ends in a panic, and what is taken in can be asked about.
+// FuzzHear checks that no message causes a panic, and that what is merged can be asked about.
 func FuzzHear(f *testing.F) {
 	for _, e := range seen(1, 1, 1, 5) {
 		f.Add(e(5))
@@ -201,7 +202,7 @@
 			return
 		}
 		l := NewLedger(settings(4))
-		l.Hear(p, 100*second)
+		l.Receive(p, 100*second)
 		if l.Counts.Merged > 0 {
 			l.Panel(0, 40, 101)
 			l.Replaced(0, Chance, 1, 40, 101)
--- a/counterfactual/record.go
+++ b/counterfactual/record.go
@@ -1,8 +1,7 @@
-// Package counterfactual estimates what the hosts that were not chosen would have answered, and so what another
-// routing rule would have gained or lost. It does no I/O, keeps no time and decides nothing: a Folder at each
-// gateway folds records of dispatches into summaries, a Ledger merges the summaries of the fleet, and Ledger.Panel
-// gives figures with intervals, or the reason why there is none. docs/counterfactual.md has the design and its
-// sources. Times are nanoseconds.
+// Package counterfactual estimates what the hosts that were not chosen would have answered, and so what another routing rule would
+// have gained or lost. It does no I/O, keeps no time and decides nothing: a Folder at each gateway folds records of attempts into
+// summaries, a Ledger merges the summaries of the fleet, and Ledger.Panel returns figures with intervals, or the reason why there
+// is none. docs/counterfactual.md has the design and its sources. Times are nanoseconds.
 package counterfactual
 
 import (
@@ -10,188 +9,193 @@
 	"slices"
 )
 
-// Rule is a way to choose a host among the alternatives that stood open.
+// Rule is a way to choose a host from the candidate set.
 type Rule int
 
+// Rules.
 const (
 	Logged Rule = iota // as it was done
-	Next               // the customer's next host in rank with a chance; where there is none, as it was done
-	Least              // the least loaded one that stands open; of several, any alike
-	Two                // the less loaded of two that stand open, drawn by chance
-	Chance             // any that stands open, alike
-	Zone               // one with a chance in another zone than the chosen one; where there is none, as it was done
-	Single             // one given host, over the dispatches that could have gone there
-	Rules
+	Next               // the customer's next eligible host in rank; as it was done if there is none
+	Least              // the least loaded candidate; of several, any with equal probability
+	Two                // the less loaded of two random candidates
+	Chance             // a random candidate
+	Zone               // a random eligible candidate outside the chosen one's zone; as it was done if there is none
+	Single             // one given host, over the attempts that could have gone there
+	Rules              // number of rules
 )
 
 var ruleNames = [Rules]string{"logged", "next", "least", "two", "chance", "zone", "single"}
 
+// String returns the rule's name.
 func (r Rule) String() string { return ruleNames[r] }
 
-// ReadRule finds a rule by its name.
+// ReadRule returns the rule of a name.
 func ReadRule(name string) (Rule, bool) {
 	i := slices.Index(ruleNames[:], name)
 	return Rule(max(i, 0)), i >= 0
 }
 
-// End tells how a dispatch ended, in what it says of the host's time.
+// End tells how an attempt ended, in what it says of the host's time.
 type End uint8
 
+// Ends.
 const (
 	Answered End = iota
-	Cut          // timed out, canceled or left: it would have taken longer than the lag
-	Failed       // an error, a refusal, a broken connection: no answer ever
+	Censored     // timed out, canceled or left: it would have taken longer than the latency
+	Failed       // an error, a rejection, a broken connection: no answer ever
 )
 
-// Option is a host that stood open for a dispatch.
-type Option struct {
-	Host   uint32
-	Born   uint32  // of its process: a replaced one is another host
-	Zone   int     // where it stands
-	Chance float64 // with which it could have been chosen, over customers; 0: open, but passed over
-	Load   float64 // as the gateway believed it then
+// Candidate is a host that was available for an attempt. It is eligible if its chance is above 0. The names of its JSON form and
+// that of Record are those of the records file.
+type Candidate struct {
+	Host        uint32
+	Incarnation uint32 `json:"Born"` // of its process: a replaced one counts as another host
+	Zone        int
+	Chance      float64 // probability, over customers, with which it could have been chosen; 0: available, but not eligible
+	Load        float64 // as the gateway estimated it then
 }
 
-// Record is one dispatch that ended.
+// Record is one attempt that ended.
 type Record struct {
-	Frontend int
-	Customer uint32   // hash: customers are the clusters of the intervals
-	Options  []Option // the chosen one first, then the customer's next in rank with a chance, if any
-	Lag      int64
-	End      End
+	Class      int         `json:"Frontend"` // request class
+	Customer   uint32      // hash: customers are the clusters of the intervals
+	Candidates []Candidate `json:"Options"` // the chosen one first, then the customer's next eligible one in rank, if any
+	Latency    int64       `json:"Lag"`     // ns
+	End        End
 }
 
+// Parameters of the summaries.
 const (
-	Groups     = 20   // of customers, the units of the intervals
-	MaxOptions = 64   // of a record; one with more is not folded
-	scale      = 4096 // parts of a unit of mass or weight: whole numbers, so that sums do not depend on order
-	mostWeight = 64   // a weight above is clipped
-	bands      = 64   // of load, two an octave
-	never      = 1023 // the bucket of what is never answered
-	gamma      = 1.02 // a bucket's bounds, one over the other: values are kept to 1% (DDSketch, Masson et al. 2019)
-	shortest   = 1e4  // ns, the first bucket's upper bound
+	Groups        = 20   // customer groups, the units of the jackknife
+	MaxCandidates = 64   // of a record; one with more is not folded
+	scale         = 4096 // masses and weights are whole multiples of 1/scale, so that sums do not depend on the order
+	maxWeight     = 64   // larger weights are clipped
+	loadBands     = 64   // two an octave
+	neverBucket   = 1023 // bucket of attempts that are never answered
+	gamma         = 1.02 // ratio of a bucket's bounds: values are kept to 1% (DDSketch, Masson et al. 2019)
+	firstBound    = 1e4  // upper bound of the first bucket, ns
 )
 
 var logGamma = math.Log(gamma)
 
-// Bucket gives the place of a time in the histograms.
-func Bucket(lag int64) int {
-	if lag <= shortest {
+// Bucket returns the histogram bucket of a response time.
+func Bucket(latency int64) int {
+	if latency <= firstBound {
 		return 0
 	}
-	return min(int(math.Ceil(math.Log(float64(lag)/shortest)/logGamma)), never-1)
+	return min(int(math.Ceil(math.Log(float64(latency)/firstBound)/logGamma)), neverBucket-1)
 }
 
-// middle gives the time that stands for a bucket, in nanoseconds.
-func middle(bucket int) float64 { return shortest * math.Pow(gamma, float64(bucket)-0.5) }
+// bucketTime returns the time that stands for a bucket, in nanoseconds.
+func bucketTime(bucket int) float64 { return firstBound * math.Pow(gamma, float64(bucket)-0.5) }
 
-// band gives the place of a load, from the exponent of its square: two bands an octave.
-func band(load float64) int {
+// loadBand returns the band of a load, from the exponent of its square: two bands an octave.
+func loadBand(load float64) int {
 	if !(load > 0) {
 		return 0
 	}
-	return min(max(int(math.Float64bits(load*load*math.Sqrt2)>>52)-1023+16, 0), bands-1)
+	return min(max(int(math.Float64bits(load*load*math.Sqrt2)>>52)-1023+16, 0), loadBands-1)
 }
 
-// group spreads customers over the groups of the intervals.
-func group(customer uint32) int {
+// customerGroup spreads customers evenly over the groups.
+func customerGroup(customer uint32) int {
 	x := uint64(customer) * 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	return int((x ^ x>>27) >> 33 % Groups)
 }
 
-// policy tells, for one record, where each rule would have sent the dispatch and with which chance that host was
-// chosen under the rule, over customers. Its slices are used again for the next record.
-type policy struct {
-	want   [Rules][]float64 // by option: the part of this dispatch that the rule sends there
-	weight [Rules]float64   // of the outcome at the chosen option: the rule's chance over the chance it had
-	loads  []float64
-	zones  []float64 // by zone: options with a chance
+// ruleShares tells, for one record, where each rule would have sent the attempt and how probable the chosen host was under the
+// rule, over customers. Its slices are reused for the next record.
+type ruleShares struct {
+	mass           [Rules][]float64 // by candidate: the fraction of this attempt that the rule sends there
+	weight         [Rules]float64   // of the outcome at the chosen host: the rule's probability over the one it had
+	loads          []float64        // sorted
+	eligibleByZone []float64        // number of eligible candidates
 }
 
-// of reads a record. It is false where the record contradicts itself.
-func (p *policy) of(o []Option) bool {
-	if len(o) == 0 || len(o) > MaxOptions || !(o[0].Chance > 0) {
+// compute fills in the shares of a record. It returns false if the record contradicts itself.
+func (s *ruleShares) compute(candidates []Candidate) bool {
+	if len(candidates) == 0 || len(candidates) > MaxCandidates || !(candidates[0].Chance > 0) {
 		return false
 	}
-	n := len(o)
-	for r := range p.want {
-		p.want[r] = slices.Grow(p.want[r][:0], n)[:n]
-		clear(p.want[r])
-		p.weight[r] = 0
+	n := len(candidates)
+	for r := range s.mass {
+		s.mass[r] = slices.Grow(s.mass[r][:0], n)[:n]
+		clear(s.mass[r])
+		s.weight[r] = 0
 	}
-	p.loads, p.zones = p.loads[:0], p.zones[:0]
-	able, sum, least := 0.0, 0.0, math.Inf(1)
-	for i := range o {
-		if !(o[i].Chance >= 0 && o[i].Chance <= 1 && o[i].Load >= 0) || o[i].Zone < 0 || o[i].Zone > 255 {
+	s.loads, s.eligibleByZone = s.loads[:0], s.eligibleByZone[:0]
+	eligible, sum, least := 0.0, 0.0, math.Inf(1)
+	for i := range candidates {
+		if !(candidates[i].Chance >= 0 && candidates[i].Chance <= 1 && candidates[i].Load >= 0) || candidates[i].Zone < 0 || candidates[i].Zone > 255 {
 			return false
 		}
-		p.loads = append(p.loads, o[i].Load)
-		least = min(least, o[i].Load)
-		sum += o[i].Chance
-		for len(p.zones) <= o[i].Zone {
-			p.zones = append(p.zones, 0)
+		s.loads = append(s.loads, candidates[i].Load)
+		least = min(least, candidates[i].Load)
+		sum += candidates[i].Chance
+		for len(s.eligibleByZone) <= candidates[i].Zone {
+			s.eligibleByZone = append(s.eligibleByZone, 0)
 		}
-		if o[i].Chance > 0 {
-			able++
-			p.zones[o[i].Zone]++
+		if candidates[i].Chance > 0 {
+			eligible++
+			s.eligibleByZone[candidates[i].Zone]++
 		}
 	}
 	if math.Abs(sum-1) > 1e-3 {
 		return false
 	}
-	p.want[Logged][0], p.weight[Logged] = 1, 1
-	p.want[Next][0], p.weight[Next] = 1, 1
-	if n > 1 && o[1].Chance > 0 { // any option is first in rank, and any second, with the same chance over customers
-		p.want[Next][0], p.want[Next][1] = 0, 1
+	s.mass[Logged][0], s.weight[Logged] = 1, 1
+	s.mass[Next][0], s.weight[Next] = 1, 1
+	if n > 1 && candidates[1].Chance > 0 { // over customers, each candidate is first, and each is second, equally often
+		s.mass[Next][0], s.mass[Next][1] = 0, 1
 	}
-	slices.Sort(p.loads)
+	slices.Sort(s.loads)
 	ties := 0.0
-	for _, l := range p.loads {
+	for _, l := range s.loads {
 		if l == least {
 			ties++
 		}
 	}
-	for i := range o {
-		if o[i].Load == least {
-			p.want[Least][i] = 1 / ties
+	for i := range candidates {
+		if candidates[i].Load == least {
+			s.mass[Least][i] = 1 / ties
 		}
-		p.want[Chance][i] = 1 / float64(n)
-		if o[i].Chance > 0 {
-			p.want[Single][i] = 1
+		s.mass[Chance][i] = 1 / float64(n)
+		if candidates[i].Chance > 0 {
+			s.mass[Single][i] = 1
 		}
 		if n == 1 {
-			p.want[Two][i] = 1
+			s.mass[Two][i] = 1
 			continue
 		}
-		from, _ := slices.BinarySearch(p.loads, o[i].Load)
+		from, _ := slices.BinarySearch(s.loads, candidates[i].Load)
 		to := from
-		for to < n && p.loads[to] == o[i].Load {
+		for to < n && s.loads[to] == candidates[i].Load {
 			to++
 		}
 		worse, same := float64(n-to), float64(to-from-1)
-		p.want[Two][i] = (2*worse + same) / float64(n*(n-1))
+		s.mass[Two][i] = (2*worse + same) / float64(n*(n-1))
 	}
-	others := able - p.zones[o[0].Zone]
+	others := eligible - s.eligibleByZone[candidates[0].Zone]
 	if others == 0 {
-		p.want[Zone][0] = 1
+		s.mass[Zone][0] = 1
 	}
-	for i := range o {
-		if others > 0 && o[i].Chance > 0 && o[i].Zone != o[0].Zone {
-			p.want[Zone][i] = 1 / others
+	for i := range candidates {
+		if others > 0 && candidates[i].Chance > 0 && candidates[i].Zone != candidates[0].Zone {
+			s.mass[Zone][i] = 1 / others
 		}
 	}
-	chance := o[0].Chance
+	chance := candidates[0].Chance
 	for _, r := range []Rule{Least, Two, Chance, Single} {
-		p.weight[r] = min(p.want[r][0]/chance, mostWeight)
+		s.weight[r] = min(s.mass[r][0]/chance, maxWeight)
 	}
-	// Over customers, any option with a chance is first; the rule then moves to each in another zone alike.
-	if own := p.zones[o[0].Zone]; own == able {
-		p.weight[Zone] = 1
+	// Over customers, each eligible candidate is first equally often; the rule then moves to each one in another zone alike.
+	if own := s.eligibleByZone[candidates[0].Zone]; own == eligible {
+		s.weight[Zone] = 1
 	} else {
-		for z, e := range p.zones {
-			if z != o[0].Zone && e > 0 {
-				p.weight[Zone] += e / able / (able - e) / chance
+		for z, e := range s.eligibleByZone {
+			if z != candidates[0].Zone && e > 0 {
+				s.weight[Zone] += e / eligible / (eligible - e) / chance
 			}
 		}
 	}
--- a/counterfactual/replaced.go
+++ b/counterfactual/replaced.go
@@ -7,59 +7,58 @@
 )
 
 const (
-	rateBands = 4 // bands of a host's rate an octave
-	around    = 1 // bins to each side that a rate is told over
+	bandsPerOctave = 4 // bands of a host's attempt rate in an octave
+	rateSpan       = 1 // bins to each side that a rate is averaged over
 )
 
-// process is one life of a host.
-type process struct{ host, born uint32 }
+// hostProcess is one incarnation of a host.
+type hostProcess struct{ host, incarnation uint32 }
 
-// Replaced answers what a frontend's dispatches of the bins from..to would have met, had the rule chosen for a part
-// of the whole fleet's dispatches, of all frontends: then the loads move with the rule. How a host's time grows with
-// the dispatches it gets is read off the bins in which it got about as many as the rule would have sent it; there is
-// no answer beyond the range seen, and none for rules that follow the load: the loads that they would have
-// followed are not those that were seen.
-func (l *Ledger) Replaced(frontend int, r Rule, part float64, from, to int64) Answer {
-	from, to = l.span(from, to)
+// Replaced estimates what the attempts of a request class in the bins from..to would have met if the rule had chosen for a fraction
+// of the whole fleet's attempts, of all request classes, so that the loads move with the rule. How a host's time grows with its
+// attempts is taken from the bins in which it got about as many as the rule would have sent it; there is no answer outside the
+// range seen, and none for rules that follow the load: the loads that they would have followed were not seen.
+func (l *Ledger) Replaced(class int, r Rule, share float64, from, to int64) Answer {
+	from, to = l.boundSpan(from, to)
 	missing, absent := l.missing(from, to)
-	a := Answer{Question: "replaced", Rule: r.String(), Frontend: l.set.Names[frontend], Part: part,
-		Missing: missing, Absent: absent}
+	a := Answer{Question: "replaced", Rule: r.String(), Class: l.settings.Classes[class], Share: share,
+		Missing: missing, MissingShare: absent}
 	switch {
 	case r == Least || r == Two:
 		a.Refused = FollowsLoad
-	case r == Single || r < 0 || r >= Rules || !(part > 0 && part <= 1):
+	case r == Single || r < 0 || r >= Rules || !(share > 0 && share <= 1):
 		a.Refused = NoOverlap + ": a rule that chooses for a part from 0 to 1 wanted"
 	}
-	t := newTable(l.set.Targets[frontend], l.set.Pause, l.name)
+	t := newTable(l.settings.Objectives[class], l.settings.Yield, l.hostName)
 	if a.Refused != "" {
 		t.figures(&a, r, nil, nil)
 		return a
 	}
-	was, now := map[process]map[int64]float64{}, map[process]map[int64]float64{} // dispatches got
+	before, after := map[hostProcess]map[int64]float64{}, map[hostProcess]map[int64]float64{} // attempts by bin
 	for at := from; at <= to; at++ {
 		if b := l.bins[at]; b != nil {
 			for k, x := range b.cells {
-				p := process{k.Host, k.Born}
-				if was[p] == nil {
-					was[p], now[p] = map[int64]float64{}, map[int64]float64{}
+				p := hostProcess{k.Host, k.Incarnation}
+				if before[p] == nil {
+					before[p], after[p] = map[int64]float64{}, map[int64]float64{}
 				}
-				was[p][at] += float64(x.want[Logged]) / scale
-				now[p][at] += ((1-part)*float64(x.want[Logged]) + part*float64(x.want[r])) / scale
+				before[p][at] += float64(x.mass[Logged]) / scale
+				after[p][at] += ((1-share)*float64(x.mass[Logged]) + share*float64(x.mass[r])) / scale
 			}
 		}
 	}
 	rate := func(by map[int64]float64, at int64) uint8 {
 		sum, n := 0.0, 0.0
-		for i := max(at-around, from); i <= min(at+around, to); i++ {
+		for i := max(at-rateSpan, from); i <= min(at+rateSpan, to); i++ {
 			sum += by[i]
 			n++
 		}
 		if sum <= 0 {
 			return 0
 		}
-		return uint8(min(max(int(math.Floor(rateBands*math.Log2(sum/n)+0.5))+64, 1), 255))
+		return uint8(min(max(int(math.Floor(bandsPerOctave*math.Log2(sum/n)+0.5))+64, 1), 255))
 	}
-	// What would have come is asked of the bins at the rate that it makes; what came is told of its own.
+	// The rule's mass is placed at the rates that the rule would make; the outcomes stay at their own.
 	index := map[Key]*stratum{}
 	for at := from; at <= to; at++ {
 		b := l.bins[at]
@@ -67,20 +66,20 @@
 			continue
 		}
 		for _, k := range slices.SortedFunc(maps.Keys(b.cells), Key.compare) {
-			x, p := b.cells[k], process{k.Host, k.Born}
-			if int(k.Frontend) != frontend {
+			x, p := b.cells[k], hostProcess{k.Host, k.Incarnation}
+			if int(k.Class) != class {
 				continue
 			}
 			asked, told := k, k
-			asked.Band, told.Band = rate(now[p], at), rate(was[p], at)
-			t.add(index, told, &pile{rows: x.rows}).want[Logged] += float64(x.want[Logged]) / scale
-			s := t.add(index, asked, &pile{})
-			s.want[r] += ((1-part)*float64(x.want[Logged]) + part*float64(x.want[r])) / scale
+			asked.LoadBand, told.LoadBand = rate(after[p], at), rate(before[p], at)
+			t.add(index, told, &mergedCell{rows: x.rows}).mass[Logged] += float64(x.mass[Logged]) / scale
+			s := t.add(index, asked, &mergedCell{})
+			s.mass[r] += ((1-share)*float64(x.mass[Logged]) + share*float64(x.mass[r])) / scale
 		}
 	}
-	t.order()
-	t.lend(index)
-	a = l.answers(t, frontend, []Rule{r}, missing, absent, Direct)[0]
-	a.Question, a.Part = "replaced", part
+	t.sortStrata()
+	t.borrowNeighbours(index)
+	a = l.answers(t, class, []Rule{r}, missing, absent, Direct)[0]
+	a.Question, a.Share = "replaced", share
 	return a
 }
--- a/counterfactual/summary.go
+++ b/counterfactual/summary.go
@@ -6,61 +6,64 @@
 	"slices"
 )
 
-// Key names a cell: dispatches of one frontend, from gateways in one zone, to one process of a host, at about one
-// believed load.
+// Key names a cell: attempts of one request class, from gateways in one zone, at one process of a host, under about one estimated
+// load.
 type Key struct {
-	_        struct{} `cbor:",toarray"`
-	Frontend uint16
-	From     uint8 // zone of the gateway
-	Host     uint32
-	Born     uint32
-	Band     uint8
+	_           struct{} `cbor:",toarray"`
+	Class       uint16
+	GatewayZone uint8
+	Host        uint32
+	Incarnation uint32
+	LoadBand    uint8
 }
 
+// compare orders keys.
 func (k Key) compare(o Key) int {
-	return cmp.Or(cmp.Compare(k.Frontend, o.Frontend), cmp.Compare(k.From, o.From), cmp.Compare(k.Host, o.Host),
-		cmp.Compare(k.Born, o.Born), cmp.Compare(k.Band, o.Band))
+	return cmp.Or(cmp.Compare(k.Class, o.Class), cmp.Compare(k.GatewayZone, o.GatewayZone), cmp.Compare(k.Host, o.Host),
+		cmp.Compare(k.Incarnation, o.Incarnation), cmp.Compare(k.LoadBand, o.LoadBand))
 }
 
-// Row counts outcomes of one group of customers in one bucket of time.
+// Row counts the outcomes of one customer group in one bucket of response time.
 type Row struct {
-	_      struct{} `cbor:",toarray"`
-	Group  uint8
-	Bucket uint16
-	Cut    bool // longer than the bucket's time; how much longer is not known
-	N      uint32
-	Weight [Rules]uint64 // sums, in parts of scale
+	_        struct{} `cbor:",toarray"`
+	Group    uint8
+	Bucket   uint16
+	Censored bool // longer than the bucket's time by an unknown amount
+	Count    uint32
+	Weight   [Rules]uint64 // sums of the weights under each rule, in 1/scale
 }
 
-// place names the row within its cell.
-func (r *Row) place() uint32 {
+// key names the row within its cell.
+func (r *Row) key() uint32 {
 	p := uint32(r.Group)<<11 | uint32(r.Bucket)<<1
-	if r.Cut {
+	if r.Censored {
 		p |= 1
 	}
 	return p
 }
 
+// add adds the counts of another row.
 func (r *Row) add(o *Row) {
-	r.N += o.N
+	r.Count += o.Count
 	for k := range r.Weight {
 		r.Weight[k] += o.Weight[k]
 	}
 }
 
-// Cell is what is known of a key. All its figures are sums of whole numbers: cells merge in any order, to the same.
+// Cell is what is known of a key. All its figures are sums of whole numbers, so that cells merge to the same in any order.
 type Cell struct {
-	_    struct{} `cbor:",toarray"`
-	Key  Key
-	Want [Rules]uint64 // dispatches that each rule would have sent here, in parts of scale
-	None [Rules]uint64 // of these, those that could not have come here as it was done
-	Sq   [Rules]uint64 // sums of the squares of the weights of what came here, in parts of scale
-	Rows []Row
+	_              struct{} `cbor:",toarray"`
+	Key            Key
+	Mass           [Rules]uint64 // attempts that each rule would have sent here, in 1/scale
+	Unreachable    [Rules]uint64 // of these, the ones that could not have come here as it was done
+	SquaredWeights [Rules]uint64 // sums of the squared weights of what came here, in 1/scale
+	Rows           []Row
 }
 
-func (c *Cell) row(r Row) {
+// addRow adds a row.
+func (c *Cell) addRow(r Row) {
 	for i := range c.Rows {
-		if x := &c.Rows[i]; x.place() == r.place() {
+		if x := &c.Rows[i]; x.key() == r.key() {
 			x.add(&r)
 			return
 		}
@@ -68,98 +71,106 @@
 	c.Rows = append(c.Rows, r)
 }
 
-// Part is one message: a piece of what a gateway saw in one of its windows. (Gateway, Life, Window, Nth) names it:
-// told twice it counts once.
+// Part is one message: a part of a gateway's summary of a window. (Gateway, Incarnation, Window, Index) names it: a duplicate does
+// not count.
 type Part struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint8
-	Gateway uint32 // its seat
-	Zone    uint8
-	Life    uint64 // its start; a later life has a greater one
-	Window  uint32 // counted from 0 in each life
-	Nth, Of uint16 // piece Nth of so many, from 0
-	Length  uint32 // of the window, milliseconds
-	Age     uint32 // milliseconds since the window's end, by the sender's clock when sent: clocks need not agree
-	Seen    uint32 // dispatches that ended in the window at this gateway
-	Lost    uint32 // of these, those that were not folded: the queue or the table was full
-	Cells   []Cell
+	_            struct{} `cbor:",toarray"`
+	Version      uint8
+	Gateway      uint32 // member index
+	Zone         uint8
+	Incarnation  uint64 // start time; a later incarnation has a greater one
+	Window       uint32 // counted from 0 in each incarnation
+	Index        uint16 // of this part, from 0
+	Total        uint16 // number of parts of the window
+	WindowLength uint32 // milliseconds
+	Age          uint32 // milliseconds since the window's end, by the sender's clock, so that clocks need not agree
+	Attempts     uint32 // that ended in the window at this gateway
+	LostRecords  uint32 // of attempts that were not folded: the queue or the table was full
+	Cells        []Cell
 }
 
+// version of the messages.
 const version = 1
 
-// Folder folds the records of one gateway into the summary of the window that is under way.
+const cacheSize = 512 // cells
+
+// Folder folds the records of one gateway into the summary of the window under way.
 type Folder struct {
-	most       int // cells
-	from       uint8
-	cells      map[Key]*Cell
-	seen, lost uint32
-	policy     policy
-	near       [512]*Cell // cells lately used, each at the one place that its key allows
+	maxCells    int
+	zone        uint8
+	cells       map[Key]*Cell
+	attempts    uint32
+	lostRecords uint32
+	shares      ruleShares       // scratch
+	cache       [cacheSize]*Cell // cells used lately, by a hash of their key
 }
 
-// NewFolder makes one for a gateway in a zone. It holds at most so many cells; what needs more is counted as lost.
-func NewFolder(zone, most int) *Folder {
-	return &Folder{most: most, from: uint8(zone), cells: map[Key]*Cell{}}
+// NewFolder returns a folder for a gateway in a zone. It holds at most maxCells cells; records that need more are counted as lost.
+func NewFolder(zone, maxCells int) *Folder {
+	return &Folder{maxCells: maxCells, zone: uint8(zone), cells: map[Key]*Cell{}}
 }
 
-// Add takes in a record. One that contradicts itself or finds no room is counted as lost.
-func (f *Folder) Add(r *Record) {
-	f.seen++
-	if len(f.cells)+len(r.Options) > f.most || !f.policy.of(r.Options) {
-		f.lost++
+// Add folds a record. One that contradicts itself or finds no room is counted as lost.
+func (f *Folder) Add(record *Record) {
+	f.attempts++
+	if len(f.cells)+len(record.Candidates) > f.maxCells || !f.shares.compute(record.Candidates) {
+		f.lostRecords++
 		return
 	}
-	p := &f.policy
-	for i := range r.Options {
-		o := &r.Options[i]
-		k := Key{Frontend: uint16(r.Frontend), From: f.from, Host: o.Host, Born: o.Born, Band: uint8(band(o.Load))}
-		c := f.cell(k)
-		for q := range Rules {
-			mass := uint64(p.want[q][i]*scale + 0.5)
-			if c.Want[q] += mass; o.Chance == 0 {
-				c.None[q] += mass
+	shares := &f.shares
+	for i := range record.Candidates {
+		candidate := &record.Candidates[i]
+		key := Key{Class: uint16(record.Class), GatewayZone: f.zone, Host: candidate.Host, Incarnation: candidate.Incarnation, LoadBand: uint8(loadBand(candidate.Load))}
+		cell := f.cell(key)
+		for rule := range Rules {
+			mass := uint64(shares.mass[rule][i]*scale + 0.5)
+			if cell.Mass[rule] += mass; candidate.Chance == 0 {
+				cell.Unreachable[rule] += mass
 			}
 		}
 		if i > 0 {
 			continue
 		}
-		row := Row{Group: uint8(group(r.Customer)), Bucket: uint16(Bucket(r.Lag)), Cut: r.End == Cut, N: 1}
-		if r.End == Failed {
-			row.Bucket = never
+		row := Row{Group: uint8(customerGroup(record.Customer)), Bucket: uint16(Bucket(record.Latency)), Censored: record.End == Censored, Count: 1}
+		if record.End == Failed {
+			row.Bucket = neverBucket
 		}
-		for q := range Rules {
-			row.Weight[q] = uint64(p.weight[q]*scale + 0.5)
-			c.Sq[q] += uint64(p.weight[q]*p.weight[q]*scale + 0.5)
+		for rule := range Rules {
+			row.Weight[rule] = uint64(shares.weight[rule]*scale + 0.5)
+			cell.SquaredWeights[rule] += uint64(shares.weight[rule]*shares.weight[rule]*scale + 0.5)
 		}
-		c.row(row)
+		cell.addRow(row)
 	}
 }
 
-// cell finds a cell or makes it.
-func (f *Folder) cell(k Key) *Cell {
-	at := &f.near[(k.Host*0x9e3779b1>>20+uint32(k.Band)*7+uint32(k.Frontend)*31)%512]
-	if c := *at; c != nil && c.Key == k {
-		return c
+// cell returns the cell of a key, and adds it if it is new.
+func (f *Folder) cell(key Key) *Cell {
+	cached := &f.cache[(key.Host*0x9e3779b1>>20+uint32(key.LoadBand)*7+uint32(key.Class)*31)%cacheSize]
+	if cell := *cached; cell != nil && cell.Key == key {
+		return cell
 	}
-	c := f.cells[k]
-	if c == nil {
-		c = &Cell{Key: k}
-		f.cells[k] = c
+	cell := f.cells[key]
+	if cell == nil {
+		cell = &Cell{Key: key}
+		f.cells[key] = cell
 	}
-	*at = c
-	return c
+	*cached = cell
+	return cell
 }
 
-// Miss counts records that never came here: the queue was full.
-func (f *Folder) Miss(n int) { f.seen, f.lost = f.seen+uint32(n), f.lost+uint32(n) }
+// AddLost counts records that did not arrive, as the queue was full.
+func (f *Folder) AddLost(n int) {
+	f.attempts += uint32(n)
+	f.lostRecords += uint32(n)
+}
 
-// Close ends the window: it gives what was seen and starts anew. The cells are in the order of their keys.
-func (f *Folder) Close() (cells []Cell, seen, lost uint32) {
-	for _, k := range slices.SortedFunc(maps.Keys(f.cells), Key.compare) {
-		cells = append(cells, *f.cells[k])
+// Close ends the window, returns its summary and starts the next one. The cells are in the order of their keys.
+func (f *Folder) Close() (cells []Cell, attempts, lost uint32) {
+	for _, key := range slices.SortedFunc(maps.Keys(f.cells), Key.compare) {
+		cells = append(cells, *f.cells[key])
 	}
-	seen, lost = f.seen, f.lost
-	f.cells, f.seen, f.lost = make(map[Key]*Cell, len(cells)), 0, 0
-	clear(f.near[:])
-	return cells, seen, lost
+	attempts, lost = f.attempts, f.lostRecords
+	f.cells, f.attempts, f.lostRecords = make(map[Key]*Cell, len(cells)), 0, 0
+	clear(f.cache[:])
+	return cells, attempts, lost
 }
--- a/counterfactual/summary_test.go
+++ b/counterfactual/summary_test.go
@@ -5,19 +5,19 @@
 	"testing"
 )
 
-// What a dispatch costs the task: its part in folding, and in a window's summary of 1,000.
+// BenchmarkFold measures what an attempt costs the observer: folding, and its part of a window's summary of 1,000.
 func BenchmarkFold(b *testing.B) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	var records []Record
 	for range 1000 {
-		r := Record{Customer: rnd.Uint32(), Lag: int64(5e6 * (1 + rnd.ExpFloat64()))}
+		r := Record{Customer: rnd.Uint32(), Latency: int64(5e6 * (1 + rnd.ExpFloat64()))}
 		hosts, able := rnd.Perm(12), 2+rnd.IntN(4)
 		for i, h := range hosts {
-			o := Option{Host: uint32(h), Load: 1.3 + rnd.Float64()}
+			o := Candidate{Host: uint32(h), Load: 1.3 + rnd.Float64()}
 			if i < able {
 				o.Chance, o.Load = 1/float64(able), 1+0.2*rnd.Float64()
 			}
-			r.Options = append(r.Options, o)
+			r.Candidates = append(r.Candidates, o)
 		}
 		records = append(records, r)
 	}
@@ -28,11 +28,11 @@
 		f.Add(&records[n])
 		if n++; n == len(records) {
 			cells, seen, lost := f.Close()
-			for _, e := range Encode(Part{Length: 1000, Seen: seen, Lost: lost}, cells) {
+			for _, e := range Encode(Part{WindowLength: 1000, Attempts: seen, LostRecords: lost}, cells) {
 				size += len(e(1))
 			}
 			n = 0
 		}
 	}
-	b.ReportMetric(float64(size)/float64(b.N), "B/dispatch")
+	b.ReportMetric(float64(size)/float64(b.N), "B/attempt")
 }
--- a/counterfactual/table.go
+++ b/counterfactual/table.go
@@ -7,39 +7,40 @@
 )
 
 const (
-	fewest  = 8  // outcomes at a host and load that carry a mass; below, those at the loads next to it help out
-	reach   = 3  // buckets: what is cut off so near the horizon lacks nothing
-	byCount = -1 // in place of a rule: each outcome counts once
+	minOutcomes   = 8  // outcomes of a stratum that count on their own; a stratum with fewer borrows those of neighbouring loads
+	horizonMargin = 3  // buckets: an outcome censored so near the horizon lacks nothing
+	unweighted    = -1 // instead of a rule: each outcome counts once
 )
 
-// stratum is what is known of one frontend's dispatches from one zone at one host at about one load, over a span.
+// stratum is what is known of the attempts of one request class from one zone at one host under about one load, over a range of
+// bins.
 type stratum struct {
-	key            Key
-	want, none, sq [Rules]float64
-	rows           []*Row // its own first, then those lent
-	own            int
-	n              float64 // outcomes
+	key                               Key
+	mass, unreachable, squaredWeights [Rules]float64
+	rows                              []*Row // its own first, then those borrowed
+	ownRows                           int
+	outcomes                          float64 // number of outcomes in rows
 }
 
-// table holds a frontend's strata.
-type table struct {
-	strata  []*stratum
-	horizon int     // bucket of the target
-	target  float64 // ns
-	pause   func()
-	name    func(uint32) string
-	events  []float64 // scratch, by bucket
-	cuts    []float64
+// strataTable holds the strata of a request class.
+type strataTable struct {
+	strata    []*stratum
+	horizon   int     // bucket of the latency objective
+	objective float64 // ns
+	yield     func()
+	hostName  func(uint32) string
+	events    []float64 // scratch, by bucket
+	censored  []float64
 }
 
-func newTable(target int64, pause func(), name func(uint32) string) *table {
-	t := &table{target: float64(target), horizon: Bucket(target), pause: pause, name: name}
-	t.events, t.cuts = make([]float64, never+1), make([]float64, never+1)
+func newTable(target int64, pause func(), name func(uint32) string) *strataTable {
+	t := &strataTable{objective: float64(target), horizon: Bucket(target), yield: pause, hostName: name}
+	t.events, t.censored = make([]float64, neverBucket+1), make([]float64, neverBucket+1)
 	return t
 }
 
-// add merges a pile into the stratum of a key.
-func (t *table) add(index map[Key]*stratum, k Key, x *pile) *stratum {
+// add merges a cell into the stratum of a key.
+func (t *strataTable) add(index map[Key]*stratum, k Key, cell *mergedCell) *stratum {
 	s := index[k]
 	if s == nil {
 		s = &stratum{key: k}
@@ -47,142 +48,142 @@
 		t.strata = append(t.strata, s)
 	}
 	for r := range Rules {
-		s.want[r] += float64(x.want[r]) / scale
-		s.none[r] += float64(x.none[r]) / scale
-		s.sq[r] += float64(x.sq[r]) / scale
+		s.mass[r] += float64(cell.mass[r]) / scale
+		s.unreachable[r] += float64(cell.unreachable[r]) / scale
+		s.squaredWeights[r] += float64(cell.squaredWeights[r]) / scale
 	}
-	for _, r := range x.rows {
+	for _, r := range cell.rows {
 		s.rows = append(s.rows, r)
-		s.n += float64(r.N)
+		s.outcomes += float64(r.Count)
 	}
 	return s
 }
 
-// order makes the sums below independent of the order in which parts came.
-func (t *table) order() {
+// sortStrata makes the sums below independent of the order in which parts arrived.
+func (t *strataTable) sortStrata() {
 	slices.SortFunc(t.strata, func(a, b *stratum) int { return a.key.compare(b.key) })
 	for _, s := range t.strata {
-		slices.SortFunc(s.rows, func(a, b *Row) int { return int(a.place()) - int(b.place()) })
-		s.own = len(s.rows)
+		slices.SortFunc(s.rows, func(a, b *Row) int { return int(a.key()) - int(b.key()) })
+		s.ownRows = len(s.rows)
 	}
 }
 
-// lend lets strata with few outcomes use those at the next loads of the same host, which the weights make up for.
-func (t *table) lend(index map[Key]*stratum) {
+// borrowNeighbours lets strata with few outcomes use those at the next loads of the same host, which the weights make up for.
+func (t *strataTable) borrowNeighbours(index map[Key]*stratum) {
 	type loan struct {
 		to   *stratum
 		rows []*Row
 	}
 	var loans []loan
 	for _, s := range t.strata {
-		if s.n >= fewest {
+		if s.outcomes >= minOutcomes {
 			continue
 		}
 		l := loan{to: s}
 		for _, d := range []int{-1, 1} {
 			k := s.key
-			k.Band = uint8(int(k.Band) + d)
+			k.LoadBand = uint8(int(k.LoadBand) + d)
 			if o := index[k]; o != nil {
 				l.rows = append(l.rows, o.rows...)
 			}
 		}
-		loans = append(loans, l) // all are made after all are told: what is lent was not borrowed
+		loans = append(loans, l) // applied after the loop, so that nothing borrowed is lent on
 	}
 	for _, l := range loans {
 		l.to.rows = append(l.to.rows, l.rows...)
 		for _, r := range l.rows {
-			l.to.n += float64(r.N)
+			l.to.outcomes += float64(r.Count)
 		}
 	}
 }
 
-// curve gives the distribution of the time up to the horizon in f, by bucket, from the stratum's outcomes but those
-// of group skip, each counted once or by its weight under a rule: the product-limit estimate (Kaplan and Meier
-// 1958), for which a dispatch cut off at a time says "longer than that". It gives the sum of the weights, 0 if there
-// are none, and the part that was cut off too early to tell anything up to the horizon.
-func (s *stratum) curve(t *table, skip, rule int, f []float64) (sum, loose float64) {
+// curve computes the distribution of the response time up to the horizon, by bucket, from the stratum's outcomes without those of
+// group skip, each counted once or by its weight under a rule: the product-limit estimate (Kaplan and Meier 1958), for which an
+// attempt censored at a time says "longer than that". It returns the sum of the weights, 0 if there are none, and the fraction that
+// was censored too early to tell anything up to the horizon.
+func (s *stratum) curve(t *strataTable, skip, rule int, curve []float64) (sum, censoredEarly float64) {
 	clear(t.events)
-	clear(t.cuts)
+	clear(t.censored)
 	rows := s.rows
-	if rule != byCount { // the weights stand for dispatches that could have come just here
-		rows = s.rows[:s.own]
+	if rule != unweighted { // weights stand for attempts that could have come just here
+		rows = s.rows[:s.ownRows]
 	}
 	for _, r := range rows {
 		if int(r.Group) == skip {
 			continue
 		}
-		w := float64(r.N)
-		if rule != byCount {
-			w = float64(r.Weight[rule]) / scale
+		weight := float64(r.Count)
+		if rule != unweighted {
+			weight = float64(r.Weight[rule]) / scale
 		}
-		sum += w
-		if r.Cut {
-			t.cuts[r.Bucket] += w
+		sum += weight
+		if r.Censored {
+			t.censored[r.Bucket] += weight
 		} else {
-			t.events[r.Bucket] += w
+			t.events[r.Bucket] += weight
 		}
 	}
 	if sum == 0 {
 		return 0, 0
 	}
-	left, risk := 1.0, sum
-	for b := range f {
-		if risk > 1e-9*sum {
-			left *= 1 - min(t.events[b]/risk, 1)
-		} else if loose == 0 && b < t.horizon-reach {
-			loose = left
+	survival, atRisk := 1.0, sum
+	for b := range curve {
+		if atRisk > 1e-9*sum {
+			survival *= 1 - min(t.events[b]/atRisk, 1)
+		} else if censoredEarly == 0 && b < t.horizon-horizonMargin {
+			censoredEarly = survival
 		}
-		risk -= t.events[b] + t.cuts[b]
-		f[b] = 1 - left
+		atRisk -= t.events[b] + t.censored[b]
+		curve[b] = 1 - survival
 	}
-	return sum, loose
+	return sum, censoredEarly
 }
 
-// sums are what one pass over the strata gives for a rule. Curves are not yet divided.
-type sums struct {
+// ruleSums are the sums of one pass over the strata for a rule. Curves are not divided yet.
+type ruleSums struct {
 	direct, weighted, residual []float64
-	want, held                 float64 // mass, and the part of it in strata with outcomes enough
-	weight, heldWeight         float64
-	loose                      float64
+	mass, coveredMass          float64 // mass, and that in strata with enough outcomes
+	weight, coveredWeight      float64
+	censoredEarly              float64
 }
 
-// pass sums up all strata for the rules, with group skip left out of the outcomes; none is for -1. The masses stay:
-// it is known where each rule would have sent the very same reqs.
-func (t *table) pass(skip int, rules []Rule) map[Rule]*sums {
-	all := map[Rule]*sums{}
-	k := t.horizon + 1
+// sum sums all strata for the rules, without the outcomes of group skip; -1 skips none. The masses stay whole: it is known where
+// each rule would have sent the very same requests.
+func (t *strataTable) sum(skip int, rules []Rule) map[Rule]*ruleSums {
+	all := map[Rule]*ruleSums{}
+	buckets := t.horizon + 1
 	for _, r := range rules {
-		all[r] = &sums{direct: make([]float64, k), weighted: make([]float64, k), residual: make([]float64, k)}
+		all[r] = &ruleSums{direct: make([]float64, buckets), weighted: make([]float64, buckets), residual: make([]float64, buckets)}
 	}
-	f, fw := make([]float64, k), make([]float64, k)
+	curve, weightedCurve := make([]float64, buckets), make([]float64, buckets)
 	for i, s := range t.strata {
-		if t.pause != nil && i%16 == 0 {
-			t.pause()
+		if t.yield != nil && i%16 == 0 {
+			t.yield()
 		}
-		n, loose := s.curve(t, skip, byCount, f)
+		n, censoredEarly := s.curve(t, skip, unweighted, curve)
 		if n == 0 {
-			_, loose = s.curve(t, -1, byCount, f)
+			_, censoredEarly = s.curve(t, -1, unweighted, curve)
 		}
-		held := s.n >= fewest
+		covered := s.outcomes >= minOutcomes
 		for _, r := range rules {
-			x := all[r]
-			x.want += s.want[r]
-			if held {
-				x.held += s.want[r]
-				x.loose += s.want[r] * loose
-				for b := range f {
-					x.direct[b] += s.want[r] * f[b]
+			sums := all[r]
+			sums.mass += s.mass[r]
+			if covered {
+				sums.coveredMass += s.mass[r]
+				sums.censoredEarly += s.mass[r] * censoredEarly
+				for b := range curve {
+					sums.direct[b] += s.mass[r] * curve[b]
 				}
 			}
-			w, _ := s.curve(t, skip, int(r), fw)
-			x.weight += w
-			for b := range fw {
-				x.weighted[b] += w * fw[b]
+			w, _ := s.curve(t, skip, int(r), weightedCurve)
+			sums.weight += w
+			for b := range weightedCurve {
+				sums.weighted[b] += w * weightedCurve[b]
 			}
-			if held && w > 0 {
-				x.heldWeight += w
-				for b := range fw {
-					x.residual[b] += w * (fw[b] - f[b])
+			if covered && w > 0 {
+				sums.coveredWeight += w
+				for b := range weightedCurve {
+					sums.residual[b] += w * (weightedCurve[b] - curve[b])
 				}
 			}
 		}
@@ -190,47 +191,48 @@
 	return all
 }
 
-// Estimator names a way to a figure.
+// Estimator names a method of estimation.
 type Estimator string
 
+// Estimators.
 const (
-	Direct   Estimator = "direct"   // what was seen at the same host, frontend and load, by mass
-	Weighted Estimator = "weighted" // the outcomes by the rule's chance over the chance they had, self-normalised
-	Robust   Estimator = "robust"   // direct, with its errors made up for by the weights (doubly robust)
+	Direct   Estimator = "direct"   // outcomes at the same host, request class and load, weighted by mass
+	Weighted Estimator = "weighted" // outcomes weighted by the rule's probability over the one they had, self-normalized
+	Robust   Estimator = "robust"   // direct, with its errors corrected by the weights (doubly robust)
 )
 
-// distribution gives the curve of an estimator, made to rise from 0 to 1 at most.
-func (x *sums) distribution(e Estimator) []float64 {
-	f := make([]float64, len(x.direct))
-	top := 0.0
-	for b := range f {
+// distribution returns the curve of an estimator, made monotonic between 0 and 1.
+func (x *ruleSums) distribution(e Estimator) []float64 {
+	curve := make([]float64, len(x.direct))
+	highest := 0.0
+	for b := range curve {
 		switch e {
 		case Direct:
-			f[b] = x.direct[b] / x.held
+			curve[b] = x.direct[b] / x.coveredMass
 		case Weighted:
-			f[b] = x.weighted[b] / x.weight
+			curve[b] = x.weighted[b] / x.weight
 		case Robust:
-			if f[b] = x.direct[b] / x.held; x.heldWeight > 0 {
-				f[b] += x.residual[b] / x.heldWeight
+			if curve[b] = x.direct[b] / x.coveredMass; x.coveredWeight > 0 {
+				curve[b] += x.residual[b] / x.coveredWeight
 			}
 		}
-		top = min(max(f[b], top), 1)
-		f[b] = top
+		highest = min(max(curve[b], highest), 1)
+		curve[b] = highest
 	}
-	return f
+	return curve
 }
 
-// moments gives mean and variance of the time or the target, whichever is less, in nanoseconds.
-func (t *table) moments(f []float64) (mean, variance float64) {
+// moments returns mean and variance of the response time or the latency objective, whichever is less, in nanoseconds.
+func (t *strataTable) moments(f []float64) (mean, variance float64) {
 	values, weights := make([]float64, 0, len(f)+1), make([]float64, 0, len(f)+1)
 	last := 0.0
 	for b, p := range f {
 		if p > last {
-			values, weights = append(values, min(middle(b), t.target)), append(weights, p-last)
+			values, weights = append(values, min(bucketTime(b), t.objective)), append(weights, p-last)
 		}
 		last = p
 	}
-	values, weights = append(values, t.target), append(weights, 1-last)
+	values, weights = append(values, t.objective), append(weights, 1-last)
 	mean = stat.Mean(values, weights)
 	for i, v := range values {
 		variance += weights[i] * (v - mean) * (v - mean)
@@ -238,25 +240,25 @@
 	return mean, variance
 }
 
-// quantile gives the time that part p stays below, and false where that lies beyond the target.
-func (t *table) quantile(f []float64, p float64) (float64, bool) {
+// quantile returns the time that fraction p stays below, or false if that lies beyond the latency objective.
+func (t *strataTable) quantile(f []float64, p float64) (float64, bool) {
 	i, _ := slices.BinarySearch(f, p-1e-12)
 	if i == len(f) {
-		return t.target, false
+		return t.objective, false
 	}
-	return min(middle(i), t.target), true
+	return min(bucketTime(i), t.objective), true
 }
 
-// effective gives the number of samples that an estimate by the weights, and one by the masses, is worth (Kish).
-func (t *table) effective(r Rule) (weighted, direct float64) {
+// effective returns the effective sample sizes (Kish) of an estimate by the weights and of one by the masses.
+func (t *strataTable) effective(r Rule) (weighted, direct float64) {
 	w, sq, want, per := 0.0, 0.0, 0.0, 0.0
 	for _, s := range t.strata {
-		sq += s.sq[r]
-		if s.n >= fewest {
-			want += s.want[r]
-			per += s.want[r] * s.want[r] / s.n
+		sq += s.squaredWeights[r]
+		if s.outcomes >= minOutcomes {
+			want += s.mass[r]
+			per += s.mass[r] * s.mass[r] / s.outcomes
 		}
-		for _, x := range s.rows[:s.own] {
+		for _, x := range s.rows[:s.ownRows] {
 			w += float64(x.Weight[r]) / scale
 		}
 	}
@@ -269,13 +271,12 @@
 	return weighted, direct
 }
 
-// groups gives the number of groups of customers that the outcomes come from, and the number of groups of one size
-// that they are worth.
-func (t *table) groups() (n int, worth float64) {
+// groups returns the number of customer groups that the outcomes come from, and the number of equal groups that they are worth.
+func (t *strataTable) groups() (n int, worth float64) {
 	var by [Groups]float64
 	for _, s := range t.strata {
-		for _, r := range s.rows[:s.own] {
-			by[r.Group] += float64(r.N)
+		for _, r := range s.rows[:s.ownRows] {
+			by[r.Group] += float64(r.Count)
 		}
 	}
 	sum, sq := 0.0, 0.0
@@ -292,13 +293,14 @@
 	return n, sum * sum / sq
 }
 
+// square returns x squared.
 func square(x float64) float64 { return x * x }
 
-// jackknife gives the variance of a figure from its values with each group left out in turn.
-func jackknife(without []float64) float64 {
-	mean, sum := stat.Mean(without, nil), 0.0
-	for _, x := range without {
+// jackknife returns the variance of a figure from its values with each group left out in turn.
+func jackknife(values []float64) float64 {
+	mean, sum := stat.Mean(values, nil), 0.0
+	for _, x := range values {
 		sum += square(x - mean)
 	}
-	return sum * float64(len(without)-1) / float64(len(without))
+	return sum * float64(len(values)-1) / float64(len(values))
 }
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -5,19 +5,19 @@
 
 	"ravensill/counterfactual"
 	"ravensill/gateway"
-	"ravensill/internal/witness"
+	"ravensill/internal/observer"
 )
 
 // watching stands between the module and the node where the section counterfactual is on: it is the Writer that is
 // also a Witness, and hands the task a record of each dispatch that ended. Its fields belong to the loop.
 type watching struct {
 	*Node
-	task   *witness.Witness
+	task   *observer.Observer
 	places map[uint32]place
-	open   map[*dispatch]*witness.Entry
-	next   *witness.Entry   // of the dispatch that comes next
-	ready  []*witness.Entry // of dispatches that ended since the last beat
-	spare  []*witness.Entry // to be used again
+	open   map[*dispatch]*observer.Entry
+	next   *observer.Entry   // of the dispatch that comes next
+	ready  []*observer.Entry // of dispatches that ended since the last beat
+	spare  []*observer.Entry // to be used again
 	rnd    *rand.Rand
 }
 
@@ -38,15 +38,15 @@
 	for _, f := range n.cfg.Fronts {
 		targets = append(targets, f.Target)
 	}
-	var task *witness.Witness
+	var task *observer.Observer
 	err = claim("counterfactual", n.cfg.Counterfactual.Listen, stop, func() (err error) {
-		task, err = witness.Open(n.cfg.Counterfactual, n.cfg.Seat.Index, n.cfg.Seat.Zone, n.cfg.Seat.Count, n.cfg.FrontNames, targets)
+		task, err = observer.Open(n.cfg.Counterfactual, n.cfg.Seat.Index, n.cfg.Seat.Zone, n.cfg.Seat.Count, n.cfg.FrontNames, targets)
 		return err
 	})
 	if err != nil {
 		return nil, err
 	}
-	n.witness = &watching{Node: n, task: task, places: map[uint32]place{}, open: map[*dispatch]*witness.Entry{},
+	n.witness = &watching{Node: n, task: task, places: map[uint32]place{}, open: map[*dispatch]*observer.Entry{},
 		rnd: rand.New(rand.NewPCG(n.cfg.Seed, 0x7769746e657373))}
 	return task.Close, nil
 }
@@ -62,16 +62,16 @@
 
 // Considered notes what the dispatch that comes next was chosen among.
 func (w *watching) Considered(req string, customer uint32, options []gateway.Option) {
-	var e *witness.Entry
+	var e *observer.Entry
 	if n := len(w.spare); n > 0 {
 		e, w.spare = w.spare[n-1], w.spare[:n-1]
 	} else {
-		e = &witness.Entry{}
+		e = &observer.Entry{}
 	}
-	*e = witness.Entry{Req: req, Record: counterfactual.Record{Customer: customer, Options: e.Options[:0]}}
+	*e = observer.Entry{Request: req, Record: counterfactual.Record{Customer: customer, Candidates: e.Candidates[:0]}}
 	for _, o := range options {
 		p := w.places[o.Host]
-		e.Options = append(e.Options, counterfactual.Option{Host: o.Host, Born: p.born, Zone: p.zone, Chance: o.Chance,
+		e.Candidates = append(e.Candidates, counterfactual.Candidate{Host: o.Host, Incarnation: p.born, Zone: p.zone, Chance: o.Chance,
 			Load: o.Load})
 	}
 	w.next = e
@@ -83,14 +83,14 @@
 	w.next = nil
 	w.Node.Dispatch(id, host, timeout)
 	r := w.reqs[id]
-	if e == nil || e.Req != id || r == nil || len(w.Node.open) == 0 {
+	if e == nil || e.Request != id || r == nil || len(w.Node.open) == 0 {
 		return
 	}
 	d := w.Node.open[len(w.Node.open)-1]
 	if d.req != r { // it has ended already, unsent
 		return
 	}
-	e.Frontend, e.Try, e.At = r.front, d.n, d.at
+	e.Class, e.Attempt, e.SentAt = r.front, d.n, d.at
 	w.open[d] = e
 }
 
@@ -104,16 +104,16 @@
 		return
 	}
 	delete(w.open, d)
-	switch e.Lag = lag; result {
+	switch e.Latency = lag; result {
 	case gateway.Skipped:
 		return
 	case gateway.Passed:
 	case gateway.TimedOut, gateway.Canceled:
-		e.End = counterfactual.Cut
+		e.End = counterfactual.Censored
 	default:
 		e.End = counterfactual.Failed
 	}
-	if w.ready = append(w.ready, e); len(w.ready) == witness.Batch {
+	if w.ready = append(w.ready, e); len(w.ready) == observer.Batch {
 		w.offer()
 	}
 }
@@ -125,7 +125,7 @@
 	}
 	free := w.task.Offer(w.ready)
 	w.ready = free[:0]
-	if len(w.spare) < 4*witness.Batch {
+	if len(w.spare) < 4*observer.Batch {
 		w.spare = append(w.spare, free...)
 	}
 }
@@ -155,5 +155,5 @@
 	for number, p := range w.places {
 		ids[number] = p.id
 	}
-	w.task.Name(ids)
+	w.task.SetHostIDs(ids)
 }
--- /dev/null
+++ b/internal/observer/records.go
@@ -0,0 +1,37 @@
+package observer
+
+import (
+	"encoding/json"
+	"log"
+)
+
+// fold folds a batch of records into the window under way and writes them to the records file.
+func (o *Observer) fold(batch []*Entry) {
+	for _, entry := range batch {
+		o.folder.Add(&entry.Record)
+		o.writeRecord(entry)
+	}
+	select {
+	case o.recycled <- batch:
+	default:
+	}
+}
+
+// writeRecord appends a record to the records file, up to its configured size. After an error, such as a full disk, nothing more
+// is written; the estimates go on without the file.
+func (o *Observer) writeRecord(entry *Entry) {
+	limit := o.config.RecordsMB << 20
+	if o.recordsFile == nil || o.recordsWritten >= limit {
+		return
+	}
+	line, err := json.Marshal(entry)
+	if err == nil {
+		var n int
+		n, err = o.recordsFile.Write(append(line, '\n'))
+		o.recordsWritten += n
+	}
+	if err != nil {
+		log.Printf("event=records_failed error=%q", err)
+		o.recordsWritten = limit
+	}
+}
--- /dev/null
+++ b/internal/observer/summary.go
@@ -0,0 +1,124 @@
+package observer
+
+import (
+	"log"
+	"slices"
+	"time"
+
+	"ravensill/counterfactual"
+)
+
+const maxUnconfirmed = 512 << 10 // bytes of messages that wait for a confirmation
+
+// message is a part of a summary that one collector has not confirmed.
+type message struct {
+	messageName
+	collector int // member index
+	encode    func(age uint32) []byte
+	windowEnd time.Time
+	size      int // bytes
+}
+
+// closeWindow ends the window under way, and sends its summary with all other unconfirmed messages.
+func (o *Observer) closeWindow(now time.Time) {
+	for n := len(o.records); n > 0; n-- { // these ended in this window
+		o.fold(<-o.records)
+	}
+	o.folder.AddLost(int(o.queueDrops.Swap(0)))
+	o.summarize(now)
+	o.abandonOld(now)
+	for _, m := range o.unconfirmed {
+		age := uint32(now.Sub(m.windowEnd).Milliseconds())
+		body := append([]byte{kindSummary}, m.encode(age)...)
+		o.udp.WriteToUDPAddrPort(body, o.config.Peers[m.collector])
+	}
+	o.logDrops(now)
+}
+
+// summarize turns the window under way into messages for the collectors, and merges it here if this is one.
+func (o *Observer) summarize(now time.Time) {
+	cells, attempts, lost := o.folder.Close()
+	o.lostRecords += int(lost)
+	head := counterfactual.Part{
+		Gateway:      uint32(o.member),
+		Zone:         uint8(o.zone),
+		Incarnation:  o.incarnation,
+		Window:       o.window,
+		WindowLength: uint32(o.config.Window),
+		Attempts:     attempts,
+		LostRecords:  lost,
+	}
+	o.window++
+	for i, encode := range counterfactual.Encode(head, cells) {
+		if o.ledger != nil {
+			if part, err := counterfactual.Decode(encode(0)); err == nil {
+				o.ledger.Receive(part, o.now())
+			}
+		}
+		name := messageName{Incarnation: o.incarnation, Window: head.Window, Part: uint16(i)}
+		for _, collector := range o.config.Collectors {
+			if collector == o.member {
+				continue
+			}
+			m := &message{
+				messageName: name,
+				collector:   collector,
+				encode:      encode,
+				windowEnd:   now,
+				size:        len(encode(0)),
+			}
+			o.unconfirmed = append(o.unconfirmed, m)
+			o.unconfirmedBytes += m.size
+		}
+	}
+}
+
+// abandonOld gives up messages that are too old to count at a collector, and the oldest ones while there are too many.
+func (o *Observer) abandonOld(now time.Time) {
+	maxAge := time.Duration(o.config.Grace+o.config.Window) * time.Millisecond
+	o.unconfirmed = slices.DeleteFunc(o.unconfirmed, func(m *message) bool {
+		if o.unconfirmedBytes <= maxUnconfirmed && now.Sub(m.windowEnd) <= maxAge {
+			return false
+		}
+		o.unconfirmedBytes -= m.size
+		o.abandoned++
+		return true
+	})
+}
+
+// logDrops logs what was dropped since the last line, if anything was.
+func (o *Observer) logDrops(now time.Time) {
+	malformed := o.malformed.Load()
+	if now.Sub(o.loggedAt) < logInterval || o.lostRecords+o.abandoned+int(malformed) == 0 {
+		return
+	}
+	o.malformed.Add(-malformed)
+	log.Printf("event=witness_dropped records=%d summaries=%d datagrams=%d", o.lostRecords, o.abandoned, malformed)
+	o.lostRecords = 0
+	o.abandoned = 0
+	o.loggedAt = now
+}
+
+// receive merges a part of a summary and confirms it, or handles a confirmation.
+func (o *Observer) receive(d datagram) {
+	if d.confirmation != nil {
+		o.confirm(d.sender, *d.confirmation)
+		return
+	}
+	if !o.ledger.Receive(d.part, o.now()) {
+		return
+	}
+	name := messageName{Incarnation: d.part.Incarnation, Window: d.part.Window, Part: d.part.Index}
+	o.udp.WriteToUDPAddrPort(append([]byte{kindConfirmation}, name.encode()...), o.config.Peers[d.sender])
+}
+
+// confirm forgets a message that its collector has confirmed.
+func (o *Observer) confirm(collector int, name messageName) {
+	o.unconfirmed = slices.DeleteFunc(o.unconfirmed, func(m *message) bool {
+		if m.collector != collector || m.messageName != name {
+			return false
+		}
+		o.unconfirmedBytes -= m.size
+		return true
+	})
+}
--- a/lab/groundtruth/groundtruth.go
+++ b/lab/groundtruth/groundtruth.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"ravensill/counterfactual"
-	"ravensill/internal/witness"
+	"ravensill/internal/observer"
 	"ravensill/lab/fleet"
 	"ravensill/lab/relay"
 	"ravensill/lab/simenv"
@@ -188,15 +188,15 @@
 
 // waitUntilSealed waits until all windows of the run are sealed at the collector.
 func (c *Case) waitUntilSealed(ctx context.Context, collector string) (counterfactual.Counts, error) {
-	var last, now witness.State
-	if err := Query(ctx, collector, witness.Ask{Counts: true}, decodeInto(&last)); err != nil {
+	var last, now observer.CollectorState
+	if err := Query(ctx, collector, observer.Query{Counts: true}, decodeInto(&last)); err != nil {
 		return now.Counts, err
 	}
 	for now.Sealed < last.Bin+2 {
 		if err := wait(ctx, c.Window/4); err != nil {
 			return now.Counts, err
 		}
-		if err := Query(ctx, collector, witness.Ask{Counts: true}, decodeInto(&now)); err != nil {
+		if err := Query(ctx, collector, observer.Query{Counts: true}, decodeInto(&now)); err != nil {
 			return now.Counts, err
 		}
 	}
@@ -205,7 +205,7 @@
 
 // queryAnswers asks the collector about each rule and each host.
 func queryAnswers(ctx context.Context, collector string) (answers []counterfactual.Answer, err error) {
-	err = Query(ctx, collector, witness.Ask{Frontend: "lookup", Hosts: true}, func(line []byte) error {
+	err = Query(ctx, collector, observer.Query{Frontend: "lookup", Hosts: true}, func(line []byte) error {
 		var answer counterfactual.Answer
 		if err := json.Unmarshal(line, &answer); err != nil {
 			return err
--- a/lab/groundtruth/query.go
+++ b/lab/groundtruth/query.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"net"
 
-	"ravensill/internal/witness"
+	"ravensill/internal/observer"
 )
 
 const maxLine = 1 << 20 // bytes of a line of an answer or a record
 
 // Query sends a question to a collector and calls handle with each line of the answer.
-func Query(ctx context.Context, addr string, query witness.Ask, handle func(line []byte) error) error {
+func Query(ctx context.Context, addr string, query observer.Query, handle func(line []byte) error) error {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp4", addr)
 	if err != nil {
--- a/lab/groundtruth/records.go
+++ b/lab/groundtruth/records.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"ravensill/counterfactual"
-	"ravensill/internal/witness"
+	"ravensill/internal/observer"
 	"ravensill/lab/fleet"
 	"ravensill/lab/simenv"
 	"ravensill/lab/standin"
@@ -37,7 +37,7 @@
 
 // readRecords reads the gateways' records and the hosts' logs.
 func readRecords(f *fleet.Fleet) (*attemptRecords, error) {
-	var entries []witness.Entry
+	var entries []observer.Entry
 	for i := range f.Gateways() {
 		more, err := readFile(recordsPath(f, i))
 		if err != nil {
@@ -58,7 +58,7 @@
 }
 
 // readFile reads the records of one gateway.
-func readFile(path string) (entries []witness.Entry, err error) {
+func readFile(path string) (entries []observer.Entry, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -67,7 +67,7 @@
 	lines := bufio.NewScanner(file)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
-		var entry witness.Entry
+		var entry observer.Entry
 		if json.Unmarshal(lines.Bytes(), &entry) != nil {
 			break // the last line of a killed gateway
 		}
@@ -77,7 +77,7 @@
 }
 
 // readHostLogs reads the hosts' logs and finds the hosts' numbers, which are known from requests that went to one host only.
-func readHostLogs(f *fleet.Fleet, entries []witness.Entry) *hostLogs {
+func readHostLogs(f *fleet.Fleet, entries []observer.Entry) *hostLogs {
 	hosts := &hostLogs{
 		logs:     make([]standin.HostLog, len(f.Hosts())),
 		commands: map[string][]received{},
@@ -91,11 +91,11 @@
 	}
 	votes := map[uint32]map[int]int{}
 	for _, entry := range entries {
-		commands := hosts.commands[entry.Req]
+		commands := hosts.commands[entry.Request]
 		if len(commands) != 1 {
 			continue
 		}
-		number := entry.Options[0].Host
+		number := entry.Candidates[0].Host
 		if votes[number] == nil {
 			votes[number] = map[int]int{}
 		}
@@ -114,22 +114,22 @@
 }
 
 // add adds one attempt to the samples, unless it never came to a host.
-func (r *attemptRecords) add(f *fleet.Fleet, hosts *hostLogs, entry *witness.Entry) {
-	chosen, known := hosts.numbers[entry.Options[0].Host]
-	commands := hosts.commands[entry.Req]
+func (r *attemptRecords) add(f *fleet.Fleet, hosts *hostLogs, entry *observer.Entry) {
+	chosen, known := hosts.numbers[entry.Candidates[0].Host]
+	commands := hosts.commands[entry.Request]
 	i := slices.IndexFunc(commands, func(c received) bool { return known && c.host == chosen })
 	if i < 0 {
 		return
 	}
 	command := commands[i].command
 	hostTime := float64(command.Time) / 1e6
-	overhead := max(float64(entry.Lag-int64(command.Time))/1e6, 0) // ms; of an attempt that was cut off, at least
+	overhead := max(float64(entry.Latency-int64(command.Time))/1e6, 0) // ms; of an attempt that was cut off, at least
 	if overhead > 10+hostTime/4 {
 		r.delayed++
 	}
 	times := responseTimes(f, hosts, entry, command, overhead)
 	add := func(sample *simenv.Sample, rule counterfactual.Rule, host uint32) {
-		for k, share := range simenv.RuleShares(rule, entry.Options, host) {
+		for k, share := range simenv.RuleShares(rule, entry.Candidates, host) {
 			if share > 0 {
 				sample.Add(times[k], share)
 			}
@@ -141,7 +141,7 @@
 		}
 		add(r.byRule[rule], rule, 0)
 	}
-	for _, candidate := range entry.Options {
+	for _, candidate := range entry.Candidates {
 		host, ok := hosts.numbers[candidate.Host]
 		if !ok {
 			continue
@@ -155,9 +155,9 @@
 }
 
 // responseTimes returns the response time of an attempt at each candidate in ms: +Inf where it fails, NaN where it is not known.
-func responseTimes(f *fleet.Fleet, hosts *hostLogs, entry *witness.Entry, command standin.Command, overhead float64) []float64 {
-	times := make([]float64, len(entry.Options))
-	for k, candidate := range entry.Options {
+func responseTimes(f *fleet.Fleet, hosts *hostLogs, entry *observer.Entry, command standin.Command, overhead float64) []float64 {
+	times := make([]float64, len(entry.Candidates))
+	for k, candidate := range entry.Candidates {
 		times[k] = math.NaN()
 		number, ok := hosts.numbers[candidate.Host]
 		if !ok {
@@ -166,10 +166,10 @@
 		model := f.Host(number).Model
 		if k == 0 {
 			times[k] = float64(command.Time)/1e6 + overhead
-		} else if time, _, ok := hosts.logs[number].WouldAt(model, entry.Req, command.Class, entry.At); ok {
+		} else if time, _, ok := hosts.logs[number].WouldAt(model, entry.Request, command.Class, entry.SentAt); ok {
 			times[k] = float64(time)/1e6 + overhead
 		}
-		if model.Fails(entry.Req) {
+		if model.Fails(entry.Request) {
 			times[k] = math.Inf(1)
 		}
 	}
--- a/lab/simenv/gateway.go
+++ b/lab/simenv/gateway.go
@@ -100,13 +100,13 @@
 func (e *Environment) summarize(gateway *gatewayModel) {
 	cells, seen, lost := gateway.folder.Close()
 	head := counterfactual.Part{
-		Gateway: uint32(gateway.index),
-		Zone:    uint8(gateway.zone),
-		Life:    gateway.incarnation,
-		Window:  gateway.window,
-		Length:  uint32(e.config.Window / Millisecond),
-		Seen:    seen,
-		Lost:    lost,
+		Gateway:      uint32(gateway.index),
+		Zone:         uint8(gateway.zone),
+		Incarnation:  gateway.incarnation,
+		Window:       gateway.window,
+		WindowLength: uint32(e.config.Window / Millisecond),
+		Attempts:     seen,
+		LostRecords:  lost,
 	}
 	gateway.window++
 	for _, encode := range counterfactual.Encode(head, cells) {
@@ -138,7 +138,7 @@
 		e.Undecodable++
 		return
 	}
-	if e.Ledger.Hear(part, e.now) && e.random.Float64() >= e.config.Network.Loss {
+	if e.Ledger.Receive(part, e.now) && e.random.Float64() >= e.config.Network.Loss {
 		m.confirmed = true
 	}
 }
@@ -151,7 +151,7 @@
 
 // candidateSet returns the available hosts, the chosen one first and the customer's next in rank second, if there is one.
 // It returns none if no host can be chosen.
-func (e *Environment) candidateSet(gateway *gatewayModel, customer int) (candidates []counterfactual.Option, hosts []*Host) {
+func (e *Environment) candidateSet(gateway *gatewayModel, customer int) (candidates []counterfactual.Candidate, hosts []*Host) {
 	candidates, hosts, leastLoad := e.available(gateway)
 	choosable := func(i int) bool { return candidates[i].Load <= leastLoad*loadBound && !hosts[i].NeverChosen }
 	eligible := 0.0
@@ -195,7 +195,7 @@
 
 // available returns a gateway's hosts that are listed now, each with its load as the gateway estimates it, and the least load
 // of one that may be chosen.
-func (e *Environment) available(gateway *gatewayModel) (candidates []counterfactual.Option, hosts []*Host, leastLoad float64) {
+func (e *Environment) available(gateway *gatewayModel) (candidates []counterfactual.Candidate, hosts []*Host, leastLoad float64) {
 	elapsed := e.now - e.begin
 	leastLoad = math.Inf(1)
 	for _, host := range gateway.hosts {
@@ -206,11 +206,11 @@
 		if !host.NeverChosen {
 			leastLoad = min(leastLoad, load)
 		}
-		candidates = append(candidates, counterfactual.Option{
-			Host: host.ID,
-			Born: host.incarnation,
-			Zone: host.Zone,
-			Load: load,
+		candidates = append(candidates, counterfactual.Candidate{
+			Host:        host.ID,
+			Incarnation: host.incarnation,
+			Zone:        host.Zone,
+			Load:        load,
 		})
 		hosts = append(hosts, host)
 	}
--- a/lab/simenv/request.go
+++ b/lab/simenv/request.go
@@ -38,7 +38,7 @@
 	customer   int
 	class      int
 	objective  float64 // ms
-	candidates []counterfactual.Option
+	candidates []counterfactual.Candidate
 	hosts      []*Host   // by candidate
 	times      []float64 // by candidate, ms: what each host would have taken; +Inf: it fails
 	outcomes   []func()  // record the ground truth of this attempt
@@ -136,9 +136,9 @@
 	case math.IsInf(latency, 1):
 		return 1, counterfactual.Failed
 	case leaves && leave < latency:
-		return leave, counterfactual.Cut
+		return leave, counterfactual.Censored
 	case latency > a.objective:
-		return a.objective, counterfactual.Cut
+		return a.objective, counterfactual.Censored
 	}
 	return latency, counterfactual.Answered
 }
@@ -151,11 +151,11 @@
 		a.gateway.learn(host, a.class, latency)
 	}
 	a.gateway.folder.Add(&counterfactual.Record{
-		Frontend: a.class,
-		Customer: uint32(hashMix(uint64(a.customer) + 3)),
-		Options:  a.candidates,
-		Lag:      int64(latency * 1e6),
-		End:      end,
+		Class:      a.class,
+		Customer:   uint32(hashMix(uint64(a.customer) + 3)),
+		Candidates: a.candidates,
+		Latency:    int64(latency * 1e6),
+		End:        end,
 	})
 }
 
--- a/lab/simenv/rules.go
+++ b/lab/simenv/rules.go
@@ -8,7 +8,7 @@
 
 // RuleShares returns the share of an attempt that a rule sends to each candidate. single is the host of rule Single. It implements
 // the rules of package counterfactual once more: the ground truth must not rest on the code that it checks.
-func RuleShares(rule counterfactual.Rule, candidates []counterfactual.Option, single uint32) []float64 {
+func RuleShares(rule counterfactual.Rule, candidates []counterfactual.Candidate, single uint32) []float64 {
 	shares := make([]float64, len(candidates))
 	switch rule {
 	case counterfactual.Logged:
@@ -40,7 +40,7 @@
 }
 
 // shareAmongLeastLoaded shares evenly among the candidates with the least load.
-func shareAmongLeastLoaded(shares []float64, candidates []counterfactual.Option) {
+func shareAmongLeastLoaded(shares []float64, candidates []counterfactual.Candidate) {
 	least := math.Inf(1)
 	ties := 0.0
 	for _, c := range candidates {
@@ -60,7 +60,7 @@
 }
 
 // shareByPairs sends to the less loaded of two candidates drawn at random.
-func shareByPairs(shares []float64, candidates []counterfactual.Option) {
+func shareByPairs(shares []float64, candidates []counterfactual.Candidate) {
 	if len(candidates) == 1 {
 		shares[0] = 1
 		return
@@ -83,8 +83,8 @@
 }
 
 // shareAmongOtherZones shares evenly among the eligible candidates outside the chosen one's zone. Without one, the choice stays.
-func shareAmongOtherZones(shares []float64, candidates []counterfactual.Option) {
-	eligible := func(c counterfactual.Option) bool { return c.Zone != candidates[0].Zone && c.Chance > 0 }
+func shareAmongOtherZones(shares []float64, candidates []counterfactual.Candidate) {
+	eligible := func(c counterfactual.Candidate) bool { return c.Zone != candidates[0].Zone && c.Chance > 0 }
 	count := 0.0
 	for _, c := range candidates {
 		if eligible(c) {
--- a/lab/simenv/score.go
+++ b/lab/simenv/score.go
@@ -95,7 +95,7 @@
 	s.Estimators[string(a.Estimator)]++
 	text := func(name string, f *counterfactual.Figure, truth float64) string {
 		return fmt.Sprintf("%s %s frontend %s host %s %s: %.4g (%.4g to %.4g), truth %.4g", a.Rule, a.Estimator,
-			a.Frontend, a.Host, name, f.Value, f.Low, f.High, truth)
+			a.Class, a.Host, name, f.Value, f.Low, f.High, truth)
 	}
 	hold := func(name string, f *counterfactual.Figure, truth float64) bool {
 		if !f.Given() {
@@ -192,7 +192,7 @@
 		s.CompareOrder(panel, truths)
 		panel, truths = nil, nil
 		for _, h := range e.hosts {
-			panel = append(panel, e.Ledger.One(f, h.ID, e.From, e.To))
+			panel = append(panel, e.Ledger.SingleHost(f, h.ID, e.From, e.To))
 			truths = append(truths, e.GroundTruth(counterfactual.Single, f, h.ID))
 			s.Compare(&panel[len(panel)-1], truths[len(truths)-1])
 		}
--- a/lab/simenv/simenv.go
+++ b/lab/simenv/simenv.go
@@ -64,16 +64,16 @@
 // newLedger returns the collector's ledger.
 func newLedger(config Config) *counterfactual.Ledger {
 	settings := counterfactual.Settings{
-		Gateways: config.Gateways,
-		Window:   config.Window,
-		Grace:    3 * config.Window,
-		Bins:     int(config.Duration/config.Window) + 50,
-		Cells:    1 << 20,
-		Missing:  0.05,
-		Targets:  config.Objectives,
+		Gateways:   config.Gateways,
+		Window:     config.Window,
+		Grace:      3 * config.Window,
+		KeptBins:   int(config.Duration/config.Window) + 50,
+		MaxCells:   1 << 20,
+		MaxMissing: 0.05,
+		Objectives: config.Objectives,
 	}
 	for i := range config.Objectives {
-		settings.Names = append(settings.Names, string(rune('a'+i)))
+		settings.Classes = append(settings.Classes, string(rune('a'+i)))
 	}
 	return counterfactual.NewLedger(settings)
 }
--- a/lab/simenv/simenv_test.go
+++ b/lab/simenv/simenv_test.go
@@ -66,7 +66,7 @@
 	c := Base(1)
 	c.Hosts[7].NeverChosen = true
 	w := Run(c)
-	if a := w.Ledger.One(0, c.Hosts[7].ID, w.From, w.To); !strings.HasPrefix(a.Refused, "no overlap") || a.Mean.Given() {
+	if a := w.Ledger.SingleHost(0, c.Hosts[7].ID, w.From, w.To); !strings.HasPrefix(a.Refused, "no overlap") || a.Mean.Given() {
 		t.Errorf("%+v", a)
 	}
 	for _, a := range w.Ledger.Panel(0, w.From, w.To) {
