--- a/pool/shares.go
+++ b/pool/shares.go
@@ -8,36 +8,36 @@
 
 // Want is one gateway's claim.
 type Want struct {
-	Demand int
+	Demand int     // connections, those of its floor included
 	Weight float64 // above 0
-	Has    int     // what it holds above its floor now: of two with equal claims to a last unit the one that has it keeps it
+	Has    int     // connections above its floor now: of two equal claims to a last unit, the one that has it keeps it
 }
 
-// Shares gives how much of units each gets above its floor: weighted max-min fairness by progressive filling
-// (Bertsekas and Gallager, Data Networks, 6.5.2): all levels rise together in proportion to weight, a gateway whose demand is met
-// stops, and its part goes to the others. The floor counts as a part of each one's level, so who has little demand
-// leaves more. Units can't be parted: what is left after rounding down goes to the largest fractions.
+// Shares returns how many of the units each claim gets above the floor: weighted max-min fairness by progressive filling (Bertsekas
+// and Gallager, Data Networks, 6.5.2). All levels rise together in proportion to weight; a gateway whose demand is met stops, and
+// its part goes to the others. The floor counts as a part of each level, so that a gateway with little demand leaves more. Units
+// are indivisible: what is left after rounding down goes to the largest fractions.
 func Shares(wants []Want, floor, units int) []int {
-	all := make([]int, len(wants))
-	above := func(w Want, level float64) float64 {
-		return max(min(float64(w.Demand), w.Weight*level)-float64(floor), 0)
+	shares := make([]int, len(wants))
+	aboveFloor := func(want Want, level float64) float64 {
+		return max(min(float64(want.Demand), want.Weight*level)-float64(floor), 0)
 	}
 	sum, high := 0.0, 0.0
-	for _, w := range wants {
-		sum += above(w, math.Inf(1))
-		high = max(high, float64(w.Demand)/w.Weight)
+	for _, want := range wants {
+		sum += aboveFloor(want, math.Inf(1))
+		high = max(high, float64(want.Demand)/want.Weight)
 	}
 	if units <= 0 {
-		return all
+		return shares
 	}
 	level := high
-	if sum > float64(units) {
+	if sum > float64(units) { // bisect
 		low := 0.0
 		for range 60 {
 			level = (low + high) / 2
 			sum = 0
-			for _, w := range wants {
-				sum += above(w, level)
+			for _, want := range wants {
+				sum += aboveFloor(want, level)
 			}
 			if sum > float64(units) {
 				high = level
@@ -47,22 +47,22 @@
 		}
 		level = low
 	}
-	type rest struct {
-		seat int
-		part float64
-		has  bool
+	type remainder struct {
+		member   int
+		fraction float64 // of a unit, rounded
+		has      bool    // it has the unit now
 	}
-	var left []rest
-	for i, w := range wants {
-		a := above(w, level)
-		all[i] = int(a + 1e-6)
-		units -= all[i]
-		if all[i]+floor < w.Demand && w.Weight*level+1 > float64(floor) {
-			left = append(left, rest{i, math.Round((a-float64(all[i]))*1e6) / 1e6, w.Has > all[i]})
+	var remainders []remainder
+	for i, want := range wants {
+		exact := aboveFloor(want, level)
+		shares[i] = int(exact + 1e-6)
+		units -= shares[i]
+		if shares[i]+floor < want.Demand && want.Weight*level+1 > float64(floor) {
+			remainders = append(remainders, remainder{i, math.Round((exact-float64(shares[i]))*1e6) / 1e6, want.Has > shares[i]})
 		}
 	}
-	slices.SortStableFunc(left, func(a, b rest) int {
-		if c := cmp.Compare(b.part, a.part); c != 0 {
+	slices.SortStableFunc(remainders, func(a, b remainder) int {
+		if c := cmp.Compare(b.fraction, a.fraction); c != 0 {
 			return c
 		}
 		if a.has != b.has {
@@ -71,18 +71,18 @@
 			}
 			return 1
 		}
-		return cmp.Compare(mix(a.seat), mix(b.seat))
+		return cmp.Compare(scatter(a.member), scatter(b.member))
 	})
-	for i := 0; i < len(left) && units > 0; i++ {
-		all[left[i].seat]++
+	for i := 0; i < len(remainders) && units > 0; i++ {
+		shares[remainders[i].member]++
 		units--
 	}
-	return all
+	return shares
 }
 
-// mix scatters seats, so that it is not always the first ones that get what is left.
-func mix(seat int) uint64 {
-	x := uint64(seat)*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019
+// scatter hashes a member index, so that it is not always the first members that get what is left.
+func scatter(member int) uint64 {
+	x := uint64(member)*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019
 	x ^= x >> 29
 	return x * 0xbf58476d1ce4e5b9
 }
