--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -15,9 +15,9 @@
 	"ravensill/lab/task"
 )
 
-const sign = 2 * time.Second // between the empty lines of a watch
+const keepAliveInterval = 2 * time.Second // between the empty lines that keep a watch alive
 
-// Entry is one host in the words of the list.
+// Entry is one host of a host list, as the agent sends it.
 type Entry struct {
 	ID        string  `json:"id"`
 	Addr      string  `json:"addr"`
@@ -29,227 +29,232 @@
 	StartedMS int64   `json:"started_ms"`
 }
 
-// Mode is how the agent of one gateway behaves.
+// Mode is the behaviour of one gateway's agent.
 type Mode struct {
-	Frozen bool          // it has received nothing since: it answers with what it had
-	Silent bool          // it takes calls and says nothing more, on open watches too
-	Down   bool          // calls are ended at once, and so are open watches
-	Indent bool          // lists come indented, over several lines
-	Delay  time.Duration // from a change until the agent has received it
-	Part   float64       // above 0: only this part of a list's bytes come, then the connection ends
-	Chunk  int           // above 0: bytes go out in chunks of this size
+	Frozen bool          // it receives no more changes and answers with what it has
+	Silent bool          // it accepts calls and sends nothing more, also on open watches
+	Down   bool          // calls and open watches are ended at once
+	Indent bool          // lists are indented, over several lines
+	Delay  time.Duration // from a change until the agent receives it
+	Part   float64       // above 0: only this fraction of a list's bytes is sent, then the connection ends
+	Chunk  int           // above 0: bytes are sent in chunks of this size
 }
 
-// Told is one change that was written to a gateway's agent's watch, whole.
+// Told is one change that was sent whole on a gateway's watch.
 type Told struct {
 	Gateway int
 	Version int
 	At      int64
 }
 
-// Agent stands in for discovery: one server that is a different agent to each gateway, told apart by the address
-// in 127.0.0.0/8 that the gateway calls.
+// Agent stands in for the discovery agents: one server that is a different agent for each gateway, distinguished by the address in
+// 127.0.0.0/8 that the gateway calls.
 type Agent struct {
 	*task.Task
-	server *http.Server
-	port   uint16
-	net    byte
-	views  []*view
-	log    []Change // all changes, in order; the version is the index
-	told   []Told
-	asked  map[int]int // calls by gateway
+	server    *http.Server
+	port      uint16
+	network   byte
+	views     []*agentView
+	changes   []Change // all changes; the version is the index
+	delivered []Told
+	calls     map[int]int // by gateway
 }
 
-// Change is one change of the list.
+// Change is one change of the host list.
 type Change struct {
 	At      int64
 	Entries []Entry
-	Only    []int // gateways whose agents ever receive it; nil all
+	Only    []int // gateways whose agents receive it; nil: all
 }
 
-// view is what one gateway's agent has received.
-type view struct {
+// agentView is what one gateway's agent has received.
+type agentView struct {
 	gateway int
-	upto    int // version received
+	version int // version received
 	mode    Mode
 	watches map[*watcher]bool
 }
 
+// watcher is one call of a gateway, a watch or a single list.
 type watcher struct {
-	from int // version told
-	out  chan []byte
-	part bool
-	quit chan struct{}
+	delivered int // version
+	chunks    chan []byte
+	truncated bool
+	closed    chan struct{}
 }
 
-// Loopback gives the address in 127.0.0.0/8 that stands for number i of a net, so that many can share one port.
-func Loopback(net byte, i int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, net, byte((i + 1) >> 8), byte(i + 1)})
+// Loopback returns address i of a network within 127.0.0.0/8, so that many servers can share one port.
+func Loopback(network byte, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, network, byte((i + 1) >> 8), byte(i + 1)})
 }
 
-// Free gives an address of number i of a net, below the ports that systems deal out: its TCP and UDP stay free until who
-// is told of it starts, and while that is down.
-func Free(of byte, i int) (a netip.AddrPort, err error) {
+// Free returns address i of a network with a port that is free for TCP and UDP. It is below the system's ephemeral ports, so that
+// it stays free until its user starts, and while that is down.
+func Free(network byte, i int) (addr netip.AddrPort, err error) {
 	for try := range 200 {
-		a = netip.AddrPortFrom(Loopback(of, i), uint16(20000+(os.Getpid()*31+try*97+i)%12000))
-		var l net.Listener
-		var p net.PacketConn
-		if l, err = net.Listen("tcp4", a.String()); err != nil {
+		addr = netip.AddrPortFrom(Loopback(network, i), uint16(20000+(os.Getpid()*31+try*97+i)%12000))
+		var listener net.Listener
+		var packets net.PacketConn
+		if listener, err = net.Listen("tcp4", addr.String()); err != nil {
 			continue
 		}
-		l.Close()
-		if p, err = net.ListenPacket("udp4", a.String()); err == nil {
-			p.Close()
-			return a, nil
+		listener.Close()
+		if packets, err = net.ListenPacket("udp4", addr.String()); err == nil {
+			packets.Close()
+			return addr, nil
 		}
 	}
-	return a, err
+	return addr, err
 }
 
-// Number gives i back, -1 where the address is none of the net's.
-func Number(net byte, a netip.Addr) int {
+// Number is the inverse of Loopback; it returns -1 for an address outside the network.
+func Number(network byte, a netip.Addr) int {
 	b := a.Unmap().As4()
-	if b[0] != 127 || b[1] != net {
+	if b[0] != 127 || b[1] != network {
 		return -1
 	}
 	return int(b[2])<<8 + int(b[3]) - 1
 }
 
-// NewAgent starts the agents of so many gateways; entries are what all have at first.
-func NewAgent(net1 byte, gateways int, entries ...Entry) (*Agent, error) {
-	ln, err := net.Listen("tcp4", "0.0.0.0:0")
+// NewAgent starts the agents of so many gateways, all with the same initial host list.
+func NewAgent(network byte, gateways int, entries ...Entry) (*Agent, error) {
+	listener, err := net.Listen("tcp4", "0.0.0.0:0")
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	a := &Agent{Task: task.New(), net: net1, port: netip.MustParseAddrPort(ln.Addr().String()).Port(),
-		log: []Change{{}, {At: task.Now(), Entries: entries}}, asked: map[int]int{}}
+	agent := &Agent{Task: task.New(), network: network, port: netip.MustParseAddrPort(listener.Addr().String()).Port(),
+		changes: []Change{{}, {At: task.Now(), Entries: entries}}, calls: map[int]int{}}
 	for i := range gateways {
-		a.views = append(a.views, &view{gateway: i, upto: 1, watches: map[*watcher]bool{}})
+		agent.views = append(agent.views, &agentView{gateway: i, version: 1, watches: map[*watcher]bool{}})
 	}
-	a.server = &http.Server{Handler: http.HandlerFunc(a.serve)}
-	go a.server.Serve(ln)
-	a.beat()
-	return a, nil
+	agent.server = &http.Server{Handler: http.HandlerFunc(agent.serve)}
+	go agent.server.Serve(listener)
+	agent.sendKeepAlives()
+	return agent, nil
 }
 
-// Addr is where a gateway finds its agent.
+// Addr returns the address of a gateway's agent.
 func (a *Agent) Addr(gateway int) string {
-	return netip.AddrPortFrom(Loopback(a.net, gateway), a.port).String()
+	return netip.AddrPortFrom(Loopback(a.network, gateway), a.port).String()
 }
 
-// Close ends it.
+// Close ends the agents.
 func (a *Agent) Close() {
 	a.server.Close()
 	a.Task.Stop()
 }
 
-func (a *Agent) beat() {
-	a.After(sign, func() {
-		for _, v := range a.views {
-			if v.mode.Silent {
+// sendKeepAlives sends an empty line on each watch, again and again.
+func (a *Agent) sendKeepAlives() {
+	a.After(keepAliveInterval, func() {
+		for _, view := range a.views {
+			if view.mode.Silent {
 				continue
 			}
-			for w := range v.watches {
-				w.say([]byte("\n"))
+			for watch := range view.watches {
+				watch.send([]byte("\n"))
 			}
 		}
-		a.beat()
+		a.sendKeepAlives()
 	})
 }
 
-func (w *watcher) say(b []byte) {
+// send queues bytes; nil ends the call. A watch whose gateway does not read is closed.
+func (w *watcher) send(b []byte) {
 	select {
-	case w.out <- b:
-	default: // it does not read
-		w.end()
+	case w.chunks <- b:
+	default: // the gateway does not read
+		w.close()
 	}
 }
 
-func (w *watcher) end() {
+// close ends the call with a broken connection.
+func (w *watcher) close() {
 	select {
-	case <-w.quit:
+	case <-w.closed:
 	default:
-		close(w.quit)
+		close(w.closed)
 	}
 }
 
-// Push makes a change known. It returns the change's version.
+// Push sends a change to all agents and returns its version.
 func (a *Agent) Push(entries ...Entry) int { return a.PushTo(nil, entries...) }
 
-// PushTo makes a change known to the agents of some gateways only; the others never receive it.
+// PushTo sends a change to the agents of some gateways only; the others never receive it.
 func (a *Agent) PushTo(gateways []int, entries ...Entry) (version int) {
 	a.Ask(func() {
-		version = len(a.log)
-		a.log = append(a.log, Change{task.Now(), entries, gateways})
-		for _, v := range a.views {
-			if v.mode.Delay > 0 {
-				a.After(v.mode.Delay, func() { a.receive(v, version) })
+		version = len(a.changes)
+		a.changes = append(a.changes, Change{task.Now(), entries, gateways})
+		for _, view := range a.views {
+			if view.mode.Delay > 0 {
+				a.After(view.mode.Delay, func() { a.receive(view, version) })
 			} else {
-				a.receive(v, version)
+				a.receive(view, version)
 			}
 		}
 	})
 	return version
 }
 
-// receive lets a gateway's agent have all up to a version, and tells its watches.
-func (a *Agent) receive(v *view, version int) {
-	if v.mode.Frozen || version <= v.upto {
+// receive gives an agent all changes up to a version, which it sends on its watches.
+func (a *Agent) receive(view *agentView, version int) {
+	if view.mode.Frozen || version <= view.version {
 		return
 	}
-	v.upto = version
-	for w := range v.watches {
-		a.tell(v, w)
+	view.version = version
+	for watch := range view.watches {
+		a.deliver(view, watch)
 	}
 }
 
-func (a *Agent) tell(v *view, w *watcher) {
-	if v.mode.Silent || w.from >= v.upto {
+// deliver sends a watch what changed since the version that it has.
+func (a *Agent) deliver(view *agentView, watch *watcher) {
+	if view.mode.Silent || watch.delivered >= view.version {
 		return
 	}
-	b, some := a.list(v, w.from)
-	if w.from = v.upto; !some {
+	list, changed := a.encodeList(view, watch.delivered)
+	if watch.delivered = view.version; !changed {
 		return
 	}
-	if v.mode.Part > 0 {
-		w.part = true
-		b = b[:int(float64(len(b))*min(v.mode.Part, 1))]
+	if view.mode.Part > 0 {
+		watch.truncated = true
+		list = list[:int(float64(len(list))*min(view.mode.Part, 1))]
 	} else {
-		a.told = append(a.told, Told{v.gateway, v.upto, task.Now()})
+		a.delivered = append(a.delivered, Told{view.gateway, view.version, task.Now()})
 	}
-	w.say(b)
-	if w.part {
-		w.say(nil)
+	watch.send(list)
+	if watch.truncated {
+		watch.send(nil)
 	}
 }
 
-// list gives what changed after a version, or the whole list; some tells whether it holds anything.
-func (a *Agent) list(v *view, after int) (text []byte, some bool) {
-	full := after <= 0 || after > v.upto
+// encodeList encodes what changed after a version, or the whole list; changed is false if that is nothing.
+func (a *Agent) encodeList(view *agentView, after int) (text []byte, changed bool) {
+	full := after <= 0 || after > view.version
 	if full {
 		after = 0
 	}
 	last := map[string]Entry{}
 	var order []string
-	for _, c := range a.log[after+1 : v.upto+1] {
-		if c.Only != nil && !slices.Contains(c.Only, v.gateway) {
+	for _, change := range a.changes[after+1 : view.version+1] {
+		if change.Only != nil && !slices.Contains(change.Only, view.gateway) {
 			continue
 		}
-		for _, e := range c.Entries {
-			if _, ok := last[e.ID]; !ok {
-				order = append(order, e.ID)
+		for _, entry := range change.Entries {
+			if _, ok := last[entry.ID]; !ok {
+				order = append(order, entry.ID)
 			}
-			last[e.ID] = e
+			last[entry.ID] = entry
 		}
 	}
 	entries := []Entry{}
 	for _, id := range order {
-		if e := last[id]; !full || e.State != "left" {
-			entries = append(entries, e)
+		if entry := last[id]; !full || entry.State != "left" {
+			entries = append(entries, entry)
 		}
 	}
-	list := map[string]any{"version": v.upto, "full": full, "servers": entries}
-	if v.mode.Indent {
+	list := map[string]any{"version": view.version, "full": full, "servers": entries}
+	if view.mode.Indent {
 		text, _ = json.MarshalIndent(list, "", "  ")
 	} else {
 		text, _ = json.Marshal(list)
@@ -257,126 +262,127 @@
 	return append(text, '\n'), full || len(entries) > 0
 }
 
-// Set changes how the agents of some gateways behave; nil stands for all. What an agent missed while it was frozen,
-// silent or down it has at once when that is over.
-func (a *Agent) Set(gateways []int, f func(*Mode)) {
+// Set changes the behaviour of the agents of some gateways; nil stands for all. An agent receives what it missed while it was
+// frozen, silent or down at once when that is over.
+func (a *Agent) Set(gateways []int, change func(*Mode)) {
 	a.Ask(func() {
-		for _, v := range a.views {
-			if gateways != nil && !slices.Contains(gateways, v.gateway) {
+		for _, view := range a.views {
+			if gateways != nil && !slices.Contains(gateways, view.gateway) {
 				continue
 			}
-			f(&v.mode)
-			if v.mode.Down {
-				for w := range v.watches {
-					w.end()
+			change(&view.mode)
+			if view.mode.Down {
+				for watch := range view.watches {
+					watch.close()
 				}
 				continue
 			}
-			a.receive(v, len(a.log)-1)
-			for w := range v.watches {
-				a.tell(v, w)
+			a.receive(view, len(a.changes)-1)
+			for watch := range view.watches {
+				a.deliver(view, watch)
 			}
 		}
 	})
 }
 
-// Told gives what was written to watches so far.
-func (a *Agent) Told() (told []Told) {
-	a.Ask(func() { told = slices.Clone(a.told) })
-	return told
+// Told returns what was sent on watches so far.
+func (a *Agent) Told() (delivered []Told) {
+	a.Ask(func() { delivered = slices.Clone(a.delivered) })
+	return delivered
 }
 
-// Changes gives all changes so far; the first is what all had at the start.
+// Changes returns all changes so far; the first one is the initial host list.
 func (a *Agent) Changes() (all []Change) {
-	a.Ask(func() { all = slices.Clone(a.log[1:]) })
+	a.Ask(func() { all = slices.Clone(a.changes[1:]) })
 	return all
 }
 
-// Asked tells how often each gateway called.
-func (a *Agent) Asked() (asked map[int]int) {
-	a.Ask(func() { asked = maps.Clone(a.asked) })
-	return asked
+// Asked returns the number of calls by gateway.
+func (a *Agent) Asked() (calls map[int]int) {
+	a.Ask(func() { calls = maps.Clone(a.calls) })
+	return calls
 }
 
-// Watching tells how many watches are open.
+// Watching returns the number of open watches.
 func (a *Agent) Watching() (n int) {
 	a.Ask(func() {
-		for _, v := range a.views {
-			n += len(v.watches)
+		for _, view := range a.views {
+			n += len(view.watches)
 		}
 	})
 	return n
 }
 
-// Known is the whole list as a gateway's agent has it, for the configuration's key of that name.
+// Known returns the whole host list as a gateway's agent has it, for the configuration's key of that name.
 func (a *Agent) Known(gateway int) (text json.RawMessage) {
-	a.Ask(func() { text, _ = a.list(a.views[gateway], 0) })
+	a.Ask(func() { text, _ = a.encodeList(a.views[gateway], 0) })
 	return text
 }
 
-func (a *Agent) serve(rw http.ResponseWriter, r *http.Request) {
-	local, _ := netip.ParseAddrPort(r.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
-	i := Number(a.net, local.Addr())
-	if i < 0 || i >= len(a.views) || r.URL.Path != "/v1/servers" {
-		http.Error(rw, "nothing here", http.StatusNotFound)
+// serve answers one call.
+func (a *Agent) serve(response http.ResponseWriter, request *http.Request) {
+	local, _ := netip.ParseAddrPort(request.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
+	gateway := Number(a.network, local.Addr())
+	if gateway < 0 || gateway >= len(a.views) || request.URL.Path != "/v1/servers" {
+		http.Error(response, "nothing here", http.StatusNotFound)
 		return
 	}
-	w := &watcher{out: make(chan []byte, 256), quit: make(chan struct{})}
-	watch := r.URL.Query().Get("watch") == "1"
-	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	w := &watcher{chunks: make(chan []byte, 256), closed: make(chan struct{})}
+	watch := request.URL.Query().Get("watch") == "1"
+	after, _ := strconv.Atoi(request.URL.Query().Get("after"))
 	var mode Mode
 	a.Ask(func() {
-		v := a.views[i]
-		a.asked[i]++
-		mode = v.mode
-		if mode.Silent || mode.Down { // a silent one is told nothing, but stays open
-			w.from = after
+		view := a.views[gateway]
+		a.calls[gateway]++
+		mode = view.mode
+		if mode.Silent || mode.Down { // a silent one is sent nothing, but stays open
+			w.delivered = after
 		} else if watch {
-			w.from = after
-			a.tell(v, w)
+			w.delivered = after
+			a.deliver(view, w)
 		} else {
-			b, _ := a.list(v, 0)
-			if a.told = append(a.told, Told{i, v.upto, task.Now()}); mode.Part > 0 {
-				b = b[:int(float64(len(b))*min(mode.Part, 1))]
+			chunk, _ := a.encodeList(view, 0)
+			if a.delivered = append(a.delivered, Told{gateway, view.version, task.Now()}); mode.Part > 0 {
+				chunk = chunk[:int(float64(len(chunk))*min(mode.Part, 1))]
 			}
-			w.say(b)
-			w.say(nil)
+			w.send(chunk)
+			w.send(nil)
 		}
 		if watch && !mode.Down {
-			v.watches[w] = true
+			view.watches[w] = true
 		}
 	})
-	defer a.Do(func() { delete(a.views[i].watches, w) })
+	defer a.Do(func() { delete(a.views[gateway].watches, w) })
 	if mode.Down {
 		panic(http.ErrAbortHandler)
 	}
-	rw.Header().Set("Content-Type", "application/json")
-	out := http.NewResponseController(rw)
+	response.Header().Set("Content-Type", "application/json")
+	controller := http.NewResponseController(response)
 	if !mode.Silent && watch {
-		rw.WriteHeader(http.StatusOK)
-		out.Flush()
+		response.WriteHeader(http.StatusOK)
+		controller.Flush()
 	}
 	for {
 		select {
-		case b := <-w.out:
-			if b == nil {
-				if mode.Part > 0 || w.part {
+		case chunk := <-w.chunks:
+			if chunk == nil {
+				if mode.Part > 0 || w.truncated {
 					panic(http.ErrAbortHandler)
 				}
 				return
 			}
-			for len(b) > 0 {
-				n := len(b)
+			for len(chunk) > 0 {
+				n := len(chunk)
 				if mode.Chunk > 0 {
 					n = min(n, mode.Chunk)
 				}
-				rw.Write(b[:n])
-				out.Flush()
-				b = b[n:]
+				response.Write(chunk[:n])
+				controller.Flush()
+				chunk = chunk[n:]
 			}
-		case <-w.quit:
+		case <-w.closed:
 			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
+		case <-request.Context().Done():
 			return
 		}
 	}
--- a/lab/standin/counter.go
+++ b/lab/standin/counter.go
@@ -11,121 +11,127 @@
 	"ravensill/lab/task"
 )
 
-// Counter stands in for the shared counter: numbers by name, with INCRBYFLOAT and PEXPIRE NX as Redis has them.
+// Counter stands in for the shared counter: named numbers, with INCRBYFLOAT and PEXPIRE NX as in Redis.
 type Counter struct {
 	*task.Task
-	ln      net.Listener
-	numbers map[string]*number
-	conns   map[net.Conn]bool
-	Silent  bool // takes calls and answers none; set it by an order
-	calls   int
+	listener net.Listener
+	numbers  map[string]*counterEntry
+	conns    map[net.Conn]bool
+	Silent   bool // accepts commands and answers none; to be set within Ask
+	calls    int
 }
 
-type number struct {
-	value   float64
-	expires int64 // 0 never
+// counterEntry is one number.
+type counterEntry struct {
+	value     float64
+	expiresAt int64 // ns of task.Now; 0: never
 }
 
-// NewCounter starts one.
+// NewCounter starts a counter on a loopback port.
 func NewCounter() (*Counter, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	k := &Counter{Task: task.New(), ln: ln, numbers: map[string]*number{}, conns: map[net.Conn]bool{}}
+	counter := &Counter{Task: task.New(), listener: listener, numbers: map[string]*counterEntry{}, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
-			c, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			k.Do(func() { k.conns[c] = true })
-			go k.read(c)
+			counter.Do(func() { counter.conns[conn] = true })
+			go counter.serve(conn)
 		}
 	}()
-	return k, nil
+	return counter, nil
 }
 
-func (k *Counter) Addr() string { return k.ln.Addr().String() }
+// Addr returns the counter's address.
+func (c *Counter) Addr() string { return c.listener.Addr().String() }
 
-// Calls tells how many commands came.
-func (k *Counter) Calls() (n int) {
-	k.Ask(func() { n = k.calls })
+// Calls returns the number of commands received.
+func (c *Counter) Calls() (n int) {
+	c.Ask(func() { n = c.calls })
 	return n
 }
 
-// Reset ends all connections.
-func (k *Counter) Reset() {
-	k.Ask(func() {
-		for c := range k.conns {
-			reset(c)
+// Reset resets all connections.
+func (c *Counter) Reset() {
+	c.Ask(func() {
+		for conn := range c.conns {
+			resetConn(conn)
 		}
 	})
 }
 
-// Close ends it.
-func (k *Counter) Close() {
-	k.ln.Close()
-	k.Reset()
-	k.Task.Stop()
+// Close ends the counter.
+func (c *Counter) Close() {
+	c.listener.Close()
+	c.Reset()
+	c.Task.Stop()
 }
 
-func (k *Counter) read(c net.Conn) {
+// serve answers the commands of one connection.
+func (c *Counter) serve(conn net.Conn) {
 	defer func() {
-		c.Close()
-		k.Do(func() { delete(k.conns, c) })
+		conn.Close()
+		c.Do(func() { delete(c.conns, conn) })
 	}()
-	for r := redcon.NewReader(c); ; {
-		cmd, err := r.ReadCommand()
+	reader := redcon.NewReader(conn)
+	for {
+		command, err := reader.ReadCommand()
 		if err != nil {
 			return
 		}
 		var reply []byte
-		if !k.Ask(func() { reply = k.run(cmd.Args) }) {
+		if !c.Ask(func() { reply = c.execute(command.Args) }) {
 			return
 		}
-		if _, err := c.Write(reply); err != nil {
+		if _, err := conn.Write(reply); err != nil {
 			return
 		}
 	}
 }
 
-func (k *Counter) run(args [][]byte) []byte {
-	k.calls++
-	if k.Silent {
+// execute executes a command and returns its reply.
+func (c *Counter) execute(args [][]byte) []byte {
+	c.calls++
+	if c.Silent {
 		return nil
 	}
 	switch verb := strings.ToUpper(string(args[0])); {
 	case verb == "PING":
 		return redcon.AppendString(nil, "PONG")
 	case verb == "INCRBYFLOAT" && len(args) == 3:
-		by, err := strconv.ParseFloat(string(args[2]), 64)
+		amount, err := strconv.ParseFloat(string(args[2]), 64)
 		if err != nil {
 			return redcon.AppendError(nil, "ERR value is not a valid float")
 		}
-		n := k.number(string(args[1]))
-		if n == nil {
-			n = &number{}
-			k.numbers[string(args[1])] = n
+		entry := c.lookUp(string(args[1]))
+		if entry == nil {
+			entry = &counterEntry{}
+			c.numbers[string(args[1])] = entry
 		}
-		n.value += by
-		return redcon.AppendBulkString(nil, strconv.FormatFloat(n.value, 'f', -1, 64))
+		entry.value += amount
+		return redcon.AppendBulkString(nil, strconv.FormatFloat(entry.value, 'f', -1, 64))
 	case verb == "PEXPIRE" && len(args) == 4 && strings.EqualFold(string(args[3]), "NX"):
-		n, ms := k.number(string(args[1])), 0
-		if ms, _ = strconv.Atoi(string(args[2])); n == nil || n.expires > 0 {
+		entry, ms := c.lookUp(string(args[1])), 0
+		if ms, _ = strconv.Atoi(string(args[2])); entry == nil || entry.expiresAt > 0 {
 			return redcon.AppendInt(nil, 0)
 		}
-		n.expires = task.Now() + int64(ms)*int64(time.Millisecond)
+		entry.expiresAt = task.Now() + int64(ms)*int64(time.Millisecond)
 		return redcon.AppendInt(nil, 1)
 	}
 	return redcon.AppendError(nil, "ERR unknown command")
 }
 
-func (k *Counter) number(name string) *number {
-	n := k.numbers[name]
-	if n != nil && n.expires > 0 && task.Now() >= n.expires {
-		delete(k.numbers, name)
+// lookUp returns a number that has not expired; nil: there is none.
+func (c *Counter) lookUp(name string) *counterEntry {
+	entry := c.numbers[name]
+	if entry != nil && entry.expiresAt > 0 && task.Now() >= entry.expiresAt {
+		delete(c.numbers, name)
 		return nil
 	}
-	return n
+	return entry
 }
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -18,24 +18,27 @@
 	"ravensill/internal/golden"
 )
 
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
-type caller struct {
+// testConn is a connection of a test.
+type testConn struct {
 	net.Conn
-	r *bufio.Reader
+	reader *bufio.Reader
 }
 
-func call(t *testing.T, addr string) *caller {
+// dial opens a connection.
+func dial(t *testing.T, addr string) *testConn {
 	c, err := net.Dial("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	return &caller{c, bufio.NewReader(c)}
+	c.SetDeadline(time.Now().Add(waitLimit))
+	return &testConn{c, bufio.NewReader(c)}
 }
 
-func (c *caller) say(words ...string) {
+// send sends a command.
+func (c *testConn) send(words ...string) {
 	b := redcon.AppendArray(nil, len(words))
 	for _, w := range words {
 		b = redcon.AppendBulkString(b, w)
@@ -43,11 +46,11 @@
 	c.Write(b)
 }
 
-// answer gives one answer's raw bytes, with its ends of lines as bars.
-func (c *caller) answer() string {
+// readAnswer returns one answer's raw bytes, with line ends shown as bars.
+func (c *testConn) readAnswer() string {
 	var b []byte
 	for {
-		x, err := c.r.ReadByte()
+		x, err := c.reader.ReadByte()
 		if err != nil {
 			return string(b) + "end"
 		}
@@ -58,9 +61,9 @@
 	}
 }
 
-const names = "c=lookup,t=team,d=1000,units=1,spread=1,first=0"
+const arguments = "c=lookup,t=team,d=1000,units=1,spread=1,first=0"
 
-// A host in its states: what each command gets, and what is counted.
+// TestHost checks a host's replies and counts in its states.
 func TestHost(t *testing.T) {
 	h, err := NewHost(HostPlan{ID: "h", Listen: "127.0.0.1:0", Conns: 2, Report: []string{"outstanding"}, Model: Model{Errors: 0.5, Most: 2}})
 	if err != nil {
@@ -68,10 +71,10 @@
 	}
 	defer h.Close()
 	var text string
-	c := call(t, h.Addr())
+	c := dial(t, h.Addr())
 	ask := func(words ...string) {
-		c.say(words...)
-		text += fmt.Sprintf("%.30s: %s\n", strings.Join(words, " "), c.answer())
+		c.send(words...)
+		text += fmt.Sprintf("%.30s: %s\n", strings.Join(words, " "), c.readAnswer())
 	}
 	ask("PING")
 	ask("SELECT", "0")
@@ -79,9 +82,9 @@
 	ask("EVAL", "x")
 	ask("CALL.GET", "0000000000000001", "id")
 	for i := range 4 {
-		ask("CALL.GET", "0000000000000001", fmt.Sprint("id", i), names)
+		ask("CALL.GET", "0000000000000001", fmt.Sprint("id", i), arguments)
 	}
-	call(t, h.Addr()).say("PING")
+	dial(t, h.Addr()).send("PING")
 	for h.Held() < 2 {
 		time.Sleep(time.Millisecond)
 	}
@@ -93,24 +96,24 @@
 	}
 	h.Hang(true)
 	for i := range 3 { // the third is beyond Most, and answered behind the others
-		c.say("CALL.GET", "0000000000000001", fmt.Sprint("held", i), names)
+		c.send("CALL.GET", "0000000000000001", fmt.Sprint("held", i), arguments)
 	}
 	for len(h.Log().Commands) < 7 {
 		time.Sleep(time.Millisecond)
 	}
 	h.Hang(false)
 	for range 3 {
-		text += "after it hung: " + c.answer() + "\n"
+		text += "after it hung: " + c.readAnswer() + "\n"
 	}
 	h.Kill()
-	text += "killed: " + c.answer() + "\n"
+	text += "killed: " + c.readAnswer() + "\n"
 	if _, err := net.Dial("tcp4", h.Addr()); err == nil {
 		t.Error("a dead host takes connections")
 	}
 	if _, err := h.Start(); err != nil {
 		t.Fatal(err)
 	}
-	c = call(t, h.Addr())
+	c = dial(t, h.Addr())
 	ask("PING")
 	l := h.Log()
 	text += fmt.Sprintf("refused %d, opened %d, peak %d, busy %d, bad %d\n", l.Refused, l.Opened, l.Peak, l.Busy, l.Bad)
@@ -120,7 +123,7 @@
 	golden.Check(t, text)
 }
 
-// What a req takes is a function of id, load and slowness; a host can tell it of reqs that it never had.
+// TestModel checks that a response time is a function of id, load and slowness, also for requests that a host never received.
 func TestModel(t *testing.T) {
 	m := Usual()
 	m.Cold, m.Warm, m.Classes = 3, 10*time.Second, map[string]float64{"order": 2}
@@ -132,7 +135,7 @@
 		text += fmt.Sprint(x, " ", m.Time(x.id, x.class, x.load, x.factor), "\n")
 	}
 	for _, age := range []time.Duration{0, 5 * time.Second, 20 * time.Second} {
-		text += fmt.Sprint("slower at age ", age, ": ", m.warmth(age), "\n")
+		text += fmt.Sprint("slower at age ", age, ": ", m.warmUpFactor(age), "\n")
 	}
 	mean := 0.0
 	for i := range 20000 {
@@ -147,7 +150,7 @@
 	golden.Check(t, text)
 }
 
-// The agent in its modes, by what a watch and a plain call of two gateways get.
+// TestAgent checks what a watch and a single call of two gateways get in the agent's modes.
 func TestAgent(t *testing.T) {
 	e := func(id, state string) Entry { return Entry{ID: id, Addr: "127.0.0.1:1", State: state} }
 	a, err := NewAgent(110, 2, e("x", "active"))
@@ -155,7 +158,7 @@
 		t.Fatal(err)
 	}
 	defer a.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	get := func(i int, query string) io.Reader {
 		r, _ := http.NewRequestWithContext(ctx, "GET", "http://"+a.Addr(i)+"/v1/servers"+query, nil)
@@ -212,18 +215,18 @@
 	golden.Check(t, text)
 }
 
-// The counter's numbers, and how long they live.
+// TestCounter checks the counter's numbers and their expiry.
 func TestCounter(t *testing.T) {
 	k, err := NewCounter()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer k.Close()
-	c := call(t, k.Addr())
+	c := dial(t, k.Addr())
 	var text string
 	ask := func(words ...string) string {
-		c.say(words...)
-		a := c.answer()
+		c.send(words...)
+		a := c.readAnswer()
 		text += strings.Join(words, " ") + ": " + a + "\n"
 		return a
 	}
@@ -240,8 +243,8 @@
 	golden.Check(t, text)
 }
 
-// A process that is just being started holds a copy of each descriptor until it runs: a host that ends meanwhile, in
-// the same test process, must let go of its port all the same.
+// TestHostStartsBesideForks restarts a host while child processes start. A child holds a copy of each descriptor until it runs; the
+// host's port must be free all the same.
 func TestHostStartsBesideForks(t *testing.T) {
 	h, err := NewHost(HostPlan{ID: "s-0001", Listen: "127.0.0.1:0"})
 	if err != nil {
@@ -272,8 +275,8 @@
 	forks.Wait()
 }
 
-// Told of a restart, clients open no more connections after a while, and none that the rig opened late counts against the
-// gateway; one that is refused before that does.
+// TestLame checks that clients that know of a restart open no more connections after a while, and that none that the rig opened
+// late counts against the gateway, whereas one refused before that does.
 func TestLame(t *testing.T) {
 	down, err := NewHost(HostPlan{ID: "s-0001", Listen: "127.0.0.1:0"})
 	if err != nil {
@@ -294,7 +297,7 @@
 		c.Ask(func() { c.restartingSince[0] -= int64(ago) })
 		var out bool
 		c.Ask(func() { out = c.unavailable(0) })
-		q := c.Send(Req{ID: "a", Customer: "0000000000000001", Gateway: 0}, names, "", false, patience)
+		q := c.Send(Req{ID: "a", Customer: "0000000000000001", Gateway: 0}, arguments, "", false, waitLimit)
 		text += fmt.Sprintf("out %t, %s at %d\n", out, q.Result, q.Gateway)
 	}
 	golden.Check(t, text)
