--- /dev/null
+++ b/configsync/history.go
@@ -0,0 +1,219 @@
+package configsync
+
+import (
+	"bytes"
+	"slices"
+)
+
+// entryOverhead is what an entry of a history counts beside its names and values, in bytes.
+const entryOverhead = 128
+
+// HistoryLimits bounds a History; the oldest deltas go first.
+type HistoryLimits struct {
+	Deltas int // number of deltas
+	Bytes  int // names, new values and previous values
+}
+
+// History keeps the most recent deltas of a log with the values that they replaced. It is not safe for concurrent use.
+type History struct {
+	limits  HistoryLimits
+	oldest  Version // the earliest version that a delta leads on from
+	digest  Digest  // of the document at oldest
+	latest  Version
+	entries []historyEntry
+	size    int
+}
+
+// historyEntry is one delta and, for each of its changes, what the resource's value was; empty where it had none.
+type historyEntry struct {
+	Delta    Delta    `cbor:"1,keyasint"`
+	Previous []Change `cbor:"2,keyasint"`
+}
+
+// NewHistory gives a history without deltas that starts at a document's version.
+func NewHistory(limits HistoryLimits, start *Document) *History {
+	return &History{
+		limits: limits,
+		oldest: start.Version(),
+		digest: start.Digest(),
+		latest: start.Version(),
+	}
+}
+
+// Oldest is the earliest version that Since and ContentAt know.
+func (h *History) Oldest() Version { return h.oldest }
+
+// Latest is the version that the last delta leads to.
+func (h *History) Latest() Version { return h.latest }
+
+// DigestAt gives the digest of the document at a version; ok is false where the history doesn't reach to it.
+func (h *History) DigestAt(version Version) (digest Digest, ok bool) {
+	if version == h.oldest {
+		return h.digest, true
+	}
+	index, found := slices.BinarySearchFunc(h.entries, version, func(entry historyEntry, version Version) int {
+		return compareVersions(entry.Delta.To, version)
+	})
+	if !found {
+		return Digest{}, false
+	}
+	return h.entries[index].Delta.Digest, true
+}
+
+// append adds the delta that has just been applied to the document.
+func (h *History) append(delta *Delta, previous []Change) error {
+	if delta.From != h.latest {
+		return &WrongFromError{Held: h.latest, From: delta.From}
+	}
+	entry := historyEntry{Delta: *delta, Previous: previous}
+	h.entries = append(h.entries, entry)
+	h.size += entry.size()
+	h.latest = delta.To
+	for len(h.entries) > h.limits.Deltas || h.size > h.limits.Bytes {
+		h.dropOldest()
+	}
+	return nil
+}
+
+func (h *History) dropOldest() {
+	first := &h.entries[0]
+	h.size -= first.size()
+	h.oldest = first.Delta.To
+	h.digest = first.Delta.Digest
+	*first = historyEntry{} // so that its values can be freed
+	h.entries = h.entries[1:]
+}
+
+func (e *historyEntry) size() int {
+	return entryOverhead + changesSize(e.Delta.Changes) + changesSize(e.Previous)
+}
+
+// Since merges all deltas after a version into one: a resource has its last value, and one that ends as it began is left
+// out. ok is false where there is no later version or the history doesn't reach back to it.
+func (h *History) Since(version Version) (delta Delta, ok bool) {
+	entries, ok := h.after(version)
+	if !ok || len(entries) == 0 {
+		return Delta{}, false
+	}
+	merger := newMerger()
+	for i := range entries {
+		merger.add(&entries[i])
+	}
+	return merger.delta(version, &entries[len(entries)-1].Delta), true
+}
+
+// SinceWithin merges as many deltas after a version as the bounds of a delta on the wire allow, and at least one. ok is
+// false where Since has none or where the first alone is beyond the bounds.
+func (h *History) SinceWithin(version Version) (delta Delta, ok bool) {
+	whole, ok := h.Since(version)
+	if !ok {
+		return Delta{}, false
+	}
+	if fitsWire(whole.Changes) {
+		return whole, true
+	}
+	entries, _ := h.after(version)
+	merger := newMerger()
+	end := 0
+	for end < len(entries) {
+		merger.add(&entries[end])
+		if merger.size > MaxDeltaBytes || len(merger.first) > MaxDeltaChanges {
+			break
+		}
+		end++
+	}
+	if end == 0 {
+		return Delta{}, false
+	}
+	merger = newMerger()
+	for i := range end {
+		merger.add(&entries[i])
+	}
+	return merger.delta(version, &entries[end-1].Delta), true
+}
+
+func fitsWire(changes []Change) bool {
+	return len(changes) <= MaxDeltaChanges && changesSize(changes) <= MaxDeltaBytes
+}
+
+// ContentAt gives the sorted changes that lead the latest content back to the content of a version, for a rollback by a
+// new version. ok is false where the history doesn't reach back to it.
+func (h *History) ContentAt(version Version) (changes []Change, ok bool) {
+	entries, ok := h.after(version)
+	if !ok {
+		return nil, false
+	}
+	merger := newMerger()
+	for i := range entries {
+		merger.add(&entries[i])
+	}
+	return merger.undo(), true
+}
+
+// after gives the entries from a version on.
+func (h *History) after(version Version) (entries []historyEntry, ok bool) {
+	if version == h.latest {
+		return nil, true
+	}
+	index, found := slices.BinarySearchFunc(h.entries, version, func(entry historyEntry, version Version) int {
+		return compareVersions(entry.Delta.From, version)
+	})
+	if !found {
+		return nil, false
+	}
+	return h.entries[index:], true
+}
+
+func compareVersions(a, b Version) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// merger collects what each resource was before the first delta added and is after the last one; empty: absent.
+type merger struct {
+	first map[Resource][]byte
+	last  map[Resource][]byte
+	size  int // bytes of names and values of last
+}
+
+func newMerger() *merger {
+	return &merger{first: map[Resource][]byte{}, last: map[Resource][]byte{}}
+}
+
+func (m *merger) add(entry *historyEntry) {
+	for i, change := range entry.Delta.Changes {
+		if old, found := m.last[change.Resource]; found {
+			m.size -= len(change.Resource) + len(old)
+		} else {
+			m.first[change.Resource] = entry.Previous[i].Value
+		}
+		m.last[change.Resource] = change.Value
+		m.size += change.size()
+	}
+}
+
+// delta gives the merged delta from a version to where the last one leads.
+func (m *merger) delta(from Version, last *Delta) Delta {
+	changes := netChanges(m.first, m.last)
+	return Delta{Log: last.Log, From: from, To: last.To, Changes: changes, Digest: last.Digest}
+}
+
+// undo gives the changes from the end to the beginning.
+func (m *merger) undo() []Change { return netChanges(m.last, m.first) }
+
+// netChanges gives the sorted changes between two states of the same resources.
+func netChanges(before, after map[Resource][]byte) []Change {
+	changes := []Change{}
+	for resource, value := range after {
+		if !bytes.Equal(before[resource], value) {
+			changes = append(changes, Change{resource, value})
+		}
+	}
+	sortChanges(changes)
+	return changes
+}
--- /dev/null
+++ b/configsync/messages.go
@@ -0,0 +1,224 @@
+package configsync
+
+import (
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Protocol is the version of the messages. A publisher ends connections that speak another one.
+const Protocol = 1
+
+// Message is one of *Hello, *Delta, *SnapshotPart, *Heartbeat, *Deferral, *Behind, *OtherLog, *Acknowledge, *Refusal.
+type Message interface {
+	kind() kind
+	check() error // of a message that came in
+}
+
+// Hello is the first message of a follower on a connection: who it is and what it holds.
+type Hello struct {
+	Protocol    uint32  `cbor:"1,keyasint"`
+	Member      int     `cbor:"2,keyasint"` // member index
+	Name        string  `cbor:"3,keyasint"`
+	Incarnation uint64  `cbor:"4,keyasint"`           // grows with each start of the gateway
+	Log         LogID   `cbor:"5,keyasint,omitempty"` // empty: none yet
+	Held        Version `cbor:"6,keyasint"`
+	Digest      Digest  `cbor:"7,keyasint"`
+	Refused     Version `cbor:"8,keyasint,omitempty"` // the last version that was refused; 0: none
+	Whole       bool    `cbor:"9,keyasint,omitempty"` // a snapshot is wanted whatever is held, since a delta didn't fit
+}
+
+// SnapshotPart is one part of a document, from 0 on. Its changes are sorted, across the parts too, and remove nothing.
+type SnapshotPart struct {
+	Log     LogID    `cbor:"1,keyasint"`
+	Version Version  `cbor:"2,keyasint"`
+	Digest  Digest   `cbor:"3,keyasint"` // of the whole document
+	Part    int      `cbor:"4,keyasint"`
+	Parts   int      `cbor:"5,keyasint"`
+	Changes []Change `cbor:"6,keyasint"`
+}
+
+// Heartbeat tells that the publisher lives and what it has.
+type Heartbeat struct {
+	Log     LogID   `cbor:"1,keyasint,omitempty"` // empty: no log has been made yet
+	Latest  Version `cbor:"2,keyasint"`
+	Current bool    `cbor:"3,keyasint,omitempty"` // the publisher is in contact with a quorum of publishers
+}
+
+// Deferral puts a follower off that needs a snapshot; the connection ends.
+type Deferral struct {
+	After time.Duration `cbor:"1,keyasint"` // nanoseconds
+}
+
+// Behind tells a follower that it holds a later version than the publisher has; the connection ends.
+type Behind struct {
+	Latest Version `cbor:"1,keyasint"`
+}
+
+// OtherLog tells a follower that the publisher has another log; the connection ends.
+type OtherLog struct {
+	Log LogID `cbor:"1,keyasint,omitempty"`
+}
+
+// Acknowledge tells that a version is in force at the follower.
+type Acknowledge struct {
+	Version Version `cbor:"1,keyasint"`
+	Digest  Digest  `cbor:"2,keyasint"`
+}
+
+// Refusal tells that a follower can't take a version and stays with the one that it holds.
+type Refusal struct {
+	Version  Version  `cbor:"1,keyasint"`
+	Resource Resource `cbor:"2,keyasint,omitempty"` // the one at fault, where it is known
+	Reason   string   `cbor:"3,keyasint,omitempty"`
+}
+
+// NewRefusal gives a refusal with its reason cut to what a message may have.
+func NewRefusal(version Version, resource Resource, reason string) *Refusal {
+	if checkResource(resource) != nil {
+		resource = ""
+	}
+	return &Refusal{Version: version, Resource: resource, Reason: cutText(reason, MaxReasonBytes)}
+}
+
+// cutText gives valid UTF-8 of a number of bytes at most.
+func cutText(text string, limit int) string {
+	text = strings.ToValidUTF8(text, "?")
+	if len(text) <= limit {
+		return text
+	}
+	end := limit
+	for !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return text[:end]
+}
+
+// kind is the first byte of a message.
+type kind byte
+
+const (
+	kindHello kind = iota + 1
+	kindDelta
+	kindSnapshotPart
+	kindHeartbeat
+	kindDeferral
+	kindBehind
+	kindOtherLog
+	kindAcknowledge
+	kindRefusal
+)
+
+func (*Hello) kind() kind        { return kindHello }
+func (*Delta) kind() kind        { return kindDelta }
+func (*SnapshotPart) kind() kind { return kindSnapshotPart }
+func (*Heartbeat) kind() kind    { return kindHeartbeat }
+func (*Deferral) kind() kind     { return kindDeferral }
+func (*Behind) kind() kind       { return kindBehind }
+func (*OtherLog) kind() kind     { return kindOtherLog }
+func (*Acknowledge) kind() kind  { return kindAcknowledge }
+func (*Refusal) kind() kind      { return kindRefusal }
+
+// newMessage gives an empty message of a kind, or nil.
+func newMessage(k kind) Message {
+	switch k {
+	case kindHello:
+		return &Hello{}
+	case kindDelta:
+		return &Delta{}
+	case kindSnapshotPart:
+		return &SnapshotPart{}
+	case kindHeartbeat:
+		return &Heartbeat{}
+	case kindDeferral:
+		return &Deferral{}
+	case kindBehind:
+		return &Behind{}
+	case kindOtherLog:
+		return &OtherLog{}
+	case kindAcknowledge:
+		return &Acknowledge{}
+	case kindRefusal:
+		return &Refusal{}
+	}
+	return nil
+}
+
+func (m *Hello) check() error {
+	if m.Member < 0 || m.Member >= MaxMembers {
+		return &MalformedError{Reason: "not a member index"}
+	}
+	if len(m.Name) > MaxNameBytes {
+		return &MalformedError{Reason: "name too long"}
+	}
+	if m.Log == "" && (m.Held != 0 || m.Refused != 0) {
+		return &MalformedError{Reason: "a version of no log"}
+	}
+	return checkOptionalLog(m.Log)
+}
+
+func (m *Delta) check() error {
+	if err := checkLog(m.Log); err != nil {
+		return err
+	}
+	if m.To <= m.From {
+		return &NotIncreasingError{From: m.From, To: m.To}
+	}
+	if !fitsWire(m.Changes) {
+		return &MalformedError{Reason: "delta too long"}
+	}
+	return checkChanges(m.Changes)
+}
+
+func (m *SnapshotPart) check() error {
+	if err := checkLog(m.Log); err != nil {
+		return err
+	}
+	if m.Version == 0 {
+		return &MalformedError{Reason: "a snapshot of no version"}
+	}
+	if m.Parts < 1 || m.Parts > MaxSnapshotParts || m.Part < 0 || m.Part >= m.Parts {
+		return &MalformedError{Reason: "not a part of a snapshot"}
+	}
+	if len(m.Changes) > MaxPartChanges || changesSize(m.Changes) > MaxPartBytes {
+		return &MalformedError{Reason: "part of a snapshot too long"}
+	}
+	for i := range m.Changes {
+		if m.Changes[i].Removed() {
+			return &MalformedError{m.Changes[i].Resource, "removed in a snapshot"}
+		}
+	}
+	return checkChanges(m.Changes)
+}
+
+func (m *Heartbeat) check() error { return checkOptionalLog(m.Log) }
+
+func (m *Deferral) check() error {
+	if m.After < 0 {
+		return &MalformedError{Reason: "a deferral into the past"}
+	}
+	return nil
+}
+
+func (m *Behind) check() error { return nil }
+
+func (m *OtherLog) check() error { return checkOptionalLog(m.Log) }
+
+func (m *Acknowledge) check() error { return nil }
+
+func (m *Refusal) check() error {
+	if len(m.Reason) > MaxReasonBytes {
+		return &MalformedError{Reason: "reason too long"}
+	}
+	if m.Resource == "" {
+		return nil
+	}
+	return checkResource(m.Resource)
+}
+
+func checkOptionalLog(log LogID) error {
+	if log == "" {
+		return nil
+	}
+	return checkLog(log)
+}
--- /dev/null
+++ b/configsync/resource.go
@@ -0,0 +1,77 @@
+package configsync
+
+import (
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// checkResource tells what is wrong with a resource's name, or nil.
+func checkResource(resource Resource) error {
+	name := string(resource)
+	if len(name) > MaxResourceBytes {
+		return &MalformedError{resource, "name too long"}
+	}
+	if !utf8.ValidString(name) || strings.ContainsFunc(name, unicode.IsControl) {
+		return &MalformedError{resource, "name not printable UTF-8"}
+	}
+	if name == LimitsName {
+		return nil
+	}
+	for _, prefix := range []string{PlanPrefix, ClassPrefix} {
+		rest, found := strings.CutPrefix(name, prefix)
+		if found && rest != "" {
+			return nil
+		}
+	}
+	index, found := strings.CutPrefix(name, MemberPrefix)
+	if !found {
+		return &MalformedError{resource, "unknown kind of resource"}
+	}
+	return checkMember(resource, index)
+}
+
+// checkMember accepts the shortest decimal form of a member index alone, so that each member has one name.
+func checkMember(resource Resource, index string) error {
+	number, err := strconv.ParseUint(index, 10, 32)
+	if err != nil || number >= MaxMembers || strconv.FormatUint(number, 10) != index {
+		return &MalformedError{resource, "not a member index"}
+	}
+	return nil
+}
+
+// checkChanges tells what is wrong with the names, the values or the order of changes, or nil.
+func checkChanges(changes []Change) error {
+	for i := range changes {
+		change := &changes[i]
+		if err := checkResource(change.Resource); err != nil {
+			return err
+		}
+		if len(change.Value) > MaxValueBytes {
+			return &MalformedError{change.Resource, "value too long"}
+		}
+		if i > 0 && changes[i-1].Resource >= change.Resource {
+			return &MalformedError{change.Resource, "not in order, or named twice"}
+		}
+	}
+	return nil
+}
+
+func checkLog(log LogID) error {
+	if log == "" || len(log) > MaxLogBytes || !utf8.ValidString(string(log)) {
+		return &MalformedError{Reason: "not a log's identity"}
+	}
+	return nil
+}
+
+// size is the number of bytes of a change's name and value.
+func (c *Change) size() int { return len(c.Resource) + len(c.Value) }
+
+func changesSize(changes []Change) int {
+	size := 0
+	for i := range changes {
+		size += changes[i].size()
+	}
+	return size
+}
--- /dev/null
+++ b/configsync/snapshot.go
@@ -0,0 +1,92 @@
+package configsync
+
+// encodedChangeBytes is the most that CBOR adds to one change's name and value.
+const encodedChangeBytes = 16
+
+// SplitSnapshot gives the parts of a document, each with at most MaxPartBytes of encoded changes. It costs as much as the
+// document has resources.
+func SplitSnapshot(document *Document) []*SnapshotPart {
+	var groups [][]Change
+	var group []Change
+	size := 0
+	for _, change := range document.Changes() {
+		added := change.size() + encodedChangeBytes
+		if size+added > MaxPartBytes || len(group) == MaxPartChanges {
+			groups = append(groups, group)
+			group = nil
+			size = 0
+		}
+		group = append(group, change)
+		size += added
+	}
+	groups = append(groups, group)
+
+	parts := make([]*SnapshotPart, len(groups))
+	for i, changes := range groups {
+		parts[i] = &SnapshotPart{
+			Log:     document.Log(),
+			Version: document.Version(),
+			Digest:  document.Digest(),
+			Part:    i,
+			Parts:   len(groups),
+			Changes: changes,
+		}
+	}
+	return parts
+}
+
+// Assembler puts the parts of one snapshot together. The zero value is ready for the first part.
+type Assembler struct {
+	first   *SnapshotPart
+	next    int // the part that is due
+	size    int // bytes of names and values so far
+	changes []Change
+}
+
+// Add takes the part that is due. It gives the document once the last part is in, and nil before. The error is a
+// *MalformedError or a *DigestError; the snapshot is given up then, and the Assembler can't go on.
+func (a *Assembler) Add(part *SnapshotPart) (*Document, error) {
+	if a.first == nil {
+		a.first = part
+	}
+	if err := a.check(part); err != nil {
+		return nil, err
+	}
+	a.next++
+	a.size += changesSize(part.Changes)
+	a.changes = append(a.changes, part.Changes...)
+	if a.size > MaxDocumentBytes || len(a.changes) > MaxDocumentResources {
+		return nil, &MalformedError{Reason: "the document would be too large"}
+	}
+	if a.next < part.Parts {
+		return nil, nil
+	}
+	return buildDocument(part.Log, part.Version, part.Digest, a.changes)
+}
+
+func (a *Assembler) check(part *SnapshotPart) error {
+	if err := part.check(); err != nil {
+		return err
+	}
+	first := a.first
+	if part.Log != first.Log || part.Version != first.Version || part.Digest != first.Digest || part.Parts != first.Parts {
+		return &MalformedError{Reason: "a part of another snapshot"}
+	}
+	if part.Part != a.next {
+		return &MalformedError{Reason: "a part of a snapshot out of order"}
+	}
+	return nil
+}
+
+// buildDocument makes a document of its whole sorted content.
+func buildDocument(log LogID, version Version, digest Digest, changes []Change) (*Document, error) {
+	document := NewDocument(log)
+	if version == 0 && len(changes) == 0 && digest == (Digest{}) {
+		return document, nil
+	}
+	delta := &Delta{Log: log, From: 0, To: version, Changes: changes, Digest: digest}
+	if err := document.Apply(delta); err != nil {
+		return nil, err
+	}
+	return document, nil
+}
