Config: the configuration in force changes resource by resource, with stable indices

Cause: a change of quota plans, request classes, limits or members needed a restart, since indices were places in the file's lists.

Change: section configuration (publishers, dir; off unless given). config.Live holds what is in force: Apply takes changes or a whole document, all or nothing, and tells the adapters what changed; an index stands for its name for the life of the process. Refusals are *ResourceError with resource and key. Plan.ID is set where the section is on. Pool.Urgent goes by name: indices of request classes now outlive the file's order (its trace: a map in place of a list).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	*Settings
 	Counterfactual *Counterfactual // nil: off
 	Pool           *Pool           // nil: off
+	Configuration  *Configuration  // nil: off
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
@@ -111,7 +112,16 @@
 	if s.err == nil {
 		c.counter()
 	}
-	if s.err == nil && c.Seat.Messages && c.Seat.Count > 1 {
+	if s.err == nil {
+		c.Configuration, err = c.configuration(s.obj.Get("configuration").Raw)
+		fail("configuration", err)
+	}
+	if s.err == nil && c.Configuration != nil {
+		fail("configuration", c.identify())
+	}
+	// A fleet of one may grow by a document.
+	mayGrow := c.Configuration != nil && s.obj.Get("peer_listen").Exists()
+	if s.err == nil && c.Seat.Messages && (c.Seat.Count > 1 || mayGrow) {
 		c.PeerListen = addr("peer_listen", word("peer_listen", "", ""))
 		for i, p := range s.at("peers", gjson.JSON).Array() {
 			c.Peers = append(c.Peers, addr(fmt.Sprintf("peers.%d", i), p.Str))
@@ -119,10 +129,16 @@
 		if len(c.Peers) != c.Seat.Count {
 			fail("peers", fmt.Errorf("%d addresses for %d gateways", len(c.Peers), c.Seat.Count))
 		}
+		if c.Configuration != nil {
+			fail("configuration", distinct(c.Peers))
+		}
 	}
 	if s.err == nil {
 		c.Counterfactual, err = c.counterfactual(s.obj.Get("counterfactual").Raw)
 		fail("counterfactual", err)
+		if c.Configuration != nil && c.Counterfactual != nil {
+			fail("configuration", errCombined)
+		}
 	}
 	if s.err == nil {
 		c.Pool, err = c.pool(s.obj.Get("pool").Raw)
--- /dev/null
+++ b/internal/config/configuration_test.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"ravensill/configsync"
+	"ravensill/internal/golden"
+)
+
+// TestConfiguration: the section, its faults by key, and the identities of quota plans, which are there with it alone.
+func TestConfiguration(t *testing.T) {
+	cfg, err := load(t, fleetFile, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if id := cfg.Plans[0].ID; id != configsync.PlanID("gold") {
+		t.Errorf("identity %x", id)
+	}
+	var all strings.Builder
+	fmt.Fprintf(&all, "%+v\n", *cfg.Configuration)
+	first, second := colliding()
+	for _, x := range [][2]string{{`"publishers"`, `"publisher"`}, {`["10.5.0.1:7500"]`, `[]`}, {`["10.5.0.1:7500"]`, `"10.5.0.1:7500"`},
+		{`"10.5.0.1:7500"`, `"10.5.0.1:7500","10.5.0.1"`}, {`"10.5.0.1:7500"`, `"10.5.0.1:7500","10.5.0.1:7500"`},
+		{`"10.5.0.1:7500"`, strings.Repeat(`"10.5.0.1:7500",`, 7) + `"10.5.0.1:7500"`}, {`"/var/lib/ravensill"`, `""`}, {`"dir"`, `"folder"`},
+		{`{"publishers":["10.5.0.1:7500"],"dir":"/var/lib/ravensill"}`, `7`}, {`"10.3.0.2:7946"`, `"10.3.0.1:7946"`},
+		{`{"name":"gold"`, fmt.Sprintf(`{"name":"%s"},{"name":"%s"`, first, second)}, {`{"name":"lookup"`, `{"name":"lookup","hard_limit_us":1},{"name":"lookup"`},
+		{`"settings"`, `"counterfactual":{"listen":"10.0.0.4:7947","peers":["10.3.0.1:7947","10.3.0.2:7947"],"collectors":[0]},"settings"`}} {
+		all.WriteString(strings.NewReplacer(first, "FIRST", second, "SECOND").Replace(fault(t, fleetFile, x[0], x[1])))
+	}
+	golden.Check(t, all.String())
+	if cfg, err = load(t, good, nil); err != nil || cfg.Configuration != nil || cfg.Plans[0].ID != 0 {
+		t.Errorf("without the section: %+v, %v", cfg, err)
+	}
+}
--- /dev/null
+++ b/internal/config/live_decode.go
@@ -0,0 +1,240 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"ravensill/configsync"
+)
+
+// mostNumber bounds the numbers of a resource, in the unit of their key: so far no conversion overflows.
+const mostNumber = 1e12
+
+var (
+	errUnknownKey = errors.New("unknown key")
+	errFixedKey   = errors.New("fixed at the start: it can't change in a running gateway")
+	errNull       = errors.New("unexpected value null")
+	errRange      = fmt.Errorf("larger than %g", mostNumber)
+	errBadName    = errors.New("a name is printable ASCII without spaces and commas, as commands give it")
+	errTimeout    = errors.New("a time above 0 wanted")
+	errTooLong    = errors.New("longer than that of any request class of the file, by which the section pool lends connections")
+)
+
+// Keys of the objects that a document holds: those of the file that DecodePlan, DecodeRequestClass and Decode read.
+var (
+	planKeys = keySet("name", "rate", "burst", "parallel", "ceiling_rate", "cap_depth", "ceiling_slack", "worth_factor",
+		"extra_worth", "beyond_costs")
+	classKeys = keySet("name", "effect", "group", "window_us", "target_us", "hard_limit_us", "points", "late_worth",
+		"stream", "aim_stretch")
+	limitKeys      = keySet("max_attempts", "parallel_tries", "cancelling", "retry_after", "max_retry_after_us")
+	fixedLimitKeys = keySet("peer_messages", "probes", "conn_idle_us", "connect_timeout_us", "streams_per_conn", "max_open",
+		"cpu_us_per_request", "cpu_us_per_s")
+)
+
+func keySet(keys ...string) map[string]bool {
+	set := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		set[key] = true
+	}
+	return set
+}
+
+// stageChange decodes one change into an edit.
+func (l *Live) stageChange(edit *liveEdit, change *configsync.Change) error {
+	resource := string(change.Resource)
+	if name, ok := strings.CutPrefix(resource, configsync.PlanPrefix); ok {
+		return l.stagePlan(edit, change, name)
+	}
+	if name, ok := strings.CutPrefix(resource, configsync.ClassPrefix); ok {
+		return l.stageClass(edit, change, name)
+	}
+	if index, ok := strings.CutPrefix(resource, configsync.MemberPrefix); ok {
+		return l.stageMember(edit, change, index)
+	}
+	if resource == configsync.LimitsName {
+		return l.stageLimits(edit, change)
+	}
+	return &ResourceError{Resource: change.Resource, Err: errUnknown}
+}
+
+func (l *Live) stagePlan(edit *liveEdit, change *configsync.Change, name string) error {
+	if change.Removed() {
+		l.plans.remove(&edit.plans, name)
+		return nil
+	}
+	object, err := newResource(change, name, planKeys)
+	if err != nil {
+		return err
+	}
+	plan, _, adjusted := object.plan()
+	if object.err != nil {
+		return keyError(change.Resource, object.err)
+	}
+	if plan.ID, err = l.identity(edit, name); err != nil {
+		return &ResourceError{Resource: change.Resource, Err: err}
+	}
+	l.plans.set(&edit.plans, name, plan)
+	edit.adjust(change.Resource, adjusted)
+	return nil
+}
+
+// identity gives the identity of a quota plan. One that another name has or had is refused: other gateways may still
+// tell what was admitted to that plan.
+func (l *Live) identity(edit *liveEdit, name string) (uint32, error) {
+	id := configsync.PlanID(name)
+	holder, taken := l.identities[id]
+	if !taken {
+		holder, taken = edit.identities[id]
+	}
+	if taken && holder != name {
+		return 0, &IdentityError{ID: id, Holder: holder}
+	}
+	if !taken {
+		if edit.identities == nil {
+			edit.identities = map[uint32]string{}
+		}
+		edit.identities[id] = name
+	}
+	return id, nil
+}
+
+// IdentityError tells that the identity of a quota plan's name, a hash, is that of another name.
+type IdentityError struct {
+	ID     uint32
+	Holder string // the other name; it may have been removed since
+}
+
+func (e *IdentityError) Error() string {
+	return fmt.Sprintf("the name's identity %08x is that of plan %q; another name is wanted", e.ID, e.Holder)
+}
+
+func (l *Live) stageClass(edit *liveEdit, change *configsync.Change, name string) error {
+	if change.Removed() {
+		l.classes.remove(&edit.classes, name)
+		return nil
+	}
+	object, err := newResource(change, name, classKeys)
+	if err != nil {
+		return err
+	}
+	class, _ := object.requestClass()
+	limits := l.file.limits
+	limits.Two = false // by all classes together: commitLimits
+	adjusted := object.shapeClass(&class, &limits)
+	if object.err != nil {
+		return keyError(change.Resource, object.err)
+	}
+	if class.Timeout <= 0 {
+		return &ResourceError{Resource: change.Resource, Key: "hard_limit_us", Err: errTimeout}
+	}
+	if longest := l.file.longestTimeout; longest > 0 && class.Timeout > longest {
+		return &ResourceError{Resource: change.Resource, Key: "hard_limit_us", Err: errTooLong}
+	}
+	l.classes.set(&edit.classes, name, class)
+	edit.adjust(change.Resource, adjusted)
+	return nil
+}
+
+func (l *Live) stageLimits(edit *liveEdit, change *configsync.Change) error {
+	if change.Removed() {
+		edit.limits = l.file.limits
+		return nil
+	}
+	object, err := newObject(change, limitKeys, fixedLimitKeys)
+	if err != nil {
+		return err
+	}
+	limits := l.file.limits
+	limits.Dispatches = object.whole("max_attempts")
+	limits.Two = object.yes("parallel_tries")
+	limits.Cancel = object.yes("cancelling")
+	limits.RetryAfter = object.yes("retry_after")
+	limits.LongestAdvice = object.time("max_retry_after_us")
+	if object.err != nil {
+		return keyError(change.Resource, object.err)
+	}
+	edit.limits = limits
+	return nil
+}
+
+// newResource reads the object of a named resource. Its key name may be left out.
+func newResource(change *configsync.Change, name string, known map[string]bool) (*settings, error) {
+	if !commandWord(name) {
+		return nil, &ResourceError{Resource: change.Resource, Err: errBadName}
+	}
+	object, err := newObject(change, known, nil)
+	if err != nil {
+		return nil, err
+	}
+	if told := object.get("name"); told.Exists() && (told.Type != gjson.String || told.Str != name) {
+		err := fmt.Errorf("%.40s is not the resource's name", told.Raw)
+		return nil, &ResourceError{Resource: change.Resource, Key: "name", Err: err}
+	}
+	return object, nil
+}
+
+// commandWord tells whether a client's command can give a name.
+func commandWord(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' || name[i] == ',' {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// newObject reads a resource's object. Unlike the file, which may come from a newer build's tools, it holds known keys
+// only, each once.
+func newObject(change *configsync.Change, known, fixed map[string]bool) (*settings, error) {
+	object, err := newSettings("", string(change.Value))
+	if err != nil {
+		return nil, &ResourceError{Resource: change.Resource, Err: err}
+	}
+	seen := make(map[string]bool, len(known))
+	object.obj.ForEach(func(key, value gjson.Result) bool {
+		if err = checkKey(key.Str, value, known, fixed, seen); err != nil {
+			err = &ResourceError{Resource: change.Resource, Key: key.Str, Err: err}
+		}
+		seen[key.Str] = true
+		return err == nil
+	})
+	return object, err
+}
+
+// checkKey looks for what the file's reader passes over.
+func checkKey(key string, value gjson.Result, known, fixed, seen map[string]bool) error {
+	switch {
+	case fixed[key]:
+		return errFixedKey
+	case !known[key]:
+		return errUnknownKey
+	case seen[key]:
+		return errGivenTwice
+	case value.Type == gjson.Null:
+		return errNull
+	case value.Type == gjson.Number && !(math.Abs(value.Num) <= mostNumber):
+		return errRange
+	}
+	return nil
+}
+
+// keyError makes a fault of the reader, whose text begins with the key, one of a resource.
+func keyError(resource configsync.Resource, fault error) error {
+	key, text, found := strings.Cut(fault.Error(), ": ")
+	if !found {
+		return &ResourceError{Resource: resource, Err: fault}
+	}
+	return &ResourceError{Resource: resource, Key: key, Err: errors.New(text)}
+}
+
+// adjust notes what was not taken by its letter.
+func (e *liveEdit) adjust(resource configsync.Resource, adjusted []Adjustment) {
+	for _, a := range adjusted {
+		a.Key = fmt.Sprintf("%s: %s", resource, a.Key)
+		e.adjusted = append(e.adjusted, a)
+	}
+}
--- a/internal/config/pool.go
+++ b/internal/config/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ravensill/pool"
@@ -25,7 +26,7 @@
 	Key      []byte           // all messages are signed with it
 	Election time.Duration    // without a word of the leader before another is elected
 	Turn     time.Duration    // the longest that a req waits for a connection
-	Urgent   []bool           // by frontend: first within the floor
+	Urgent   map[string]bool  // names of request classes that go first within the floor
 }
 
 // Voter gives the place of a seat among the voters, -1 where it is none.
@@ -93,7 +94,7 @@
 		Terms: pool.Terms{Seats: c.Seat.Count, Floor: text.Floor, Reserve: text.Reserve, Lease: int64(text.Lease) * ms,
 			Drain: longest + int64(text.Lease)*ms, Drift: text.Drift, Hold: int64(text.Hold) * ms, Tell: int64(text.Tell) * ms,
 			Rest: int64(text.Rest) * ms},
-		Urgent: make([]bool, len(c.Fronts))}
+		Urgent: make(map[string]bool, len(text.Urgent))}
 	var err error
 	switch {
 	case text.Serial < 1:
@@ -148,15 +149,10 @@
 		}
 	}
 	for i, name := range text.Urgent {
-		found := false
-		for k, n := range c.FrontNames {
-			if n == name {
-				p.Urgent[k], found = true, true
-			}
-		}
-		if !found {
+		if !slices.Contains(c.FrontNames, name) {
 			return nil, fmt.Errorf("urgent.%d: no frontend %q", i, name)
 		}
+		p.Urgent[name] = true
 	}
 	return p, nil
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -80,7 +80,7 @@
 // next tells the gate whose dispatch comes next.
 func (p *pooling) next(r *req) {
 	if p != nil {
-		p.gate.Urgent(p.node.cfg.Pool.Urgent[r.front])
+		p.gate.Urgent(p.node.cfg.Pool.Urgent[p.node.cfg.FrontNames[r.front]])
 	}
 }
 
