Node, clients, peers: a version of the configuration in force between two batches of events

Cause: names, bounds and addresses were read once and held for the life of the process.

A request keeps the effect and window of its class at arrival. peers.Post replaces addresses under a lock; messages of another form are dropped and counted as strange datagrams are. Decider gets Reconfigure.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -10,47 +10,10 @@
 	"strconv"
 	"sync/atomic"
 
-	"ravensill/gateway"
 	"ravensill/internal/resp"
 	"ravensill/internal/ring"
 )
 
-// Words are what commands name, by index, and the bounds of their figures.
-type Words struct {
-	Fronts, Plans Names
-	Effects       []gateway.Effect // by frontend
-	Most          []float64        // units of a req, by plan; 0: any
-	Seats, Seat   int              // gateways, and this one's place among them
-}
-
-// Names finds a name's index among many, at the same cost however many there are.
-type Names struct {
-	list  []string
-	index map[string]int
-}
-
-// NewNames takes names by index; of two that are alike the first counts.
-func NewNames(list ...string) Names {
-	n := Names{list: list, index: make(map[string]int, len(list))}
-	for i, name := range list {
-		if _, known := n.index[name]; !known {
-			n.index[name] = i
-		}
-	}
-	return n
-}
-
-// Index gives a name's index, -1 for one that is not known. It allocates nothing.
-func (n Names) Index(name []byte) int {
-	if i, known := n.index[string(name)]; known {
-		return i
-	}
-	return -1
-}
-
-// At gives the name at an index.
-func (n Names) At(i int) string { return n.list[i] }
-
 const firstNone = "0000000200000000" // no customer's number is so large
 
 var names = []string{"c", "t", "d", "k", "r", "units", "spread", "first"}
@@ -59,16 +22,15 @@
 type Door interface {
 	// Arrive hands in a req. wait is how long its client waits. before and after are its list of names and
 	// values round the number of d; body is nil where there is none.
-	Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int, again bool,
-		verb, before, after, body []byte)
+	Arrive(id, customer []byte, terms Terms, wait int64, again bool, verb, before, after, body []byte)
 	Ping()
 	Refuse(why error) // a command that can't be understood
 }
 
 // Commands is the state machine of the bytes that a client sends.
 type Commands struct {
-	words  *Words
-	parser resp.Parser
+	catalog *Catalog
+	parser  resp.Parser
 }
 
 // Next hands the next whole command to the door and tells whether there was one. After an error the stream
@@ -91,14 +53,14 @@
 	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
 		return errors.New("null in a command")
 	}
-	var get bool
+	terms := Terms{Class: -1, Plan: -1, Units: -1, Spread: -1, First: -1}
 	switch string(parts[0]) {
 	case "PING":
 		door.Ping()
 		return nil
-	case "CALL.GET":
-		get = true
-	case "CALL.POST":
+	case verbGet:
+		terms.ReadOnly = true
+	case verbPost:
 	default:
 		return fmt.Errorf("unknown command %.40q", parts[0])
 	}
@@ -106,7 +68,7 @@
 		return fmt.Errorf("%s: %d words, not 4 or 5", parts[0], len(parts))
 	}
 	customer, id, list := parts[1], parts[2], parts[3]
-	if get && len(parts) == 5 {
+	if terms.ReadOnly && len(parts) == 5 {
 		return errors.New("CALL.GET takes no body")
 	}
 	if len(customer) != 16 || string(customer) >= firstNone || bytes.ContainsFunc(customer, func(r rune) bool {
@@ -120,8 +82,8 @@
 	if !plain(list) {
 		return errors.New("names and values: a space or a control among them")
 	}
-	front, plan, spread, first, again, key := -1, -1, -1, -1, false, false
-	wait, units, cut, end, seen := int64(-1), -1.0, 0, 0, 0
+	members := c.catalog.size()
+	wait, again, cut, end, seen := int64(-1), false, 0, 0, 0
 	for at := 0; at < len(list); {
 		n := bytes.IndexByte(list[at:], ',')
 		if n < 0 {
@@ -136,23 +98,23 @@
 		}
 		switch string(name) {
 		case "c":
-			front = c.words.Fronts.Index(value)
+			terms.Class = c.catalog.class(value)
 		case "t":
-			plan = c.words.Plans.Index(value)
+			terms.Plan = c.catalog.plan(value)
 		case "d":
 			if ms, err := strconv.ParseUint(string(value), 10, 31); err == nil && ms > 0 {
 				wait, cut, end = int64(ms)*1e6, at+2, at+n
 			}
 		case "units":
 			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x > 0 && x <= 1e9 {
-				units = x
+				terms.Units = x
 			}
 		case "spread":
-			spread = whole(value, 1, c.words.Seats)
+			terms.Spread = whole(value, 1, members)
 		case "first":
-			first = whole(value, 0, c.words.Seats-1)
+			terms.First = whole(value, 0, members-1)
 		case "k":
-			key = len(value) > 0
+			terms.Key = len(value) > 0
 		case "r":
 			again = string(value) == "1"
 		}
@@ -161,27 +123,20 @@
 	for _, f := range []struct {
 		name string
 		ok   bool
-	}{{"c", front >= 0}, {"t", plan >= 0}, {"d", wait >= 0}, {"units", units >= 0}, {"spread", spread >= 0},
-		{"first", first >= 0}} {
+	}{{"c", terms.Class >= 0}, {"t", terms.Plan >= 0}, {"d", wait >= 0}, {"units", terms.Units >= 0},
+		{"spread", terms.Spread >= 0}, {"first", terms.First >= 0}} {
 		if !f.ok {
 			return fmt.Errorf("%s: missing, or its value is none that is known", f.name)
 		}
 	}
-	switch effect := c.words.Effects[front]; {
-	case get != (effect == gateway.Replayable):
-		return fmt.Errorf("c: %s is not served by %s", c.words.Fronts.At(front), parts[0])
-	case effect == gateway.Uniqued && !key:
-		return errors.New("k: missing")
-	case c.words.Most[plan] > 0 && units > c.words.Most[plan]:
-		return fmt.Errorf("units: %g are more than %s ever grants", units, c.words.Plans.At(plan))
-	case (c.words.Seat-first+c.words.Seats)%c.words.Seats >= spread:
-		return errors.New("first, spread: this gateway is not of that set")
+	if err := c.catalog.check(&terms); err != nil {
+		return err
 	}
 	var body []byte
 	if len(parts) == 5 {
 		body = parts[4]
 	}
-	door.Arrive(id, customer, front, plan, wait, units, spread, first, again, parts[0], list[:cut], list[end:], body)
+	door.Arrive(id, customer, terms, wait, again, parts[0], list[:cut], list[end:], body)
 	return nil
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -11,22 +11,21 @@
 	"ravensill/internal/ring"
 )
 
-var words = Words{Fronts: NewNames("lookup", "order"), Plans: NewNames("basic", "team"), Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
+var words = Words{Fronts: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
 
 // book writes down what commands say.
 type book struct{ strings.Builder }
 
-func (b *book) Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int, again bool,
-	verb, before, after, body []byte) {
+func (b *book) Arrive(id, customer []byte, terms Terms, wait int64, again bool, verb, before, after, body []byte) {
 	fmt.Fprintf(b, "%s of %s, %s: frontend %d, plan %d, %d ms, %g units, %d from %d, again %t; pass on %q %q %q\n", id, customer,
-		verb, front, plan, wait/1e6, units, spread, first, again, before, after, body)
+		verb, terms.Class, terms.Plan, wait/1e6, terms.Units, terms.Spread, terms.First, again, before, after, body)
 }
 func (b *book) Ping()            { b.WriteString("ping\n") }
 func (b *book) Refuse(err error) { fmt.Fprintln(b, err) }
 
 func read(pieces ...string) string {
 	var b book
-	in, c := ring.New(resp.Most), Commands{words: &words}
+	in, c := ring.New(resp.Most), Commands{catalog: NewCatalog(words)}
 	for _, p := range pieces {
 		in.Write([]byte(p))
 		for ok := true; ok; {
@@ -111,7 +110,7 @@
 }
 
 func BenchmarkCommands(b *testing.B) {
-	in, c, one := ring.New(resp.Most), Commands{words: &words}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
+	in, c, one := ring.New(resp.Most), Commands{catalog: NewCatalog(words)}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
 	b.ReportAllocs()
 	for b.Loop() {
 		in.Write(one)
@@ -123,29 +122,6 @@
 
 type nobody struct{}
 
-func (nobody) Arrive([]byte, []byte, int, int, int64, float64, int, int, bool, []byte, []byte, []byte, []byte) {
-}
-func (nobody) Ping()            {}
-func (nobody) Refuse(err error) { panic(err) }
-
-// TestNames: a name is found among tens of thousands by what a request holds, and nothing is allocated for it.
-func TestNames(t *testing.T) {
-	many := make([]string, 54_000)
-	for i := range many {
-		many[i] = fmt.Sprint("plan-", i)
-	}
-	many[53_999] = many[7]
-	names, last := NewNames(many...), []byte("plan-53998")
-	if i := names.Index(last); i != 53_998 || names.At(i) != "plan-53998" {
-		t.Errorf("%s is at %d", last, i)
-	}
-	if i := names.Index([]byte("plan-7")); i != 7 {
-		t.Errorf("of two alike the one at %d counts, want the first", i)
-	}
-	if i := names.Index([]byte("plan-53999")); i != -1 {
-		t.Errorf("what is not there is found at %d", i)
-	}
-	if n := testing.AllocsPerRun(100, func() { names.Index(last) }); n != 0 {
-		t.Errorf("%v allocations for a name", n)
-	}
-}
+func (nobody) Arrive([]byte, []byte, Terms, int64, bool, []byte, []byte, []byte, []byte) {}
+func (nobody) Ping()                                                                     {}
+func (nobody) Refuse(err error)                                                          { panic(err) }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -42,7 +42,7 @@
 
 // Server holds all client connections. Its fields belong to the loop that do brings work to.
 type Server struct {
-	words             Words
+	catalog           *Catalog
 	most              int // connections; more wait to be taken in
 	do                func(func())
 	now               func() int64
@@ -76,8 +76,9 @@
 	return n
 }
 
-func NewServer(words Words, most int, do func(func()), now func() int64, arrive Arrive) *Server {
-	return &Server{words: words, most: most, do: do, now: now, arrive: arrive, conns: map[*Conn]bool{},
+// NewServer holds up to most connections, whose commands name what the catalog knows.
+func NewServer(catalog *Catalog, most int, do func(func()), now func() int64, arrive Arrive) *Server {
+	return &Server{catalog: catalog, most: most, do: do, now: now, arrive: arrive, conns: map[*Conn]bool{},
 		grants: make(chan bool, 1), freed: make(chan struct{}, 1)}
 }
 
@@ -259,7 +260,7 @@
 		c.left.Store(true)
 		s.do(c.end)
 	}()
-	commands := Commands{words: &s.words}
+	commands := Commands{catalog: s.catalog}
 	for {
 		if err := c.link.Read(); err != nil {
 			return // its client is gone, or it was ended here
@@ -292,8 +293,8 @@
 	}
 }
 
-func (c *Conn) Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int,
-	again bool, verb, before, after, body []byte) {
+// Arrive puts a request into the mailbox. What was changed in the catalog until the loop takes it in counts too.
+func (c *Conn) Arrive(id, customer []byte, terms Terms, wait int64, again bool, verb, before, after, body []byte) {
 	words, came := 4, c.came
 	if body != nil {
 		words = 5
@@ -311,15 +312,26 @@
 	c.bad = 0
 	reqID, owner := string(id), string(customer)
 	c.ask(len(text), func(a *Answer) {
-		c.server.arrive(a, came, reqID, owner, front, plan, came+wait, units, spread, first, again,
-			text[:cut1], text[cut1:cut2], text[cut2:cut3], text[cut3:])
+		if err := c.server.catalog.recheck(&terms); err != nil {
+			a.Aborted(err.Error())
+			return
+		}
+		c.server.arrive(a, came, reqID, owner, terms.Class, terms.Plan, came+wait, terms.Units, terms.Spread, terms.First,
+			again, text[:cut1], text[cut1:cut2], text[cut2:cut3], text[cut3:])
 	})
 }
 
 func (c *Conn) Ping() { c.ask(0, func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
 
+// Refuse answers a command that can't be taken. One that names what was removed is understood: its client may not know
+// yet, and many such in a row don't end the connection.
 func (c *Conn) Refuse(why error) {
-	c.bad++
+	var removed *RemovedError
+	if errors.As(why, &removed) {
+		c.bad = 0
+	} else {
+		c.bad++
+	}
 	c.ask(0, func(a *Answer) { a.give(refused(why.Error())) })
 }
 
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -28,7 +28,7 @@
 func newRig(t *testing.T, most int) *rig {
 	r := &rig{T: t, work: make(chan func(), 99), have: map[*Conn]bool{}}
 	r.clock.Store(1)
-	r.Server = NewServer(words, most, func(f func()) { r.work <- f }, r.clock.Load, func(a *Answer, _ int64, id, _ string, _, _ int, _ int64,
+	r.Server = NewServer(NewCatalog(words), most, func(f func()) { r.work <- f }, r.clock.Load, func(a *Answer, _ int64, id, _ string, _, _ int, _ int64,
 		_ float64, _, _ int, _ bool, _, _, _, _ []byte) {
 		if id == "panic" {
 			panic("fault")
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -92,6 +92,10 @@
 	}
 }
 
+func (r *rig) Reconfigure(_ int64, update *gateway.Update) {
+	r.told <- fmt.Sprintf("reconfigured: %d plans, %d classes", len(update.Plans), len(update.Classes))
+}
+
 func (r *rig) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
 		switch e.Kind {
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -21,6 +21,8 @@
 // eager sends each req on, and again after each end while it is open; it prints what it hears.
 type eager struct{ strings.Builder }
 
+func (*eager) Reconfigure(int64, *gateway.Update) {}
+
 func (m *eager) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
 		switch e.Kind {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"ravensill/internal/mail"
 	"ravensill/internal/peers"
 )
 
@@ -24,7 +25,8 @@
 func (n *Node) addresses(stop <-chan struct{}) (listener *net.TCPListener, err error) {
 	if len(n.cfg.Peers) > 0 {
 		err = claim("peer_listen", n.cfg.PeerListen, stop, func() (err error) {
-			n.post, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, len(n.cfg.Plans))
+			form := mail.Form{Plans: len(n.cfg.Plans), Members: len(n.cfg.Peers), ByID: n.cfg.Configuration != nil}
+			n.post, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, form)
 			return err
 		})
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"ravensill/gateway"
@@ -32,6 +33,7 @@
 // Decider is the module.
 type Decider interface {
 	Round(in *gateway.Round, out gateway.Writer)
+	Reconfigure(now int64, update *gateway.Update) // between two rounds
 }
 
 // Tallier is a module that counts its decisions; the node logs them every tallyEach, for on-call and for
@@ -55,46 +57,40 @@
 	wakeAt  int64 // 0: no wake-up is due
 	dueAt   int64 // when the first dispatch of open times out at the earliest
 	open    []*dispatch
+	classes []gateway.Frontend // request classes by index, as they are in force
+	catalog *clients.Catalog
 	clients *clients.Server
 	fleet   *hosts.Fleet
 	book    *discovery.Book
 	post    *peers.Post
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
-	witness *watching // nil: off
-	pool    *pooling  // nil: off
-	lost    bool      // the watch broke, and none has brought anything since
-	told    bool      // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int       // lists dropped
-	strange int       // datagrams dropped since the last line on them
-	lineAt  int64     // of that line
-	tallyAt int64     // of the last line of decisions
-	stopAt  int64     // the next step to the end is due then; 0 none
-	leaveAt int64     // what is taken has its answer by then; 0 not called to stop
-	serving bool      // clients are taken in
-	stopped bool      // no more are: the gateway ends with its last connection
-	retired bool      // those that are owed nothing are closed
+	witness *watching     // nil: off
+	pool    *pooling      // nil: off
+	waiting []revision    // of the configuration; each is in force after the turn at hand
+	over    chan struct{} // closed when Run returns
+	lost    bool          // the watch broke, and none has brought anything since
+	told    bool          // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken  int           // lists dropped
+	strange int           // datagrams dropped since the last line on them
+	lineAt  int64         // of that line
+	tallyAt int64         // of the last line of decisions
+	stopAt  int64         // the next step to the end is due then; 0 none
+	leaveAt int64         // what is taken has its answer by then; 0 not called to stop
+	serving bool          // clients are taken in
+	stopped bool          // no more are: the gateway ends with its last connection
+	retired bool          // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
 func New(cfg *config.Config, module Decider) *Node {
-	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
-		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
+	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(), over: make(chan struct{}),
+		classes: slices.Clone(cfg.Fronts), reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
-	words := clients.Words{Fronts: clients.NewNames(cfg.FrontNames...), Plans: clients.NewNames(cfg.PlanNames...), Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
-	for _, f := range cfg.Fronts {
-		words.Effects = append(words.Effects, f.Effect)
-	}
-	for _, p := range cfg.Plans {
-		most := p.Burst
-		if p.Rate == 0 {
-			most = 0
-		}
-		words.Most = append(words.Most, most)
-	}
+	n.catalog = clients.NewCatalog(wordsOf(cfg))
 	sockets := descriptors(cfg.Sockets)
-	n.clients = clients.NewServer(words, sockets/3, n.do, n.now, n.arrive)
+	n.clients = clients.NewServer(n.catalog, sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		sockets*2/5)
 	if cfg.Counter.IsValid() {
@@ -105,12 +101,33 @@
 	return n
 }
 
+// wordsOf lists what commands name.
+func wordsOf(cfg *config.Config) clients.Words {
+	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
+	for _, class := range cfg.Fronts {
+		words.Effects = append(words.Effects, class.Effect)
+	}
+	for i := range cfg.Plans {
+		words.Most = append(words.Most, mostUnits(&cfg.Plans[i]))
+	}
+	return words
+}
+
+// mostUnits gives the units that a request of a quota plan may ask for; 0: any.
+func mostUnits(plan *gateway.Plan) float64 {
+	if plan.Rate == 0 {
+		return 0
+	}
+	return plan.Burst
+}
+
 func (n *Node) do(f func()) { n.work <- f }
 
 func (n *Node) now() int64 { return n.unix + int64(time.Since(n.epoch)) }
 
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) (err error) {
+	defer close(n.over)
 	defer func() {
 		if err == errCalled {
 			log.Printf("event=stopped")
@@ -171,7 +188,11 @@
 		}
 		n.drain()
 		n.catchUp()
-		timer.Reset(n.step())
+		wait := n.step()
+		if n.putInForce() {
+			wait = n.step()
+		}
+		timer.Reset(wait)
 	}
 	log.Printf("event=stopped")
 	return nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,6 +19,8 @@
 // faulty denies reqs, panics on those of customer f, and names what is not there on those of b.
 type faulty struct{}
 
+func (faulty) Reconfigure(int64, *gateway.Update) {}
+
 func (faulty) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
 		if e.Kind == gateway.Arrived {
@@ -161,6 +163,7 @@
 type mute struct{}
 
 func (mute) Round(*gateway.Round, gateway.Writer) {}
+func (mute) Reconfigure(int64, *gateway.Update)   {}
 
 // A client that is owed an answer for ever, and does not close, holds the program no longer than its time.
 func TestStopBound(t *testing.T) {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -16,6 +16,7 @@
 	holder *pool.Holder
 	gate   *hosts.Gate
 	client *pooler.Client
+	urgent []bool // by request class: first within the floor
 	lineAt int64
 }
 
@@ -50,6 +51,9 @@
 	now := n.now()
 	p := &pooling{node: n, client: client, lineAt: now,
 		holder: pool.NewHolder(&cfg.Terms, n.cfg.Seat.Index, uint64(n.unix), cfg.Weight, cfg.Serial, cfg.Capacity, now)}
+	for index, name := range n.cfg.FrontNames {
+		p.named(index, name)
+	}
 	p.gate = n.fleet.Limit(cfg.Terms.Floor, cfg.Turn, p.holder.Allowed, p.holder.Turned)
 	n.pool = p
 	go client.Listen(func(g *pool.Grant) { p.holder.Hear(n.now(), g) })
@@ -77,10 +81,17 @@
 	return p.holder.Due(now)
 }
 
+// named takes in a request class; a new one has the next index.
+func (p *pooling) named(index int, name string) {
+	if p != nil && index == len(p.urgent) {
+		p.urgent = append(p.urgent, p.node.cfg.Pool.Urgent[name])
+	}
+}
+
 // next tells the gate whose dispatch comes next.
 func (p *pooling) next(r *req) {
 	if p != nil {
-		p.gate.Urgent(p.node.cfg.Pool.Urgent[p.node.cfg.FrontNames[r.front]])
+		p.gate.Urgent(p.urgent[r.front])
 	}
 }
 
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -14,7 +14,8 @@
 	node                      *Node
 	id                        string
 	answer                    *clients.Answer
-	front                     int // frontend
+	front                     int              // frontend
+	class                     gateway.Frontend // the same, as it was when the request arrived
 	until                     int64
 	head, before, after, tail []byte
 	sends                     []*dispatch // by their numbers
@@ -66,7 +67,7 @@
 	if n.leaveAt > 0 {
 		until = min(until, n.leaveAt)
 	}
-	r := &req{node: n, id: id, answer: a, front: front, until: until, head: head, before: before,
+	r := &req{node: n, id: id, answer: a, front: front, class: n.classes[front], until: until, head: head, before: before,
 		after: after, tail: tail, round: n.rounds, event: len(n.events)}
 	n.reqs[id] = r
 	a.Left = r.left
@@ -144,8 +145,8 @@
 	}
 	n.pool.next(r)
 	by := d.due
-	if f := n.cfg.Fronts[r.front]; r.ranAt > 0 && f.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
-		by = min(by, r.ranAt+f.Window)
+	if r.ranAt > 0 && r.class.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
+		by = min(by, r.ranAt+r.class.Window)
 	}
 	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
 	if r.closed { // it left meanwhile: the end of another may have ended its connection
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -7,8 +7,8 @@
 // longest client timeout, and ends then: a kill that crosses a command would lose it. One that serves nobody yet ends at once.
 func (n *Node) stop() {
 	longest := int64(0)
-	for _, f := range n.cfg.Fronts {
-		longest = max(longest, f.Timeout)
+	for _, class := range n.classes {
+		longest = max(longest, class.Timeout)
 	}
 	n.stopAt = n.now() + int64(accepting)
 	n.leaveAt = n.now() + min(longest, int64(mostLeave)) + int64(leave)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,36 +8,86 @@
 	"net/netip"
 	"runtime/debug"
 	"slices"
+	"sync"
 
 	"ravensill/internal/mail"
 )
 
 // Post is this gateway's place in the exchange.
 type Post struct {
-	conn  *net.UDPConn
-	peers []netip.AddrPort
-	seats map[netip.AddrPort]int // of the peers, by address
-	plans int
+	conn *net.UDPConn
+
+	mu        sync.RWMutex
+	addresses []netip.AddrPort       // by member index
+	members   map[netip.AddrPort]int // indices by address
+	form      mail.Form              // of the messages that are taken in
+}
+
+// Member is the address of a gateway.
+type Member struct {
+	Index   int
+	Address netip.AddrPort
 }
 
-// Open listens at the address; peers are those of the tier, by seat, and plans is how many there are.
-func Open(listen netip.AddrPort, peers []netip.AddrPort, plans int) (*Post, error) {
+// Open listens at the address. peers are the gateways of the fleet by member index, form is that of their messages.
+func Open(listen netip.AddrPort, peers []netip.AddrPort, form mail.Form) (*Post, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, err
 	}
-	return &Post{conn: conn, peers: peers, seats: seatsByAddr(peers), plans: plans}, nil
+	return &Post{conn: conn, addresses: slices.Clone(peers), members: byAddress(peers), form: form}, nil
 }
 
-// seatsByAddr finds senders at the same cost however many peers there are. Of two at one address the first counts.
-func seatsByAddr(peers []netip.AddrPort) map[netip.AddrPort]int {
-	seats := make(map[netip.AddrPort]int, len(peers))
-	for seat, addr := range peers {
-		if _, known := seats[addr]; !known {
-			seats[addr] = seat
+// byAddress finds senders at the same cost however many peers there are. Of two at one address the first counts.
+func byAddress(peers []netip.AddrPort) map[netip.AddrPort]int {
+	members := make(map[netip.AddrPort]int, len(peers))
+	for index, address := range peers {
+		if _, known := members[address]; !known {
+			members[address] = index
 		}
 	}
-	return seats
+	return members
+}
+
+// Change puts new addresses and the size of the fleet in force at once: a message is taken in by the old table or by the
+// new one. Members from count on are gone; each new one below count has its address among the changed ones.
+func (p *Post) Change(changed []Member, count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for index := count; index < len(p.addresses); index++ {
+		p.forget(index)
+	}
+	for _, member := range changed {
+		if member.Index < len(p.addresses) {
+			p.forget(member.Index)
+		}
+	}
+	more := max(count-len(p.addresses), 0)
+	p.addresses = slices.Grow(p.addresses, more)[:count]
+	for _, member := range changed {
+		p.addresses[member.Index] = member.Address
+		p.members[member.Address] = member.Index
+	}
+	p.form.Members = count
+}
+
+// forget lets go of a member's address, unless that is another's.
+func (p *Post) forget(index int) {
+	address := p.addresses[index]
+	if p.members[address] == index {
+		delete(p.members, address)
+	}
+}
+
+// sender tells which member a message is of, -1 for none, and the form that it should have.
+func (p *Post) sender(from netip.AddrPort) (index int, form mail.Form) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	index, known := p.members[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+	if !known {
+		return -1, p.form
+	}
+	return index, p.form
 }
 
 // Listen hands on each sound message of a peer, known by its address, until Close. Others are dropped;
@@ -57,25 +107,31 @@
 		if err != nil { // such as a refusal told of an earlier message to a peer that is down
 			continue
 		}
-		seat, known := p.seats[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		sound := false
-		form := mail.Form{Plans: p.plans, Members: len(p.peers)}
-		form.Read(buf[:n], func(uint64, uint64) bool {
-			sound = true
-			return false
-		}, nil, nil)
-		if !known || !sound {
+		member, form := p.sender(from)
+		if member < 0 || !sound(form, buf[:n]) {
 			dropped()
 			continue
 		}
-		heard(seat, slices.Clone(buf[:n]))
+		heard(member, slices.Clone(buf[:n]))
 	}
 }
 
+// sound tells whether a message is of the form.
+func sound(form mail.Form, message []byte) bool {
+	whole := false
+	form.Read(message, func(uint64, uint64) bool {
+		whole = true
+		return false
+	}, nil, nil)
+	return whole
+}
+
 // Tell sends a message; it may be lost.
-func (p *Post) Tell(seat int, body []byte) {
-	if seat >= 0 && seat < len(p.peers) && len(body) <= mail.Most {
-		p.conn.WriteToUDPAddrPort(body, p.peers[seat])
+func (p *Post) Tell(member int, body []byte) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if member >= 0 && member < len(p.addresses) && len(body) <= mail.Most {
+		p.conn.WriteToUDPAddrPort(body, p.addresses[member])
 	}
 }
 
@@ -87,4 +143,5 @@
 	return p.conn.LocalAddr().String()
 }
 
+// Close ends Listen.
 func (p *Post) Close() { p.conn.Close() }
