--- a/logic/gauges.go
+++ b/logic/gauges.go
@@ -2,15 +2,15 @@
 
 import "fmt"
 
-// Why a req was denied, counted in Gauges.
+// Why a request was denied, counted in Gauges.
 const (
 	ByQuota = iota // the copy lacks the units
 	ByCeiling
-	ByUnanswered // most of the customer's reqs go unanswered
+	ByUnanswered // most of the customer's requests go unanswered
 	ByLate       // no answer could come in time
 	ByCap        // too many of the customer's are out
 	ByHosts      // the limit on what is out, or no host will do
-	ByFailure    // its dispatch failed and a repeat is harmless
+	ByFailure    // its attempt failed and a repeat is harmless
 	Reasons
 )
 
@@ -18,14 +18,14 @@
 
 // Gauges are figures of what the module holds, for metrics and the laboratory; nothing is decided by them.
 type Gauges struct {
-	Limit, Late          float64 // on dispatches out from here; mean part of the target that answers take
+	Limit, Late          float64 // on attempts in flight from here; mean part of the target that answers take
 	Out, Customers, Reqs int
-	Passed               int          // reqs sent on, since the start
-	Denied               [Reasons]int // reqs denied, since the start, by reason (ByQuota...)
+	Passed               int          // requests sent on, since the start
+	Denied               [Reasons]int // requests denied, since the start, by reason (ByQuota...)
 }
 
 func (g *Gateway) Gauges() Gauges {
-	return Gauges{g.fleet.limit.Limit(), g.fleet.limit.Late(), g.fleet.out, len(g.customers), len(g.reqs),
+	return Gauges{g.pool.limit.Limit(), g.pool.limit.Late(), g.pool.inFlight, len(g.customers), len(g.requests),
 		g.passed, g.denied}
 }
 
@@ -36,7 +36,7 @@
 	if c == nil {
 		return 0, 0, false
 	}
-	return c.level, c.others, true
+	return c.level, c.peerRate, true
 }
 
 // Tally gives the decisions since the start as words for the log: passed=N, then denied by reason.
--- a/logic/hostlist.go
+++ b/logic/hostlist.go
@@ -15,8 +15,8 @@
 
 // entries gives the record of each host of a list, new ones for those that are not known yet. It sorts the whole once, not
 // each new host into its place: a list of n hosts would take n squared moves.
-func (f *fleet) entries(listed []gateway.Listing) []*host {
-	known, added := f.hosts, map[uint32]*host{}
+func (f *hostPool) entries(listed []gateway.Listing) []*host {
+	known, added := f.all, map[uint32]*host{}
 	entries := make([]*host, len(listed))
 	for i, l := range listed {
 		if k, found := slices.BinarySearchFunc(known, l.Host, byID); found {
@@ -25,32 +25,32 @@
 		}
 		if added[l.Host] == nil {
 			added[l.Host] = &host{id: l.Host, Host: spread.Host{Hash: mix(uint64(l.Host) + 1)}, since: math.MinInt64}
-			f.hosts = append(f.hosts, added[l.Host])
+			f.all = append(f.all, added[l.Host])
 		}
 		entries[i] = added[l.Host]
 	}
 	if len(added) > 0 {
-		slices.SortFunc(f.hosts, func(a, b *host) int { return byID(a, b.id) })
+		slices.SortFunc(f.all, func(a, b *host) int { return byID(a, b.id) })
 	}
 	return entries
 }
 
 // gather collects the hosts near this gateway: its subset, and those that it has sent to. All walks but the rare one of
 // pick are of these, so that what a request or a tick costs does not grow with the list.
-func (f *fleet) gather() {
+func (f *hostPool) gather() {
 	f.near = f.near[:0]
-	for _, h := range f.hosts {
-		if h.Held || h.met {
+	for _, h := range f.all {
+		if h.Held || h.used {
 			f.near = append(f.near, h)
 		}
 	}
 }
 
-// meet notes that a host is sent to.
-func (f *fleet) meet(h *host) {
-	if !h.Held && !h.met {
+// use notes that a host is sent to.
+func (f *hostPool) use(h *host) {
+	if !h.Held && !h.used {
 		i, _ := slices.BinarySearchFunc(f.near, h.id, byID)
 		f.near = slices.Insert(f.near, i, h)
 	}
-	h.met = true
+	h.used = true
 }
--- a/logic/lab.go
+++ b/logic/lab.go
@@ -3,8 +3,8 @@
 // Hold has the gateway hold other hosts than package spread says, until the next list. It is the laboratory's, to
 // compare rules in one run; nothing calls it in production.
 func (g *Gateway) Hold(held func(host uint32) bool) {
-	for _, h := range g.fleet.hosts {
+	for _, h := range g.pool.all {
 		h.Held = held(h.id)
 	}
-	g.fleet.gather()
+	g.pool.gather()
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -55,7 +55,7 @@
 }
 func (s *seat) Tell(peer int, body []byte) { s.mail, s.to = append(s.mail, body), append(s.to, peer) }
 
-// start makes n gateways with one replayable frontend and a plan of 10 units a second, 10 at once.
+// start makes n gateways with one replayable class and a plan of 10 units a second, 10 at once.
 func start(n, hosts int, set func(w *world)) *world {
 	w := &world{fronts: []gateway.Frontend{{Target: 800 * ms, Timeout: 3000 * ms, Value: 1}},
 		plans:  []gateway.Plan{{Rate: 10, Burst: 10, Price: 1, BeyondCost: 0.5}},
@@ -88,7 +88,7 @@
 	w.seats[i].g.Round(&gateway.Round{Now: w.now, Events: e}, w.seats[i])
 }
 
-// arrive lets n reqs of customer c in at gateway i, of one unit each.
+// arrive lets n requests of customer c in at gateway i, of one unit each.
 func (w *world) arrive(i int, c string, n int) {
 	for k := range n {
 		w.in(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("%s%d.%d", c, (w.now-100*second)/ms, k),
@@ -96,29 +96,29 @@
 	}
 }
 
-// end ends the first dispatch that gateway i has out at host h, or at any host if h is 0.
+// end ends the first attempt that gateway i has out at host h, or at any host if h is 0.
 func (w *world) end(i int, h uint32, res gateway.Result, closed bool) {
-	for _, x := range w.seats[i].g.fleet.hosts {
-		if len(x.out) > 0 && (h == 0 || x.id == h) {
-			s := x.out[0]
-			w.in(i, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: x.id, Dispatch: s.n, Result: res,
+	for _, x := range w.seats[i].g.pool.all {
+		if len(x.inFlight) > 0 && (h == 0 || x.id == h) {
+			s := x.inFlight[0]
+			w.in(i, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: x.id, Dispatch: s.n, Result: res,
 				Lag: w.now - s.at, Closed: closed})
 			return
 		}
 	}
 }
 
-// pass ends all dispatches of gateway i well.
+// pass ends all attempts of gateway i well.
 func (w *world) pass(i int) {
-	for w.seats[i].g.fleet.out > 0 {
+	for w.seats[i].g.pool.inFlight > 0 {
 		w.end(i, 0, gateway.Passed, true)
 	}
 }
 
-// wait lets time pass, in beats; messages arrive at once if carry. It tells how many were sent.
+// wait lets time pass, in ticks; messages arrive at once if carry. It tells how many were sent.
 func (w *world) wait(t int64, carry bool) (sent int) {
 	for end := w.now + t; w.now < end; {
-		w.now += beat
+		w.now += tickInterval
 		for i, s := range w.seats {
 			w.in(i, gateway.Event{Kind: gateway.Woke})
 			sent += len(s.mail)
@@ -188,7 +188,7 @@
 	golden.Check(t, w.trace.String())
 }
 
-func TestPeerRestart(t *testing.T) { // a new life's totals start anew and are not taken for less of the old
+func TestPeerRestart(t *testing.T) { // a new incarnation's totals start anew and are not taken for less of the old
 	w := start(2, 4, nil)
 	w.arrive(1, "a", 8)
 	w.pass(1)
@@ -225,7 +225,7 @@
 	w.arrive(0, "a", 4)
 	w.pass(0)
 	w.trace.Reset()
-	for _, p := range w.seats[0].g.links {
+	for _, p := range w.seats[0].g.neighbours {
 		p.credit = -24 // of 8 a second
 	}
 	w.wait(3200*ms, true)
@@ -243,11 +243,11 @@
 	w.boot(2, 4, 3)
 	w.trace.Reset()
 	told := [3]int{}
-	for range 2 * second / beat {
+	for range 2 * second / tickInterval {
 		for k, to := range w.seats[0].to {
 			told[to] += len(w.seats[0].mail[k])
 		}
-		w.wait(beat, true)
+		w.wait(tickInterval, true)
 		w.in(0, gateway.Event{Kind: gateway.Woke})
 	}
 	golden.Check(t, fmt.Sprintf("bytes told to each gateway %v\n", told))
@@ -256,7 +256,7 @@
 func TestBadMail(t *testing.T) { // short, of another version, cut off: dropped without harm
 	w := start(2, 1, nil)
 	w.arrive(1, "a", 4)
-	for w.seats[1].mail = nil; len(w.seats[1].mail) == 0; w.now += beat {
+	for w.seats[1].mail = nil; len(w.seats[1].mail) == 0; w.now += tickInterval {
 		w.in(1, gateway.Event{Kind: gateway.Woke})
 	}
 	good := w.seats[1].mail[0]
@@ -329,7 +329,7 @@
 	golden.Check(t, w.trace.String())
 }
 
-func TestColdHost(t *testing.T) { // a started host gets its part of all dispatches, by its surely warm part
+func TestColdHost(t *testing.T) { // a started host gets its part of all attempts, by its surely warm part
 	w := start(1, 3, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 	w.in(0, gateway.Event{Kind: gateway.Listed, List: gateway.Changes,
 		Hosts: []gateway.Listing{{Host: 3, Since: w.now}}})
@@ -337,7 +337,7 @@
 		w.trace.Reset()
 		for range 100 {
 			w.arrive(0, "a", 3)
-			w.wait(beat, true)
+			w.wait(tickInterval, true)
 			w.pass(0)
 		}
 		fmt.Fprintf(&w.trace, "%d s after its start host 3 had %d of 300 dispatches\n", 2*s+2,
@@ -347,7 +347,7 @@
 	}
 }
 
-func TestRepeats(t *testing.T) { // what each kind of frontend may do after an answer that proves nothing
+func TestRepeats(t *testing.T) { // what each kind of class may do after an answer that proves nothing
 	for _, kind := range []struct {
 		name  string
 		front gateway.Frontend
@@ -360,7 +360,7 @@
 		t.Run(kind.name, func(t *testing.T) {
 			kind.front.Target, kind.front.Timeout = 2000*ms, 3000*ms
 			w := start(1, 4, func(w *world) { w.fronts[0] = kind.front })
-			w.seats[0].g.spare = 10
+			w.seats[0].g.retryBudget = 10
 			w.arrive(0, "a", 1)
 			w.end(0, 0, gateway.Busy, false) // it never ran: again, anywhere
 			w.end(0, 0, gateway.Errored, false)
@@ -373,7 +373,7 @@
 
 func TestSilentHost(t *testing.T) { // a host that answers nothing is set aside, what it holds moves, it comes back
 	w := start(2, 2, nil)
-	w.seats[0].g.spare = 10
+	w.seats[0].g.retryBudget = 10
 	w.arrive(0, "a", 4)
 	for range 2 {
 		w.wait(360*ms, true)
@@ -383,7 +383,7 @@
 		w.end(0, 1, gateway.Canceled, false)
 	}
 	w.arrive(0, "b", 2)
-	w.seats[1].g.fleet.hosts[0].of(w.seats[1].g.fronts[0]).good = w.now // the peer hears well of it
+	w.seats[1].g.pool.all[0].of(w.seats[1].g.classes[0]).lastGood = w.now // the peer hears well of it
 	w.wait(600*ms, true)
 	w.arrive(0, "c", 2)
 	golden.Check(t, w.trace.String())
@@ -422,11 +422,11 @@
 	w.end(0, 0, gateway.Passed, true)
 	w.arrive(0, "d", 1)
 	w.end(0, 0, gateway.Unreached, false)
-	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.seats[0].g.reqs))
+	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.seats[0].g.requests))
 	golden.Check(t, w.trace.String())
 }
 
-func TestErrors(t *testing.T) { // a host that fails at once looks idle; it must not draw the reqs
+func TestErrors(t *testing.T) { // a host that fails at once looks idle; it must not draw the requests
 	w := start(2, 2, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 	for range 3 {
 		w.arrive(0, "a", 2)
@@ -437,7 +437,7 @@
 	golden.Check(t, w.trace.String())
 }
 
-func TestWorth(t *testing.T) { // near the limit, the frontend that earns less for its time is denied first
+func TestWorth(t *testing.T) { // near the limit, the class that earns less for its time is denied first
 	w := start(1, 2, func(w *world) {
 		w.plans[0].Rate, w.plans[0].Burst = 1000, 1000
 		w.fronts = append(w.fronts, gateway.Frontend{Target: 800 * ms, Value: 5})
@@ -451,16 +451,16 @@
 	golden.Check(t, w.trace.String())
 }
 
-func TestUnanswered(t *testing.T) { // a customer whose reqs go unanswered holds no places; others go on
+func TestUnanswered(t *testing.T) { // a customer whose requests go unanswered holds no places; others go on
 	w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 	for range 5 {
 		w.arrive(0, "poison", 2)
 		w.arrive(0, "good", 1)
 		w.wait(800*ms, true)
-		for _, h := range w.seats[0].g.fleet.hosts {
-			for len(h.out) > 0 {
+		for _, h := range w.seats[0].g.pool.all {
+			for len(h.inFlight) > 0 {
 				res := gateway.TimedOut
-				if strings.HasPrefix(h.out[0].req.id, "good") {
+				if strings.HasPrefix(h.inFlight[0].request.id, "good") {
 					res = gateway.Passed
 				}
 				w.end(0, h.id, res, res == gateway.Passed)
@@ -473,12 +473,12 @@
 func TestStall(t *testing.T) { // a gateway that stood still: the longest waits are denied, late answers cut no limit
 	w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 100, 100 })
 	w.arrive(0, "a", 2)
-	limit := w.seats[0].g.fleet.limit.Limit()
+	limit := w.seats[0].g.pool.limit.Limit()
 	w.now += 2 * second
 	var in []gateway.Event
-	for _, h := range w.seats[0].g.fleet.hosts {
-		for _, s := range h.out {
-			in = append(in, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: h.id, Lag: 2 * second, Closed: true})
+	for _, h := range w.seats[0].g.pool.all {
+		for _, s := range h.inFlight {
+			in = append(in, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: h.id, Lag: 2 * second, Closed: true})
 		}
 	}
 	for k := range 6 {
@@ -486,7 +486,7 @@
 			Until: w.now + 2*second})
 	}
 	w.in(0, in...)
-	w.seats[0].say("limit moved by %.1f", w.seats[0].g.fleet.limit.Limit()-limit)
+	w.seats[0].say("limit moved by %.1f", w.seats[0].g.pool.limit.Limit()-limit)
 	golden.Check(t, w.trace.String())
 }
 
@@ -497,7 +497,7 @@
 		w.trace.Reset()
 		for i := range 100 {
 			w.arrive(i, "a", 1)
-			w.wait(beat/2, true)
+			w.wait(tickInterval/2, true)
 			for k := range w.seats {
 				w.pass(k)
 			}
@@ -509,11 +509,11 @@
 
 func TestReplaced(t *testing.T) { // hosts are replaced one by one under new ids: records and the limit stay with those there are
 	w := start(1, 4, nil)
-	f := &w.seats[0].g.fleet
+	f := &w.seats[0].g.pool
 	f.limit = limit.Out{Start: 2.5}
 	f.limit.Hosts(4) // 10, as if learned
 	tell := func() {
-		fmt.Fprintf(&w.trace, "%d hosts, limit %.1f\n", len(f.hosts), f.limit.Limit())
+		fmt.Fprintf(&w.trace, "%d hosts, limit %.1f\n", len(f.all), f.limit.Limit())
 	}
 	tell()
 	w.arrive(0, "a", 1)
@@ -523,7 +523,7 @@
 	}
 	tell()
 	w.in(0, gateway.Event{Kind: gateway.Ended, Req: "a0.0", Host: 1, Result: gateway.Passed, Lag: ms, Closed: true}) // by one that is gone
-	fmt.Fprintf(&w.trace, "%d out\n", f.out)
+	fmt.Fprintf(&w.trace, "%d out\n", f.inFlight)
 	w.in(0, gateway.Event{Kind: gateway.Listed, List: gateway.Complete})
 	tell()
 	w.in(0, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 1}, {Host: 2}}})
@@ -531,7 +531,7 @@
 	golden.Check(t, w.trace.String())
 }
 
-func TestRepeatStock(t *testing.T) { // connections break under one dispatch in four: each is sent again, one in two is not
+func TestRepeatStock(t *testing.T) { // connections break under one attempt in four: each is sent again, one in two is not
 	for _, every := range []int{4, 2} {
 		w := start(1, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 		for i := range 100 {
@@ -553,11 +553,11 @@
 	w.arrive(0, "a", 1)
 	w.pass(0)
 	w.arrive(0, "b", 1)
-	w.seats[0].g.spare = 1
+	w.seats[0].g.retryBudget = 1
 	w.end(0, 0, gateway.Spoilt, false)
 	w.pass(0)
-	for _, h := range w.seats[0].g.fleet.hosts {
-		if h.of(w.seats[0].g.fronts[0]).bad != 0 {
+	for _, h := range w.seats[0].g.pool.all {
+		if h.of(w.seats[0].g.classes[0]).unanswered != 0 {
 			t.Errorf("host %d is set aside", h.id)
 		}
 	}
@@ -565,7 +565,7 @@
 }
 
 // TestSubsetAtScale: among 300 gateways and 180 hosts each gateway sends to its own few hosts, so that each host
-// holds connections of a few gateways, not of all. Without subsets 200 customers' reqs reach nearly every host.
+// holds connections of a few gateways, not of all. Without subsets 200 customers' requests reach nearly every host.
 func TestSubsetAtScale(t *testing.T) {
 	w := start(300, 180, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 	used := map[int]map[uint32]bool{}
@@ -573,8 +573,8 @@
 		used[i] = map[uint32]bool{}
 		for c := range 200 {
 			w.arrive(i, fmt.Sprintf("c%d", c), 1)
-			for _, h := range w.seats[i].g.fleet.hosts {
-				if len(h.out) > 0 {
+			for _, h := range w.seats[i].g.pool.all {
+				if len(h.inFlight) > 0 {
 					used[i][h.id] = true
 				}
 			}
@@ -600,7 +600,7 @@
 	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2} || x.Out != 10 {
 		t.Fatalf("after a dispatch that never ran: %+v", x)
 	}
-	for k := 0; g.fleet.out > 0 && k < 40; k++ { // every dispatch fails: each req ends denied, once
+	for k := 0; g.pool.inFlight > 0 && k < 40; k++ { // every attempt fails: each request ends denied, once
 		w.end(0, 0, gateway.Errored, false)
 	}
 	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2, ByFailure: 10} || x.Reqs != 0 {
@@ -635,7 +635,7 @@
 }
 
 // TestAskApart: in on_request mode, a fleet that loses the list at once (discovery overbooked) asks again after pauses from
-// call to call that double up to 3.9 s and are drawn by chance, not all in the same beat; a list that comes ends the
+// call to call that double up to 3.9 s and are drawn by chance, not all in the same tick; a list that comes ends the
 // doubling, and what was still to be asked: the watch that brought it goes on.
 func TestAskApart(t *testing.T) {
 	w := start(20, 4, func(w *world) { w.limits.MustAsk = true })
@@ -653,7 +653,7 @@
 		for i, s := range w.seats {
 			asked[i] = len(s.asked)
 		}
-		w.wait(beat, false)
+		w.wait(tickInterval, false)
 		for i, s := range w.seats {
 			if len(s.asked) > asked[i] {
 				w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
@@ -670,12 +670,12 @@
 			if k > 0 {
 				last = s.asked[k-1]
 			}
-			if gap := s.asked[k] - last; gap < span[0] || gap > span[1]+beat {
+			if gap := s.asked[k] - last; gap < span[0] || gap > span[1]+tickInterval {
 				t.Errorf("loss %d: gateway %d asked after %d ms, want %d to %d", k+1, i, gap/ms, span[0]/ms, span[1]/ms)
 			}
 			distinct[s.asked[k]] = true
 		}
-		if beats := (span[1] - span[0]) / beat; len(distinct) < int(min(beats/2, 8)) { // in half of those there are, or in eight
+		if beats := (span[1] - span[0]) / tickInterval; len(distinct) < int(min(beats/2, 8)) { // in half of those there are, or in eight
 			t.Errorf("loss %d: 20 gateways asked in %d beats only", k+1, len(distinct))
 		}
 	}
@@ -683,9 +683,9 @@
 		w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes})
 	}
 	t0 = lose()
-	w.wait(450*ms+beat, false)
+	w.wait(450*ms+tickInterval, false)
 	for i, s := range w.seats {
-		if len(s.asked) != 1 || s.asked[0]-t0 > 450*ms+beat {
+		if len(s.asked) != 1 || s.asked[0]-t0 > 450*ms+tickInterval {
 			t.Fatalf("after a list: gateway %d asked %d times, first %v", i, len(s.asked), s.asked)
 		}
 	}
@@ -728,7 +728,7 @@
 	}
 }
 
-// TestCutOff: in incident i4c236e 39 gateways heard nobody for 10 s. A thirtieth of a burst is less than a req, so that
+// TestCutOff: in incident i4c236e 39 gateways heard nobody for 10 s. A thirtieth of a burst is less than a request, so that
 // copies which could hold no more denied everyone, whatever their part of the rate.
 func TestCutOff(t *testing.T) {
 	w := start(30, 4, nil)
@@ -777,16 +777,16 @@
 	}
 	w.arrive(0, "deaf", 1)
 	w.pass(0)
-	w.wait(second+beat, true)
+	w.wait(second+tickInterval, true)
 	w.arrive(0, "again", 1)
 	w.answer(0, gateway.Passed, 1) // a lower total than any before
 	w.pass(0)
 	g := w.seats[0].g
-	fmt.Fprintf(&w.trace, "reqs still held: %d; copy of within holds %.1f units\n", len(g.reqs), g.customer(hashText("within"), 0, 2, 0).level)
+	fmt.Fprintf(&w.trace, "reqs still held: %d; copy of within holds %.1f units\n", len(g.requests), g.customer(hashText("within"), 0, 2, 0).level)
 	golden.Check(t, w.trace.String())
 }
 
-// TestFrontHealth: hosts 1 and 2 leave one frontend's reqs unanswered and serve the other (class_fail). Reqs of the first
+// TestFrontHealth: hosts 1 and 2 leave one class's requests unanswered and serve the other (class_fail). Requests of the first
 // go elsewhere, those of the second still go there, and the time-outs cut no limit.
 func TestFrontHealth(t *testing.T) {
 	w := start(1, 4, func(w *world) {
@@ -794,24 +794,24 @@
 		w.fronts = append(w.fronts, w.fronts[0])
 		w.fronts[0].Effect = gateway.NonReplayable
 	})
-	sent := func(rounds int) (n [2]int) { // to hosts 1 and 2, by frontend
+	sent := func(rounds int) (n [2]int) { // to hosts 1 and 2, by class
 		for k := range rounds {
 			for f := range 6 {
 				w.in(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("f%d.%d.%d", f, w.now, k), Customer: fmt.Sprint(k, f),
 					Until: w.now + 2500*ms, Units: 1, Spread: 1, Frontend: f % 2})
 			}
 			w.wait(80*ms, true)
-			for _, h := range w.seats[0].g.fleet.hosts {
-				for i := 0; i < len(h.out); {
-					s := h.out[i]
-					f, res, lag := s.req.front.nth, gateway.Passed, 80*ms
+			for _, h := range w.seats[0].g.pool.all {
+				for i := 0; i < len(h.inFlight); {
+					s := h.inFlight[i]
+					f, res, lag := s.request.class.index, gateway.Passed, 80*ms
 					if h.id <= 2 {
 						n[f]++
 						if f == 0 {
 							res, lag = gateway.TimedOut, 800*ms
 						}
 					}
-					w.in(0, gateway.Event{Kind: gateway.Ended, Req: s.req.id, Host: h.id, Dispatch: s.n, Result: res,
+					w.in(0, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: h.id, Dispatch: s.n, Result: res,
 						Lag: lag, Closed: res == gateway.Passed})
 				}
 			}
@@ -822,12 +822,12 @@
 	if first[0] < 2 || later[0] > 9 || later[1] < 45 {
 		t.Errorf("of 90 reqs of each hosts 1 and 2 got %v, then %v by frontend; want a tenth of the first and half of the second", first, later)
 	}
-	if l := w.seats[0].g.fleet.limit.Limit(); l < 20 {
+	if l := w.seats[0].g.pool.limit.Limit(); l < 20 {
 		t.Errorf("limit %.1f: time-outs of hosts in doubt cut it", l)
 	}
 }
 
-// TestNewsFirst: what waited together is decided on all that is known. A drain told behind an arrival beats it.
+// TestNewsFirst: what waited together is decided on all that is known. A drain told behind an arrival ticks it.
 func TestNewsFirst(t *testing.T) {
 	for k := range 8 {
 		w := start(1, 2, nil)
@@ -852,7 +852,7 @@
 		w.in(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: all})
 		slices.Reverse(all)
 		was, n := map[uint32]bool{}, 0
-		for _, h := range s.g.fleet.hosts {
+		for _, h := range s.g.pool.all {
 			if was[h.id] = h.Held; h.Held {
 				n++
 				held[h.id]++
@@ -862,7 +862,7 @@
 			t.Errorf("gateway %d holds %d hosts, want 12*180/300 or a little more", i, n)
 		}
 		w.in(i, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 40, State: gateway.Gone}}})
-		for _, h := range s.g.fleet.hosts {
+		for _, h := range s.g.pool.all {
 			if h.Held && !was[h.id] {
 				came++
 			}
@@ -878,10 +878,10 @@
 	}
 }
 
-// TestMailFollowsReqs: a gateway with many reqs tells its peers more often than one with few, up to twice.
+// TestMailFollowsReqs: a gateway with many requests tells its peers more often than one with few, up to twice.
 func TestMailFollowsReqs(t *testing.T) {
 	var sent []int
-	for _, reqs := range []int{1, 4} { // a beat and gateway: 25 and 100 a second, against 16 messages
+	for _, reqs := range []int{1, 4} { // a tick and gateway: 25 and 100 a second, against 16 messages
 		w := start(4, 4, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
 		n := 0
 		for range 100 {
@@ -891,7 +891,7 @@
 				}
 				w.pass(i)
 			}
-			n += w.wait(beat, true)
+			n += w.wait(tickInterval, true)
 		}
 		sent = append(sent, n)
 	}
@@ -900,7 +900,7 @@
 	}
 }
 
-// A req whose time is up when it comes, as near the end of a gateway that was told to stop, is denied at once. It
+// A request whose time is up when it comes, as near the end of a gateway that was told to stop, is denied at once. It
 // was dispatched for a microsecond, and a non-replayable one then aborted, since it may have run.
 func TestTimeUp(t *testing.T) {
 	w := start(1, 3, nil)
@@ -924,7 +924,7 @@
 			w.arrive(n*37%100, "a", 1)
 			sent += strings.Count(w.trace.String(), "dispatch")
 			w.pass(n * 37 % 100)
-			w.wait(beat*5/8, half < 8 || half >= 14)
+			w.wait(tickInterval*5/8, half < 8 || half >= 14)
 		}
 		if half%2 == 0 {
 			fmt.Fprintf(&all, "%d s", half/2)
--- a/logic/options.go
+++ b/logic/options.go
@@ -6,22 +6,22 @@
 	"ravensill/gateway"
 )
 
-// considered tells a Writer that is a Witness what r's dispatch to chosen was picked among, by the loads that pick
+// considered tells a Writer that is a Witness what r's attempt to chosen was picked among, by the loads that pick
 // has just set: every host of the subset that could be picked, and any other that was. The ranking is a hash, so that
 // over customers each host within bounds is first with the same chance. It records only; nothing is decided by it.
-func (g *Gateway) considered(r *req, chosen *host) {
-	w, on := g.out.(gateway.Witness)
+func (g *Gateway) candidates(r *request, chosen *host) {
+	w, on := g.writer.(gateway.Witness)
 	if !on {
 		return
 	}
 	least, n := math.Inf(1), 0
-	for _, h := range g.fleet.weighed {
+	for _, h := range g.pool.weighed {
 		least = min(least, h.load)
 	}
 	enough := r.customer.enough(least)
 	all, next := append(g.options[:0], gateway.Option{Host: chosen.id, Load: chosen.load}), (*host)(nil)
 	at := 0
-	for _, h := range g.fleet.weighed {
+	for _, h := range g.pool.weighed {
 		in := h.load <= enough
 		if in {
 			n++
--- a/logic/options_test.go
+++ b/logic/options_test.go
@@ -8,7 +8,7 @@
 	"ravensill/gateway"
 )
 
-// watcher is a Witness over a seat that drops what the seat would trace.
+// watcher is a Witness over a member index that drops what the member index would trace.
 type watcher struct {
 	*seat
 	options []gateway.Option
@@ -57,10 +57,10 @@
 				chosen[watch.hosts[i]]++
 			}
 			if i%3 == 0 {
-				for _, h := range s.g.fleet.hosts {
-					if len(h.out) > 0 {
-						x := h.out[0]
-						s.g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Ended, Req: x.req.id,
+				for _, h := range s.g.pool.all {
+					if len(h.inFlight) > 0 {
+						x := h.inFlight[0]
+						s.g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Ended, Req: x.request.id,
 							Host: h.id, Dispatch: x.n, Lag: ms * int64(h.id), Closed: true}}}, out)
 					}
 				}
@@ -81,7 +81,7 @@
 	}
 }
 
-// The cost of a req in the module without and with a Witness.
+// The cost of a request in the module without and with a Witness.
 func BenchmarkConsidered(b *testing.B) {
 	for on, name := range []string{"off", "on"} {
 		b.Run(name, func(b *testing.B) {
--- a/logic/reconfigure.go
+++ b/logic/reconfigure.go
@@ -8,23 +8,23 @@
 // a customer comes under its plan's new version when it is next looked at (refill), in a second at the latest.
 func (g *Gateway) Reconfigure(now int64, u *gateway.Update) {
 	for i := range u.Plans {
-		g.quota(&u.Plans[i])
+		g.setPlan(&u.Plans[i])
 	}
 	for i := range u.Classes {
-		g.class(&u.Classes[i])
+		g.setClass(&u.Classes[i])
 	}
 	if u.Limits != nil {
 		g.limits = *u.Limits
 	}
 	if u.Members > 0 && u.Members != len(g.peers) {
 		g.resize(u.Members)
-		g.joined = now
-		g.fleet.choose()
+		g.resized = now
+		g.pool.choose()
 	}
 }
 
-// quota sets or removes a plan. An index is of one plan for good.
-func (g *Gateway) quota(u *gateway.PlanUpdate) {
+// setPlan sets or removes a plan. An index is of one plan for good.
+func (g *Gateway) setPlan(u *gateway.PlanUpdate) {
 	g.plans = append(g.plans, make([]*gateway.Plan, max(u.Index+1-len(g.plans), 0))...)
 	g.plans[u.Index], g.byID[u.Plan.ID] = &u.Plan, u.Index
 	if u.Removed {
@@ -33,12 +33,12 @@
 	}
 }
 
-// class sets a class of requests. One that changes keeps what was learned of its answers.
-func (g *Gateway) class(u *gateway.ClassUpdate) {
-	next := &front{u.Class, u.Index, float64(u.Class.Target) / 6, 1}
-	g.fronts = append(g.fronts, make([]*front, max(u.Index+1-len(g.fronts), 0))...)
-	if last := g.fronts[u.Index]; last != nil {
+// setClass sets a class of requests. One that changes keeps what was learned of its answers.
+func (g *Gateway) setClass(u *gateway.ClassUpdate) {
+	next := &class{u.Class, u.Index, float64(u.Class.Target) / 6, 1}
+	g.classes = append(g.classes, make([]*class, max(u.Index+1-len(g.classes), 0))...)
+	if last := g.classes[u.Index]; last != nil {
 		next.usual, next.units = last.usual, last.units
 	}
-	g.fronts[u.Index] = next
+	g.classes[u.Index] = next
 }
--- a/logic/reconfigure_test.go
+++ b/logic/reconfigure_test.go
@@ -108,24 +108,24 @@
 // What is in flight under a class keeps it: a class that becomes safe must not make a request repeat that was sent as unsafe.
 func TestInFlightKeepsClass(t *testing.T) {
 	w := start(1, 4, func(w *world) { w.fronts[0].Effect = gateway.NonReplayable })
-	w.seats[0].g.spare = 5
+	w.seats[0].g.retryBudget = 5
 	w.arrive(0, "c", 1)
 	safe := w.fronts[0]
 	safe.Effect = gateway.Replayable
 	w.reconfigure(gateway.Update{Classes: []gateway.ClassUpdate{{Index: 0, Class: safe}, {Index: 1, Class: safe}}})
 	w.end(0, 0, gateway.Broken, false)
-	if w.seats[0].g.fleet.out != 0 {
+	if w.seats[0].g.pool.inFlight != 0 {
 		t.Error("a request was sent again that was unsafe when it was sent")
 	}
 	w.wait(second/10, true)
 	w.arrive(0, "c", 1)
 	w.end(0, 0, gateway.Broken, false)
-	if w.seats[0].g.fleet.out != 1 {
+	if w.seats[0].g.pool.inFlight != 1 {
 		t.Error("the class's new effect is not in force")
 	}
 	w.pass(0)
 	w.in(0, gateway.Event{Kind: gateway.Arrived, Req: "new class", Customer: "d", Frontend: 1, Until: w.now + second, Units: 1, Spread: 1})
-	if w.seats[0].g.fleet.out != 1 {
+	if w.seats[0].g.pool.inFlight != 1 {
 		t.Error("the added class is not served")
 	}
 }
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -20,7 +20,7 @@
 	skipped bool // never sent: its client had left
 }
 
-type asked struct { // a req, as the rules see it
+type asked struct { // a request, as the rules see it
 	id    string
 	until int64
 	out   *attempt
@@ -131,7 +131,7 @@
 func (r *referee) Follow()          {}
 func (r *referee) Note(string)      {}
 
-// ends gives how the attempt of a req ends now, if it does.
+// ends gives how the attempt of a request ends now, if it does.
 func (r *referee) ends(q *asked) (e gateway.Event, ok bool) {
 	results := []gateway.Result{gateway.Passed, gateway.Passed, gateway.Errored, gateway.Busy, gateway.Unreached, gateway.Broken,
 		gateway.Spoilt, gateway.Skipped}
@@ -160,7 +160,7 @@
 		Closed: q.done}, true
 }
 
-// play lets some 300 reqs in over a few seconds with stalls, leaving clients, hosts that come and go.
+// play lets some 300 requests in over a few seconds with stalls, leaving clients, hosts that come and go.
 func (r *referee) play(g *logic.Gateway) {
 	const hosts = 6
 	list := gateway.Event{Kind: gateway.Listed, List: gateway.Complete}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -22,16 +22,16 @@
 	}
 	round := func(at int64, events ...gateway.Event) { g.Round(&gateway.Round{Now: at, Events: events}, w.seats[0]) }
 	round(second, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list})
-	if near := len(g.fleet.near); near == 0 || near > hosts/10 {
+	if near := len(g.pool.near); near == 0 || near > hosts/10 {
 		t.Fatalf("%d of %d hosts are near", near, hosts)
 	}
-	for i, h := range g.fleet.hosts {
-		if i > 0 && h.id <= g.fleet.hosts[i-1].id {
+	for i, h := range g.pool.all {
+		if i > 0 && h.id <= g.pool.all[i-1].id {
 			t.Fatal("hosts are not in the order of their ids")
 		}
 		if !h.Held {
-			h.out = []*send{nil}
-			h.fronts = []health{{good: 2 * second, bad: 0.2}} // a walk would tell peers of it, or heal it
+			h.inFlight = []*attempt{nil}
+			h.classes = []health{{lastGood: 2 * second, unanswered: 0.2}} // a walk would tell peers of it, or heal it
 		}
 	}
 	round(2*second, gateway.Event{Kind: gateway.Woke}, gateway.Event{Kind: gateway.Arrived, Req: "a", Customer: "c", Spread: 1,
@@ -43,12 +43,12 @@
 		mail.Form{Plans: 1, Members: 300}.Read(body, func(uint64, uint64) bool { return true },
 			func(uint16) { t.Error("a peer is told of a host that is not near") }, nil)
 	}
-	far := g.fleet.hosts[slices.IndexFunc(g.fleet.hosts, func(h *host) bool { return !h.Held })]
-	if g.fleet.vouched(far.tag(0)); far.fronts[0].bad != 0.2 {
+	far := g.pool.all[slices.IndexFunc(g.pool.all, func(h *host) bool { return !h.Held })]
+	if g.pool.vouched(far.tag(0)); far.classes[0].unanswered != 0.2 {
 		t.Error("a peer's message walked to a host that is not near")
 	}
-	if len(g.fleet.weighed) != len(g.fleet.near) || g.Gauges().Out != 1 {
-		t.Errorf("%d hosts were weighed for a request, %d are near, %d requests are out", len(g.fleet.weighed), len(g.fleet.near), g.Gauges().Out)
+	if len(g.pool.weighed) != len(g.pool.near) || g.Gauges().Out != 1 {
+		t.Errorf("%d hosts were weighed for a request, %d are near, %d requests are out", len(g.pool.weighed), len(g.pool.near), g.Gauges().Out)
 	}
 }
 
@@ -61,12 +61,12 @@
 		list = append(list, gateway.Listing{Host: uint32(i), Share: 1})
 	}
 	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.seats[0])
-	for _, h := range g.fleet.near {
+	for _, h := range g.pool.near {
 		h.pace = 1000
-		h.of(g.fronts[0]).any = second
+		h.of(g.classes[0]).lastAnswer = second
 	}
 	c := g.customer(1, 0, 1, 0)
-	if h := g.fleet.pick(c, g.fronts[0], second, 1, nil); h == nil || h.Held {
+	if h := g.pool.pick(c, g.classes[0], second, 1, nil); h == nil || h.Held {
 		t.Fatalf("pick gave %v, not a host outside the subset", h)
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -7,128 +7,179 @@
 	"ravensill/spread"
 )
 
-// The records that the module keeps of reqs, customers and gateways; logic.go decides by them, and nothing is decided
-// here.
-
-// req is held from its arrival until it is closed and no dispatch is out.
-type req struct {
-	id             string
-	customer       *customer
-	front          *front
-	units          float64
-	arrived, until int64
-	tries          int
-	out, ran       *send // the dispatch that is out, and the first that may have run
-	closed         bool
-	slot           uint64 // the counter's number that counts it as open; 0 none
+// The records that the module keeps of requests, customers, peers and hosts; nothing is decided here. Times are nanoseconds of
+// the gateway's clock, 0 never; units are those of the quotas.
+
+// request is held from its arrival until it is closed and no attempt is in flight.
+type request struct {
+	id         string
+	customer   *customer
+	class      *class
+	units      float64
+	arrived    int64
+	deadline   int64 // the client gives up then
+	attempts   int
+	current    *attempt // in flight; nil: none
+	mayHaveRun *attempt // the first that may have run; nil: none
+	closed     bool
+	slot       uint64 // the shared counter's number that counts it as in flight; 0 none
 }
 
-type send struct { // a dispatch, the nth of its req
-	req  *req
-	host *host
-	n    int
-	at   int64
+// attempt is the nth sending of a request to a host.
+type attempt struct {
+	request *request
+	host    *host
+	n       int
+	at      int64
 }
 
-// customer is this gateway's copy of a customer's bucket, with what its peers told of it.
+// customer is this gateway's copy of a customer's token bucket, with what its peers sent of it.
 type customer struct {
-	hash                         uint32
-	plan                         *gateway.Plan
-	planID                       int
-	spread, first                int
-	ties                         []tie      // the peers that tell or are told of it
-	begun, at, moved             int64      // start of the record, last refill, last admission here or elsewhere
-	level, others                float64    // units; units a second that the peers admit
-	ask, got                     float64    // units lately asked and admitted
-	presumed                     float64    // units taken for peers that were not heard
-	total                        [2]float64 // units admitted here, and with the others of the row
-	ceiling, ceilRate, ceilDepth float64    // this gateway's part of the ceiling: store, rate and depth
-	open                         int        // dispatches out from here
-	bad                          float64    // part of its reqs that go unanswered
+	hash          uint32
+	plan          *gateway.Plan
+	planIndex     int
+	spread        int            // gateways that the customer's requests come in at,
+	first         int            // from this member index on, counted round
+	subscriptions []subscription // the peers that send or are sent its counters
+	created       int64
+	refilled      int64      // the last time
+	lastAdmission int64      // here or at a peer
+	level         float64    // units in the bucket; below 0 it owes
+	peerRate      float64    // units a second that the peers admit
+	asked         float64    // units asked lately
+	admitted      float64    // units admitted lately
+	presumed      float64    // units taken for peers that were not heard
+	total         [2]float64 // units admitted here, and with the others of the row: the counters that are sent
+	ceiling       float64    // units in this gateway's part of the ceiling
+	ceilRate      float64    // units a second that it is filled by
+	ceilDepth     float64    // units that it holds at most
+	inFlight      int        // attempts from here
+	unanswered    float64    // part of its requests, lately
 }
 
-// tie is what a customer's copy here and at a peer know of each other.
-type tie struct {
+// subscription is what a customer's copy here and at a peer know of each other.
+type subscription struct {
 	customer      *customer
 	peer          *peer
-	at            int64   // of the last total heard
-	seen          uint64  // last total heard
-	told          float64 // last total told
-	tells, queued bool
+	received      int64   // time of the last counter received
+	receivedTotal uint64  // that counter, in parts of a unit
+	sentTotal     float64 // last counter sent, in units
+	sends         bool    // counters go to the peer
+	queued        bool    // in the peer's queue
 }
 
+// peer is another gateway that this one sends to or hears.
 type peer struct {
-	seat, nth               int
-	wants                   int       // the total that it is told: 1 where it is in another row
-	tells                   bool      // it is to be told
-	latest                  *customer // with a tie to it, the nth of the customer's
-	heard, first, born, due int64     // last hearing; first after silence, and of this life; next sign of life
-	queue                   []*tie    // with totals to tell
-	life, number, said      uint64    // its start by its own clock; its last message; messages to it
-	credit                  float64   // messages that it can take
+	member      int // its member index
+	nth         int // place of its subscription in those of the customer latest
+	latest      *customer
+	total       int   // which of the customers' counters it is sent: 1 where it is in another row
+	sends       bool  // it is sent counters
+	received    int64 // last message
+	first       int64 // first message after a silence
+	born        int64 // first message of this incarnation
+	due         int64 // next sign of life to it
+	queue       []*subscription
+	incarnation uint64  // its start by its own clock, in milliseconds
+	number      uint64  // of its last message
+	sent        uint64  // messages to it
+	credit      float64 // messages that it can take
 }
 
+// Gateway decides for one gateway. It belongs to one goroutine.
 type Gateway struct {
-	now, start, heard, beaten       int64 // heard: any peer; beaten: the last beat
-	nextSweep, nextAsk, asked, deaf int64 // asked for the list, or lost it; the counter is not asked until deaf
-	out                             gateway.Writer
-	seat                            gateway.Seat
-	fronts                          []*front
-	plans                           []*gateway.Plan // by index; nil: removed
-	byID                            map[uint32]int  // indices of the plans by their IDs
-	form                            mail.Form
-	joined                          int64 // the fleet's size changed last; 0 never
-	limits                          gateway.Limits
-	options                         []gateway.Option // scratch, for a Witness
-	customers                       map[uint32]*customer
-	reqs                            map[string]*req
-	calls                           map[uint64][]*req // of the counter, by number, in order
-	rows                            int               // that the gateways stand in
-	links                           []*peer           // the gateways that it tells or hears
-	peers, to, from                 []*peer           // by seat: it, if linked; the link there, and back
-	rate, age, largest              float64           // messages a second to a peer; a total, in s; units
-	pause, silence, hush            int64             // between signs of life; with none: peers gone, net cut
-	fleet                           fleet
-	worth, spare                    float64 // usual worth of a req for its time; repeats in stock
-	rnd                             *mwc
-	passed, came, asks, unheard     int // reqs sent on, come since a beat; lists lost, calls unanswered
-	unmatched                       int // totals dropped for their plan
-	denied                          [Reasons]int
+	now   int64
+	start int64 // -1 before the first round
+	rnd   *mwc
+
+	writer  gateway.Writer // of the round
+	seat    gateway.Seat
+	limits  gateway.Limits
+	classes []*class
+	plans   []*gateway.Plan // by index; nil: removed
+	byID    map[uint32]int  // indices of the plans by their IDs
+	options []gateway.Option
+
+	customers map[uint32]*customer
+	requests  map[string]*request
+	calls     map[uint64][]*request // of the shared counter, by its number, in order
+	pool      hostPool
+
+	form       mail.Form
+	rows       int     // of the grid that the gateways stand in
+	neighbours []*peer // the gateways that this one sends to or hears
+	peers      []*peer // by member index; nil: no neighbour
+	to         []*peer // by member index: the neighbour on the way there
+	from       []*peer // by member index: the neighbour on the way from there
+	rate       float64 // messages a second to a peer
+	age        float64 // seconds that a counter is old when it comes
+	pause      int64   // between signs of life
+	silence    int64   // with none for so long, peers are gone
+	quiet      int64   // with none for so long, the network is cut
+	heard      int64   // last message of any peer
+	resized    int64   // the fleet's size changed last
+
+	ticked       int64 // last tick
+	nextSweep    int64 // of idle customers
+	nextAsk      int64 // for the host list
+	asked        int64 // asked for it, or lost it
+	asks         int   // lists lost on end
+	counterRetry int64 // the shared counter is not asked until then
+	unheard      int   // calls of it unanswered on end
+
+	largest     float64 // units of a request, the most seen
+	value       float64 // usual value of a request for its time
+	retryBudget float64 // retries of what may have run
+	arrived     int     // requests since the last tick
+	passed      int     // requests sent on, since the start
+	denied      [Reasons]int
+	unmatched   int // totals dropped for their plan, since the start
 }
 
-type front struct { // with how long its answers usually take and what its reqs ask
+// class is a request class, with what was learned of it.
+type class struct {
 	gateway.Frontend
-	nth          int
-	usual, units float64
+	index int
+	usual float64 // nanoseconds that its answers usually take
+	units float64 // that its requests usually ask
 }
 
-type fleet struct { // the hosts
-	hosts       []*host // in a fixed order
-	near        []*host // of these the subset and those sent to, in that order
-	weighed     []*host // whose loads pick has set last
-	cold        gateway.Cold
-	rnd         *mwc
-	utilAt, out int       // place of the busy share in load reports, -1 none; dispatches out from here
-	seat, seats int       // where this gateway stands, among so many: for its subset
-	limit       limit.Out // on these
-	woke, stood int64     // the gateway last stood still until then, and how long
+// hostPool holds the hosts.
+type hostPool struct {
+	all       []*host // by id
+	near      []*host // those of all in this gateway's subset, or sent to
+	weighed   []*host // those whose loads pick has set last
+	cold      gateway.Cold
+	rnd       *mwc
+	busyField int // place of the busy share in load reports; -1 none
+	inFlight  int // attempts from here
+	member    int // index of this gateway,
+	members   int // among so many: for its subset
+	limit     limit.Out
+	woke      int64 // the gateway last stood still until then,
+	stood     int64 // for so long
 }
 
+// host is one of the list.
 type host struct {
-	spread.Host // of this gateway's subset or not
-	id          uint32
-	state       gateway.State
-	met         bool  // sent to since it is in the list
-	since       int64 // its last start
-	out         []*send
-	pace, util  float64 // its answers' time against the usual; told busy share
-	load, allow float64 // how long an answer would take; dispatches it may get while cold
-	fronts      []health
+	spread.Host
+	id       uint32
+	state    gateway.State
+	used     bool  // sent to since it is in the list
+	since    int64 // its last start
+	inFlight []*attempt
+	pace     float64 // its answers' time against the usual
+	busy     float64 // share told by itself
+	load     float64 // how long an answer would take, as pick weighed it
+	allow    float64 // attempts that it may get while cold
+	classes  []health
 }
 
-// health is how a host serves a frontend: it may fail one and serve the others.
+// health is how a host serves a request class: it may fail one and serve the others.
 type health struct {
-	good, any, failed int64   // last good answer, last answer, last failure
-	bad               float64 // part of the dispatches that go unanswered,
-	at                int64   // as it was then
+	lastGood    int64
+	lastAnswer  int64
+	lastFailure int64
+	unanswered  float64 // part of the attempts,
+	at          int64   // as it was then
 }
