--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 // Package logic holds all decisions of a quota gateway. Round takes all that came in at one time.
 // The design (docs/design.md) decides each request's ordinary path: every gateway holds an undivided copy of
 // each customer's bucket, refilled at the full rate; what peers admit, gossiped as running totals, is
-// subtracted, down to a bounded debt; a copy without the units rejects. Beside the design stand six mechanisms:
+// subtracted, down to a bounded debt; a copy without the units rejects. Beside it stand six mechanisms:
 //
 //  1. a part of the hard ceiling for each gateway of a customer's set (Gateway.customer, Gateway.refill)
 //  2. the cap on requests in flight: asked of the shared counter, else guessed (counted, inCapChance)
@@ -262,7 +262,7 @@
 }
 
 // call adds to a number of requests in flight, and may leave r to wait for the answer. All gateways' clocks
-// give it one name for a span; the next counts anew, or what a killed gateway had in flight would count for ever.
+// give it one name for a span; the next counts anew, or what a killed gateway had in flight would stay.
 func (g *Gateway) call(name uint64, amount float64, r *request) {
 	g.calls[name] = append(g.calls[name], r)
 	g.writer.Count(name, amount, 2*counterSpan)
