--- /dev/null
+++ b/configsync/document_test.go
@@ -0,0 +1,171 @@
+package configsync
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const testLog LogID = "log-a"
+
+func set(resource Resource, value string) Change { return Change{resource, []byte(value)} }
+
+func remove(resource Resource) Change { return Change{Resource: resource} }
+
+// next gives the delta by which changes, which have to be sorted, lead a document to its next version.
+func next(document *Document, changes ...Change) *Delta {
+	return &Delta{
+		Log:     testLog,
+		From:    document.Version(),
+		To:      document.Version() + 1,
+		Changes: changes,
+		Digest:  document.totalsAfter(changes).digest,
+	}
+}
+
+func newTestDocument(t testing.TB, changes ...Change) *Document {
+	t.Helper()
+	document := NewDocument(testLog)
+	if err := document.Apply(next(document, changes...)); err != nil {
+		t.Fatal(err)
+	}
+	return document
+}
+
+// describe gives all that a document holds, for comparisons.
+func describe(document *Document) string {
+	return fmt.Sprintf("%s %d %x %d %q", document.Log(), document.Version(), document.Digest(), document.Bytes(), document.Changes())
+}
+
+func TestApplyRefusesAndChangesNothing(t *testing.T) {
+	long := strings.Repeat("x", MaxResourceBytes)
+	for name, test := range map[string]struct {
+		spoil func(*Delta)
+		want  error
+	}{
+		"other log":      {func(d *Delta) { d.Log = "log-b" }, &WrongLogError{}},
+		"no log":         {func(d *Delta) { d.Log = "" }, &MalformedError{}},
+		"older":          {func(d *Delta) { d.From = 0 }, &WrongFromError{}},
+		"gap":            {func(d *Delta) { d.From = 2; d.To = 3 }, &WrongFromError{}},
+		"not increasing": {func(d *Delta) { d.To = d.From }, &NotIncreasingError{}},
+		"digest":         {func(d *Delta) { d.Digest[31] ^= 1 }, &DigestError{}},
+		"value altered":  {func(d *Delta) { d.Changes[0].Value = []byte("5") }, &DigestError{}},
+		"unsorted":       {func(d *Delta) { d.Changes[0], d.Changes[1] = d.Changes[1], d.Changes[0] }, &MalformedError{}},
+		"named twice":    {func(d *Delta) { d.Changes[1] = d.Changes[0] }, &MalformedError{}},
+		"unknown kind":   {func(d *Delta) { d.Changes[1].Resource = "routes/a" }, &MalformedError{}},
+		"no name":        {func(d *Delta) { d.Changes[1].Resource = PlanPrefix }, &MalformedError{}},
+		"long name":      {func(d *Delta) { d.Changes[1].Resource = Resource(PlanPrefix + long) }, &MalformedError{}},
+		"long value":     {func(d *Delta) { d.Changes[1].Value = make([]byte, MaxValueBytes+1) }, &MalformedError{}},
+		"control":        {func(d *Delta) { d.Changes[1].Resource = "plans/a\n" }, &MalformedError{}},
+		"not UTF-8":      {func(d *Delta) { d.Changes[1].Resource = "plans/\xff" }, &MalformedError{}},
+		"member":         {func(d *Delta) { d.Changes[0].Resource = "members/07" }, &MalformedError{}},
+		"large member":   {func(d *Delta) { d.Changes[0].Resource = "members/65536" }, &MalformedError{}},
+	} {
+		document := newTestDocument(t, set("classes/a", "1"), set("plans/a", "2"))
+		before := describe(document)
+		delta := next(document, set("members/7", "3"), remove("plans/a"))
+		test.spoil(delta)
+		err := document.Apply(delta)
+		if reflect.TypeOf(err) != reflect.TypeOf(test.want) {
+			t.Errorf("%s: %T %v", name, err, err)
+		}
+		if describe(document) != before {
+			t.Errorf("%s: the document changed", name)
+		}
+	}
+}
+
+func TestDocumentHasABoundedSize(t *testing.T) {
+	document := NewDocument(testLog)
+	document.size = MaxDocumentBytes - 10
+	err := document.Apply(next(document, set("plans/a", "1234")))
+	var malformed *MalformedError
+	if !errors.As(err, &malformed) {
+		t.Error(err)
+	}
+	if err := document.Apply(next(document, set("plans/a", "123"))); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCloneIsApart(t *testing.T) {
+	document := newTestDocument(t, set("plans/a", "1"))
+	clone := document.Clone()
+	if err := clone.Apply(next(clone, remove("plans/a"))); err != nil {
+		t.Fatal(err)
+	}
+	if _, found := document.Get("plans/a"); !found || clone.Len() != 0 || clone.Bytes() != 0 || clone.Digest() != (Digest{}) {
+		t.Error(describe(document), describe(clone))
+	}
+}
+
+// drawChanges draws changes of a few resources, so that they often meet.
+func drawChanges(t *rapid.T) []Change {
+	drawn := rapid.MapOfN(
+		rapid.SampledFrom([]Resource{"classes/a", "classes/b", "limits", "members/0", "members/11", "plans/a", "plans/b"}),
+		rapid.SampledFrom([]string{"", "1", "2"}), 1, 4).Draw(t, "changes")
+	var changes []Change
+	for resource, value := range drawn {
+		changes = append(changes, set(resource, value))
+	}
+	sortChanges(changes)
+	return changes
+}
+
+// The digest and the size depend on the content alone, not on the changes that led to it; Diff leads to any content.
+func TestDigestAndDiff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		document := NewDocument(testLog)
+		for range rapid.IntRange(1, 10).Draw(t, "versions") {
+			if err := document.Apply(next(document, drawChanges(t)...)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rebuilt, err := buildDocument(testLog, document.Version(), document.Digest(), document.Changes())
+		if err != nil || describe(rebuilt) != describe(document) {
+			t.Fatal(err, describe(rebuilt), describe(document))
+		}
+		other := NewDocument(testLog)
+		if err := other.Apply(next(other, drawChanges(t)...)); err != nil {
+			t.Fatal(err)
+		}
+		if err := other.Apply(next(other, other.Diff(document.resources)...)); err != nil || other.Digest() != document.Digest() {
+			t.Fatal(err, describe(other), describe(document))
+		}
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	document := newTestDocument(f, set("classes/a", "1"), set("plans/a", "2"))
+	for _, delta := range []*Delta{
+		next(document, set("members/7", "3"), remove("plans/a")),
+		{Log: "log-b", From: 1, To: 2},
+		{Log: testLog, From: 1, To: 9, Changes: []Change{set("limits", "4")}},
+	} {
+		f.Add(marshal(delta))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var delta Delta
+		if fileDecoder.Unmarshal(text, &delta) != nil {
+			return
+		}
+		changed := document.Clone()
+		if changed.Apply(&delta) != nil {
+			if describe(changed) != describe(document) {
+				t.Fatal("changed in spite of an error")
+			}
+			return
+		}
+		if changed.Version() <= document.Version() || changed.Log() != testLog {
+			t.Fatal(describe(changed))
+		}
+		rebuilt, err := buildDocument(testLog, changed.Version(), delta.Digest, changed.Changes())
+		if err != nil || describe(rebuilt) != describe(changed) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/configsync/follower_test.go
@@ -0,0 +1,319 @@
+package configsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(offset time.Duration) time.Time { return start.Add(offset) }
+
+// newTestFollower gives a connected follower with member index 1 and three publishers, that holds version 1.
+func newTestFollower(t testing.TB) *Follower {
+	held := newTestDocument(t, set("limits", "1"), set("plans/a", "2"))
+	config := FollowerConfig{Member: 1, Name: "gateway-1", Incarnation: 7, Publishers: 3}
+	follower := NewFollower(config, held, rand.New(rand.NewPCG(1, 2)))
+	follower.Connected(start)
+	return follower
+}
+
+func TestFollowerTakesADelta(t *testing.T) {
+	follower := newTestFollower(t)
+	delta := next(follower.Document(), set("plans/b", "3"))
+	decision := follower.Receive(start, delta)
+	if decision.Kind != Apply || decision.Update.From != 1 || decision.Update.To != 2 || decision.Update.Delta != delta {
+		t.Fatalf("%+v", decision)
+	}
+	if follower.Document().Version() != 1 {
+		t.Error("in force before the gateway took it")
+	}
+	if decision := follower.Receive(start, delta); decision.Kind != Ignore {
+		t.Errorf("repeated while pending: %+v", decision)
+	}
+	answer := follower.Accept(start)
+	if *answer != (Acknowledge{2, delta.Digest}) || follower.Document().Digest() != delta.Digest {
+		t.Errorf("%+v", answer)
+	}
+	if follower.Accept(start) != nil || follower.Refuse(start, "", "") != nil {
+		t.Error("an answer to nothing")
+	}
+	decision = follower.Receive(start, delta)
+	if decision.Kind != Ignore || !reflect.DeepEqual(decision.Reply, answer) || follower.Counters().Ignored != 2 {
+		t.Errorf("repeated: %+v", decision)
+	}
+}
+
+func TestFollowerStartsWithoutALog(t *testing.T) {
+	follower := NewFollower(FollowerConfig{Member: 5, Publishers: 3}, NewDocument(""), rand.New(rand.NewPCG(1, 2)))
+	if follower.Publisher() != 2 {
+		t.Error("start positions aren't spread")
+	}
+	hello := follower.Connected(start)[0].(*Hello)
+	if hello.Log != "" || hello.Held != 0 {
+		t.Errorf("%+v", hello)
+	}
+	first := next(NewDocument(testLog), set("limits", "x"))
+	follower.Receive(start, first)
+	follower.Refuse(start, "limits", "not an object")
+	if messages := follower.Connected(start); len(messages) != 1 || messages[0].(*Hello).Refused != 0 {
+		t.Errorf("a version of no log: %+v", messages)
+	}
+	if decision := follower.Receive(start, first); decision.Reply == nil {
+		t.Errorf("refused before: %+v", decision)
+	}
+	other := *first
+	other.Log = "log-b"
+	if decision := follower.Receive(start, &other); decision.Kind != Apply {
+		t.Errorf("the same version of another log: %+v", decision)
+	}
+	follower.Accept(start)
+	if follower.Document().Log() != "log-b" {
+		t.Error(follower.Document().Log())
+	}
+}
+
+func TestFollowerRefuses(t *testing.T) {
+	follower := newTestFollower(t)
+	bad := next(follower.Document(), set("plans/b", "x"))
+	follower.Receive(start, bad)
+	refusal := follower.Refuse(start, "plans/b", "not an object")
+	if *refusal != (Refusal{2, "plans/b", "not an object"}) || follower.Document().Version() != 1 {
+		t.Errorf("%+v", refusal)
+	}
+	decision := follower.Receive(start, bad)
+	if decision.Kind != Ignore || decision.Reply != Message(refusal) {
+		t.Errorf("sent again: %+v", decision)
+	}
+	messages := follower.Connected(start)
+	if hello := messages[0].(*Hello); hello.Refused != 2 || hello.Held != 1 || messages[1] != Message(refusal) {
+		t.Errorf("%+v", messages)
+	}
+	later := next(follower.Document(), set("plans/b", "3"))
+	later.To = 3
+	if decision := follower.Receive(start, later); decision.Kind != Apply {
+		t.Fatalf("%+v", decision)
+	}
+	if follower.Accept(start); follower.Refused() != nil {
+		t.Error("still refused")
+	}
+}
+
+// Each event that ends a connection: the cause, the counter, and the next publisher after a wait.
+func TestFollowerReconnects(t *testing.T) {
+	document := newTestDocument(t, set("limits", "1"), set("plans/a", "2"))
+	gap := &Delta{Log: testLog, From: 2, To: 3}
+	wrong := next(document, set("limits", "2"))
+	wrong.Digest[0]++
+	other := next(document, set("limits", "2"))
+	other.Log = "log-b"
+	unsorted := next(document, set("plans/a", "1"), set("limits", "1"))
+	part := &SnapshotPart{Log: testLog, Version: 2, Parts: 2, Part: 1}
+	wrongPart := &SnapshotPart{Log: testLog, Version: 2, Parts: 1, Digest: Digest{1}}
+	receive := func(message Message) func(*Follower) Decision {
+		return func(f *Follower) Decision { return f.Receive(start, message) }
+	}
+	for name, test := range map[string]struct {
+		event    func(*Follower) Decision
+		cause    Cause
+		counters FollowerCounters
+	}{
+		"gap":                {receive(gap), CauseGap, FollowerCounters{Gaps: 1}},
+		"digest":             {receive(wrong), CauseDigest, FollowerCounters{Digests: 1}},
+		"digest of snapshot": {receive(wrongPart), CauseDigest, FollowerCounters{Digests: 1}},
+		"delta of other log": {receive(other), CauseOtherLog, FollowerCounters{OtherLog: 1}},
+		"part of other log":  {receive(&SnapshotPart{Log: "log-b", Version: 2, Parts: 1}), CauseOtherLog, FollowerCounters{OtherLog: 1}},
+		"other log":          {receive(&OtherLog{Log: "log-b"}), CauseOtherLog, FollowerCounters{OtherLog: 1}},
+		"heartbeat of other": {receive(&Heartbeat{Log: "log-b"}), CauseOtherLog, FollowerCounters{OtherLog: 1}},
+		"unsorted":           {receive(unsorted), CauseMalformed, FollowerCounters{Malformed: 1}},
+		"part out of order":  {receive(part), CauseMalformed, FollowerCounters{Malformed: 1}},
+		"a follower's":       {receive(&Hello{}), CauseMalformed, FollowerCounters{Malformed: 1}},
+		"malformed":          {func(f *Follower) Decision { return f.Malformed(start, nil) }, CauseMalformed, FollowerCounters{Malformed: 1}},
+		"behind":             {receive(&Behind{}), CauseBehind, FollowerCounters{Behind: 1}},
+		"deferral":           {receive(&Deferral{After: time.Second}), CauseDeferred, FollowerCounters{Deferred: 1}},
+		"lost":               {func(f *Follower) Decision { return f.Lost(start) }, CauseLost, FollowerCounters{Lost: 1}},
+		"another one pending": {func(f *Follower) Decision {
+			f.Receive(start, next(document, remove("limits")))
+			return f.Receive(start, gap)
+		}, CauseGap, FollowerCounters{Gaps: 1}},
+	} {
+		follower := newTestFollower(t)
+		decision := test.event(follower)
+		if decision.Kind != Reconnect || decision.Cause != test.cause || follower.Counters() != test.counters {
+			t.Errorf("%s: %+v, %+v", name, decision, follower.Counters())
+		}
+		if follower.Publisher() != 2 || follower.Document().Version() != 1 {
+			t.Errorf("%s: publisher %d, version %d", name, follower.Publisher(), follower.Document().Version())
+		}
+		if _, connected := follower.Deadline(); connected || follower.NextAttempt().Before(start) {
+			t.Errorf("%s: no wait", name)
+		}
+		hello := follower.Connected(start)[0].(*Hello)
+		if hello.Whole != (test.cause == CauseDigest) {
+			t.Errorf("%s: asks for a snapshot: %v", name, hello.Whole)
+		}
+	}
+}
+
+func TestFollowerGivesUpConnections(t *testing.T) {
+	second := func(n int) time.Time { return at(time.Duration(n) * time.Second) }
+	current := &Heartbeat{Log: testLog, Latest: 1, Current: true}
+	for name, test := range map[string]struct {
+		events func(*Follower)
+		last   time.Time // the last moment at which it stays
+		cause  Cause
+	}{
+		"silent": {func(f *Follower) { f.Receive(second(1), current) }, second(4), CauseSilent},
+		"stale": {func(f *Follower) {
+			f.Receive(second(1), current)
+			for i := 2; i < 5; i++ {
+				f.Receive(second(i), &Heartbeat{Log: testLog, Latest: 1})
+			}
+		}, second(4), CauseStale},
+		"stalled": {func(f *Follower) {
+			for i := range 5 {
+				f.Receive(second(i), &Heartbeat{Log: testLog, Latest: 2, Current: true})
+			}
+		}, second(4), CauseStalled},
+	} {
+		follower := newTestFollower(t)
+		test.events(follower)
+		deadline, _ := follower.Deadline()
+		if !deadline.Equal(test.last) {
+			t.Errorf("%s: deadline %v", name, deadline.Sub(start))
+		}
+		if decision := follower.Tick(deadline.Add(-1)); decision.Kind != Ignore {
+			t.Errorf("%s: %+v too early", name, decision)
+		}
+		if decision := follower.Tick(deadline); decision.Kind != Reconnect || decision.Cause != test.cause {
+			t.Errorf("%s: %+v", name, decision)
+		}
+	}
+	follower := newTestFollower(t)
+	follower.Heard(second(2)) // part of a message
+	if decision := follower.Tick(second(4)); decision.Cause == CauseSilent {
+		t.Error("bytes aren't silence")
+	}
+}
+
+// A version that is pending, refused, held or on its way isn't waited for.
+func TestFollowerIsNotStalled(t *testing.T) {
+	announce := func(f *Follower) {
+		for i := range 6 {
+			f.Receive(at(time.Duration(i)*time.Second), &Heartbeat{Log: testLog, Latest: 2, Current: true})
+		}
+	}
+	for name, events := range map[string]func(*Follower){
+		"pending": func(f *Follower) { f.Receive(start, next(f.Document(), remove("limits"))); announce(f) },
+		"refused": func(f *Follower) {
+			f.Receive(start, next(f.Document(), remove("limits")))
+			f.Refuse(start, "", "")
+			announce(f)
+		},
+		"held": func(f *Follower) {
+			f.Receive(start, next(f.Document(), remove("limits")))
+			f.Accept(start)
+			announce(f)
+		},
+		"on its way": func(f *Follower) {
+			announce(f)
+			f.Receive(at(5*time.Second), &SnapshotPart{Log: testLog, Version: 2, Parts: 2})
+		},
+	} {
+		follower := newTestFollower(t)
+		events(follower)
+		if decision := follower.Tick(at(5 * time.Second)); decision.Kind != Ignore {
+			t.Errorf("%s: %+v", name, decision)
+		}
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	follower := newTestFollower(t)
+	longest := make([]time.Duration, 8)
+	for range 2000 {
+		follower.failures = 0
+		for i := range longest {
+			follower.Lost(start)
+			wait := follower.NextAttempt().Sub(start)
+			longest[i] = max(longest[i], wait)
+		}
+	}
+	for i, bound := range []time.Duration{200, 400, 800, 1600, 3000, 3000, 3000, 3000} {
+		bound *= time.Millisecond
+		if longest[i] >= bound || longest[i] < bound*95/100 {
+			t.Errorf("attempt %d: up to %v", i, longest[i])
+		}
+	}
+	follower.Connected(start)
+	follower.Receive(start, &Heartbeat{Log: testLog, Latest: 1, Current: true})
+	if follower.failures == 0 {
+		t.Error("a connection that isn't proven ends the backoff")
+	}
+	follower.Receive(at(SilenceTimeout), &Heartbeat{Log: testLog, Latest: 1})
+	if follower.failures == 0 {
+		t.Error("a publisher without a quorum ends the backoff")
+	}
+	follower.Receive(at(SilenceTimeout), &Heartbeat{Log: testLog, Latest: 1, Current: true})
+	if follower.failures != 0 {
+		t.Error("the backoff doesn't end")
+	}
+	follower.failures = 3
+	follower.Receive(at(SilenceTimeout), next(follower.Document(), remove("limits")))
+	if follower.Accept(start); follower.failures != 0 {
+		t.Error("the backoff doesn't end with a version")
+	}
+}
+
+func TestDeferralIsBounded(t *testing.T) {
+	for after, want := range map[time.Duration]time.Duration{0: BackoffBase, time.Second: time.Second, time.Hour: MaxDeferral} {
+		follower := newTestFollower(t)
+		follower.Receive(start, &Deferral{After: after})
+		wait := follower.NextAttempt().Sub(start)
+		if wait < want || wait >= want+BackoffBase {
+			t.Errorf("%v: %v", after, wait)
+		}
+	}
+}
+
+func TestFollowerTakesASnapshot(t *testing.T) {
+	for name, test := range map[string]struct {
+		version Version
+		changes []Change
+		want    DecisionKind
+	}{
+		"later":           {4, []Change{set("limits", "1"), set("plans/b", "3")}, Apply},
+		"held":            {1, []Change{set("limits", "1"), set("plans/a", "2")}, Ignore},
+		"held, otherwise": {1, []Change{set("limits", "1"), set("plans/a", "9")}, Apply},
+	} {
+		follower := newTestFollower(t)
+		content := newTestDocument(t, test.changes...)
+		content.version = test.version
+		decision := follower.Receive(start, SplitSnapshot(content)[0])
+		if decision.Kind != test.want {
+			t.Errorf("%s: %+v", name, decision)
+		}
+		if test.want != Apply {
+			continue
+		}
+		want := follower.Document().Diff(content.resources)
+		if fmt.Sprint(decision.Update.Changes) != fmt.Sprint(want) || decision.Update.Delta != nil || decision.Update.To != test.version {
+			t.Errorf("%s: %+v", name, decision.Update)
+		}
+		if follower.Accept(start); describe(follower.Document()) != describe(content) {
+			t.Errorf("%s: another document", name)
+		}
+	}
+	follower := newTestFollower(t)
+	later := newTestDocument(t, set("limits", "1"))
+	later.version = 4
+	if decision := follower.Receive(start, next(follower.Document(), remove("limits"))); decision.Kind != Apply {
+		t.Fatalf("%+v", decision)
+	}
+	if decision := follower.Receive(start, SplitSnapshot(later)[0]); decision.Cause != CauseGap {
+		t.Errorf("while another version is pending: %+v", decision)
+	}
+}
--- a/configsync/snapshot.go
+++ b/configsync/snapshot.go
@@ -80,6 +80,9 @@
 
 // buildDocument makes a document of its whole sorted content.
 func buildDocument(log LogID, version Version, digest Digest, changes []Change) (*Document, error) {
+	if err := checkOptionalLog(log); err != nil {
+		return nil, err
+	}
 	document := NewDocument(log)
 	if version == 0 && len(changes) == 0 && digest == (Digest{}) {
 		return document, nil
--- /dev/null
+++ b/configsync/state_test.go
@@ -0,0 +1,232 @@
+package configsync
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var testLimits = HistoryLimits{Deltas: 100, Bytes: 1 << 20}
+
+func newTestState(t testing.TB, limits HistoryLimits) *State {
+	t.Helper()
+	state := NewState(limits)
+	apply(t, state, &Command{Create: testLog})
+	return state
+}
+
+func apply(t testing.TB, state *State, command *Command) {
+	t.Helper()
+	if err := try(t, state, command); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func try(t testing.TB, state *State, command *Command) error {
+	t.Helper()
+	text, err := EncodeCommand(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = state.Apply(text)
+	return err
+}
+
+func publish(t testing.TB, state *State, changes ...Change) {
+	t.Helper()
+	apply(t, state, NewCommand(testLog, state.Document().Version(), changes))
+}
+
+func TestPlanID(t *testing.T) { // by the published test vectors of FNV-1a, and by a name whose hash is 0
+	for name, want := range map[string]uint32{"": 0x811c9dc5, "a": 0xe40c292c, "foobar": 0xbf9cf968, "ppkttia": 1} {
+		if got := PlanID(name); got != want {
+			t.Errorf("%q: %08x, not %08x", name, got, want)
+		}
+	}
+}
+
+func TestStateRefusesAndChangesNothing(t *testing.T) {
+	state := newTestState(t, testLimits)
+	publish(t, state, set("plans/costarring", "1"), set("plans/a", "1"))
+	publish(t, state, remove("plans/costarring"))
+	before := state.Snapshot()
+	for name, test := range map[string]struct {
+		command *Command
+		want    error
+	}{
+		"second log":       {&Command{Create: "log-b"}, &LogExistsError{}},
+		"other log":        {NewCommand("log-b", 2, []Change{set("limits", "1")}), &WrongLogError{}},
+		"older base":       {NewCommand(testLog, 1, []Change{set("limits", "1")}), &ConflictError{}},
+		"later base":       {NewCommand(testLog, 3, []Change{set("limits", "1")}), &ConflictError{}},
+		"nothing":          {NewCommand(testLog, 2, nil), &NoChangeError{}},
+		"same value":       {NewCommand(testLog, 2, []Change{set("plans/a", "1")}), &NoChangeError{}},
+		"removed absent":   {NewCommand(testLog, 2, []Change{remove("limits")}), &NoChangeError{}},
+		"unknown kind":     {NewCommand(testLog, 2, []Change{set("routes/a", "1")}), &MalformedError{}},
+		"named twice":      {NewCommand(testLog, 2, []Change{set("limits", "1"), set("limits", "2")}), &MalformedError{}},
+		"unsorted":         {&Command{Log: testLog, Base: 2, Changes: []Change{set("plans/b", "1"), set("limits", "1")}}, &MalformedError{}},
+		"id of removed":    {NewCommand(testLog, 2, []Change{set("plans/liquid", "1")}), &PlanIDError{}},
+		"id in one change": {NewCommand(testLog, 2, []Change{set("plans/altarage", "1"), set("plans/zinke", "1")}), &PlanIDError{}},
+	} {
+		err := try(t, state, test.command)
+		if reflect.TypeOf(err) != reflect.TypeOf(test.want) {
+			t.Errorf("%s: %T %v", name, err, err)
+		}
+		if !bytes.Equal(state.Snapshot(), before) {
+			t.Errorf("%s: the state changed", name)
+		}
+	}
+	err := try(t, state, NewCommand(testLog, 2, []Change{set("plans/liquid", "1")}))
+	if refused, ok := err.(*PlanIDError); !ok || refused.Resource != "plans/liquid" || refused.Owner != "costarring" {
+		t.Errorf("%+v", err)
+	}
+	publish(t, state, set("plans/costarring", "2")) // the owner may come back
+	if _, err := EncodeCommand(&Command{Changes: []Change{{Value: make([]byte, MaxCommandBytes)}}}); err == nil {
+		t.Error("a command of any size")
+	}
+	if _, err := state.Apply(make([]byte, MaxCommandBytes+1)); err == nil {
+		t.Error("a command of any size applied")
+	}
+	if err := try(t, NewState(testLimits), NewCommand("", 0, []Change{set("limits", "1")})); err == nil {
+		t.Error("a version without a log")
+	}
+}
+
+// The same commands give the same bytes, also where a publisher was restored from a snapshot on the way; merged deltas and
+// rollbacks agree with the steps.
+func TestStateAndHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := HistoryLimits{Deltas: rapid.IntRange(1, 20).Draw(t, "deltas"), Bytes: rapid.IntRange(200, 4000).Draw(t, "bytes")}
+		state, twin := NewState(limits), NewState(limits)
+		contents := map[Version]*Document{0: state.Document().Clone()}
+		for i := range rapid.IntRange(1, 30).Draw(t, "commands") {
+			command := NewCommand(testLog, state.Document().Version(), drawChanges(t))
+			if i == 0 {
+				command = &Command{Create: testLog}
+			}
+			text, err := EncodeCommand(command)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = state.Apply(text)
+			_, twinErr := twin.Apply(text)
+			if fmt.Sprint(err) != fmt.Sprint(twinErr) {
+				t.Fatal(err, twinErr)
+			}
+			if rapid.Bool().Draw(t, "restore") {
+				restored := NewState(limits)
+				if err := restored.Restore(twin.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+				twin = restored
+			}
+			if !bytes.Equal(state.Snapshot(), twin.Snapshot()) {
+				t.Fatal("different states from the same commands")
+			}
+			contents[state.Document().Version()] = state.Document().Clone()
+		}
+		for version, content := range contents {
+			checkHistory(t, state, version, content)
+		}
+	})
+}
+
+// checkHistory compares what the history says about a version with its content.
+func checkHistory(t *rapid.T, state *State, version Version, content *Document) {
+	history, latest := state.History(), state.Document()
+	known := version >= history.Oldest()
+	digest, found := history.DigestAt(version)
+	if found != known || known && digest != content.Digest() {
+		t.Fatalf("version %d: digest %x, %v", version, digest, found)
+	}
+	delta, found := history.Since(version)
+	if found != (known && version < latest.Version()) {
+		t.Fatalf("version %d: a delta: %v", version, found)
+	}
+	if found {
+		merged := content.Clone()
+		if err := merged.Apply(&delta); err != nil || describe(merged) != describe(latest) {
+			t.Fatal(version, err)
+		}
+		if wanted := content.Diff(latest.resources); fmt.Sprint(wanted) != fmt.Sprint(delta.Changes) {
+			t.Fatalf("version %d: %v instead of %v", version, delta.Changes, wanted)
+		}
+	}
+	changes, found := history.ContentAt(version)
+	if found != known {
+		t.Fatalf("version %d: its content: %v", version, found)
+	}
+	if wanted := latest.Diff(content.resources); known && fmt.Sprint(changes) != fmt.Sprint(wanted) {
+		t.Fatalf("version %d: back by %v instead of %v", version, changes, wanted)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	for _, limits := range []HistoryLimits{{Deltas: 3, Bytes: 1 << 20}, {Deltas: 100, Bytes: 3 * (entryOverhead + 2*len("limits") + 2)}} {
+		state := newTestState(t, limits)
+		for i := range 10 {
+			publish(t, state, set("limits", fmt.Sprint(i)))
+		}
+		if oldest := state.History().Oldest(); oldest != 7 {
+			t.Errorf("%+v: oldest %d", limits, oldest)
+		}
+		if _, ok := state.History().Since(11); ok {
+			t.Error("a delta from the future")
+		}
+		if _, ok := state.History().ContentAt(6); ok {
+			t.Error("content that is gone")
+		}
+	}
+}
+
+// A merged delta that is beyond the wire's bounds goes as several.
+func TestDeltaWithinTheWire(t *testing.T) {
+	state := newTestState(t, HistoryLimits{Deltas: 100, Bytes: 8 << 20})
+	for i := range 20 {
+		publish(t, state, Change{Resource(fmt.Sprintf("plans/%02d", i)), bytes.Repeat([]byte("x"), MaxValueBytes)})
+	}
+	document := NewDocument(testLog)
+	for document.Version() < 20 {
+		delta, ok := state.History().SinceWithin(document.Version())
+		if !ok || !fitsWire(delta.Changes) || len(Encode(&delta)) > MaxFrameBytes {
+			t.Fatal(ok, len(delta.Changes))
+		}
+		if err := document.Apply(&delta); err != nil {
+			t.Fatal(err)
+		}
+		if document.Version() == 1 {
+			t.Error("no deltas merged")
+		}
+	}
+	var large []Change
+	for i := range 20 {
+		large = append(large, Change{Resource(fmt.Sprintf("plans/%02d", i)), bytes.Repeat([]byte("y"), MaxValueBytes)})
+	}
+	publish(t, state, large...)
+	if _, ok := state.History().SinceWithin(20); ok {
+		t.Error("a delta beyond the wire")
+	}
+}
+
+func TestRestoreRefuses(t *testing.T) {
+	state := newTestState(t, testLimits)
+	publish(t, state, set("limits", "1"))
+	good := state.Snapshot()
+	short := newTestState(t, testLimits)
+	short.document = newTestDocument(t, set("limits", "1"))
+	altered := bytes.Clone(good)
+	altered[len(altered)-1] ^= 1
+	for name, text := range map[string][]byte{
+		"altered": altered, "cut": good[:len(good)-1], "longer": append(bytes.Clone(good), 0),
+		"a document": EncodeFile(state.Document()), "history apart": short.Snapshot(),
+	} {
+		if err := state.Restore(text); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if !bytes.Equal(state.Snapshot(), good) {
+			t.Fatalf("%s: the state changed", name)
+		}
+	}
+}
