--- a/configsync/codec_test.go
+++ b/configsync/codec_test.go
@@ -54,6 +54,8 @@
 		"cut":                good[:len(good)-1],
 		"longer":             append(bytes.Clone(good), 0),
 		"more in the body":   frameOf(kindBehind, "\xa1\x01\x05\x00"),
+		"length 0":           {0, 0, 0, 0},
+		"length of another":  append([]byte{0, 0, 0, 9}, good[FrameHeaderBytes:]...),
 		"unknown kind":       frameOf(99, "\xa0"),
 		"no kind":            frameOf(0, "\xa0"),
 		"no body":            {0, 0, 0, 1, byte(kindBehind)},
--- a/configsync/document.go
+++ b/configsync/document.go
@@ -74,12 +74,12 @@
 	return &clone
 }
 
-// Diff gives the sorted changes that lead from the document to the whole content wanted.
+// Diff gives the sorted changes that lead from the document to the whole content wanted. An empty value there counts as no
+// resource.
 func (d *Document) Diff(wanted map[Resource][]byte) []Change {
 	var changes []Change
 	for resource, value := range wanted {
-		old, found := d.resources[resource]
-		if !found || !bytes.Equal(old, value) {
+		if !bytes.Equal(d.resources[resource], value) {
 			changes = append(changes, Change{resource, value})
 		}
 	}
--- a/configsync/document_test.go
+++ b/configsync/document_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// A change costs the same in a large document: a digest of all resources would take an allocation for each.
+func TestApplyCostsByItsChange(t *testing.T) {
+	cost := func(resources int) float64 {
+		document := largeDocument(t, resources)
+		return testing.AllocsPerRun(100, func() {
+			if err := document.Apply(next(document, set("plans/000007", fmt.Sprint(document.Version())))); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+	if small, large := cost(100), cost(10_000); large > small {
+		t.Errorf("%v allocations instead of %v", large, small)
+	}
+}
+
+// largeDocument gives a document of plans of some 200 bytes each.
+func largeDocument(t testing.TB, resources int) *Document {
+	changes := make([]Change, resources)
+	for i := range changes {
+		changes[i] = set(Resource(fmt.Sprintf("plans/%06d", i)), strings.Repeat("x", 190))
+	}
+	return newTestDocument(t, changes...)
+}
+
 // drawChanges draws changes of a few resources, so that they often meet.
 func drawChanges(t *rapid.T) []Change {
 	drawn := rapid.MapOfN(
@@ -121,14 +145,19 @@
 	rapid.Check(t, func(t *rapid.T) {
 		document := NewDocument(testLog)
 		for range rapid.IntRange(1, 10).Draw(t, "versions") {
-			if err := document.Apply(next(document, drawChanges(t)...)); err != nil {
-				t.Fatal(err)
+			changes := drawChanges(t)
+			after := document.totalsAfter(changes)
+			if err := document.Apply(next(document, changes...)); err != nil || after.count != document.Len() {
+				t.Fatal(err, after.count, document.Len())
 			}
 		}
 		rebuilt, err := buildDocument(testLog, document.Version(), document.Digest(), document.Changes())
 		if err != nil || describe(rebuilt) != describe(document) {
 			t.Fatal(err, describe(rebuilt), describe(document))
 		}
+		if document.Bytes() != changesSize(document.Changes()) {
+			t.Fatalf("%d bytes: %s", document.Bytes(), describe(document))
+		}
 		other := NewDocument(testLog)
 		if err := other.Apply(next(other, drawChanges(t)...)); err != nil {
 			t.Fatal(err)
