--- a/internal/clients/catalog_test.go
+++ b/internal/clients/catalog_test.go
@@ -63,8 +63,8 @@
 
 // TestChangedOnTheWay: a request that was read under one version and reaches the loop under the next is taken by the next.
 func TestChangedOnTheWay(t *testing.T) {
-	r := newRig(t, 9)
-	c := r.client()
+	s := newTestServer(t, 9)
+	c := s.connect()
 	for i, x := range []struct {
 		edit Edit
 		want string
@@ -75,20 +75,20 @@
 			"-ERR c: lookup is not served by CALL.GET"},
 		{Edit{Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true}}}, "-ERR class: removed"},
 	} {
-		r.catalog.Apply(Edit{Plans: []PlanEdit{{Index: 1, Name: "team"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup"}}})
+		s.catalog.Apply(Edit{Plans: []PlanEdit{{Index: 1, Name: "team"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup"}}})
 		c.send("a")
-		r.wait("read", func() bool {
-			c.c.mu.Lock()
-			defer c.c.mu.Unlock()
-			return len(c.c.asks) > c.c.first
+		s.waitFor("read", func() bool {
+			c.conn.mu.Lock()
+			defer c.conn.mu.Unlock()
+			return len(c.conn.commands) > c.conn.head
 		})
-		r.catalog.Apply(x.edit)
-		r.turn("answered", func() bool { return c.c.asked == i+1 })
-		if a := c.got(); a != x.want {
+		s.catalog.Apply(x.edit)
+		s.runLoop("answered", func() bool { return c.conn.commandCount == i+1 })
+		if a := c.readLine(); a != x.want {
 			t.Errorf("%q, want %q", a, x.want)
 		}
 	}
-	if len(r.open) > 0 {
-		t.Errorf("%d taken in", len(r.open))
+	if len(s.requests) > 0 {
+		t.Errorf("%d taken in", len(s.requests))
 	}
 }
