--- a/configsync/codec_test.go
+++ b/configsync/codec_test.go
@@ -241,6 +241,17 @@
 	check("a delta repeated", append(bytes.Clone(file), file[ends[1]:]...), len(file))
 	check("a document appended", append(bytes.Clone(file), EncodeFile(document)...), len(file))
 	check("a delta first", EncodeFileDelta(next(document, set("limits", "1"))), 0)
+	asDelta := encodeRecord(recordDelta, marshal(fileDocumentOf(document)))
+	check("a document that says delta", asDelta, 0)
+	last := next(document, set("limits", "4"))
+	check("a delta that says document", append(bytes.Clone(file), encodeRecord(recordDocument, marshal(last))...), len(file))
+	for _, position := range []int{0, len(fileMagic)} { // another magic or format, with its checksum
+		other := EncodeFile(document)
+		other[position]++
+		sum := recordSum(other, other[fileHeader:])
+		copy(other[checkedHeader:], sum[:])
+		check("another format", other, 0)
+	}
 	check("a state", NewState(testLimits).Snapshot(), 0)
 	wrong := fileDocumentOf(document)
 	wrong.Digest[0]++
--- a/configsync/document_test.go
+++ b/configsync/document_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"reflect"
@@ -92,6 +93,31 @@
 	}
 }
 
+func TestDocumentHasABoundedCount(t *testing.T) {
+	for count, want := range map[int]bool{MaxDocumentResources: true, MaxDocumentResources + 1: false} {
+		after := totals{count: count}
+		if after.check() == nil != want {
+			t.Errorf("%d resources", count)
+		}
+	}
+}
+
+// A digest covers names and values, and where one ends and the other begins.
+func TestDigestCoversAll(t *testing.T) {
+	digests := map[Digest]Change{}
+	for _, change := range []Change{set("plans/a", "b1"), set("plans/ab", "1"), set("plans/b", "b1"), set("plans/a", "b2")} {
+		digest := newTestDocument(t, change).Digest()
+		if other, found := digests[digest]; found {
+			t.Errorf("%s and %s agree", change.Resource, other.Resource)
+		}
+		digests[digest] = change
+	}
+	want := Digest(sha256.Sum256([]byte("\x00\x00\x00\x07plans/ab1"))) // gateways of other versions compare it
+	if digest := newTestDocument(t, set("plans/a", "b1")).Digest(); digest != want {
+		t.Errorf("%x", digest)
+	}
+}
+
 func TestCloneIsApart(t *testing.T) {
 	document := newTestDocument(t, set("plans/a", "1"))
 	clone := document.Clone()
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -302,7 +302,6 @@
 	if err != nil {
 		return f.Malformed(now, err)
 	}
-	f.connection.progress = now
 	f.pending = &pendingUpdate{delta: delta, log: delta.Log, to: delta.To}
 	return Decision{Kind: Apply, Update: &Update{
 		Log:     delta.Log,
