Consensus: what a raft replica needs around the library, taken out of the connection pool

It moves to internal/consensus with the same messages, files and log lines; pooler keeps its lender and datagrams.

--- /dev/null
+++ b/internal/consensus/consensus_test.go
@@ -0,0 +1,234 @@
+package consensus
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+const (
+	testTimeout = 60 * time.Second
+	testPoll    = 5 * time.Millisecond
+)
+
+// eventually waits for a state that another goroutine brings about.
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for !reached() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited for %s", what)
+		}
+		time.Sleep(testPoll)
+	}
+}
+
+// list is a state machine that keeps its entries.
+type list struct {
+	mu      sync.Mutex
+	entries []string
+}
+
+func (l *list) Apply(entry *raft.Log) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, string(entry.Data))
+	return len(l.entries)
+}
+
+func (l *list) get() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.entries)
+}
+
+func (l *list) Snapshot() (raft.FSMSnapshot, error) {
+	text := strings.Join(l.get(), " ")
+	return SnapshotWriter(func(w io.Writer) error {
+		_, err := io.WriteString(w, text)
+		return err
+	}), nil
+}
+
+func (l *list) Restore(r io.ReadCloser) error {
+	text, err := io.ReadAll(r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = strings.Fields(string(text))
+	return errors.Join(err, r.Close())
+}
+
+// group is three replicas on loopback.
+type group struct {
+	t         *testing.T
+	addresses []netip.AddrPort
+	dirs      []string
+	lists     []*list
+	replicas  []*Replica // nil: closed
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{t: t, lists: make([]*list, 3), replicas: make([]*Replica, 3)}
+	for range 3 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.addresses = append(g.addresses, l.Addr().(*net.TCPAddr).AddrPort())
+		g.dirs = append(g.dirs, t.TempDir())
+		l.Close()
+	}
+	t.Cleanup(func() {
+		for i := range g.replicas {
+			g.close(i)
+		}
+	})
+	for i := range g.replicas {
+		g.open(i)
+	}
+	return g
+}
+
+func (g *group) config(i int) Config {
+	return Config{Name: "test", Index: i, Addresses: g.addresses, Listen: g.addresses[i], Dir: g.dirs[i],
+		Key: []byte("0123456789abcdef"), Election: 200 * time.Millisecond, SnapshotThreshold: 4, TrailingEntries: 2}
+}
+
+func (g *group) open(i int) {
+	g.t.Helper()
+	var err error
+	g.lists[i] = &list{}
+	g.replicas[i], err = Open(g.config(i), g.lists[i])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+func (g *group) close(i int) {
+	if g.replicas[i] != nil {
+		g.replicas[i].Close()
+		g.replicas[i] = nil
+	}
+}
+
+// propose has an entry agreed on at whichever replica leads, and gives which.
+func (g *group) propose(entry string) (leader int) {
+	g.t.Helper()
+	eventually(g.t, "an entry to be agreed on", func() bool {
+		for i, r := range g.replicas {
+			if r == nil || !r.Leads() {
+				continue
+			}
+			_, err := r.Propose([]byte(entry), time.Second).Wait()
+			if err == nil {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (g *group) same(want ...string) {
+	g.t.Helper()
+	for i, r := range g.replicas {
+		if r != nil {
+			eventually(g.t, "equal lists", func() bool { return slices.Equal(g.lists[i].get(), want) })
+		}
+	}
+}
+
+// A group founds itself, goes on without its leader, and takes back a replica with its disk, and one without.
+func TestGroup(t *testing.T) {
+	g := newGroup(t)
+	first := g.propose("a")
+	g.same("a")
+	for i, r := range g.replicas {
+		eventually(t, "contact with a quorum", func() bool { return r.InContact() && r.Leader() == first })
+		if i == first {
+			continue
+		}
+		_, err := r.Propose(nil, time.Second).Wait()
+		if !errors.Is(err, ErrNotLeader) {
+			t.Errorf("a replica that does not lead: %v", err)
+		}
+	}
+	g.close(first)
+	second := g.propose("b")
+	g.same("a", "b")
+	if err := g.replicas[second].Snapshot(); err != nil {
+		t.Fatal(err)
+	}
+	g.open(first)
+	g.same("a", "b")
+	lost := 3 - first - second
+	former := g.replicas[lost].id
+	g.close(lost)
+	if err := os.RemoveAll(g.dirs[lost]); err != nil {
+		t.Fatal(err)
+	}
+	g.propose("c")
+	g.open(lost)
+	if g.replicas[lost].id == former || IndexOf(g.replicas[lost].id) != lost {
+		t.Errorf("id %s after %s", g.replicas[lost].id, former)
+	}
+	g.same("a", "b", "c")
+	g.close(first)
+	g.propose("d") // the replica that lost its disk counts again
+	g.same("a", "b", "c", "d")
+}
+
+// A minority neither agrees nor claims to be in contact.
+func TestMinority(t *testing.T) {
+	g := newGroup(t)
+	leader := g.propose("a")
+	for i := range g.replicas {
+		if i != leader {
+			g.close(i)
+		}
+	}
+	eventually(t, "the leader to step down", func() bool { return !g.replicas[leader].InContact() })
+	_, err := g.replicas[leader].Propose([]byte("b"), time.Second).Wait()
+	if err == nil {
+		t.Error("a minority agreed")
+	}
+}
+
+// A directory belongs to one replica; a connection without a good greeting is ended.
+func TestStrangers(t *testing.T) {
+	g := newGroup(t)
+	g.propose("a")
+	conn, err := net.Dial("tcp4", g.addresses[1].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write(make([]byte, SignatureSize))
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	if n, err := conn.Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes for a stranger, %v", n, err)
+	}
+	for _, a := range []Announcement{{Index: 7, ID: "7-aa"}, {Index: 2, ID: "1-aa"}, {Index: -1}} {
+		if err := g.replicas[0].transport.announce(1, a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "the announcements to be dropped", func() bool { return g.replicas[1].Dropped() == 3 })
+	g.close(0)
+	cfg := g.config(0)
+	cfg.Index = 1
+	if _, err := Open(cfg, &list{}); err == nil || !strings.Contains(err.Error(), filepath.Join(g.dirs[0], identityFile)) {
+		t.Errorf("the directory of another replica: %v", err)
+	}
+}
--- a/internal/pooler/codec.go
+++ b/internal/pooler/codec.go
@@ -4,16 +4,16 @@
 
 import (
 	"crypto/hmac"
-	"crypto/sha256"
 	"encoding/json"
 	"errors"
 
+	"ravensill/internal/consensus"
 	"ravensill/pool"
 )
 
 const (
-	most   = 1024 // bytes of a datagram
-	signed = 16   // of these its signature
+	most   = 1024                    // bytes of a datagram
+	signed = consensus.SignatureSize // of these its signature
 )
 
 var errForged = errors.New("not signed with the pool's key")
@@ -25,18 +25,6 @@
 	Leader *int         `json:"l,omitempty"` // the voter to ask
 }
 
-// Boot is a voter that has nothing on disk, told to the others until it has.
-type Boot struct {
-	Voter int    `json:"v"`
-	ID    string `json:"i"`
-}
-
-func sum(key, text []byte) []byte {
-	m := hmac.New(sha256.New, key)
-	m.Write(text)
-	return m.Sum(nil)[:signed]
-}
-
 // Encode gives the datagram of a word.
 func Encode(key []byte, w *Word) ([]byte, error) {
 	text, err := json.Marshal(w)
@@ -46,7 +34,7 @@
 	if len(text)+signed > most {
 		return nil, errors.New("word too long")
 	}
-	return append(sum(key, text), text...), nil
+	return append(consensus.Sign(key, text), text...), nil
 }
 
 // Decode reads a datagram; the error tells what is wrong with it.
@@ -54,7 +42,7 @@
 	if len(b) <= signed || len(b) > most {
 		return nil, errors.New("not a datagram's size")
 	}
-	if !hmac.Equal(b[:signed], sum(key, b[signed:])) {
+	if !hmac.Equal(b[:signed], consensus.Sign(key, b[signed:])) {
 		return nil, errForged
 	}
 	w := &Word{}
--- a/internal/pooler/codec_test.go
+++ b/internal/pooler/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"ravensill/internal/consensus"
 	"ravensill/pool"
 )
 
@@ -18,7 +19,7 @@
 	t := pool.Terms{Seats: 4, Floor: 1, Lease: 5, Tell: 1}
 	f.Fuzz(func(tt *testing.T, b []byte, sign bool) {
 		if sign {
-			b = append(sum(key, b), b...)
+			b = append(consensus.Sign(key, b), b...)
 		}
 		w, err := Decode(key, b)
 		if err != nil {
--- a/internal/pooler/voter.go
+++ b/internal/pooler/voter.go
@@ -1,105 +1,73 @@
 package pooler
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"ravensill/internal/config"
+	"ravensill/internal/consensus"
 	"ravensill/pool"
 )
 
 const (
-	lineEach = 5 * time.Second
-	bootEach = 300 * time.Millisecond
+	lineEach       = 5 * time.Second
+	proposeTimeout = 5 * time.Second
 )
 
 // Voter is one of the gateways that write down what is lent: a task that owns the lender, where it leads, and all
-// datagrams. The agreement is the library's (Ongaro and Ousterhout, In search of an understandable consensus algorithm, 2014).
-//
-// A voter is known by an id that lies on its disk. One that lost its disk has another id, and the one before is voted
-// out: what it had promised is gone with the disk, so it must not count twice.
+// datagrams. The agreement is package consensus's.
 type Voter struct {
-	cfg    *config.Pool
-	me     int
-	id     string
-	raft   *raft.Raft
-	stream *stream
-	store  *raftboltdb.BoltStore
-	socket *net.UDPConn
-	inbox  chan func()
-	done   chan struct{}
-	ended  chan struct{}
-	epoch  time.Time
-
-	lender  *pool.Lender // nil: does not lead
-	office  int          // numbers the times it led
-	leads   bool
-	addrs   []netip.AddrPort // of holders by seat
-	boots   map[int]*heardBoot
-	mending bool
-	bootAt  int64
-	lineAt  int64
-	counts  struct{ In, Out, Dropped, Batches int }
-}
-
-type heardBoot struct {
-	id string
-	at int64
+	cfg     *config.Pool
+	me      int
+	replica *consensus.Replica
+	socket  *net.UDPConn
+	inbox   chan func()
+	done    chan struct{}
+	ended   chan struct{}
+	epoch   time.Time
+
+	lender *pool.Lender // nil: does not lead
+	office int          // numbers the times it led
+	leads  bool
+	addrs  []netip.AddrPort // of holders by seat
+	lineAt int64
+	counts struct{ In, Out, Dropped, Batches int }
 }
 
 // Start opens a voter's sockets and its log.
-func Start(cfg *config.Pool, me int) (v *Voter, err error) {
-	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
-		return nil, err
-	}
-	v = &Voter{cfg: cfg, me: me, inbox: make(chan func(), 4096), done: make(chan struct{}), ended: make(chan struct{}),
-		epoch: time.Now(), addrs: make([]netip.AddrPort, cfg.Terms.Seats), boots: map[int]*heardBoot{}}
-	if v.id, err = identity(cfg.Dir, me); err != nil {
-		return nil, err
-	}
-	if v.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Listen)); err != nil {
-		return nil, err
-	}
-	defer func() {
-		if err != nil {
-			v.release()
-		}
-	}()
-	if v.stream, err = listen(cfg, me, v.id, func(b *Boot) { v.do(func() { v.hearBoot(b) }) }); err != nil {
-		return nil, err
-	}
-	if v.store, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Dir, "log.db")}); err != nil {
-		return nil, err
-	}
-	quiet := hclog.NewNullLogger()
-	snaps, err := raft.NewFileSnapshotStoreWithLogger(cfg.Dir, 2, quiet)
+func Start(cfg *config.Pool, me int) (*Voter, error) {
+	v := &Voter{
+		cfg:   cfg,
+		me:    me,
+		inbox: make(chan func(), 4096),
+		done:  make(chan struct{}),
+		ended: make(chan struct{}),
+		epoch: time.Now(),
+		addrs: make([]netip.AddrPort, cfg.Terms.Seats),
+	}
+	var err error
+	v.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Listen))
 	if err != nil {
 		return nil, err
 	}
-	c := raft.DefaultConfig()
-	c.LocalID = raft.ServerID(v.id)
-	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = cfg.Election, cfg.Election, cfg.Election/2
-	c.CommitTimeout = 20 * time.Millisecond
-	c.SnapshotThreshold, c.TrailingLogs, c.SnapshotInterval = 4096, 1024, 30*time.Second
-	c.Logger = quiet
-	transport := raft.NewNetworkTransportWithLogger(v.stream, 2, cfg.Election, quiet)
-	if v.raft, err = raft.NewRaft(c, &book{ledger: pool.NewLedger(&cfg.Terms)}, v.store, v.store, snaps, transport); err != nil {
+	v.replica, err = consensus.Open(consensus.Config{
+		Name:      "pool",
+		Index:     me,
+		Addresses: cfg.Streams,
+		Listen:    cfg.Listen,
+		Dir:       cfg.Dir,
+		Key:       cfg.Key,
+		Election:  cfg.Election,
+	}, &book{ledger: pool.NewLedger(&cfg.Terms)})
+	if err != nil {
+		v.socket.Close()
 		return nil, err
 	}
 	go v.read()
@@ -107,56 +75,12 @@
 	return v, nil
 }
 
-// identity reads the voter's id, or makes one.
-func identity(dir string, me int) (string, error) {
-	file := filepath.Join(dir, "id")
-	b, err := os.ReadFile(file)
-	if err == nil && strings.HasPrefix(string(b), strconv.Itoa(me)+"-") {
-		return string(b), nil
-	}
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return "", err
-	}
-	if err == nil {
-		return "", fmt.Errorf("%s: of another voter", file)
-	}
-	b = make([]byte, 8)
-	rand.Read(b)
-	id := strconv.Itoa(me) + "-" + hex.EncodeToString(b)
-	if err := os.WriteFile(file+".new", []byte(id), 0o600); err != nil {
-		return "", err
-	}
-	return id, os.Rename(file+".new", file)
-}
-
-// voterOf gives the place that an id stands for.
-func voterOf(id raft.ServerID) int {
-	text, _, _ := strings.Cut(string(id), "-")
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		return -1
-	}
-	return n
-}
-
 // Close ends the task, the agreement and the sockets.
 func (v *Voter) Close() {
 	close(v.done)
 	<-v.ended
-	v.raft.Shutdown().Error()
-	v.release()
-}
-
-func (v *Voter) release() {
-	if v.socket != nil {
-		v.socket.Close()
-	}
-	if v.stream != nil {
-		v.stream.Close()
-	}
-	if v.store != nil {
-		v.store.Close()
-	}
+	v.replica.Close()
+	v.socket.Close()
 }
 
 func (v *Voter) now() int64 { return int64(time.Since(v.epoch)) + 1 }
@@ -198,7 +122,7 @@
 		select {
 		case f := <-v.inbox:
 			f()
-		case leads := <-v.raft.LeaderCh():
+		case leads := <-v.replica.Leadership():
 			v.leads = leads
 			v.lender = nil
 			v.office++
@@ -211,7 +135,6 @@
 			if v.lender != nil {
 				v.act(v.lender.Step(now, pool.Tick{}))
 			}
-			v.boot(now)
 			v.line(now)
 		case <-v.done:
 			return
@@ -234,15 +157,15 @@
 	}
 	office := v.office
 	v.counts.Batches++
-	f := v.raft.Apply(text, 5*time.Second)
+	proposal := v.replica.Propose(text, proposeTimeout)
 	go func() {
-		err := f.Error()
+		ledger, err := proposal.Wait()
 		v.do(func() {
 			if v.office != office {
 				return
 			}
 			if err == nil {
-				then(f.Response().(*pool.Ledger))
+				then(ledger.(*pool.Ledger))
 				return
 			}
 			log.Printf("event=pool_unsure error=%q", err)
@@ -295,8 +218,8 @@
 			v.lender.Step(v.now(), r)
 			return
 		}
-		if _, id := v.raft.LeaderWithID(); id != "" && id != raft.ServerID(v.id) {
-			leader := voterOf(id)
+		leader := v.replica.Leader()
+		if leader >= 0 && leader != v.me {
 			v.send(from, &Word{Leader: &leader})
 		}
 	default:
@@ -304,82 +227,6 @@
 	}
 }
 
-func (v *Voter) hearBoot(b *Boot) {
-	if b.Voter < 0 || b.Voter >= len(v.cfg.Voters) || b.Voter == v.me || voterOf(raft.ServerID(b.ID)) != b.Voter {
-		v.counts.Dropped++
-		return
-	}
-	v.boots[b.Voter] = &heardBoot{b.ID, v.now()}
-	v.replace(b)
-}
-
-// boot has a voter without anything on disk say so. The first voter founds the agreement once all are there and all
-// have nothing: then nothing can be lent out by an agreement before.
-func (v *Voter) boot(now int64) {
-	if now-v.bootAt < int64(bootEach) || v.raft.LastIndex() > 0 {
-		return
-	}
-	v.bootAt = now
-	for i := range v.cfg.Streams {
-		if i != v.me {
-			go v.stream.say(i, &Boot{v.me, v.id}) // said again until it is heard
-		}
-	}
-	if v.me != 0 {
-		return
-	}
-	servers := []raft.Server{server(v.id)}
-	for i := 1; i < len(v.cfg.Voters); i++ {
-		if b := v.boots[i]; b != nil && now-b.at < 5*int64(bootEach) {
-			servers = append(servers, server(b.id))
-		}
-	}
-	if len(servers) < len(v.cfg.Voters) {
-		return
-	}
-	err := v.raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error()
-	log.Printf("event=pool_founded voters=%d error=%v", len(servers), err)
-}
-
-func server(id string) raft.Server {
-	return raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(id), Address: raft.ServerAddress(id)}
-}
-
-// replace votes out what a voter was before it lost its disk, and takes it in anew.
-func (v *Voter) replace(b *Boot) {
-	if v.lender == nil || v.mending {
-		return
-	}
-	f := v.raft.GetConfiguration()
-	if f.Error() != nil {
-		return
-	}
-	old := raft.ServerID("")
-	for _, s := range f.Configuration().Servers {
-		if string(s.ID) == b.ID {
-			return
-		}
-		if voterOf(s.ID) == b.Voter {
-			old = s.ID
-		}
-	}
-	v.mending = true
-	go func() {
-		var err error
-		if old != "" {
-			err = v.raft.RemoveServer(old, 0, 5*time.Second).Error()
-		}
-		if err == nil {
-			s := server(b.ID)
-			err = v.raft.AddVoter(s.ID, s.Address, 0, 5*time.Second).Error()
-		}
-		v.do(func() {
-			v.mending = false
-			log.Printf("event=pool_voter_replaced voter=%d error=%v", b.Voter, err)
-		})
-	}()
-}
-
 // line tells the operators how things stand.
 func (v *Voter) line(now int64) {
 	if now-v.lineAt < int64(lineEach) {
@@ -387,11 +234,12 @@
 	}
 	v.lineAt = now
 	c := &v.counts
+	dropped := c.Dropped + v.replica.Dropped()
 	if v.lender == nil {
-		log.Printf("event=pool_voter leads=false in=%d out=%d dropped=%d", c.In, c.Out, c.Dropped)
+		log.Printf("event=pool_voter leads=false in=%d out=%d dropped=%d", c.In, c.Out, dropped)
 		return
 	}
-	log.Printf("event=pool_voter leads=true in=%d out=%d dropped=%d batches=%d %s", c.In, c.Out, c.Dropped, c.Batches, v.lender)
+	log.Printf("event=pool_voter leads=true in=%d out=%d dropped=%d batches=%d %s", c.In, c.Out, dropped, c.Batches, v.lender)
 }
 
 func errIsClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
@@ -408,7 +256,10 @@
 	return b.ledger.Clone()
 }
 
-func (b *book) Snapshot() (raft.FSMSnapshot, error) { return snapshot{b.ledger.Clone()}, nil }
+func (b *book) Snapshot() (raft.FSMSnapshot, error) {
+	ledger := b.ledger.Clone()
+	return consensus.SnapshotWriter(func(w io.Writer) error { return json.NewEncoder(w).Encode(ledger) }), nil
+}
 
 func (b *book) Restore(r io.ReadCloser) error {
 	defer r.Close()
@@ -422,15 +273,3 @@
 	b.ledger = l
 	return nil
 }
-
-type snapshot struct{ ledger *pool.Ledger }
-
-func (s snapshot) Persist(sink raft.SnapshotSink) error {
-	if err := json.NewEncoder(sink).Encode(s.ledger); err != nil {
-		sink.Cancel()
-		return err
-	}
-	return sink.Close()
-}
-
-func (s snapshot) Release() {}
