Publisher: replicas that agree on versions, check and publish changes and serve followers

A new leader waits once a term until it has applied all of the earlier ones: without that it checked changes against the version it still had, and a test saw them refused.

--- /dev/null
+++ b/internal/config/publisher.go
@@ -0,0 +1,164 @@
+package config
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"ravensill/configsync"
+)
+
+// Publisher is what one replica of the configuration's publishers is told (docs/configuration-sync.md).
+type Publisher struct {
+	Index        int            // this replica's among Raft
+	Listen       netip.AddrPort // TCP, for followers
+	RaftListen   netip.AddrPort // TCP, for the other replicas
+	Raft         []netip.AddrPort
+	AdminListen  netip.AddrPort // HTTP, for operators; it asks for no password, so it belongs on a network of theirs
+	Admin        []netip.AddrPort
+	Dir          string
+	Key          []byte        // shared by the replicas
+	Election     time.Duration // without contact to the leader before another is elected
+	MaxFollowers int           // connections of followers at once
+	History      configsync.HistoryLimits
+	Snapshots    configsync.SenderLimits
+
+	SnapshotThreshold uint64 // entries of the replicated log between its snapshots; 0: the default
+	TrailingEntries   uint64 // entries kept behind a snapshot; 0: the default
+}
+
+// publisherFile is the file of a publisher.
+type publisherFile struct {
+	Index         int      `json:"index"`
+	Listen        string   `json:"listen"`
+	RaftListen    string   `json:"raft_listen"`
+	Raft          []string `json:"raft"`
+	AdminListen   string   `json:"admin_listen"`
+	Admin         []string `json:"admin"`
+	Dir           string   `json:"dir"`
+	Key           string   `json:"key"`
+	ElectionMS    int      `json:"election_ms"`
+	MaxFollowers  int      `json:"max_followers"`
+	HistoryDeltas int      `json:"history_deltas"`
+	HistoryBytes  int      `json:"history_bytes"`
+	SnapshotRate  int      `json:"snapshot_bytes_per_s"`
+	SnapshotBurst int      `json:"snapshot_burst_bytes"`
+}
+
+// LoadPublisher reads the file that PUBLISHER_CONFIG names. The error names the key at fault.
+func LoadPublisher(getenv func(string) string) (*Publisher, error) {
+	file := getenv("PUBLISHER_CONFIG")
+	if file == "" {
+		return nil, errors.New("PUBLISHER_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("PUBLISHER_CONFIG: %w", err)
+	}
+	return decodePublisher(string(text))
+}
+
+func decodePublisher(raw string) (*Publisher, error) {
+	text := publisherFile{
+		ElectionMS:    1000,
+		MaxFollowers:  8192,
+		HistoryDeltas: configsync.DefaultHistoryDeltas,
+		HistoryBytes:  configsync.DefaultHistoryBytes,
+		SnapshotRate:  configsync.DefaultSnapshotRate,
+		SnapshotBurst: configsync.DefaultSnapshotBurst,
+	}
+	err := strict(raw, &text)
+	if err != nil {
+		return nil, err
+	}
+	err = text.check()
+	if err != nil {
+		return nil, err
+	}
+	p := &Publisher{
+		Index:        text.Index,
+		Dir:          text.Dir,
+		Election:     time.Duration(text.ElectionMS) * time.Millisecond,
+		MaxFollowers: text.MaxFollowers,
+		History:      configsync.HistoryLimits{Deltas: text.HistoryDeltas, Bytes: text.HistoryBytes},
+		Snapshots:    configsync.SenderLimits{SnapshotRate: text.SnapshotRate, SnapshotBurst: text.SnapshotBurst},
+	}
+	p.Key, err = hex.DecodeString(text.Key)
+	if err != nil || len(p.Key) < 16 {
+		return nil, errors.New("key: 32 hex digits or more wanted")
+	}
+	return p, p.addresses(&text)
+}
+
+// check looks at the numbers.
+func (f *publisherFile) check() error {
+	count := len(f.Raft)
+	if count != 1 && count != 3 && count != 5 {
+		return fmt.Errorf("raft: %d addresses; 1, 3 or 5 wanted", count)
+	}
+	if len(f.Admin) != count {
+		return fmt.Errorf("admin: %d addresses for %d replicas", len(f.Admin), count)
+	}
+	if f.Dir == "" {
+		return errors.New("dir: missing")
+	}
+	for _, number := range []struct {
+		key             string
+		value, from, to int
+	}{
+		{"index", f.Index, 0, count - 1},
+		{"election_ms", f.ElectionMS, 100, 30_000},
+		{"max_followers", f.MaxFollowers, 1, 1 << 16},
+		{"history_deltas", f.HistoryDeltas, 1, 1 << 16},
+		{"history_bytes", f.HistoryBytes, 1 << 10, 64 << 20},
+		{"snapshot_bytes_per_s", f.SnapshotRate, 1 << 10, 1 << 30},
+		{"snapshot_burst_bytes", f.SnapshotBurst, 1 << 10, 1 << 30},
+	} {
+		if number.value < number.from || number.value > number.to {
+			return fmt.Errorf("%s: %d is not from %d to %d", number.key, number.value, number.from, number.to)
+		}
+	}
+	return nil
+}
+
+// addresses reads the addresses of the file.
+func (p *Publisher) addresses(text *publisherFile) (err error) {
+	p.Raft, err = addressList("raft", text.Raft)
+	if err != nil {
+		return err
+	}
+	p.Admin, err = addressList("admin", text.Admin)
+	if err != nil {
+		return err
+	}
+	for _, address := range []struct {
+		key  string
+		text string
+		into *netip.AddrPort
+	}{
+		{"listen", text.Listen, &p.Listen},
+		{"raft_listen", text.RaftListen, &p.RaftListen},
+		{"admin_listen", text.AdminListen, &p.AdminListen},
+	} {
+		*address.into, err = netip.ParseAddrPort(address.text)
+		if err != nil {
+			return fmt.Errorf("%s: %w", address.key, err)
+		}
+	}
+	return nil
+}
+
+func addressList(key string, texts []string) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for i, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s.%d: %w", key, i, err)
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -61,6 +61,7 @@
 	store      *raftboltdb.BoltStore
 	membership *membership
 	dropped    atomic.Int64
+	caughtUp   atomic.Uint64 // the last term in which CatchUp succeeded
 }
 
 // Open starts a replica of the state machine. It listens, opens the log and takes part in elections from then on.
@@ -178,19 +179,36 @@
 // Wait waits for the outcome and gives what the state machine here returned for the entry. The error is ErrNotLeader where
 // the entry was not taken, and wraps ErrUnknownOutcome where it may yet be agreed on.
 func (p Proposal) Wait() (any, error) {
-	err := p.future.Error()
+	err := outcomeError(p.future.Error())
+	if err != nil {
+		return nil, err
+	}
+	return p.future.Response(), nil
+}
+
+func outcomeError(err error) error {
 	switch {
 	case err == nil:
-		return p.future.Response(), nil
+		return nil
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress):
-		return nil, ErrNotLeader
+		return ErrNotLeader
 	}
-	return nil, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 }
 
-// Barrier waits until all entries before it are applied to the state machine here. It fails at a replica that does not
-// lead.
-func (r *Replica) Barrier(timeout time.Duration) error { return r.raft.Barrier(timeout).Error() }
+// CatchUp waits until this replica, as the leader, has applied all that was agreed on under earlier leaders. It costs one
+// entry in each term. The error is as that of Wait.
+func (r *Replica) CatchUp(timeout time.Duration) error {
+	term := r.raft.CurrentTerm()
+	if r.caughtUp.Load() == term {
+		return nil
+	}
+	err := outcomeError(r.raft.Barrier(timeout).Error())
+	if err == nil {
+		r.caughtUp.Store(term)
+	}
+	return err
+}
 
 // Snapshot takes a snapshot of the state machine now, beside those that the library takes by itself.
 func (r *Replica) Snapshot() error { return r.raft.Snapshot().Error() }
--- /dev/null
+++ b/internal/publisher/publish.go
@@ -0,0 +1,226 @@
+package publisher
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log"
+	"time"
+
+	"ravensill/configsync"
+)
+
+const (
+	proposeTimeout = 5 * time.Second // for a place in the leader's queue
+	logIDBytes     = 16              // of chance
+	draftAttempts  = 5               // where another leader's version came between
+)
+
+// NotLeaderError tells that this replica does not lead.
+type NotLeaderError struct{ Leader int } // index of the leading replica; -1: not known
+
+func (e *NotLeaderError) Error() string {
+	if e.Leader < 0 {
+		return "no leader is known at the moment"
+	}
+	return fmt.Sprintf("replica %d leads", e.Leader)
+}
+
+// HistoryError tells that a version can't be gone back to.
+type HistoryError struct {
+	Version configsync.Version
+	Oldest  configsync.Version // the earliest that can be gone back to
+	Latest  configsync.Version
+}
+
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("to: version %d is not in the history, which holds %d to %d", e.Version, e.Oldest, e.Latest)
+}
+
+// Publication is the outcome of a change.
+type Publication struct {
+	Log     configsync.LogID   `json:"log"`
+	Version configsync.Version `json:"version"`
+	Digest  string             `json:"digest"`
+	Changes int                `json:"changes"` // resources set or removed; 0: nothing to change, the version is the one before
+}
+
+// draft gives the changes for the current state. It is called again where another version came first.
+type draft func(state *configsync.State) ([]configsync.Change, error)
+
+// putDraft makes the content whole.
+func putDraft(wanted map[configsync.Resource][]byte) draft {
+	return func(state *configsync.State) ([]configsync.Change, error) {
+		return state.Document().Diff(wanted), nil
+	}
+}
+
+// patchDraft sets and removes resources.
+func patchDraft(changes []configsync.Change) draft {
+	return func(*configsync.State) ([]configsync.Change, error) { return changes, nil }
+}
+
+// rollbackDraft goes back to the content of a version.
+func rollbackDraft(to configsync.Version) draft {
+	return func(state *configsync.State) ([]configsync.Change, error) {
+		changes, ok := state.History().ContentAt(to)
+		if !ok {
+			return nil, &HistoryError{to, state.History().Oldest(), state.History().Latest()}
+		}
+		return changes, nil
+	}
+}
+
+// publish checks changes and has them agreed on as a new version. Where base is not nil, it has to be the current version.
+// The error is a *NotLeaderError, a *HistoryError, one of consensus, of configsync.State.Check, or a *config.ResourceError.
+func (p *Publisher) publish(changesFor draft, base *configsync.Version) (Publication, error) {
+	p.publishing.Lock()
+	defer p.publishing.Unlock()
+	var err error
+	for range draftAttempts {
+		if !p.replica.Leads() {
+			return Publication{}, &NotLeaderError{p.replica.Leader()}
+		}
+		var publication Publication
+		publication, err = p.publishOnce(changesFor, base)
+		var conflict *configsync.ConflictError
+		if !errors.As(err, &conflict) || base != nil {
+			return publication, err
+		}
+	}
+	return Publication{}, err
+}
+
+func (p *Publisher) publishOnce(changesFor draft, base *configsync.Version) (Publication, error) {
+	err := p.replica.CatchUp(proposeTimeout)
+	if err != nil {
+		return Publication{}, err
+	}
+	err = p.createLog()
+	if err != nil {
+		return Publication{}, err
+	}
+	command, err := p.prepare(changesFor, base)
+	var unchanged *configsync.NoChangeError
+	if errors.As(err, &unchanged) {
+		return p.current(), nil
+	}
+	if err != nil {
+		return Publication{}, err
+	}
+	delta, err := p.propose(command)
+	if err != nil {
+		return Publication{}, err
+	}
+	p.counters.published.Add(1)
+	log.Printf("event=configuration_published version=%d changes=%d digest=%x", delta.To, len(delta.Changes), delta.Digest[:8])
+	return newPublication(delta), nil
+}
+
+func newPublication(delta *configsync.Delta) Publication {
+	return Publication{
+		Log:     delta.Log,
+		Version: delta.To,
+		Digest:  hex.EncodeToString(delta.Digest[:]),
+		Changes: len(delta.Changes),
+	}
+}
+
+// current gives the current version as the outcome of a change that changes nothing.
+func (p *Publisher) current() Publication {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	document := p.state.Document()
+	digest := document.Digest()
+	return Publication{Log: document.Log(), Version: document.Version(), Digest: hex.EncodeToString(digest[:])}
+}
+
+// createLog makes the log of versions where there is none.
+func (p *Publisher) createLog() error {
+	p.mu.Lock()
+	created := p.state.Document().Log() != ""
+	p.mu.Unlock()
+	if created {
+		return nil
+	}
+	random := make([]byte, logIDBytes)
+	rand.Read(random)
+	_, err := p.propose(&configsync.Command{Create: configsync.LogID(hex.EncodeToString(random))})
+	var exists *configsync.LogExistsError
+	if errors.As(err, &exists) {
+		return nil
+	}
+	return err
+}
+
+// prepare gives the command for changes that the state and the gateways' decoder would take.
+func (p *Publisher) prepare(changesFor draft, base *configsync.Version) (*configsync.Command, error) {
+	command, next, err := p.draftCommand(changesFor, base)
+	if err != nil {
+		return nil, err
+	}
+	err = p.mirror.follow(next)
+	if err != nil {
+		log.Printf("event=published_version_refused error=%q", err)
+	}
+	err = p.mirror.check(command.Changes, func() []configsync.Change { return p.contentAfter(command.Changes) })
+	if err != nil {
+		return nil, err
+	}
+	return command, nil
+}
+
+// draftCommand makes a command for the state at hand, and gives what the mirror lacks of that state.
+func (p *Publisher) draftCommand(changesFor draft, base *configsync.Version) (*configsync.Command, catchUp, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	document := p.state.Document()
+	if base != nil && *base != document.Version() {
+		return nil, catchUp{}, &configsync.ConflictError{Base: *base, Current: document.Version()}
+	}
+	changes, err := changesFor(p.state)
+	if err != nil {
+		return nil, catchUp{}, err
+	}
+	command := configsync.NewCommand(document.Log(), document.Version(), changes)
+	err = p.state.Check(command)
+	if err != nil {
+		return nil, catchUp{}, err
+	}
+	return command, p.mirror.behind(p.state), nil
+}
+
+// contentAfter gives the whole content as changes would leave it.
+func (p *Publisher) contentAfter(changes []configsync.Change) []configsync.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := make(map[configsync.Resource]bool, len(changes))
+	var content []configsync.Change
+	for _, change := range changes {
+		changed[change.Resource] = true
+		if !change.Removed() {
+			content = append(content, change)
+		}
+	}
+	for _, change := range p.state.Document().Changes() {
+		if !changed[change.Resource] {
+			content = append(content, change)
+		}
+	}
+	return content
+}
+
+// propose has a command agreed on and applied here.
+func (p *Publisher) propose(command *configsync.Command) (*configsync.Delta, error) {
+	text, err := configsync.EncodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	result, err := p.replica.Propose(text, proposeTimeout).Wait()
+	if err != nil {
+		return nil, err
+	}
+	applied := result.(outcome)
+	return applied.delta, applied.err
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,141 @@
+// Package publisher is one of the replicas that hold the log of versions of the configuration: it agrees with the others
+// by package consensus, takes changes over HTTP where it leads, and serves followers over TCP whether it leads or not. The
+// rules are package configsync's.
+package publisher
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ravensill/configsync"
+	"ravensill/internal/config"
+	"ravensill/internal/consensus"
+)
+
+const (
+	contactInterval = 200 * time.Millisecond // between looks whether the replica is in contact with a quorum
+	lineInterval    = 10 * time.Second       // between log lines on the replica's state
+	shutdownTimeout = 2 * time.Second        // for HTTP requests under way
+)
+
+// Publisher is one replica. Its methods may be called from any goroutine.
+type Publisher struct {
+	cfg       *config.Publisher
+	replica   *consensus.Replica
+	listener  *net.TCPListener // of followers
+	admin     *http.Server
+	adminAddr net.Addr
+
+	mu          sync.Mutex // guards the fields below
+	state       *configsync.State
+	sender      *configsync.Sender
+	connections map[configsync.FollowerID]*connection
+	lastID      configsync.FollowerID
+
+	publishing sync.Mutex // held during one publication; guards mirror
+	mirror     *mirror    // of the state that the last publication found
+
+	counters counters
+	done     chan struct{}
+	tasks    sync.WaitGroup
+}
+
+// counters count since the start.
+type counters struct {
+	connected atomic.Int64 // followers' connections taken in
+	turnedOff atomic.Int64 // connections beyond the most allowed
+	malformed atomic.Int64 // messages that broke the protocol; each ended its connection
+	bytesIn   atomic.Int64 // from followers
+	bytesOut  atomic.Int64 // to followers
+	published atomic.Int64 // versions published by this replica as the leader
+	rejected  atomic.Int64 // requests for a publication that were answered by an error
+}
+
+// Start opens the replica's log and its listeners.
+func Start(cfg *config.Publisher) (*Publisher, error) {
+	p := &Publisher{
+		cfg:         cfg,
+		state:       configsync.NewState(cfg.History),
+		connections: map[configsync.FollowerID]*connection{},
+		mirror:      &mirror{},
+		done:        make(chan struct{}),
+	}
+	p.sender = configsync.NewSender(p.state, cfg.Snapshots)
+	admin, err := p.listen()
+	if err != nil {
+		return nil, err
+	}
+	p.replica, err = consensus.Open(consensus.Config{
+		Name:              "publisher",
+		Index:             cfg.Index,
+		Addresses:         cfg.Raft,
+		Listen:            cfg.RaftListen,
+		Dir:               cfg.Dir,
+		Key:               cfg.Key,
+		Election:          cfg.Election,
+		SnapshotThreshold: cfg.SnapshotThreshold,
+		TrailingEntries:   cfg.TrailingEntries,
+	}, &machine{p})
+	if err != nil {
+		p.listener.Close()
+		admin.Close()
+		return nil, fmt.Errorf("raft: %w", err)
+	}
+	p.tasks.Go(p.run)
+	p.tasks.Go(p.accept)
+	p.tasks.Go(func() { p.admin.Serve(admin) })
+	return p, nil
+}
+
+// Close ends the replica: its listeners, its followers' connections and its part in the group. It waits for requests under
+// way for a short time.
+func (p *Publisher) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if p.admin.Shutdown(ctx) != nil {
+		p.admin.Close()
+	}
+	close(p.done)
+	p.listener.Close()
+	p.closeConnections()
+	p.tasks.Wait()
+	p.replica.Close()
+}
+
+// Addr is the address at which followers are served.
+func (p *Publisher) Addr() net.Addr { return p.listener.Addr() }
+
+// AdminAddr is the address of the HTTP interface.
+func (p *Publisher) AdminAddr() net.Addr { return p.adminAddr }
+
+// run keeps an eye on the quorum and tells the log how the replica stands.
+func (p *Publisher) run() {
+	contact := time.NewTicker(contactInterval)
+	defer contact.Stop()
+	line := time.NewTicker(lineInterval)
+	defer line.Stop()
+	for {
+		select {
+		case leads := <-p.replica.Leadership():
+			log.Printf("event=publisher_leads yes=%t", leads)
+		case <-contact.C:
+			p.setCurrent(p.replica.InContact())
+		case <-line.C:
+			log.Printf("event=publisher %s", p.Status())
+		case <-p.done:
+			return
+		}
+	}
+}
+
+func (p *Publisher) setCurrent(current bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sender.SetCurrent(current)
+}
--- /dev/null
+++ b/internal/publisher/status.go
@@ -0,0 +1,114 @@
+package publisher
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"ravensill/configsync"
+)
+
+// Status is what a replica knows: of the log, of itself, and of the gateways that follow or followed it.
+type Status struct {
+	Replica   int                `json:"replica"`
+	Leader    int                `json:"leader"` // -1: not known
+	Leads     bool               `json:"leads"`
+	Current   bool               `json:"current"` // in contact with a quorum
+	Log       configsync.LogID   `json:"log"`
+	Version   configsync.Version `json:"version"`
+	Digest    string             `json:"digest"`
+	Oldest    configsync.Version `json:"oldest"` // the earliest that deltas lead on from, and that a rollback reaches
+	Connected int                `json:"connected"`
+	Counters  Counters           `json:"counters"`
+	Followers []Follower         `json:"followers"`
+}
+
+// Counters count since the start of the replica.
+type Counters struct {
+	Connections int64 `json:"connections"`
+	TurnedOff   int64 `json:"turned_off"` // connections beyond max_followers
+	Malformed   int64 `json:"malformed"`  // messages that broke the protocol; each ended its connection
+	BytesIn     int64 `json:"bytes_in"`   // from followers
+	BytesOut    int64 `json:"bytes_out"`  // to followers
+	Published   int64 `json:"published"`
+	Rejected    int64 `json:"rejected"` // requests answered by an error
+}
+
+// Follower is what a replica knows of one gateway.
+type Follower struct {
+	Member    int                 `json:"member"`
+	Name      string              `json:"name"`
+	Connected bool                `json:"connected"`
+	InForce   configsync.Version  `json:"in_force"`
+	Refused   configsync.Version  `json:"refused,omitempty"` // a later version that it could not take
+	Resource  configsync.Resource `json:"resource,omitempty"`
+	Reason    string              `json:"reason,omitempty"`
+	HeardMS   int64               `json:"heard_ms"` // milliseconds since its last message
+}
+
+// Status gives the replica's own view; each gateway follows one replica at a time.
+func (p *Publisher) Status() *Status {
+	status := &Status{
+		Replica:   p.cfg.Index,
+		Leader:    p.replica.Leader(),
+		Leads:     p.replica.Leads(),
+		Current:   p.replica.InContact(),
+		Followers: []Follower{},
+		Counters: Counters{
+			Connections: p.counters.connected.Load(),
+			TurnedOff:   p.counters.turnedOff.Load(),
+			Malformed:   p.counters.malformed.Load(),
+			BytesIn:     p.counters.bytesIn.Load(),
+			BytesOut:    p.counters.bytesOut.Load(),
+			Published:   p.counters.published.Load(),
+			Rejected:    p.counters.rejected.Load(),
+		},
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	document := p.state.Document()
+	digest := document.Digest()
+	status.Log = document.Log()
+	status.Version = document.Version()
+	status.Digest = hex.EncodeToString(digest[:])
+	status.Oldest = p.state.History().Oldest()
+	status.Connected = p.sender.Len()
+	now := time.Now()
+	for _, member := range p.sender.Status() {
+		status.Followers = append(status.Followers, newFollower(now, &member))
+	}
+	return status
+}
+
+func newFollower(now time.Time, member *configsync.MemberStatus) Follower {
+	return Follower{
+		Member:    member.Member,
+		Name:      member.Name,
+		Connected: member.Connected,
+		InForce:   member.InForce,
+		Refused:   member.Refused,
+		Resource:  member.Resource,
+		Reason:    member.Reason,
+		HeardMS:   now.Sub(member.Heard).Milliseconds(),
+	}
+}
+
+// String gives the status as a log line without the single followers.
+func (s *Status) String() string {
+	inForce := 0
+	refused := 0
+	for i := range s.Followers {
+		follower := &s.Followers[i]
+		if follower.Connected && follower.InForce == s.Version {
+			inForce++
+		}
+		if follower.Connected && follower.Refused > 0 {
+			refused++
+		}
+	}
+	c := &s.Counters
+	return fmt.Sprintf("leads=%t leader=%d current=%t version=%d digest=%.16s followers=%d in_force=%d refused=%d"+
+		" connections=%d turned_off=%d malformed=%d bytes_in=%d bytes_out=%d published=%d rejected=%d",
+		s.Leads, s.Leader, s.Current, s.Version, s.Digest, s.Connected, inForce, refused,
+		c.Connections, c.TurnedOff, c.Malformed, c.BytesIn, c.BytesOut, c.Published, c.Rejected)
+}
