--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -80,7 +81,8 @@
 func newGroup(t *testing.T) *group {
 	g := &group{t: t, lists: make([]*list, 3), replicas: make([]*Replica, 3)}
 	for range 3 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		host := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(64)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(host, 0).String()) // where nobody else takes a port meanwhile
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/publishertest/publishertest.go
@@ -0,0 +1,181 @@
+// Package publishertest runs groups of publishers on loopback for tests.
+package publishertest
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"ravensill/configsync"
+	"ravensill/internal/config"
+	"ravensill/internal/publisher"
+)
+
+const (
+	waitTimeout  = 60 * time.Second
+	pollInterval = 5 * time.Millisecond
+)
+
+// FirstContent is a small content: two quota plans, a request class and limits.
+const FirstContent = `{"plans":[{"name":"gold","rate":10,"burst":5},{"name":"team","rate":5,"burst":5}],
+	"profiles":[{"name":"lookup","target_us":1000,"hard_limit_us":2000}],"limits":{"max_attempts":2}}`
+
+// Eventually waits for a state that other goroutines bring about.
+func Eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitTimeout)
+	for !reached() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited for %s", what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// freeAddress gives an address of its own on loopback, with a port that nobody else takes before it is listened at.
+func freeAddress(t *testing.T) netip.AddrPort {
+	host := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(64)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+	l, err := net.Listen("tcp4", netip.AddrPortFrom(host, 0).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Group is a group of replicas on loopback.
+type Group struct {
+	Configs  []*config.Publisher
+	Replicas []*publisher.Publisher // nil: closed
+	t        *testing.T
+}
+
+// NewGroup starts replicas, each with a folder of its own; change may alter their configurations. They are closed with
+// the test.
+func NewGroup(t *testing.T, replicas int, change func(*config.Publisher)) *Group {
+	g := &Group{t: t, Replicas: make([]*publisher.Publisher, replicas)}
+	var raftAddresses, adminAddresses []netip.AddrPort
+	for range replicas {
+		raftAddresses = append(raftAddresses, freeAddress(t))
+		adminAddresses = append(adminAddresses, freeAddress(t))
+	}
+	for i := range replicas {
+		cfg := &config.Publisher{Index: i, Listen: freeAddress(t), RaftListen: raftAddresses[i], Raft: raftAddresses,
+			AdminListen: adminAddresses[i], Admin: adminAddresses, Dir: t.TempDir(), Key: []byte("0123456789abcdef"),
+			Election: 200 * time.Millisecond, MaxFollowers: 100,
+			History: configsync.HistoryLimits{Deltas: 8, Bytes: 1 << 20}, SnapshotThreshold: 4, TrailingEntries: 2}
+		if change != nil {
+			change(cfg)
+		}
+		g.Configs = append(g.Configs, cfg)
+	}
+	t.Cleanup(func() {
+		for i := range g.Replicas {
+			g.Close(i)
+		}
+	})
+	for i := range g.Replicas {
+		g.Open(i)
+	}
+	return g
+}
+
+// Open starts a replica, again with what lies on its disk.
+func (g *Group) Open(i int) {
+	g.t.Helper()
+	var err error
+	g.Replicas[i], err = publisher.Start(g.Configs[i])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// Close ends a replica; a second time it does nothing.
+func (g *Group) Close(i int) {
+	if g.Replicas[i] != nil {
+		g.Replicas[i].Close()
+		g.Replicas[i] = nil
+	}
+}
+
+// Request asks a replica over HTTP.
+func (g *Group) Request(i int, method, path, body, ifMatch string) (status int, answer string) {
+	request, err := http.NewRequest(method, "http://"+g.Configs[i].AdminListen.String()+path, strings.NewReader(body))
+	if err != nil {
+		g.t.Error(err)
+		return 0, ""
+	}
+	request.Header.Set("If-Match", ifMatch)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+// Publish repeats a change at a replica as long as the group has no leader.
+func (g *Group) Publish(i int, method, path, body string) (p publisher.Publication) {
+	g.t.Helper()
+	Eventually(g.t, "a publication", func() bool {
+		status, answer := g.Request(i, method, path, body, "")
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			g.t.Errorf("%s %s: %d %s", method, body, status, answer)
+			return true
+		}
+		return status == http.StatusOK && json.Unmarshal([]byte(answer), &p) == nil
+	})
+	return p
+}
+
+// Put publishes FirstContent.
+func (g *Group) Put() publisher.Publication {
+	return g.Publish(0, "PUT", "/v1/configuration", FirstContent)
+}
+
+// SetRate publishes another rate of a plan.
+func (g *Group) SetRate(i int, plan string, rate int) publisher.Publication {
+	g.t.Helper()
+	body := fmt.Sprintf(`{"set":{"plans/%s":{"name":%q,"rate":%d,"burst":5}}}`, plan, plan, rate)
+	return g.Publish(i, "PATCH", "/v1/configuration", body)
+}
+
+// Leader gives the index of the replica that leads.
+func (g *Group) Leader() (leader int) {
+	g.t.Helper()
+	Eventually(g.t, "a leader", func() bool {
+		for i, p := range g.Replicas {
+			if p != nil && p.Status().Leads {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// Agreed waits until all replicas that run have the version.
+func (g *Group) Agreed(want publisher.Publication) {
+	g.t.Helper()
+	for i, p := range g.Replicas {
+		if p == nil {
+			continue
+		}
+		Eventually(g.t, fmt.Sprintf("version %d at replica %d", want.Version, i), func() bool {
+			s := p.Status()
+			return s.Version == want.Version && s.Digest == want.Digest && s.Log == want.Log
+		})
+	}
+}
