--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -24,10 +24,9 @@
 
 // gateway stands for what a gateway makes of updates: it keeps the resources in force.
 type gateway struct {
-	t    *testing.T
-	cfg  Config
-	held *configsync.Document
-	sub  *Subscriber // nil: not running
+	t   *testing.T
+	cfg Config
+	sub *Subscriber // nil: not running
 
 	mu       sync.Mutex
 	inForce  *configsync.Document // built from the changes alone
