--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -34,7 +34,7 @@
 )
 
 // RequestHandler is called on the loop for each request. Times are in nanoseconds: receivedAt is when the request's last byte
-// was read, deadline until when its client waits. plan and class are indices into Words. The command to send to a host is the
+// was read, deadline until when its client waits. plan and class are indices of the Catalog. The command to send to a host is the
 // concatenation of head, before, the remaining time in milliseconds, after and tail.
 type RequestHandler func(answer *Answer, receivedAt int64, id, customer string, class, plan int, deadline int64, units float64,
 	spread, first int, retry bool, head, before, after, tail []byte)
@@ -42,7 +42,7 @@
 // Server accepts client connections and holds them. All fields belong to the loop, the goroutine that runs the functions
 // passed to runOnLoop.
 type Server struct {
-	words     Words
+	catalog   *Catalog
 	maxConns  int // further connections wait in the listen queue
 	runOnLoop func(func())
 	now       func() int64 // nanoseconds
@@ -64,11 +64,11 @@
 	fullLog   logLimiter
 }
 
-// NewServer returns a server that holds at most maxConns connections. runOnLoop queues a function for the loop; onRequest is
+// NewServer returns a server that holds at most maxConns connections, whose commands name what the catalog knows. runOnLoop queues a function for the loop; onRequest is
 // called there.
-func NewServer(words Words, maxConns int, runOnLoop func(func()), now func() int64, onRequest RequestHandler) *Server {
+func NewServer(catalog *Catalog, maxConns int, runOnLoop func(func()), now func() int64, onRequest RequestHandler) *Server {
 	return &Server{
-		words:      words,
+		catalog:    catalog,
 		maxConns:   maxConns,
 		runOnLoop:  runOnLoop,
 		now:        now,
