Publisher: the whole fleet's followers at one address, and a lead that is handed on

A replica that is called to stop hands its lead on, so that a restart of one costs no election.

A test of malformed messages failed once in two runs: connections that were just ended still counted towards max_followers of 3, so the next one was turned off instead of counted.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -165,6 +165,15 @@
 	return r.Leader() >= 0 && time.Since(r.raft.LastContact()) < 2*r.cfg.Election
 }
 
+// Resign hands the lead to another replica, so that the group need not wait for an election after this one has ended. It
+// does nothing where this replica does not lead, and waits no longer than the election timeout.
+func (r *Replica) Resign() error {
+	if !r.Leads() || len(r.cfg.Addresses) == 1 {
+		return nil
+	}
+	return r.raft.LeadershipTransfer().Error()
+}
+
 // Dropped counts announcements of other replicas that made no sense.
 func (r *Replica) Dropped() int { return int(r.dropped.Load()) }
 
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -166,6 +166,10 @@
 			t.Errorf("a replica that does not lead: %v", err)
 		}
 	}
+	if err := g.replicas[first].Resign(); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "another to lead", func() bool { return !g.replicas[first].Leads() })
 	g.close(first)
 	second := g.propose("b")
 	g.same("a", "b")
--- a/internal/publisher/admin.go
+++ b/internal/publisher/admin.go
@@ -26,6 +26,7 @@
 //	GET /v1/configuration    the content in force by resource
 //	POST /v1/rollback        {"to": version}: its content as a new version
 //	GET /v1/status           this replica's Status
+//	GET /v1/fleet            Fleet: the followers of all replicas
 //
 // Changes are passed on to the leader. With the header If-Match, a quoted version, they are made only where that is the
 // current one (RFC 9110, section 13.1.1).
@@ -38,6 +39,9 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		answer(w, http.StatusOK, p.Status())
 	})
+	mux.HandleFunc("GET /v1/fleet", func(w http.ResponseWriter, r *http.Request) {
+		answer(w, http.StatusOK, p.Fleet(r.Context()))
+	})
 	return mux
 }
 
--- /dev/null
+++ b/internal/publisher/content_test.go
@@ -0,0 +1,39 @@
+package publisher
+
+import (
+	"errors"
+	"testing"
+
+	"ravensill/configsync"
+)
+
+// FuzzContent: whatever body an operator sends, it gives resources or a *RequestError, and each resource once.
+func FuzzContent(f *testing.F) {
+	f.Add(`{"plans":[{"name":"gold"}],"profiles":[{"name":"a"}],"peers":["10.0.0.1:1"],"limits":{}}`)
+	f.Add(`{"set":{"plans/gold":{"name":"gold"},"limits":null},"remove":["plans/team"]}`)
+	f.Add(`{"plans":[null]}{`)
+	f.Add(`{"plans":{"name":"a"}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		var request *RequestError
+		resources, err := parseContent(body)
+		if err != nil && !errors.As(err, &request) {
+			t.Errorf("%T: %v", err, err)
+		}
+		for resource, value := range resources {
+			if resource == "" || len(value) == 0 {
+				t.Errorf("%q: %q", resource, value)
+			}
+		}
+		changes, err := parseChanges(body)
+		if err != nil && !errors.As(err, &request) {
+			t.Errorf("%T: %v", err, err)
+		}
+		named := map[configsync.Resource]bool{}
+		for _, change := range changes {
+			if named[change.Resource] {
+				t.Errorf("%q is named twice", change.Resource)
+			}
+			named[change.Resource] = true
+		}
+	})
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -93,8 +93,8 @@
 	return p, nil
 }
 
-// Close ends the replica: its listeners, its followers' connections and its part in the group. It waits for requests under
-// way for a short time.
+// Close ends the replica: its listeners, its followers' connections and its part in the group, whose lead it hands on. It
+// waits for requests under way for a short time.
 func (p *Publisher) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
@@ -105,6 +105,10 @@
 	p.listener.Close()
 	p.closeConnections()
 	p.tasks.Wait()
+	err := p.replica.Resign()
+	if err != nil {
+		log.Printf("event=publisher_resign_failed error=%q", err)
+	}
 	p.replica.Close()
 }
 
--- a/internal/publisher/serve.go
+++ b/internal/publisher/serve.go
@@ -256,9 +256,9 @@
 	}
 }
 
-// forget ends the connection and gives its place away.
+// forget gives the connection's place away and ends it.
 func (c *connection) forget() {
-	c.conn.Close()
+	defer c.conn.Close()
 	p := c.publisher
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/publisher/status.go
+++ b/internal/publisher/status.go
@@ -20,7 +20,7 @@
 	Oldest    configsync.Version `json:"oldest"` // the earliest that deltas lead on from, and that a rollback reaches
 	Connected int                `json:"connected"`
 	Counters  Counters           `json:"counters"`
-	Followers []Follower         `json:"followers"`
+	Followers []Follower         `json:"followers,omitempty"`
 }
 
 // Counters count since the start of the replica.
