Gateway: follows the publishers where the section configuration is on

Cause: nothing joined the subscriber, config.Live and the node.

Change: the last good version on disk is read before the module is made, so that a start needs no publisher; a damaged file is logged and what is whole before the damage is taken; a version that can't be taken any more leaves the start to the file. node.WhileRunning starts the subscriber once the gateway has its addresses: a former process of it that serves to its end no more writes the folder then. Off: nothing of it is started.

--- /dev/null
+++ b/cmd/ravensill/configuration.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"errors"
+	"log"
+	"time"
+
+	"ravensill/configsync"
+	"ravensill/internal/config"
+	"ravensill/internal/node"
+	"ravensill/internal/subscriber"
+)
+
+// following is what a gateway that follows the publishers of the configuration has beside its node.
+type following struct {
+	cfg  *config.Config       // that the gateway starts with
+	live *config.Live         // belongs to the subscriber once that runs
+	held *configsync.Document // the version that the gateway starts with
+	node *node.Node
+}
+
+// newFollowing reads the last good version on disk. The gateway starts with it, whether a publisher is up or not; where
+// there is none, or it can't be taken any more, with what the file says.
+func newFollowing(file *config.Config) *following {
+	held, err := subscriber.Load(file.Configuration.Dir)
+	if err != nil { // torn or altered: the document is the last one before that
+		log.Printf("event=configuration_damaged dir=%s version=%d error=%q", file.Configuration.Dir, held.Version(), err)
+	}
+	if held.Version() > 0 {
+		cfg, live, err := config.Restore(file, held.Changes())
+		if err == nil {
+			log.Printf("event=configuration_held version=%d plans=%d classes=%d members=%d", held.Version(), len(cfg.Plans),
+				len(cfg.Fronts), cfg.Seat.Count)
+			return &following{cfg: cfg, live: live, held: held}
+		}
+		log.Printf("event=configuration_refused version=%d error=%q", held.Version(), err)
+	}
+	return &following{cfg: file, live: config.NewLive(file), held: configsync.NewDocument("")}
+}
+
+// start runs the subscriber; the returned function ends it.
+func (f *following) start() (end func()) {
+	s := subscriber.Start(subscriber.Config{
+		Publishers:  f.cfg.Configuration.Publishers,
+		Dir:         f.cfg.Configuration.Dir,
+		Member:      f.cfg.Seat.Index,
+		Name:        f.cfg.Name,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Apply:       f.apply,
+	}, f.held)
+	f.held = nil // the subscriber's from now on
+	return s.Close
+}
+
+// apply puts an update in force and returns once it is. It runs on the subscriber's goroutine.
+func (f *following) apply(update *configsync.Update, whole bool) error {
+	revision, err := f.live.Apply(update.Changes, whole)
+	if err != nil {
+		return err
+	}
+	err = f.node.Apply(update.To, revision)
+	if errors.Is(err, node.ErrEnded) {
+		return subscriber.ErrStopped
+	}
+	return err
+}
--- a/cmd/ravensill/main.go
+++ b/cmd/ravensill/main.go
@@ -25,6 +25,11 @@
 		log.Printf("event=start_failed error=%q", err)
 		os.Exit(2)
 	}
+	var follows *following // nil: off
+	if cfg.Configuration != nil {
+		follows = newFollowing(cfg)
+		cfg = follows.cfg
+	}
 	for _, a := range cfg.Adjusted {
 		log.Printf("event=settings_adjusted key=%s meaning=%q", a.Key, a.Meaning)
 	}
@@ -44,6 +49,10 @@
 		}
 	}()
 	n := node.New(cfg, logic.New(cfg.Seed, cfg.Seat, cfg.Fronts, cfg.Plans, cfg.Limits, cfg.Cold, cfg.Report))
+	if follows != nil {
+		follows.node = n
+		n.WhileRunning(follows.start)
+	}
 	go func() {
 		for range reloads { // those that come while the file is read are one more
 			n.Reload(config.Reload(os.Getenv))
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -272,10 +272,7 @@
 }
 
 // order writes down what a module is handed in which order.
-type order struct {
-	mute
-	told chan string
-}
+type order struct{ told chan string }
 
 func (o *order) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,21 +65,22 @@
 	post    *peers.Post
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
-	witness *watching     // nil: off
-	pool    *pooling      // nil: off
-	waiting []revision    // of the configuration; each is in force after the turn at hand
-	over    chan struct{} // closed when Run returns
-	lost    bool          // the watch broke, and none has brought anything since
-	told    bool          // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int           // lists dropped
-	strange int           // datagrams dropped since the last line on them
-	lineAt  int64         // of that line
-	tallyAt int64         // of the last line of decisions
-	stopAt  int64         // the next step to the end is due then; 0 none
-	leaveAt int64         // what is taken has its answer by then; 0 not called to stop
-	serving bool          // clients are taken in
-	stopped bool          // no more are: the gateway ends with its last connection
-	retired bool          // those that are owed nothing are closed
+	witness *watching             // nil: off
+	pool    *pooling              // nil: off
+	waiting []revision            // of the configuration; each is in force after the turn at hand
+	over    chan struct{}         // closed when Run returns
+	tasks   []func() (end func()) // started once the gateway has its addresses
+	lost    bool                  // the watch broke, and none has brought anything since
+	told    bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken  int                   // lists dropped
+	strange int                   // datagrams dropped since the last line on them
+	lineAt  int64                 // of that line
+	tallyAt int64                 // of the last line of decisions
+	stopAt  int64                 // the next step to the end is due then; 0 none
+	leaveAt int64                 // what is taken has its answer by then; 0 not called to stop
+	serving bool                  // clients are taken in
+	stopped bool                  // no more are: the gateway ends with its last connection
+	retired bool                  // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
@@ -125,9 +126,19 @@
 
 func (n *Node) now() int64 { return n.unix + int64(time.Since(n.epoch)) }
 
+// WhileRunning has Run start a task beside the loop once the gateway has its addresses: a former process of this gateway
+// that serves to its end runs no more then. Run calls what start returns after the loop has ended, and waits for it.
+func (n *Node) WhileRunning(start func() (end func())) { n.tasks = append(n.tasks, start) }
+
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) (err error) {
-	defer close(n.over)
+	var ends []func()
+	defer func() {
+		close(n.over)
+		for _, end := range ends {
+			end()
+		}
+	}()
 	defer func() {
 		if err == errCalled {
 			log.Printf("event=stopped")
@@ -164,6 +175,9 @@
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
 	}
 	n.step() // the first round
+	for _, start := range n.tasks {
+		ends = append(ends, start())
+	}
 	if n.post != nil {
 		go n.post.Listen(func(seat int, body []byte) {
 			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
