--- a/configsync/codec_test.go
+++ b/configsync/codec_test.go
@@ -77,11 +77,14 @@
 		"negative member":    Encode(&Hello{Member: -1}),
 		"long name":          Encode(&Hello{Name: strings.Repeat("x", MaxNameBytes+1)}),
 		"held of no log":     Encode(&Hello{Held: 1}),
+		"refused of no log":  Encode(&Hello{Refused: 1}),
 		"deferral backwards": Encode(&Deferral{After: -1}),
 		"long reason":        Encode(&Refusal{Reason: strings.Repeat("x", MaxReasonBytes+1)}),
 		"resource":           Encode(&Refusal{Resource: "routes/a"}),
 		"part of none":       Encode(&SnapshotPart{Log: testLog, Version: 1}),
 		"part beyond":        Encode(&SnapshotPart{Log: testLog, Version: 1, Part: 1, Parts: 1}),
+		"negative part":      Encode(&SnapshotPart{Log: testLog, Version: 1, Part: -1, Parts: 1}),
+		"many in a part":     Encode(&SnapshotPart{Log: testLog, Version: 1, Parts: 1, Changes: many}),
 		"many parts":         Encode(&SnapshotPart{Log: testLog, Version: 1, Parts: MaxSnapshotParts + 1}),
 		"part of version 0":  Encode(&SnapshotPart{Log: testLog, Parts: 1}),
 		"part of no log":     Encode(&SnapshotPart{Version: 1, Parts: 1}),
@@ -104,7 +107,7 @@
 }
 
 func TestRefusalFitsItsBounds(t *testing.T) {
-	refusal := NewRefusal(6, "routes/a", strings.Repeat("ü", MaxReasonBytes)+"\xff")
+	refusal := NewRefusal(6, "routes/a", "x"+strings.Repeat("ü", MaxReasonBytes)+"\xff")
 	if got, err := Decode(Encode(refusal)); err != nil || !cmp.Equal(got, Message(refusal)) || refusal.Resource != "" {
 		t.Error(err, refusal)
 	}
--- a/configsync/document_test.go
+++ b/configsync/document_test.go
@@ -93,6 +93,14 @@
 	}
 }
 
+func TestLogIDs(t *testing.T) {
+	for log, want := range map[LogID]bool{"a": true, "": false, "a\xff": false, LogID(make([]byte, MaxLogBytes)): true, LogID(make([]byte, MaxLogBytes+1)): false} {
+		if checkLog(log) == nil != want {
+			t.Errorf("%q", log)
+		}
+	}
+}
+
 func TestDocumentHasABoundedCount(t *testing.T) {
 	for count, want := range map[int]bool{MaxDocumentResources: true, MaxDocumentResources + 1: false} {
 		after := totals{count: count}
--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -393,7 +393,6 @@
 	f.failures = 0
 	if f.refusedVersion() <= f.document.Version() {
 		f.refused = nil
-		f.refusedLog = ""
 	}
 	if f.connection != nil {
 		f.connection.progress = now
--- a/configsync/follower_test.go
+++ b/configsync/follower_test.go
@@ -36,6 +36,9 @@
 		t.Errorf("repeated while pending: %+v", decision)
 	}
 	answer := follower.Accept(start)
+	if count := follower.Counters().Accepted; count != 1 {
+		t.Error(count)
+	}
 	if *answer != (Acknowledge{2, delta.Digest}) || follower.Document().Digest() != delta.Digest {
 		t.Errorf("%+v", answer)
 	}
@@ -220,11 +223,12 @@
 
 // A version that is pending, refused, held or on its way isn't waited for.
 func TestFollowerIsNotStalled(t *testing.T) {
-	announce := func(f *Follower) {
+	announceTo := func(f *Follower, latest Version) {
 		for i := range 6 {
-			f.Receive(at(time.Duration(i)*time.Second), &Heartbeat{Log: testLog, Latest: 2, Current: true})
+			f.Receive(at(time.Duration(i)*time.Second), &Heartbeat{Log: testLog, Latest: latest, Current: true})
 		}
 	}
+	announce := func(f *Follower) { announceTo(f, 2) }
 	for name, events := range map[string]func(*Follower){
 		"pending": func(f *Follower) { f.Receive(start, next(f.Document(), remove("limits"))); announce(f) },
 		"refused": func(f *Follower) {
@@ -237,6 +241,20 @@
 			f.Accept(start)
 			announce(f)
 		},
+		"accepted, one more announced": func(f *Follower) {
+			f.Receive(start, next(f.Document(), remove("limits")))
+			announceTo(f, 3)
+			f.Accept(at(5 * time.Second))
+		},
+		"refused, one more announced": func(f *Follower) {
+			f.Receive(start, next(f.Document(), remove("limits")))
+			announceTo(f, 3)
+			f.Refuse(at(5*time.Second), "", "")
+		},
+		"pending at last": func(f *Follower) {
+			announce(f)
+			f.Receive(at(5*time.Second), next(f.Document(), remove("limits")))
+		},
 		"announced late": func(f *Follower) {
 			for i := range 5 {
 				f.Receive(at(time.Duration(i)*time.Second), &Heartbeat{Log: testLog, Latest: 1, Current: true})
@@ -342,7 +360,32 @@
 	if decision := follower.Receive(start, next(follower.Document(), remove("limits"))); decision.Kind != Apply {
 		t.Fatalf("%+v", decision)
 	}
-	if decision := follower.Receive(start, SplitSnapshot(later)[0]); decision.Cause != CauseGap {
+	if decision := follower.Receive(start, SplitSnapshot(later)[0]); decision.Cause != CauseGap || follower.Counters().Gaps != 1 {
 		t.Errorf("while another version is pending: %+v", decision)
 	}
+	if answer := follower.Accept(start); answer.Version != 2 { // without a connection
+		t.Errorf("%+v", answer)
+	}
+}
+
+// A snapshot that a differing digest called for ends the wish for one, and another one can follow on the same connection.
+func TestFollowerTakesSnapshotsInTurn(t *testing.T) {
+	follower := newTestFollower(t)
+	wrong := next(follower.Document(), remove("limits"))
+	wrong.Digest[0]++
+	follower.Receive(start, wrong)
+	if hello := follower.Connected(start)[0].(*Hello); !hello.Whole {
+		t.Errorf("%+v", hello)
+	}
+	content := newTestDocument(t, set("limits", "5"))
+	for version := Version(2); version < 4; version++ {
+		content.version = version
+		if decision := follower.Receive(start, SplitSnapshot(content)[0]); decision.Kind != Apply {
+			t.Fatalf("version %d: %+v", version, decision)
+		}
+		follower.Accept(start)
+	}
+	if hello := follower.Connected(start)[0].(*Hello); hello.Whole || hello.Held != 3 {
+		t.Errorf("%+v", hello)
+	}
 }
--- a/configsync/history.go
+++ b/configsync/history.go
@@ -93,33 +93,23 @@
 // Since merges all deltas after a version into one: a resource has its last value, and one that ends as it began is left
 // out. ok is false where there is no later version or the history doesn't reach back to it.
 func (h *History) Since(version Version) (delta Delta, ok bool) {
-	entries, ok := h.after(version)
-	if !ok || len(entries) == 0 {
+	entries, _ := h.after(version)
+	if len(entries) == 0 {
 		return Delta{}, false
 	}
-	merger := newMerger()
-	for i := range entries {
-		merger.add(&entries[i])
-	}
-	return merger.delta(version, &entries[len(entries)-1].Delta), true
+	return merge(entries).delta(version, &entries[len(entries)-1].Delta), true
 }
 
 // SinceWithin merges as many deltas after a version as the bounds of a delta on the wire allow, and at least one. ok is
 // false where Since has none or where the first alone is beyond the bounds.
 func (h *History) SinceWithin(version Version) (delta Delta, ok bool) {
-	whole, ok := h.Since(version)
-	if !ok {
-		return Delta{}, false
-	}
-	if fitsWire(whole.Changes) {
-		return whole, true
-	}
 	entries, _ := h.after(version)
-	merger := newMerger()
 	end := 0
-	for end < len(entries) {
-		merger.add(&entries[end])
-		if merger.size > MaxDeltaBytes || len(merger.first) > MaxDeltaChanges {
+	merger := newMerger()
+	for i := range entries {
+		merger.add(&entries[i])
+		if merger.size > MaxDeltaBytes || len(merger.last) > MaxDeltaChanges {
+			merger = merge(entries[:end])
 			break
 		}
 		end++
@@ -127,10 +117,6 @@
 	if end == 0 {
 		return Delta{}, false
 	}
-	merger = newMerger()
-	for i := range end {
-		merger.add(&entries[i])
-	}
 	return merger.delta(version, &entries[end-1].Delta), true
 }
 
@@ -145,11 +131,7 @@
 	if !ok {
 		return nil, false
 	}
-	merger := newMerger()
-	for i := range entries {
-		merger.add(&entries[i])
-	}
-	return merger.undo(), true
+	return merge(entries).undo(), true
 }
 
 // after gives the entries from a version on.
@@ -187,6 +169,14 @@
 	return &merger{first: map[Resource][]byte{}, last: map[Resource][]byte{}}
 }
 
+func merge(entries []historyEntry) *merger {
+	merger := newMerger()
+	for i := range entries {
+		merger.add(&entries[i])
+	}
+	return merger
+}
+
 func (m *merger) add(entry *historyEntry) {
 	for i, change := range entry.Delta.Changes {
 		if old, found := m.last[change.Resource]; found {
--- a/configsync/messages.go
+++ b/configsync/messages.go
@@ -179,7 +179,7 @@
 	if m.Version == 0 {
 		return &MalformedError{Reason: "a snapshot of no version"}
 	}
-	if m.Parts < 1 || m.Parts > MaxSnapshotParts || m.Part < 0 || m.Part >= m.Parts {
+	if m.Parts > MaxSnapshotParts || m.Part < 0 || m.Part >= m.Parts {
 		return &MalformedError{Reason: "not a part of a snapshot"}
 	}
 	if len(m.Changes) > MaxPartChanges || changesSize(m.Changes) > MaxPartBytes {
--- a/configsync/sender.go
+++ b/configsync/sender.go
@@ -226,7 +226,6 @@
 	if want != message.Digest {
 		return &DigestError{Version: message.Version, Want: want, Got: message.Digest}
 	}
-	follower.log = s.state.document.log
 	follower.held = message.Version
 	follower.digest = message.Digest
 	record.InForce = message.Version
--- a/configsync/sender_test.go
+++ b/configsync/sender_test.go
@@ -102,6 +102,27 @@
 	}
 }
 
+// Late and repeated answers: one to an earlier version doesn't stand for the version on its way, and one is known though
+// the history has gone on.
+func TestSenderKnowsItsAnswers(t *testing.T) {
+	r := newSenderRig(t, 3, SenderLimits{})
+	id := r.connect(start, r.hello(1, 0))
+	sent := r.next(start, id).(*Delta)
+	digest, _ := r.state.History().DigestAt(2)
+	r.acknowledge(id, 2, digest)
+	if message := r.next(start, id); message != nil || sent.To != 3 {
+		t.Errorf("another one on its way: %+v", message)
+	}
+	for i := range 4 {
+		publish(t, r.state, set("classes/a", fmt.Sprint(i)))
+	}
+	r.acknowledge(id, 3, sent.Digest)
+	r.acknowledge(id, 3, sent.Digest)
+	if part := r.next(start, id).(*SnapshotPart); part.Version != 7 {
+		t.Errorf("%d", part.Version)
+	}
+}
+
 func TestSenderChoosesDeltaOrSnapshot(t *testing.T) { // at version 5, with a history from version 2 on
 	for name, test := range map[string]struct {
 		held   Version
@@ -229,13 +250,13 @@
 	r := newSenderRig(t, 2, SenderLimits{})
 	id := r.connect(start, r.hello(9, 1))
 	r.next(start, id)
-	if err := r.sender.Receive(start, id, NewRefusal(2, "limits", "no")); err != nil {
+	if err := r.sender.Receive(at(time.Second), id, NewRefusal(2, "limits", "no")); err != nil {
 		t.Fatal(err)
 	}
 	if message := r.next(start, id); message != nil {
 		t.Errorf("after a refusal: %+v", message)
 	}
-	want := MemberStatus{Member: 9, Connected: true, InForce: 1, Refused: 2, Resource: "limits", Reason: "no", Heard: start}
+	want := MemberStatus{Member: 9, Connected: true, InForce: 1, Refused: 2, Resource: "limits", Reason: "no", Heard: at(time.Second)}
 	if status := r.sender.Status()[0]; status != want {
 		t.Errorf("%+v", status)
 	}
@@ -319,6 +340,10 @@
 	if !r.sender.Status()[0].Connected {
 		t.Error("the later connection forgotten")
 	}
+	r.sender.Disconnect(50)
+	if replaced, err := r.sender.Connect(start, 52, hello); err != nil || replaced != 0 {
+		t.Error(replaced, err)
+	}
 	older := *hello
 	older.Incarnation = 4
 	if _, err := r.sender.Connect(start, 51, &older); err == nil || r.sender.Len() != 1 {
--- a/configsync/state_test.go
+++ b/configsync/state_test.go
@@ -200,6 +200,9 @@
 			t.Error("no deltas merged")
 		}
 	}
+	if _, ok := state.History().SinceWithin(21); ok {
+		t.Error("a delta from the future")
+	}
 	var large []Change
 	for i := range 20 {
 		large = append(large, Change{Resource(fmt.Sprintf("plans/%02d", i)), bytes.Repeat([]byte("y"), MaxValueBytes)})
@@ -210,17 +213,36 @@
 	}
 }
 
+func TestDeltaWithinTheWiresCount(t *testing.T) {
+	state := newTestState(t, HistoryLimits{Deltas: 100, Bytes: 8 << 20})
+	for i := range 2 {
+		var changes []Change
+		for j := range MaxDeltaChanges/2 + 1 {
+			changes = append(changes, set(Resource(fmt.Sprintf("plans/%d-%d", i, j)), "1"))
+		}
+		publish(t, state, changes...)
+	}
+	if delta, ok := state.History().SinceWithin(0); !ok || delta.To != 1 {
+		t.Error(ok, delta.To)
+	}
+}
+
 func TestRestoreRefuses(t *testing.T) {
 	state := newTestState(t, testLimits)
 	publish(t, state, set("limits", "1"))
 	good := state.Snapshot()
 	short := newTestState(t, testLimits)
 	short.document = newTestDocument(t, set("limits", "1"))
+	gap := newTestState(t, testLimits)
+	publish(t, gap, set("limits", "1"))
+	publish(t, gap, set("limits", "2"))
+	gap.history.entries[1].Delta.From = 0
 	altered := bytes.Clone(good)
 	altered[len(altered)-1] ^= 1
 	for name, text := range map[string][]byte{
 		"altered": altered, "cut": good[:len(good)-1], "longer": append(bytes.Clone(good), 0),
 		"a document": EncodeFile(state.Document()), "history apart": short.Snapshot(),
+		"history with a gap": gap.Snapshot(),
 	} {
 		if err := state.Restore(text); err == nil {
 			t.Errorf("%s: taken", name)
