--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -267,6 +267,46 @@
 	}
 }
 
+// A follower that doesn't read a long snapshot has it pending and nothing more: others get each version meanwhile, and it
+// gets the latest at once when it reads again.
+func TestSlowReader(t *testing.T) {
+	const plans = 10_000
+	g := publishertest.NewGroup(t, 1, nil)
+	var content strings.Builder
+	content.WriteString(`{"profiles":[{"name":"lookup","hard_limit_us":2000}],"plans":[{"name":"gold"}`)
+	for i := range plans {
+		fmt.Fprintf(&content, `,{"name":"%0100d","rate":1,"burst":1}`, i)
+	}
+	content.WriteString("]}")
+	g.Publish(0, "PUT", "/v1/configuration", content.String())
+	slow := follow(t, g, 0)
+	slow.conn.SetReadBuffer(64 << 10)
+	slow.send(configsync.Encode(hello(1)))
+	quick := follow(t, g, 0, hello(2))
+	last := publisher.Publication{}
+	for rate := range 5 {
+		version, digest := quick.version()
+		if version != configsync.Version(1+rate) {
+			t.Errorf("version %d after %d", version, rate)
+		}
+		quick.send(configsync.Encode(&configsync.Acknowledge{Version: version, Digest: digest}))
+		last = g.SetRate(0, "gold", 1+rate)
+	}
+	eventually(t, "the quick one to be sent all", func() bool {
+		version, _ := quick.version()
+		return version == last.Version
+	})
+	if sent := g.Replicas[0].Status().Counters.BytesOut; sent > 4<<20 {
+		t.Errorf("%d bytes sent, which is more than one snapshot and what the kernel holds", sent)
+	}
+	version, digest := slow.version()
+	slow.send(configsync.Encode(&configsync.Acknowledge{Version: version, Digest: digest}))
+	next, _ := slow.version()
+	if version != 1 || next != last.Version {
+		t.Errorf("version %d, then %d; the latest is %d", version, next, last.Version)
+	}
+}
+
 // What breaks the protocol is counted, and its connection ended; the others go on.
 func TestMalformedMessages(t *testing.T) {
 	const mostFollowers = 20
--- a/internal/publisher/serve.go
+++ b/internal/publisher/serve.go
@@ -20,6 +20,7 @@
 	farewellTimeout  = time.Second           // for a follower to close after the last frame
 	unansweredLimit  = 20 * time.Second      // of bytes on the way that the other side's kernel does not confirm
 	acceptPause      = 10 * time.Millisecond // after an accept that failed, as where no descriptor is free
+	sendBuffer       = 256 << 10             // bytes that the kernel holds for a follower that reads slowly
 	maxFollowerFrame = 4 << 10               // bytes; the longest message of a follower is a refusal with its reason
 )
 
@@ -117,6 +118,7 @@
 // serve reads a follower's messages until its connection ends.
 func (c *connection) serve() {
 	defer c.forget()
+	c.conn.SetWriteBuffer(sendBuffer)
 	setUnansweredLimit(c.conn)
 	reader := frames.NewReader(counted{c.conn, &c.publisher.counters.bytesIn}, maxFollowerFrame)
 	err := c.greet(reader)
