--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -5,21 +5,29 @@
 	"testing"
 )
 
+// TestPublisherExample: the example that docs/publishers.md points at is a publisher's file, without the keys that have
+// defaults.
+func TestPublisherExample(t *testing.T) {
+	p, err := LoadPublisher(func(string) string { return "../../deploy/publisher.json" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Index != 0 || len(p.Raft) != 3 || p.Admin[2].String() != "10.5.0.3:7402" || p.Election.Milliseconds() != 1000 ||
+		p.MaxFollowers != 8192 || p.History.Deltas != 4096 || p.Snapshots.SnapshotRate != 64<<20 || len(p.Key) != 16 {
+		t.Errorf("%+v", p)
+	}
+}
+
 const goodPublisher = `{"index":1,"listen":"10.5.0.2:7400","raft_listen":"10.5.0.2:7401",
  "raft":["10.5.0.1:7401","10.5.0.2:7401","10.5.0.3:7401"],"admin_listen":"127.0.0.1:7402",
  "admin":["10.5.0.1:7402","10.5.0.2:7402","10.5.0.3:7402"],"dir":"/var/lib/ravensill","key":"000102030405060708090a0b0c0d0e0f",
  "election_ms":500}`
 
-// TestPublisher: a publisher's file with its defaults, and its faults by key.
+// TestPublisher: the faults of a publisher's file by key.
 func TestPublisher(t *testing.T) {
-	p, err := decodePublisher(goodPublisher)
-	if err != nil {
+	if _, err := decodePublisher(goodPublisher); err != nil {
 		t.Fatal(err)
 	}
-	if p.Index != 1 || len(p.Raft) != 3 || p.Admin[2].String() != "10.5.0.3:7402" || p.Election.Milliseconds() != 500 ||
-		p.MaxFollowers != 8192 || p.History.Deltas != 4096 || p.Snapshots.SnapshotRate != 64<<20 || len(p.Key) != 16 {
-		t.Errorf("%+v", p)
-	}
 	for _, x := range []struct{ text, by, want string }{
 		{`"index":1`, `"index":3`, "index: 3 is not from 0 to 2"},
 		{`"index":1`, `"index":"1"`, "index: unexpected value string"},
