--- a/cmd/ravensill/configuration.go
+++ b/cmd/ravensill/configuration.go
@@ -33,11 +33,21 @@
 				len(cfg.Fronts), cfg.Seat.Count)
 			return &following{cfg: cfg, live: live, held: held}
 		}
-		log.Printf("event=configuration_refused version=%d error=%q", held.Version(), err)
+		logRefused(held.Version(), err)
 	}
 	return &following{cfg: file, live: config.NewLive(file), held: configsync.NewDocument("")}
 }
 
+// logRefused tells of a held version as the subscriber does of one that comes.
+func logRefused(version configsync.Version, err error) {
+	resource := configsync.Resource("")
+	var refused *config.ResourceError
+	if errors.As(err, &refused) {
+		resource = refused.Resource
+	}
+	log.Printf("event=configuration_refused version=%d resource=%q reason=%q", version, resource, err)
+}
+
 // start runs the subscriber; the returned function ends it.
 func (f *following) start() (end func()) {
 	s := subscriber.Start(subscriber.Config{
--- a/cmd/ravensill/configuration_test.go
+++ b/cmd/ravensill/configuration_test.go
@@ -42,7 +42,7 @@
 	return g.waitForLog(fmt.Sprintf("event=configuration_applied version=%d ", p.Version))
 }
 
-// onPlan has a request's command name another plan.
+// onPlan has a request's command name another plan, of as many letters: the command tells its length.
 func onPlan(plan, command string) string {
 	return strings.Replace(command, "t=team", "t="+plan, 1)
 }
@@ -137,16 +137,23 @@
 	for _, x := range []struct {
 		name, held string
 		text       []byte
+		longest    int // of the file's request classes, in microseconds: longer ones of the document are refused where pool is on
 		team, gold string
 	}{
-		{"whole", fmt.Sprint("configuration_held version=", last.Version), text, unknown, "v"},
-		{"torn", fmt.Sprint("configuration_held version=", last.Version-1), text[:len(text)-1], "v", "v"},
-		{"unreadable", "configuration_damaged", text[1:], "v", unknown},
+		{"whole", fmt.Sprint("configuration_held version=", last.Version), text, 0, unknown, "v"},
+		{"torn", fmt.Sprint("configuration_held version=", last.Version-1), text[:len(text)-1], 0, "v", "v"},
+		{"unreadable", "configuration_damaged", text[1:], 0, "v", unknown},
+		{"refused", fmt.Sprintf("configuration_refused version=%d resource=\"classes/lookup\"", last.Version), text, 4500000, "v", unknown},
 	} {
 		if err := os.WriteFile(file, x.text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		again := startGateway(t, followPublishers(group, dir), host)
+		again := startGateway(t, func(config, settings map[string]any) {
+			followPublishers(group, dir)(config, settings)
+			if x.longest > 0 {
+				boundDeadlines(config, settings, x.longest, t.TempDir())
+			}
+		}, host)
 		if started := strings.Join(again.startupLog, "\n"); !strings.Contains(started, x.held) {
 			t.Errorf("%s: it starts with\n%s\nwant %s", x.name, started, x.held)
 		}
@@ -162,6 +169,15 @@
 	}
 }
 
+// boundDeadlines turns the section pool on, which holds request classes to the longest deadline of the file.
+func boundDeadlines(config, settings map[string]any, longest int, poolDir string) {
+	for _, class := range settings["profiles"].([]any) {
+		class.(map[string]any)["hard_limit_us"] = longest
+	}
+	config["pool"] = map[string]any{"capacity": 9, "floor": 1, "voters": []string{"127.0.0.1:9"}, "voter_seats": []int{0}, "listen": "127.0.0.1:0",
+		"dir": poolDir, "key": strings.Repeat("0f", 16)}
+}
+
 // TestConfigurationMembers has a fleet of one grow by a member, whose address is replaced then.
 func TestConfigurationMembers(t *testing.T) {
 	group := publishertest.NewGroup(t, 1, nil)
--- a/internal/clients/catalog.go
+++ b/internal/clients/catalog.go
@@ -8,12 +8,14 @@
 	"ravensill/gateway"
 )
 
-// Words are what commands name, by index, and the bounds of their figures.
-type Words struct {
-	Fronts, Plans []string
-	Effects       []gateway.Effect // by frontend
-	Most          []float64        // units of a req, by plan; 0: any
-	Seats, Seat   int              // gateways, and this one's place among them
+// CatalogConfig is what the catalog starts with: names by index, and the bounds of the figures in commands.
+type CatalogConfig struct {
+	Classes  []string
+	Effects  []gateway.Effect // by request class
+	Plans    []string
+	MaxUnits []float64 // of one request, by quota plan; 0: any
+	Members  int       // gateways of the fleet
+	Own      int       // member index of this one
 }
 
 // Edit changes what commands may name.
@@ -33,10 +35,10 @@
 
 // PlanEdit sets or removes the quota plan of an index.
 type PlanEdit struct {
-	Index   int
-	Name    string
-	Most    float64 // units of a request; 0: any
-	Removed bool
+	Index    int
+	Name     string
+	MaxUnits float64 // of one request; 0: any
+	Removed  bool
 }
 
 // RemovedError tells that a command names what the configuration held once. The command is understood, and its answer
@@ -70,24 +72,24 @@
 	own          int // member index of this one
 }
 
-// NewCatalog starts with the words of the configuration file. A name that is given twice stands for its first index.
-func NewCatalog(words Words) *Catalog {
+// NewCatalog starts with what the gateway starts with. A name that is given twice stands for its first index.
+func NewCatalog(config CatalogConfig) *Catalog {
 	c := &Catalog{
-		classIndices: make(map[string]int, len(words.Fronts)),
-		planIndices:  make(map[string]int, len(words.Plans)),
-		classes:      make([]ClassEdit, 0, len(words.Fronts)),
-		plans:        make([]PlanEdit, 0, len(words.Plans)),
-		members:      words.Seats,
-		own:          words.Seat,
+		classIndices: make(map[string]int, len(config.Classes)),
+		planIndices:  make(map[string]int, len(config.Plans)),
+		classes:      make([]ClassEdit, 0, len(config.Classes)),
+		plans:        make([]PlanEdit, 0, len(config.Plans)),
+		members:      config.Members,
+		own:          config.Own,
 	}
-	for i, name := range words.Fronts {
-		c.classes = append(c.classes, ClassEdit{Index: i, Name: name, Effect: words.Effects[i]})
+	for i, name := range config.Classes {
+		c.classes = append(c.classes, ClassEdit{Index: i, Name: name, Effect: config.Effects[i]})
 		if _, known := c.classIndices[name]; !known {
 			c.classIndices[name] = i
 		}
 	}
-	for i, name := range words.Plans {
-		c.plans = append(c.plans, PlanEdit{Index: i, Name: name, Most: words.Most[i]})
+	for i, name := range config.Plans {
+		c.plans = append(c.plans, PlanEdit{Index: i, Name: name, MaxUnits: config.MaxUnits[i]})
 		if _, known := c.planIndices[name]; !known {
 			c.planIndices[name] = i
 		}
@@ -174,7 +176,7 @@
 		return fmt.Errorf("c: %s is not served by %s", class.Name, verb(terms.ReadOnly))
 	case class.Effect == gateway.Uniqued && !terms.Key:
 		return errNoKey
-	case plan.Most > 0 && terms.Units > plan.Most:
+	case plan.MaxUnits > 0 && terms.Units > plan.MaxUnits:
 		return fmt.Errorf("units: %g are more than %s ever grants", terms.Units, plan.Name)
 	case terms.Spread > c.members || (c.own-terms.First+c.members)%c.members >= terms.Spread || terms.First >= c.members:
 		return errNotOfSet
--- a/internal/clients/catalog_test.go
+++ b/internal/clients/catalog_test.go
@@ -21,12 +21,12 @@
 
 // TestCatalog: what commands may name follows the edits; a removed name is told as such, an unknown one as before.
 func TestCatalog(t *testing.T) {
-	c := NewCatalog(words)
+	c := NewCatalog(startCatalog)
 	var all strings.Builder
 	for _, edit := range []Edit{
 		{},
-		{Plans: []PlanEdit{{Index: 0, Name: "basic", Removed: true}, {Index: 2, Name: "gold", Most: 3}}, Members: 4},
-		{Plans: []PlanEdit{{Index: 0, Name: "basic", Most: 9}, {Index: 2, Name: "gold"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true},
+		{Plans: []PlanEdit{{Index: 0, Name: "basic", Removed: true}, {Index: 2, Name: "gold", MaxUnits: 3}}, Members: 4},
+		{Plans: []PlanEdit{{Index: 0, Name: "basic", MaxUnits: 9}, {Index: 2, Name: "gold"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true},
 			{Index: 2, Name: "pay", Effect: gateway.NonReplayable}}},
 		{Members: 2},
 	} {
@@ -41,11 +41,11 @@
 
 // TestCatalogFinds: the cost of a name doesn't grow with their number; of two alike the first counts.
 func TestCatalogFinds(t *testing.T) {
-	many := Words{Fronts: []string{"lookup"}, Effects: make([]gateway.Effect, 1), Seats: 1}
+	many := CatalogConfig{Classes: []string{"lookup"}, Effects: make([]gateway.Effect, 1), Members: 1}
 	for i := range 54_000 {
 		many.Plans = append(many.Plans, fmt.Sprint("plan-", i))
 	}
-	many.Plans[53_999], many.Most = many.Plans[7], make([]float64, 54_000)
+	many.Plans[53_999], many.MaxUnits = many.Plans[7], make([]float64, 54_000)
 	c, last := NewCatalog(many), []byte("plan-53998")
 	if at := c.plan(last); at != 53_998 || c.plans[at].Name != "plan-53998" {
 		t.Errorf("%s is at %d", last, at)
@@ -70,7 +70,7 @@
 		want string
 	}{
 		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team", Removed: true}}}, "-ERR plan: removed"},
-		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team", Most: 1}}}, "-ERR units: 2 are more than team ever grants"},
+		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team", MaxUnits: 1}}}, "-ERR units: 2 are more than team ever grants"},
 		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Effect: gateway.Uniqued}}},
 			"-ERR c: lookup is not served by CALL.GET"},
 		{Edit{Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true}}}, "-ERR class: removed"},
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -11,7 +11,8 @@
 	"ravensill/internal/ring"
 )
 
-var words = Words{Fronts: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
+var startCatalog = CatalogConfig{Classes: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued},
+	MaxUnits: []float64{8, 8}, Members: 3, Own: 1}
 
 // book writes down what commands say.
 type book struct{ strings.Builder }
@@ -25,7 +26,7 @@
 
 func read(pieces ...string) string {
 	var b book
-	in, c := ring.New(resp.Most), Commands{catalog: NewCatalog(words)}
+	in, c := ring.New(resp.Most), Commands{catalog: NewCatalog(startCatalog)}
 	for _, p := range pieces {
 		in.Write([]byte(p))
 		for ok := true; ok; {
@@ -110,7 +111,7 @@
 }
 
 func BenchmarkCommands(b *testing.B) {
-	in, c, one := ring.New(resp.Most), Commands{catalog: NewCatalog(words)}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
+	in, c, one := ring.New(resp.Most), Commands{catalog: NewCatalog(startCatalog)}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
 	b.ReportAllocs()
 	for b.Loop() {
 		in.Write(one)
--- a/internal/clients/server_test.go
+++ b/internal/clients/server_test.go
@@ -29,7 +29,7 @@
 func newTestServer(t *testing.T, maxConns int) *testServer {
 	s := &testServer{T: t, work: make(chan func(), 99), connected: map[*Conn]bool{}}
 	s.clock.Store(1)
-	s.Server = NewServer(NewCatalog(words), maxConns, func(f func()) { s.work <- f }, s.clock.Load, func(answer *Answer, _ int64, id, _ string, _, _ int, _ int64,
+	s.Server = NewServer(NewCatalog(startCatalog), maxConns, func(f func()) { s.work <- f }, s.clock.Load, func(answer *Answer, _ int64, id, _ string, _, _ int, _ int64,
 		_ float64, _, _ int, _ bool, _, _, _, _ []byte) {
 		if id == "panic" {
 			panic("fault")
--- a/internal/config/live.go
+++ b/internal/config/live.go
@@ -46,14 +46,14 @@
 //
 // A Live belongs to one goroutine. Apply and Check cost what they change, except for a whole document.
 type Live struct {
-	plans         table[gateway.Plan]
-	classes       table[gateway.Frontend]
-	identities    map[uint32]string // names of quota plans by identity, removed ones too
-	members       members
-	limits        gateway.Limits // in force
-	wantedLimits  gateway.Limits // the same but for Two: as told, whatever the request classes are
-	unsafeClasses int            // request classes in force that must never run twice
-	file          fileSettings
+	plans           table[gateway.Plan]
+	classes         table[gateway.Frontend]
+	identities      map[uint32]string // names of quota plans by identity, removed ones too
+	members         members
+	limits          gateway.Limits // in force
+	requestedLimits gateway.Limits // the same but for Two: as given, whatever the request classes are
+	unsafeClasses   int            // request classes in force that must never run twice
+	file            fileSettings
 }
 
 // fileSettings is what the gateway's own file says and no document changes.
@@ -90,11 +90,11 @@
 // newLive makes a Live for a gateway, without the quota plans and request classes of its file.
 func newLive(base *Config) *Live {
 	live := &Live{
-		identities:   make(map[uint32]string, len(base.Plans)),
-		limits:       base.Limits,
-		wantedLimits: base.Limits,
-		members:      newMembers(base),
-		file:         fileSettings{limits: base.Limits, fixedSize: base.Pool != nil},
+		identities:      make(map[uint32]string, len(base.Plans)),
+		limits:          base.Limits,
+		requestedLimits: base.Limits,
+		members:         newMembers(base),
+		file:            fileSettings{limits: base.Limits, fixedSize: base.Pool != nil},
 	}
 	if base.Pool != nil { // its leases outlive the longest request that the file allows
 		for _, class := range base.Fronts {
@@ -152,7 +152,7 @@
 	classes    tableEdit[gateway.Frontend]
 	identities map[uint32]string // of new quota plans
 	members    memberEdit
-	limits     gateway.Limits // as told
+	limits     gateway.Limits // as given
 	adjusted   []Adjustment
 
 	fromNothing bool // of a start: nobody needs the list of what changed
@@ -179,7 +179,7 @@
 		plans:   l.plans.edit(plans),
 		classes: l.classes.edit(classes),
 		members: l.members.edit(whole),
-		limits:  l.wantedLimits,
+		limits:  l.requestedLimits,
 	}
 	if whole {
 		edit.limits = l.file.limits
@@ -257,7 +257,7 @@
 }
 
 func (l *Live) commitLimits(edit *liveEdit, revision *Revision) {
-	l.wantedLimits = edit.limits
+	l.requestedLimits = edit.limits
 	limits := edit.limits
 	limits.Two = limits.Two && l.unsafeClasses == 0
 	if limits != l.limits {
--- a/internal/config/live_decode.go
+++ b/internal/config/live_decode.go
@@ -173,8 +173,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if told := object.get("name"); told.Exists() && (told.Type != gjson.String || told.Str != name) {
-		err := fmt.Errorf("%.40s is not the resource's name", told.Raw)
+	if given := object.get("name"); given.Exists() && (given.Type != gjson.String || given.Str != name) {
+		err := fmt.Errorf("%.40s is not the resource's name", given.Raw)
 		return nil, &ResourceError{Resource: change.Resource, Key: "name", Err: err}
 	}
 	return object, nil
--- a/internal/config/live_members.go
+++ b/internal/config/live_members.go
@@ -89,11 +89,11 @@
 	if !gjson.ValidBytes(value) {
 		return netip.AddrPort{}, errAddress
 	}
-	told := gjson.ParseBytes(value)
-	if told.Type != gjson.String {
+	given := gjson.ParseBytes(value)
+	if given.Type != gjson.String {
 		return netip.AddrPort{}, errAddress
 	}
-	address, err := netip.ParseAddrPort(told.Str)
+	address, err := netip.ParseAddrPort(given.Str)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
--- a/internal/config/live_test.go
+++ b/internal/config/live_test.go
@@ -282,6 +282,27 @@
 	return all
 }
 
+// FuzzLiveApply: whatever a resource is called and holds, it is taken or refused by name, and a refusal changes nothing.
+func FuzzLiveApply(f *testing.F) {
+	for _, change := range document() {
+		f.Add(string(change.Resource), string(change.Value))
+	}
+	f.Add("members/-0", `"::1"`)
+	f.Add("plans/gold", `{"rate":{},"rate":[1e308,null],"name":"\u0000"}`)
+	f.Fuzz(func(t *testing.T, resource, value string) {
+		live := NewLiveChecker()
+		if _, err := live.Apply(document(), true); err != nil {
+			t.Fatal(err)
+		}
+		before := fmt.Sprintf("%+v", live)
+		_, err := live.Apply([]configsync.Change{{Resource: configsync.Resource(resource), Value: []byte(value)}}, false)
+		var refused *ResourceError
+		if err != nil && (!errors.As(err, &refused) || before != fmt.Sprintf("%+v", live)) {
+			t.Errorf("%q %q: %v", resource, value, err)
+		}
+	})
+}
+
 // liveOf makes a Live of so many plans.
 func liveOf(t testing.TB, plans int) *Live {
 	live := NewLiveChecker()
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -11,13 +11,13 @@
 	"ravensill/internal/peers"
 )
 
-// mostAdjustedLines bounds the log lines on settings that one version led to: a document may hold thousands of them.
-const mostAdjustedLines = 20
+// maxAdjustedLines bounds the log lines on settings that one version led to: a document may hold thousands of them.
+const maxAdjustedLines = 20
 
-// ErrEnded is told of a revision that came when the gateway had ended.
+// ErrEnded is the error for a revision that came when the gateway had ended.
 var ErrEnded = errors.New("the gateway has ended")
 
-// revision is a version of the configuration that is checked and waits to be put in force.
+// revision is a version of the configuration that is checked and pending.
 type revision struct {
 	*config.Revision
 	version configsync.Version
@@ -29,7 +29,7 @@
 func (n *Node) Apply(version configsync.Version, changes *config.Revision) error {
 	next := revision{Revision: changes, version: version, inForce: make(chan struct{})}
 	select {
-	case n.work <- func() { n.waiting = append(n.waiting, next) }:
+	case n.work <- func() { n.pending = append(n.pending, next) }:
 	case <-n.over:
 		return ErrEnded
 	}
@@ -41,31 +41,31 @@
 	}
 }
 
-// putInForce puts the revisions that wait in force, and tells whether there were any. It is called after a turn: all that
+// applyPending puts the pending revisions in force, and tells whether there were any. It is called after a turn: all that
 // came in before has been decided under the version before.
-func (n *Node) putInForce() bool {
-	waiting := n.waiting
-	n.waiting = nil
-	for i := range waiting {
-		n.guard("configuration", func() { n.put(&waiting[i]) })
-		close(waiting[i].inForce)
+func (n *Node) applyPending() bool {
+	pending := n.pending
+	n.pending = nil
+	for i := range pending {
+		n.guard("configuration", func() { n.applyRevision(&pending[i]) })
+		close(pending[i].inForce)
 	}
-	return len(waiting) > 0
+	return len(pending) > 0
 }
 
-// put changes all that goes by the configuration, the module first: no other part may name an index that it lacks.
-func (n *Node) put(next *revision) {
+// applyRevision changes all that goes by the configuration, the module first: no other part may name an index that it lacks.
+func (n *Node) applyRevision(next *revision) {
 	n.module.Reconfigure(n.now(), &next.Update)
 	if next.Update.Limits != nil {
 		n.cfg.Limits = *next.Update.Limits
 	}
-	n.putClasses(next.Classes)
+	n.applyClasses(next.Classes)
 	n.catalog.Apply(catalogEdit(next.Revision))
-	n.putMembers(next.Revision)
+	n.applyMembers(next.Revision)
 	n.logRevision(next)
 }
 
-func (n *Node) putClasses(changes []config.ClassChange) {
+func (n *Node) applyClasses(changes []config.ClassChange) {
 	for _, change := range changes {
 		if change.Index == len(n.classes) {
 			n.classes = append(n.classes, gateway.Frontend{})
@@ -81,10 +81,10 @@
 	for i := range next.Update.Plans {
 		update := &next.Update.Plans[i]
 		edit.Plans = append(edit.Plans, clients.PlanEdit{
-			Index:   update.Index,
-			Name:    next.PlanNames[i],
-			Most:    mostUnits(&update.Plan),
-			Removed: update.Removed,
+			Index:    update.Index,
+			Name:     next.PlanNames[i],
+			MaxUnits: maxUnits(&update.Plan),
+			Removed:  update.Removed,
 		})
 	}
 	for _, change := range next.Classes {
@@ -98,7 +98,7 @@
 	return edit
 }
 
-func (n *Node) putMembers(next *config.Revision) {
+func (n *Node) applyMembers(next *config.Revision) {
 	if n.post == nil || len(next.Members) == 0 && next.Update.Members == 0 {
 		return
 	}
@@ -111,7 +111,7 @@
 
 func (n *Node) logRevision(next *revision) {
 	for i, adjusted := range next.Adjusted {
-		if i == mostAdjustedLines {
+		if i == maxAdjustedLines {
 			log.Printf("event=settings_adjusted more=%d", len(next.Adjusted)-i)
 			break
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	watch   *watch
 	witness *watching             // nil: off
 	pool    *pooling              // nil: off
-	waiting []revision            // of the configuration; each is in force after the turn at hand
+	pending []revision            // of the configuration; each is in force after the turn at hand
 	over    chan struct{}         // closed when Run returns
 	tasks   []func() (end func()) // started once the gateway has its addresses
 	lost    bool                  // the watch broke, and none has brought anything since
@@ -89,7 +89,7 @@
 		classes: slices.Clone(cfg.Fronts), reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
-	n.catalog = clients.NewCatalog(wordsOf(cfg))
+	n.catalog = clients.NewCatalog(catalogOf(cfg))
 	sockets := descriptors(cfg.Sockets)
 	n.clients = clients.NewServer(n.catalog, sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
@@ -102,20 +102,27 @@
 	return n
 }
 
-// wordsOf lists what commands name.
-func wordsOf(cfg *config.Config) clients.Words {
-	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
-	for _, class := range cfg.Fronts {
-		words.Effects = append(words.Effects, class.Effect)
+// catalogOf lists what commands name.
+func catalogOf(cfg *config.Config) clients.CatalogConfig {
+	catalog := clients.CatalogConfig{
+		Classes:  cfg.FrontNames,
+		Effects:  make([]gateway.Effect, 0, len(cfg.Fronts)),
+		Plans:    cfg.PlanNames,
+		MaxUnits: make([]float64, 0, len(cfg.Plans)),
+		Members:  cfg.Seat.Count,
+		Own:      cfg.Seat.Index,
+	}
+	for i := range cfg.Fronts {
+		catalog.Effects = append(catalog.Effects, cfg.Fronts[i].Effect)
 	}
 	for i := range cfg.Plans {
-		words.Most = append(words.Most, mostUnits(&cfg.Plans[i]))
+		catalog.MaxUnits = append(catalog.MaxUnits, maxUnits(&cfg.Plans[i]))
 	}
-	return words
+	return catalog
 }
 
-// mostUnits gives the units that a request of a quota plan may ask for; 0: any.
-func mostUnits(plan *gateway.Plan) float64 {
+// maxUnits gives the units that a request of a quota plan may ask for; 0: any.
+func maxUnits(plan *gateway.Plan) float64 {
 	if plan.Rate == 0 {
 		return 0
 	}
@@ -203,7 +210,7 @@
 		n.drain()
 		n.catchUp()
 		wait := n.step()
-		if n.putInForce() {
+		if n.applyPending() {
 			wait = n.step()
 		}
 		timer.Reset(wait)
