Hosts: no tick, turn or change of one host goes through the list of all

With each tick, 25 a second, the fleet went through all hosts for connections free for too long, with a quota of connections on with each turn, and a change of one host through the entries of all others. A whole list was compared entry by entry with all before it, and its text was kept by the ids cut from it.

Free connections of all hosts stand in one order, the longest free first; what waits and what is being dialed is counted; a list is read in one pass, and a change touches its own hosts alone. What a list left behind in the loop and the configuration is let go of after the first round.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -19,7 +20,7 @@
 	entries         map[string]*entry // by id
 	byNumber        map[uint32]*entry
 	byAddr          map[netip.AddrPort]*entry
-	past            []entry // gone, the latest last
+	left            []entry // gone, the latest last
 	Version         int64
 	Even            bool // weights tell no size: each host's share is 1
 }
@@ -45,91 +46,168 @@
 // lacks, and one whose address a later started host has: what was sent there would reach that, cold as it is.
 // A list of an older version than had comes from discovery that lags or counts anew. It is taken, but it does not put
 // back a host that was told as leaving or gone and has not started again since.
-func (b *Book) Read(text []byte, place func(host uint32, addr netip.AddrPort)) (kind gateway.List,
+// The cost grows with what the text holds; of changes it does not grow with the hosts that are listed already.
+func (b *Book) Read(text string, place func(host uint32, addr netip.AddrPort)) (kind gateway.List,
 	hosts []gateway.Listing, odd, err error) {
-	if !gjson.ValidBytes(text) {
+	if !gjson.Valid(text) {
 		return kind, nil, nil, errors.New("not JSON")
 	}
-	list := gjson.ParseBytes(text)
+	list := gjson.Parse(text)
 	version, full, servers := list.Get("version"), list.Get("full"), list.Get("servers")
 	if version.Type != gjson.Number || !full.IsBool() || !servers.IsArray() {
 		return kind, nil, nil, errors.New("version, full or servers: missing, or not of its kind")
 	}
-	var addrs []netip.AddrPort
-	var ids []string
-	named := map[string]bool{}
-	servers.ForEach(func(_, s gjson.Result) bool {
-		l := gateway.Listing{Cell: int(s.Get("cell").Int()), Share: s.Get("weight").Num,
-			Zone:    max(slices.Index(b.zones, s.Get("zone").Str), 0),
-			Machine: max(slices.Index(b.machines, s.Get("kind").Str), 0), Since: s.Get("started_ms").Int() * 1e6}
-		if b.Even {
-			l.Share = 1
-		}
-		id, state := s.Get("id").Str, slices.Index([]string{"active", "leaving", "left"}, s.Get("state").Str)
-		addr, bad := netip.ParseAddrPort(s.Get("addr").Str)
-		named[id] = true
-		if state < 0 || bad != nil && state != int(gateway.Gone) || id == "" {
-			odd = fmt.Errorf("servers: id, addr or state of %.80s", s.Raw)
-			if e := b.entries[id]; id == "" || bad != nil && (e == nil || !e.addr.IsValid()) {
-				return true // nothing could be sent there
-			} else if state < 0 {
-				state = int(gateway.Draining)
-			}
-		}
-		if i := slices.Index(ids, id); i >= 0 {
-			hosts, addrs, ids = slices.Delete(hosts, i, i+1), slices.Delete(addrs, i, i+1), slices.Delete(ids, i, i+1)
-		}
-		if l.State = gateway.State(state); version.Int() < b.Version && l.State != gateway.Gone {
-			if e := b.entries[id]; e != nil && e.leaving && l.Since <= e.since {
-				l.State = gateway.Draining
-			} else if e == nil && slices.ContainsFunc(b.past, func(e entry) bool { return e.id == id && l.Since <= e.since }) {
-				return true
-			}
-		}
-		hosts, addrs, ids = append(hosts, l), append(addrs, addr), append(ids, id)
+	r := &reading{book: b, version: version.Int(), places: map[string]int{}}
+	servers.ForEach(func(_, server gjson.Result) bool {
+		r.take(server)
 		return true
 	})
+	gone := map[uint32]bool{}
 	if kind = gateway.Changes; full.Bool() {
 		kind = gateway.Complete
+		r.missing(gone)
 	}
-	gone := map[uint32]bool{}
-	for id, e := range b.entries {
-		gone[e.number] = kind == gateway.Complete && !named[id]
-	}
-	var moved []*entry
-	for i := range hosts { // first those that leave an address, then who takes it
-		e := b.entry(ids[i])
-		hosts[i].Host = e.number
-		if hosts[i].State != gateway.Gone {
-			e.since, e.leaving = hosts[i].Since, hosts[i].State == gateway.Draining
+	hosts, moved := r.enter(place)
+	if b.settle(moved, gone) {
+		hosts = slices.DeleteFunc(hosts, func(l gateway.Listing) bool { return gone[l.Host] })
+	}
+	for _, number := range slices.Sorted(maps.Keys(gone)) {
+		hosts = append(hosts, gateway.Listing{Host: number, State: gateway.Gone})
+	}
+	b.Version = r.version
+	return kind, hosts, r.odd, nil
+}
+
+// reading is one list while it is made out.
+type reading struct {
+	book    *Book
+	version int64
+	servers []listedHost
+	places  map[string]int // among the servers, by id, of all that the list names; nowhere: not to be taken
+	odd     error          // of the last entry that can't be made out
+}
+
+const nowhere = -1
+
+// listedHost is one entry of a list.
+type listedHost struct {
+	gateway.Listing
+	id   string
+	addr netip.AddrPort
+	void bool // the list names its id again, further on
+}
+
+var states = []string{"active", "leaving", "left"} // as gateway.State counts them
+
+// take makes out one entry of the list.
+func (r *reading) take(text gjson.Result) {
+	b, s := r.book, listedHost{id: text.Get("id").Str}
+	before, named := r.places[s.id]
+	if !named {
+		before = nowhere
+		r.places[s.id] = nowhere
+	}
+	addr, bad := netip.ParseAddrPort(text.Get("addr").Str)
+	s.addr = addr
+	known := b.entries[s.id]
+	state := slices.Index(states, text.Get("state").Str)
+	if state < 0 || bad != nil && state != int(gateway.Gone) || s.id == "" {
+		r.odd = fmt.Errorf("servers: id, addr or state of %.80s", text.Raw)
+		if s.id == "" || bad != nil && (known == nil || !known.addr.IsValid()) {
+			return // nothing could be sent there
+		}
+		if state < 0 {
+			state = int(gateway.Draining)
+		}
+	}
+	s.Listing = b.listing(text, gateway.State(state))
+	if before != nowhere {
+		r.servers[before].void = true
+		r.places[s.id] = nowhere
+	}
+	if r.version < b.Version && s.State != gateway.Gone {
+		if known != nil && known.leaving && s.Since <= known.since {
+			s.State = gateway.Draining
+		} else if known == nil && b.past(s.id, s.Since) {
+			return
 		}
-		if addr := addrs[i]; addr.IsValid() {
-			if e.addr != addr || hosts[i].State == gateway.Gone {
-				b.leave(e)
-			}
-			if hosts[i].State != gateway.Gone && e.addr != addr {
-				e.addr, moved = addr, append(moved, e)
-			}
-			place(e.number, addr)
+	}
+	r.places[s.id] = len(r.servers)
+	r.servers = append(r.servers, s)
+}
+
+// listing reads what an entry tells of its host.
+func (b *Book) listing(text gjson.Result, state gateway.State) gateway.Listing {
+	l := gateway.Listing{
+		State:   state,
+		Zone:    max(slices.Index(b.zones, text.Get("zone").Str), 0),
+		Machine: max(slices.Index(b.machines, text.Get("kind").Str), 0),
+		Cell:    int(text.Get("cell").Int()),
+		Share:   text.Get("weight").Num,
+		Since:   text.Get("started_ms").Int() * 1e6,
+	}
+	if b.Even {
+		l.Share = 1
+	}
+	return l
+}
+
+// past tells whether a host has gone that started no earlier.
+func (b *Book) past(id string, since int64) bool {
+	return slices.ContainsFunc(b.left, func(e entry) bool { return e.id == id && since <= e.since })
+}
+
+// missing adds the hosts that are listed and that a whole list does not name.
+func (r *reading) missing(gone map[uint32]bool) {
+	for id, e := range r.book.entries {
+		if _, named := r.places[id]; !named {
+			gone[e.number] = true
 		}
 	}
+}
+
+// enter keeps what the list tells, and gives the hosts by their numbers and those that have another address than before.
+// First those that leave an address, then who takes it.
+func (r *reading) enter(place func(host uint32, addr netip.AddrPort)) (hosts []gateway.Listing, moved []*entry) {
+	hosts = make([]gateway.Listing, 0, len(r.servers))
+	for i := range r.servers {
+		s := &r.servers[i]
+		if s.void {
+			continue
+		}
+		e := r.book.entry(s.id)
+		s.Host = e.number
+		hosts = append(hosts, s.Listing)
+		if s.State != gateway.Gone {
+			e.since, e.leaving = s.Since, s.State == gateway.Draining
+		}
+		if !s.addr.IsValid() {
+			continue
+		}
+		if e.addr != s.addr || s.State == gateway.Gone {
+			r.book.leave(e)
+		}
+		if s.State != gateway.Gone && e.addr != s.addr {
+			e.addr, moved = s.addr, append(moved, e)
+		}
+		place(e.number, s.addr)
+	}
+	return hosts, moved
+}
+
+// settle gives each address that two have to the one that started later, adds the other to those that are gone, and tells
+// whether there was any.
+func (b *Book) settle(moved []*entry, gone map[uint32]bool) (some bool) {
 	for _, e := range moved {
 		o := b.byAddr[e.addr]
 		if o != nil && o.since > e.since {
 			o, e = e, o
 		}
 		if b.byAddr[e.addr] = e; o != nil {
-			gone[o.number] = true
-			hosts = slices.DeleteFunc(hosts, func(l gateway.Listing) bool { return l.Host == o.number })
-		}
-	}
-	for _, n := range slices.Sorted(maps.Keys(gone)) {
-		if gone[n] {
-			hosts = append(hosts, gateway.Listing{Host: n, State: gateway.Gone})
+			gone[o.number], some = true, true
 		}
 	}
-	b.Version = version.Int()
-	return kind, hosts, odd, nil
+	return some
 }
 
 func (b *Book) leave(e *entry) {
@@ -143,8 +221,8 @@
 func (b *Book) Forget(host uint32) {
 	if e := b.byNumber[host]; e != nil {
 		b.leave(e)
-		if b.past = append(b.past, *e); len(b.past) > mostPast {
-			b.past = slices.Delete(b.past, 0, 1)
+		if b.left = append(b.left, *e); len(b.left) > mostPast {
+			b.left = slices.Delete(b.left, 0, 1)
 		}
 		delete(b.entries, e.id)
 		delete(b.byNumber, host)
@@ -175,7 +253,7 @@
 	for b.byNumber[n] != nil {
 		n++
 	}
-	e := &entry{id: id, number: n}
-	b.entries[id], b.byNumber[n] = e, e
+	e := &entry{id: strings.Clone(id), number: n} // a part of the list's text would keep all of it in memory
+	b.entries[e.id], b.byNumber[n] = e, e
 	return e
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -69,7 +69,7 @@
 			server("s-3", "10.1.0.22:6379", "active") + "," + server("s-4", "", "left") + `]}`,
 		`{"version":43,"full":"no","servers":[]}`, `{"full":true}`, `{"version":`, `[]`,
 	} {
-		kind, hosts, odd, err := b.Read([]byte(s), func(host uint32, addr netip.AddrPort) { fmt.Fprintf(&all, "%d at %s\n", host, addr) })
+		kind, hosts, odd, err := b.Read(s, func(host uint32, addr netip.AddrPort) { fmt.Fprintf(&all, "%d at %s\n", host, addr) })
 		fmt.Fprintf(&all, "list %d of version %d: %+v %v %v\n", kind, b.Version, hosts, odd, err)
 	}
 	golden.Check(t, all.String())
@@ -78,7 +78,7 @@
 func TestEven(t *testing.T) { // weights that tell no size
 	b := NewBook(nil, nil)
 	b.Even = true
-	_, hosts, _, err := b.Read([]byte(`{"version":41,"full":true,"servers":[`+server("s-2", "10.1.0.18:6379", "active")+`]}`),
+	_, hosts, _, err := b.Read(`{"version":41,"full":true,"servers":[`+server("s-2", "10.1.0.18:6379", "active")+`]}`,
 		func(uint32, netip.AddrPort) {})
 	if err != nil || len(hosts) != 1 || hosts[0].Share != 1 {
 		t.Errorf("%+v %v", hosts, err)
@@ -89,7 +89,7 @@
 func TestReplaced(t *testing.T) {
 	b := NewBook([]string{"b"}, []string{"m2"})
 	read := func(version int, full bool, servers ...string) (list string) {
-		_, hosts, _, err := b.Read(fmt.Appendf(nil, `{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(servers, ",")), func(uint32, netip.AddrPort) {})
+		_, hosts, _, err := b.Read(fmt.Sprintf(`{"version":%d,"full":%t,"servers":[%s]}`, version, full, strings.Join(servers, ",")), func(uint32, netip.AddrPort) {})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -118,8 +118,8 @@
 		read(9+i, false, server(fmt.Sprint("n", i), "10.0.1.1:1", "active"))
 		read(9+i, false, server(fmt.Sprint("n", i), "10.0.1.1:1", "left"))
 	}
-	if len(b.past) > mostPast {
-		t.Errorf("%d hosts that are gone are kept", len(b.past))
+	if len(b.left) > mostPast {
+		t.Errorf("%d hosts that are gone are kept", len(b.left))
 	}
 }
 
--- /dev/null
+++ b/internal/discovery/scale_test.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"unsafe"
+
+	"ravensill/gateway"
+)
+
+// TestChangesAlone: a change of one host goes through no list of the others. Each of them here would end the test if it
+// were looked at.
+func TestChangesAlone(t *testing.T) {
+	b := NewBook(nil, nil)
+	for i := range 87_000 {
+		b.entries[fmt.Sprint("other-", i)] = nil
+	}
+	for version, change := range []string{server("a", "10.0.0.1:1", "active"), server("b", "10.0.0.1:1", "active"),
+		server("b", "10.0.0.1:1", "leaving"), server("b", "10.0.0.1:1", "left")} {
+		text := fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`, version+1, change)
+		if _, hosts, odd, err := b.Read(text, func(uint32, netip.AddrPort) {}); err != nil || odd != nil || len(hosts) == 0 {
+			t.Errorf("%s: %v, %v, %v", change, hosts, odd, err)
+		}
+	}
+}
+
+// TestNothingOfTheText: what the book keeps of a list holds none of its text in memory.
+func TestNothingOfTheText(t *testing.T) {
+	b := NewBook(nil, nil)
+	text := `{"version":1,"full":true,"servers":[` + server("a", "10.0.0.1:1", "active") + `]}`
+	b.Read(text, func(uint32, netip.AddrPort) {})
+	at := strings.Index(text, `"a"`) + 1
+	for id := range b.entries {
+		if unsafe.StringData(id) == unsafe.StringData(text[at:]) {
+			t.Error("the key of an entry is a part of the text")
+		}
+		if e := b.entries[id]; unsafe.StringData(e.id) == unsafe.StringData(text[at:]) {
+			t.Error("the id of an entry is a part of the text")
+		}
+	}
+}
+
+// TestOneAddress: thousands of hosts told at one address leave the one that started last.
+func TestOneAddress(t *testing.T) {
+	const hosts = 2000
+	var servers []string
+	for i := range hosts {
+		text := server(fmt.Sprint("s-", i), "10.0.0.1:1", "active")
+		servers = append(servers, strings.Replace(text, "1700000000123", fmt.Sprint(1700000000123+i*7919%hosts), 1))
+	}
+	b := NewBook(nil, nil)
+	_, list, _, err := b.Read(`{"version":1,"full":true,"servers":[`+strings.Join(servers, ",")+`]}`, func(uint32, netip.AddrPort) {})
+	running, gone := 0, 0
+	for _, l := range list {
+		switch l.State {
+		case gateway.Running:
+			running++
+		case gateway.Gone:
+			gone++
+		}
+	}
+	if err != nil || running != 1 || gone != hosts-1 {
+		t.Errorf("%d run and %d are gone, %v", running, gone, err)
+	}
+}
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -1,6 +1,7 @@
 package hosts
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"log"
@@ -37,6 +38,9 @@
 	most, count int      // connections
 	settle      int64    // until a free one is used again
 	hosts       map[uint32]*Host
+	waiting     int        // sends that wait for a connection, of all hosts
+	dialing     int        // connections on their way, to all hosts
+	free        *list.List // of *conn, to all hosts: the longest free first
 	dirty       []*conn
 	Dial        func(addr string) (net.Conn, error)
 	gate        *Gate // nil: no quota
@@ -79,8 +83,9 @@
 	link   *ring.Link
 	send   *Send // the one it carries
 	freed  int64
-	reads  int   // answers
-	read   int64 // of the link's Reads, those up to the last answer
+	place  *list.Element // among the fleet's free ones; nil: it is not free
+	reads  int           // answers
+	read   int64         // of the link's Reads, those up to the last answer
 	marked bool
 	used   bool // something was sent on it
 	closed bool
@@ -88,7 +93,7 @@
 
 func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
 	d := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
-	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, hosts: map[uint32]*Host{},
+	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, hosts: map[uint32]*Host{}, free: list.New(),
 		Dial: func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) }}
 }
 
@@ -116,6 +121,8 @@
 		return
 	}
 	delete(f.hosts, id)
+	f.waiting -= len(h.waiting)
+	f.dialing -= h.dialing
 	h.gone = true
 	h.drop()
 	h.withhold(errGone)
@@ -148,6 +155,22 @@
 	}
 }
 
+// wait sets the sends that wait for a connection, and keeps the fleet's count of them.
+func (h *Host) wait(waiting []*Send) {
+	if !h.gone {
+		h.fleet.waiting += len(waiting) - len(h.waiting)
+	}
+	h.waiting = waiting
+}
+
+// dials counts connections on their way, the fleet's too.
+func (h *Host) dials(more int) {
+	h.dialing += more
+	if !h.gone {
+		h.fleet.dialing += more
+	}
+}
+
 func (h *Host) drop() {
 	for len(h.free) > 0 {
 		h.free[0].close()
@@ -194,7 +217,7 @@
 		c.carry(s)
 		return
 	}
-	h.waiting = append(h.waiting, s)
+	h.wait(append(h.waiting, s))
 	h.dial()
 }
 
@@ -216,11 +239,11 @@
 		if !h.fleet.room() {
 			n := len(h.waiting) - 1
 			s := h.waiting[n]
-			h.waiting = h.waiting[:n]
+			h.wait(h.waiting[:n])
 			s.fail(&Failure{Connecting, errRoom})
 			continue
 		}
-		h.dialing++
+		h.dials(1)
 		h.fleet.count++
 		c := &conn{host: h, addr: h.addr}
 		go c.run()
@@ -232,16 +255,12 @@
 	if f.count < f.most {
 		return true
 	}
-	var oldest *conn
-	for _, h := range f.hosts {
-		if len(h.free) > 0 && (oldest == nil || h.free[0].freed < oldest.freed) {
-			oldest = h.free[0]
-		}
-	}
-	if oldest != nil {
-		oldest.close()
+	oldest := f.free.Front()
+	if oldest == nil {
+		return false
 	}
-	return oldest != nil
+	oldest.Value.(*conn).close()
+	return true
 }
 
 // run opens the connection and reads it; what it reads goes to the loop.
@@ -266,7 +285,7 @@
 	}
 	f.do(func() {
 		c.link = link
-		c.host.dialing--
+		c.host.dials(-1)
 		c.release()
 	})
 	var parser resp.Parser
@@ -311,11 +330,11 @@
 
 func (c *conn) undialed(err error) {
 	h := c.host
-	h.dialing--
+	h.dials(-1)
 	h.fleet.count--
 	if len(h.waiting) > h.dialing { // nothing is left that could carry the first
 		s := h.waiting[0]
-		h.waiting = h.waiting[1:]
+		h.wait(h.waiting[1:])
 		if g := h.fleet.gate; g == nil || !g.refused(s, err) {
 			s.fail(&Failure{Connecting, err})
 		}
@@ -338,21 +357,37 @@
 	}
 	for g == nil && c.read == 0 && len(h.waiting) > 0 {
 		s := h.waiting[0]
-		h.waiting = h.waiting[1:]
+		h.wait(h.waiting[1:])
 		if now <= s.by {
 			c.carry(s)
 			return
 		}
 		s.fail(&Failure{Connecting, ErrTimedOut}) // it came up too late for this one
 	}
+	c.addFree(now)
+}
+
+// addFree keeps the connection as free from now on.
+func (c *conn) addFree(now int64) {
 	c.freed = now
-	h.free = append(h.free, c)
+	c.host.free = append(c.host.free, c)
+	c.place = c.host.fleet.free.PushBack(c)
 }
 
-func (c *conn) carry(s *Send) {
+// removeFree takes the connection from the free ones, if it is among them.
+func (c *conn) removeFree() {
+	if c.place == nil {
+		return
+	}
+	c.host.fleet.free.Remove(c.place)
+	c.place = nil
 	if i := slices.Index(c.host.free, c); i >= 0 {
 		c.host.free = slices.Delete(c.host.free, i, i+1)
 	}
+}
+
+func (c *conn) carry(s *Send) {
+	c.removeFree()
 	c.send, s.conn = s, c
 	if g := c.host.fleet.gate; g != nil {
 		g.carried(s)
@@ -435,9 +470,7 @@
 	c.closed = true
 	c.host.fleet.count--
 	c.link.Close()
-	if i := slices.Index(c.host.free, c); i >= 0 {
-		c.host.free = slices.Delete(c.host.free, i, i+1)
-	}
+	c.removeFree()
 }
 
 func (s *Send) fail(failure *Failure) {
@@ -477,7 +510,7 @@
 		return
 	}
 	h := s.host
-	h.waiting = slices.DeleteFunc(h.waiting, func(w *Send) bool { return w == s })
+	h.wait(slices.DeleteFunc(h.waiting, func(w *Send) bool { return w == s }))
 	if g := h.fleet.gate; g != nil {
 		g.drop(s)
 	}
@@ -558,12 +591,14 @@
 }
 
 // Tidy closes connections that have been free for too long: the host's machine closes them soon after, and
-// a req on its way then ends as one that may have run.
+// a req on its way then ends as one that may have run. It looks at what it closes and one more.
 func (f *Fleet) Tidy() {
 	now := f.now()
-	for _, h := range f.hosts {
-		for len(h.free) > 0 && now-h.free[0].freed > f.idle {
-			h.free[0].close()
+	for f.free.Len() > 0 {
+		oldest := f.free.Front().Value.(*conn)
+		if now-oldest.freed <= f.idle {
+			return
 		}
+		oldest.close()
 	}
 }
--- a/internal/hosts/gate.go
+++ b/internal/hosts/gate.go
@@ -53,13 +53,9 @@
 
 // Use gives the connections, dials included, and the sends on one or waiting for one.
 func (g *Gate) Use() (held, use int) {
-	use = len(g.queue)
-	free := 0
-	for _, h := range g.fleet.hosts {
-		use += len(h.waiting)
-		free += len(h.free) + h.dialing
-	}
-	return g.fleet.count, use + max(g.fleet.count-free, 0)
+	f := g.fleet
+	idle := f.free.Len() + f.dialing
+	return f.count, len(g.queue) + f.waiting + max(f.count-idle, 0)
 }
 
 // take has a send wait for its turn, which may be now.
@@ -146,7 +142,7 @@
 			} else if now >= g.dialAt && len(h.free) == 0 && (f.count < allowed || f.count == allowed && f.closeOldest(h)) {
 				g.drop(s)
 				g.Dials++
-				h.waiting = append(h.waiting, s)
+				h.wait(append(h.waiting, s))
 				h.dial()
 			}
 		}
@@ -178,19 +174,20 @@
 
 // closeOldest closes the connection that is free the longest, of a host that nobody waits for; not of this one.
 func (f *Fleet) closeOldest(not *Host) bool {
-	var oldest *conn
-	for _, h := range f.hosts {
-		if h == not || len(h.free) == 0 || not != nil && slices.ContainsFunc(f.gate.queue, func(s *Send) bool { return s.host == h }) {
+	for e := f.free.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if c.host == not || not != nil && f.gate.awaited(c.host) {
 			continue
 		}
-		if oldest == nil || h.free[0].freed < oldest.freed {
-			oldest = h.free[0]
-		}
+		c.close()
+		return true
 	}
-	if oldest != nil {
-		oldest.close()
-	}
-	return oldest != nil
+	return false
+}
+
+// awaited tells whether a send to the host waits for its turn.
+func (g *Gate) awaited(h *Host) bool {
+	return slices.ContainsFunc(g.queue, func(s *Send) bool { return s.host == h })
 }
 
 // refused takes a send back that the store refused a connection, and tells whether it did: anything else that befell
@@ -222,7 +219,7 @@
 func (g *Gate) rest(h *Host) {
 	if len(h.waiting) > 0 {
 		g.queue = append(h.waiting[:1:1], g.queue...)
-		h.waiting = h.waiting[1:]
+		h.wait(h.waiting[1:])
 	}
 }
 
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -184,7 +184,7 @@
 	told := <-r.told + "\n" + <-r.told + "\n"
 	for i, state := range []string{"leaving", "active"} {
 		list := fmt.Sprintf(`{"version":%d,"full":false,"servers":[{"id":"s","addr":"%s","state":"%s","weight":1}]}`, 2+i, r.at, state)
-		r.do(func() { r.listed([]byte(list), false) })
+		r.do(func() { r.listed(list, false) })
 		if i == 0 {
 			told += <-r.told + "\n"
 		}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -66,7 +66,7 @@
 				}
 				n.lost = false
 			})
-		}, func(list []byte) { newest(func() { n.listed(list, false) }) })
+		}, func(list []byte) { newest(func() { n.listed(string(list), false) }) })
 		stop()
 		n.do(func() { n.ended(w, err) })
 	}()
@@ -139,7 +139,7 @@
 }
 
 // listed takes in a list or changes of it.
-func (n *Node) listed(text []byte, old bool) {
+func (n *Node) listed(text string, old bool) {
 	n.told = n.told || !old
 	had := n.book.Version
 	kind, list, odd, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,8 @@
 	}
 	defer unpool()
 	if n.cfg.Known != "" {
-		n.listed([]byte(n.cfg.Known), true)
+		n.listed(n.cfg.Known, true)
+		n.cfg.Known = "" // what it told is in the book
 	} else {
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
 	}
@@ -279,10 +280,12 @@
 		if len(n.events)+len(n.news) > 0 {
 			n.round.Now = n.now()
 			n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
+			clear(n.news) // a whole list must not stay in memory until the next comes
 			n.news, n.events = n.news[:0], n.events[:0]
 			n.rounds++
 			n.decide()
 			n.forget()
+			clear(n.round.Events)
 		}
 		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
