--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,7 +25,7 @@
 	PeerListen netip.AddrPort
 	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
 	Counter    netip.AddrPort   // the shared counter; none where the settings know none
-	Known      string           // the list as last had; may be empty
+	Known      string           // the list as last had; may be empty. A part of the file's text: it keeps all of that in memory
 	Fixed      uint64           // a hash of the keys that count from the start on only; it holds in this process alone
 	*Settings
 	Counterfactual *Counterfactual // nil: off
@@ -85,7 +85,7 @@
 		}
 		return v
 	}
-	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: strings.Clone(s.at("known", gjson.JSON).Raw)}
+	c := &Config{Name: word("name", "GW_NAME", "ravensill"), Known: s.at("known", gjson.JSON).Raw}
 	c.Listen = addr("listen", word("listen", "GW_LISTEN", ""))
 	if at := word("discovery", "", ""); again && at != "" {
 		c.Discovery = addr("discovery", at).String()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -57,7 +57,8 @@
 	if version.Type != gjson.Number || !full.IsBool() || !servers.IsArray() {
 		return kind, nil, nil, errors.New("version, full or servers: missing, or not of its kind")
 	}
-	r := &reading{book: b, version: version.Int(), places: map[string]int{}}
+	count := int(servers.Get("#").Int()) // grown step by step, a whole list would leave several times its size behind
+	r := &reading{book: b, version: version.Int(), servers: make([]listedHost, 0, count), places: make(map[string]int, count)}
 	servers.ForEach(func(_, server gjson.Result) bool {
 		r.take(server)
 		return true
@@ -68,6 +69,9 @@
 		r.missing(gone)
 	}
 	hosts, moved := r.enter(place)
+	if len(b.byAddr) == 0 {
+		b.byAddr = make(map[netip.AddrPort]*entry, len(moved))
+	}
 	if b.settle(moved, gone) {
 		hosts = slices.DeleteFunc(hosts, func(l gateway.Listing) bool { return gone[l.Host] })
 	}
--- a/internal/hosts/fleet.go
+++ b/internal/hosts/fleet.go
@@ -33,14 +33,15 @@
 type Fleet struct {
 	do          func(func())
 	now         func() int64
-	names       []string // of load reports
-	idle        int64    // a connection is kept for so long
-	most, count int      // connections
-	settle      int64    // until a free one is used again
-	hosts       map[uint32]*Host
-	waiting     int        // sends that wait for a connection, of all hosts
-	dialing     int        // connections on their way, to all hosts
-	free        *list.List // of *conn, to all hosts: the longest free first
+	names       []string                  // of load reports
+	idle        int64                     // a connection is kept for so long
+	most, count int                       // connections
+	settle      int64                     // until a free one is used again
+	addrs       map[uint32]netip.AddrPort // where each host listens
+	hosts       map[uint32]*Host          // those that something was sent to: a few of a long list
+	waiting     int                       // sends that wait for a connection, of all hosts
+	dialing     int                       // connections on their way, to all hosts
+	free        *list.List                // of *conn, to all hosts: the longest free first
 	dirty       []*conn
 	Dial        func(addr string) (net.Conn, error)
 	gate        *Gate // nil: no quota
@@ -93,29 +94,36 @@
 
 func NewFleet(do func(func()), now func() int64, names []string, connectTimeout, idle int64, most int) *Fleet {
 	d := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
-	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, hosts: map[uint32]*Host{}, free: list.New(),
+	return &Fleet{do: do, now: now, names: names, idle: idle, most: most, settle: settle, addrs: map[uint32]netip.AddrPort{}, hosts: map[uint32]*Host{}, free: list.New(),
 		Dial: func(addr string) (net.Conn, error) { return d.Dial("tcp4", addr) }}
 }
 
 // Place tells where a host listens; connections to another address end once they are free.
 func (f *Fleet) Place(id uint32, addr netip.AddrPort) {
-	if h := f.host(id); h.addr != addr {
+	f.addrs[id] = addr
+	if h := f.hosts[id]; h != nil && h.addr != addr {
 		h.addr = addr
 		h.drop()
 	}
 }
 
+// host gives the connections of a host, nil where there is no such host.
 func (f *Fleet) host(id uint32) *Host {
-	h := f.hosts[id]
-	if h == nil {
-		h = &Host{fleet: f}
-		f.hosts[id] = h
+	if h := f.hosts[id]; h != nil {
+		return h
 	}
+	addr, known := f.addrs[id]
+	if !known {
+		return nil
+	}
+	h := &Host{fleet: f, addr: addr}
+	f.hosts[id] = h
 	return h
 }
 
 // Drop forgets a host. Its free connections end, and what waits for one goes nowhere; what is out ends as it ends.
 func (f *Fleet) Drop(id uint32) {
+	delete(f.addrs, id)
 	h := f.hosts[id]
 	if h == nil {
 		return
@@ -196,7 +204,7 @@
 }
 
 func (f *Fleet) send(id uint32, text []byte, wait, by int64, result Ended) *Send {
-	h := f.hosts[id]
+	h := f.host(id)
 	if h == nil {
 		s := &Send{host: &Host{fleet: f, gone: true}, text: text, result: result}
 		s.fail(&Failure{Connecting, errGone})
--- a/internal/hosts/scale_test.go
+++ b/internal/hosts/scale_test.go
@@ -70,6 +70,7 @@
 	d := newDesk(t, "127.0.0.1:1", 1)
 	g := d.Limit(0, 1, func(int64) int { return 0 }, func(int64) {})
 	for id := range uint32(87_000) {
+		d.Place(id+2, netip.MustParseAddrPort("127.0.0.1:1"))
 		d.hosts[id+2] = nil
 	}
 	d.Tidy()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 	defer unpool()
 	if n.cfg.Known != "" {
 		n.listed(n.cfg.Known, true)
-		n.cfg.Known = "" // what it told is in the book
+		n.cfg.Known = "" // what it told is in the book, and the file's text need not be kept
 	} else {
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
 	}
