--- a/internal/clients/reader.go
+++ b/internal/clients/reader.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"errors"
 	"log"
 	"runtime/debug"
 	"sync"
@@ -41,7 +42,7 @@
 		c.left.Store(true)
 		s.runOnLoop(c.close)
 	}()
-	commands := Commands{words: &s.words}
+	commands := Commands{catalog: s.catalog}
 	for {
 		if err := c.link.Read(); err != nil {
 			return // the client is gone, or the connection was closed here
@@ -81,9 +82,9 @@
 	}
 }
 
-// Arrive implements Door: it copies the request out of the read buffer, as the command to send to a host, and queues it.
-func (c *Conn) Arrive(id, customer []byte, class, plan int, wait int64, units float64, spread, first int,
-	retry bool, verb, before, after, body []byte) {
+// Arrive implements Door: it copies the request out of the read buffer, as the command to send to a host, and queues it. What
+// changes in the catalog until the loop takes the request in counts too.
+func (c *Conn) Arrive(id, customer []byte, terms Terms, wait int64, retry bool, verb, before, after, body []byte) {
 	elements, receivedAt := 4, c.readAt
 	if body != nil {
 		elements = 5
@@ -101,17 +102,27 @@
 	c.malformed = 0
 	requestID, customerID := string(id), string(customer)
 	c.enqueue(len(text), func(a *Answer) {
-		c.server.onRequest(a, receivedAt, requestID, customerID, class, plan, receivedAt+wait, units, spread, first, retry,
-			text[:idEnd], text[idEnd:beforeEnd], text[beforeEnd:afterEnd], text[afterEnd:])
+		if err := c.server.catalog.recheck(&terms); err != nil {
+			a.Aborted(err.Error())
+			return
+		}
+		c.server.onRequest(a, receivedAt, requestID, customerID, terms.Class, terms.Plan, receivedAt+wait, terms.Units,
+			terms.Spread, terms.First, retry, text[:idEnd], text[idEnd:beforeEnd], text[beforeEnd:afterEnd], text[afterEnd:])
 	})
 }
 
 // Ping implements Door.
 func (c *Conn) Ping() { c.enqueue(0, func(a *Answer) { a.give([]byte("+PONG\r\n")) }) }
 
-// Refuse implements Door: a malformed command is answered with an error.
+// Refuse implements Door: a malformed command is answered with an error. One that names what was removed is well formed: its
+// client may not know yet, and many such in a row don't end the connection.
 func (c *Conn) Refuse(why error) {
-	c.malformed++
+	var removed *RemovedError
+	if errors.As(why, &removed) {
+		c.malformed = 0
+	} else {
+		c.malformed++
+	}
 	c.enqueue(0, func(a *Answer) { a.give(refused(why.Error())) })
 }
 
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -92,6 +92,10 @@
 	}
 }
 
+func (r *rig) Reconfigure(_ int64, update *gateway.Update) {
+	r.told <- fmt.Sprintf("reconfigured: %d plans, %d classes", len(update.Plans), len(update.Classes))
+}
+
 func (r *rig) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
 		switch e.Kind {
@@ -184,7 +188,7 @@
 	told := <-r.told + "\n" + <-r.told + "\n"
 	for i, state := range []string{"leaving", "active"} {
 		list := fmt.Sprintf(`{"version":%d,"full":false,"servers":[{"id":"s","addr":"%s","state":"%s","weight":1}]}`, 2+i, r.at, state)
-		r.do(func() { r.listed([]byte(list), false) })
+		r.do(func() { r.listed(list, false) })
 		if i == 0 {
 			told += <-r.told + "\n"
 		}
