--- a/configsync/codec_test.go
+++ b/configsync/codec_test.go
@@ -129,7 +129,7 @@
 		t.Fatal(err)
 	}
 	parts := SplitSnapshot(document)
-	if len(parts) < 4 {
+	if len(parts) != 4 {
 		t.Errorf("%d parts", len(parts))
 	}
 	assembler := &Assembler{}
@@ -185,9 +185,19 @@
 			t.Errorf("%s: taken", name)
 		}
 	}
-	full := &Assembler{size: MaxDocumentBytes}
-	if _, err := full.Add(&SnapshotPart{Log: testLog, Version: 1, Parts: 2, Changes: []Change{set("limits", "1")}}); err == nil {
-		t.Error("a snapshot of any size")
+	for _, full := range []*Assembler{{size: MaxDocumentBytes}, {changes: make([]Change, MaxDocumentResources)}} {
+		if _, err := full.Add(&SnapshotPart{Log: testLog, Version: 1, Parts: 2, Changes: []Change{set("limits", "1")}}); err == nil {
+			t.Error("a snapshot of any size")
+		}
+	}
+	var wide []Change
+	for i := range 5 {
+		wide = append(wide, Change{Resource(fmt.Sprintf("plans/%d", i)), make([]byte, MaxValueBytes)})
+	}
+	document := newTestDocument(t, wide...)
+	part := &SnapshotPart{Log: testLog, Version: 1, Digest: document.Digest(), Parts: 1, Changes: wide}
+	if _, err := (&Assembler{}).Add(part); err == nil {
+		t.Error("a part of any size")
 	}
 }
 
@@ -259,6 +269,9 @@
 	wrong := fileDocumentOf(document)
 	wrong.Digest[0]++
 	check("a document of another digest", encodeRecord(recordDocument, marshal(wrong)), 0)
+	for _, none := range []*fileDocument{{Log: LogID(make([]byte, MaxLogBytes+1))}, {Digest: Digest{1}}, {Log: testLog, Changes: []Change{set("limits", "1")}}} {
+		check("content of version 0", encodeRecord(recordDocument, marshal(none)), 0)
+	}
 	check("not a document", encodeRecord(recordDocument, []byte("x")), 0)
 	if empty, err := DecodeFile(EncodeFile(NewDocument(""))); err != nil || empty.Version() != 0 {
 		t.Error(err)
--- a/configsync/follower_test.go
+++ b/configsync/follower_test.go
@@ -89,7 +89,7 @@
 	bad := next(follower.Document(), set("plans/b", "x"))
 	follower.Receive(start, bad)
 	refusal := follower.Refuse(start, "plans/b", "not an object")
-	if *refusal != (Refusal{2, "plans/b", "not an object"}) || follower.Document().Version() != 1 {
+	if *refusal != (Refusal{2, "plans/b", "not an object"}) || follower.Counters().Refused != 1 || follower.Document().Version() != 1 {
 		t.Errorf("%+v", refusal)
 	}
 	decision := follower.Receive(start, bad)
@@ -223,36 +223,35 @@
 
 // A version that is pending, refused, held or on its way isn't waited for.
 func TestFollowerIsNotStalled(t *testing.T) {
-	announceTo := func(f *Follower, latest Version) {
-		for i := range 6 {
+	announce := func(f *Follower, times int, latest Version) {
+		for i := range times {
 			f.Receive(at(time.Duration(i)*time.Second), &Heartbeat{Log: testLog, Latest: latest, Current: true})
 		}
 	}
-	announce := func(f *Follower) { announceTo(f, 2) }
 	for name, events := range map[string]func(*Follower){
-		"pending": func(f *Follower) { f.Receive(start, next(f.Document(), remove("limits"))); announce(f) },
+		"pending": func(f *Follower) { f.Receive(start, next(f.Document(), remove("limits"))); announce(f, 6, 2) },
 		"refused": func(f *Follower) {
 			f.Receive(start, next(f.Document(), remove("limits")))
 			f.Refuse(start, "", "")
-			announce(f)
+			announce(f, 6, 2)
 		},
 		"held": func(f *Follower) {
 			f.Receive(start, next(f.Document(), remove("limits")))
 			f.Accept(start)
-			announce(f)
+			announce(f, 6, 2)
 		},
 		"accepted, one more announced": func(f *Follower) {
-			f.Receive(start, next(f.Document(), remove("limits")))
-			announceTo(f, 3)
-			f.Accept(at(5 * time.Second))
+			announce(f, 4, 3)
+			f.Receive(at(3500*time.Millisecond), next(f.Document(), remove("limits")))
+			f.Accept(at(3500 * time.Millisecond))
 		},
 		"refused, one more announced": func(f *Follower) {
-			f.Receive(start, next(f.Document(), remove("limits")))
-			announceTo(f, 3)
-			f.Refuse(at(5*time.Second), "", "")
+			announce(f, 4, 3)
+			f.Receive(at(3500*time.Millisecond), next(f.Document(), remove("limits")))
+			f.Refuse(at(3500*time.Millisecond), "", "")
 		},
 		"pending at last": func(f *Follower) {
-			announce(f)
+			announce(f, 6, 2)
 			f.Receive(at(5*time.Second), next(f.Document(), remove("limits")))
 		},
 		"announced late": func(f *Follower) {
@@ -263,7 +262,7 @@
 		},
 		"no log there": func(f *Follower) { f.Receive(at(5*time.Second), &Heartbeat{Current: true}) },
 		"on its way": func(f *Follower) {
-			announce(f)
+			announce(f, 6, 2)
 			f.Receive(at(5*time.Second), &SnapshotPart{Log: testLog, Version: 2, Parts: 2})
 		},
 	} {
--- a/configsync/sender.go
+++ b/configsync/sender.go
@@ -59,7 +59,6 @@
 
 // preparedSnapshot holds the frames of a document, shared by all followers that get it.
 type preparedSnapshot struct {
-	log     LogID
 	version Version
 	digest  Digest
 	frames  [][]byte
@@ -429,7 +428,7 @@
 
 func (s *Sender) serves(snapshot *preparedSnapshot, follower *followerSession) bool {
 	document := s.state.document
-	if snapshot.log != document.log || snapshot.version <= follower.refused {
+	if snapshot.version <= follower.refused {
 		return false
 	}
 	if snapshot.version == document.version {
@@ -444,7 +443,6 @@
 
 func newPreparedSnapshot(document *Document) *preparedSnapshot {
 	snapshot := &preparedSnapshot{
-		log:     document.Log(),
 		version: document.Version(),
 		digest:  document.Digest(),
 	}
--- a/configsync/sender_test.go
+++ b/configsync/sender_test.go
@@ -194,6 +194,15 @@
 	if part := r.next(start, r.connect(start, whole(2))).(*SnapshotPart); part.Version != 1 || r.sender.snapshot != made {
 		t.Error("encoded again, though a delta leads on")
 	}
+	current := whole(5)
+	current.Log, current.Held = testLog, 2
+	if part := r.next(start, r.connect(start, current)).(*SnapshotPart); part.Version != 2 {
+		t.Errorf("sent version %d to one that holds version 2", part.Version)
+	}
+	made = r.sender.snapshot
+	if r.next(start, r.connect(start, whole(6))); r.sender.snapshot != made {
+		t.Error("the latest version encoded again")
+	}
 	r.acknowledge(id, document.Version(), document.Digest())
 	if delta := r.next(start, id).(*Delta); delta.From != 1 || delta.To != 2 {
 		t.Errorf("%+v", delta)
@@ -385,8 +394,8 @@
 	old, _ := r.state.Document().Get("limits")
 	publish(t, r.state, set("limits", "x"))
 	publish(t, r.state, Change{"limits", old}) // the same digest again
-	if c, _ := r.sender.prepareDelta(2); c.to != 5 {
-		t.Errorf("leads to version %d", c.to)
+	if c, _ := r.sender.prepareDelta(2); c.to != 5 || r.sender.deltas.size != len(c.frame) {
+		t.Errorf("leads to version %d, %d bytes", c.to, r.sender.deltas.size)
 	}
 	r.sender.deltas.size = maxCachedBytes
 	if r.sender.prepareDelta(3); len(r.sender.deltas.byHeld) != 1 {
--- a/configsync/state_test.go
+++ b/configsync/state_test.go
@@ -86,8 +86,17 @@
 	if _, err := EncodeCommand(&Command{Changes: []Change{{Value: make([]byte, MaxCommandBytes)}}}); err == nil {
 		t.Error("a command of any size")
 	}
-	if _, err := state.Apply(make([]byte, MaxCommandBytes+1)); err == nil {
-		t.Error("a command of any size applied")
+	for name, text := range map[string][]byte{
+		"any size":   marshal(map[int]any{1: "log", 99: make([]byte, MaxCommandBytes)}),
+		"wrong type": marshal(map[int]any{1: "log", 3: "x"}),
+		"not CBOR":   []byte("\xff"),
+		"long log":   marshal(&Command{Create: LogID(make([]byte, MaxLogBytes+1))}),
+	} {
+		empty := NewState(testLimits)
+		_, err := empty.Apply(text)
+		if _, malformed := err.(*MalformedError); !malformed || empty.Document().Log() != "" {
+			t.Errorf("a command of %s applied: %v", name, err)
+		}
 	}
 	if err := try(t, NewState(testLimits), NewCommand("", 0, []Change{set("limits", "1")})); err == nil {
 		t.Error("a version without a log")
