--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -11,22 +11,22 @@
 	"ravensill/internal/ring"
 )
 
-var words = Words{Fronts: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued}, Most: []float64{8, 8}, Seats: 3, Seat: 1}
+var startCatalog = CatalogConfig{Classes: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued},
+	MaxUnits: []float64{8, 8}, Members: 3, Own: 1}
 
 // book writes down what commands say.
 type book struct{ strings.Builder }
 
-func (b *book) Arrive(id, customer []byte, front, plan int, wait int64, units float64, spread, first int, again bool,
-	verb, before, after, body []byte) {
+func (b *book) Arrive(id, customer []byte, terms Terms, wait int64, again bool, verb, before, after, body []byte) {
 	fmt.Fprintf(b, "%s of %s, %s: frontend %d, plan %d, %d ms, %g units, %d from %d, again %t; pass on %q %q %q\n", id, customer,
-		verb, front, plan, wait/1e6, units, spread, first, again, before, after, body)
+		verb, terms.Class, terms.Plan, wait/1e6, terms.Units, terms.Spread, terms.First, again, before, after, body)
 }
 func (b *book) Ping()            { b.WriteString("ping\n") }
 func (b *book) Refuse(err error) { fmt.Fprintln(b, err) }
 
 func read(pieces ...string) string {
 	var b book
-	in, c := ring.New(resp.Most), Commands{words: &words}
+	in, c := ring.New(resp.Most), Commands{catalog: NewCatalog(startCatalog)}
 	for _, p := range pieces {
 		in.Write([]byte(p))
 		for ok := true; ok; {
@@ -111,7 +111,7 @@
 }
 
 func BenchmarkCommands(b *testing.B) {
-	in, c, one := ring.New(resp.Most), Commands{words: &words}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
+	in, c, one := ring.New(resp.Most), Commands{catalog: NewCatalog(startCatalog)}, []byte(command("CALL.GET", get, "9b1f03aa5c7e2d41", list))
 	b.ReportAllocs()
 	for b.Loop() {
 		in.Write(one)
@@ -123,7 +123,6 @@
 
 type nobody struct{}
 
-func (nobody) Arrive([]byte, []byte, int, int, int64, float64, int, int, bool, []byte, []byte, []byte, []byte) {
-}
-func (nobody) Ping()            {}
-func (nobody) Refuse(err error) { panic(err) }
+func (nobody) Arrive([]byte, []byte, Terms, int64, bool, []byte, []byte, []byte, []byte) {}
+func (nobody) Ping()                                                                     {}
+func (nobody) Refuse(err error)                                                          { panic(err) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
+	"hash/maphash"
+	"io"
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -23,11 +25,12 @@
 	PeerListen netip.AddrPort
 	Peers      []netip.AddrPort // by seat; none where gateways don't message each other
 	Counter    netip.AddrPort   // the shared counter; none where the settings know none
-	Known      string           // the list as last had; may be empty
-	Fixed      uint64           // a hash of the keys that count from the start on only
+	Known      string           // the list as last had; may be empty. A part of the file's text: it keeps all of that in memory
+	Fixed      uint64           // a hash of the keys that count from the start on only; it holds in this process alone
 	*Settings
 	Counterfactual *Counterfactual // nil: off
 	Pool           *Pool           // nil: off
+	Configuration  *Configuration  // nil: off
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY go before its keys.
@@ -42,19 +45,19 @@
 	if file == "" {
 		return nil, errors.New("GW_CONFIG: not set; it names the configuration file")
 	}
-	text, err := os.ReadFile(file)
+	text, err := readText(file)
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	if !gjson.ValidBytes(text) || !gjson.ParseBytes(text).IsObject() {
+	s, err := newSettings("", text)
+	if err != nil {
 		return nil, errors.New("GW_CONFIG: the file holds no JSON object")
 	}
-	s := &settings{obj: gjson.ParseBytes(text)}
 	word := func(key, env, def string) string {
 		if v := getenv(env); env != "" && v != "" {
 			return v
 		}
-		if v := s.at(key, gjson.String).Str; v != "" {
+		if v := s.text(key); v != "" {
 			return v
 		}
 		return def
@@ -97,14 +100,7 @@
 		c.Seed, err = strconv.ParseUint(seed, 16, 64)
 		fail("seed", err)
 	}
-	fixed := fnv.New64a()
-	s.obj.ForEach(func(key, value gjson.Result) bool {
-		if k := key.Str; k != "discovery" && k != "known" && k != "seed" {
-			fmt.Fprintln(fixed, k, value.Raw)
-		}
-		return true
-	})
-	c.Fixed = fixed.Sum64()
+	c.Fixed = fixedKeys(s.obj)
 	c.Settings, err = Decode(s.at("settings", gjson.JSON).Raw)
 	fail("settings", err)
 	if s.err == nil {
@@ -116,7 +112,16 @@
 	if s.err == nil {
 		c.counter()
 	}
-	if s.err == nil && c.Seat.Messages && c.Seat.Count > 1 {
+	if s.err == nil {
+		c.Configuration, err = c.configuration(s.obj.Get("configuration").Raw)
+		fail("configuration", err)
+	}
+	if s.err == nil && c.Configuration != nil {
+		fail("configuration", c.identify())
+	}
+	// A fleet of one may grow by a document.
+	mayGrow := c.Configuration != nil && s.obj.Get("peer_listen").Exists()
+	if s.err == nil && c.Seat.Messages && (c.Seat.Count > 1 || mayGrow) {
 		c.PeerListen = addr("peer_listen", word("peer_listen", "", ""))
 		for i, p := range s.at("peers", gjson.JSON).Array() {
 			c.Peers = append(c.Peers, addr(fmt.Sprintf("peers.%d", i), p.Str))
@@ -124,10 +129,16 @@
 		if len(c.Peers) != c.Seat.Count {
 			fail("peers", fmt.Errorf("%d addresses for %d gateways", len(c.Peers), c.Seat.Count))
 		}
+		if c.Configuration != nil {
+			fail("configuration", distinct(c.Peers))
+		}
 	}
 	if s.err == nil {
 		c.Counterfactual, err = c.counterfactual(s.obj.Get("counterfactual").Raw)
 		fail("counterfactual", err)
+		if c.Configuration != nil && c.Counterfactual != nil {
+			fail("configuration", errCombined)
+		}
 	}
 	if s.err == nil {
 		c.Pool, err = c.pool(s.obj.Get("pool").Raw)
@@ -136,19 +147,53 @@
 	return c, s.err
 }
 
+// readText reads a file into one string, with no second copy beside it: the document may be as large as the rest of the
+// gateway.
+func readText(name string) (string, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	var text strings.Builder
+	if info, err := file.Stat(); err == nil && info.Mode().IsRegular() {
+		text.Grow(int(info.Size()))
+	}
+	_, err = io.Copy(&text, file)
+	return text.String(), err
+}
+
+var fixedSeed = maphash.MakeSeed()
+
+// fixedKeys hashes the keys that count from the start on only.
+func fixedKeys(document gjson.Result) uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(fixedSeed)
+	document.ForEach(func(key, value gjson.Result) bool {
+		if k := key.Str; k != "discovery" && k != "known" && k != "seed" {
+			hash.WriteString(k)
+			hash.WriteByte(' ')
+			hash.WriteString(value.Raw)
+			hash.WriteByte('\n')
+		}
+		return true
+	})
+	return hash.Sum64()
+}
+
 // check looks for what a gateway on sockets can't do without, and gives defaults.
 func (s *Settings) check() error {
 	if len(s.Fronts) == 0 || len(s.Plans) == 0 {
 		return errors.New("profiles, plans: one of each wanted at least")
 	}
-	for i, f := range s.Fronts {
-		if s.FrontNames[i] == "" || f.Timeout <= 0 {
-			return fmt.Errorf("profiles.%d: name and hard_limit_us wanted", i)
+	for i, class := range s.Fronts {
+		if err := checkClass(s.FrontNames[i], class); err != nil {
+			return keyed(elementPath("profiles", i)+": ", err)
 		}
 	}
 	for i, name := range s.PlanNames {
-		if name == "" {
-			return fmt.Errorf("plans.%d.name: missing", i)
+		if err := checkPlan(name); err != nil {
+			return keyed(elementPath("plans", i)+".", err)
 		}
 	}
 	if s.ConnIdle == 0 {
@@ -159,3 +204,11 @@
 	}
 	return nil
 }
+
+// keyed puts a path in front of an error, where there is one.
+func keyed(prefix string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s%w", prefix, err)
+}
