Hosts: connections, dialing, attempts and idle order in files of their own; standard names

Change: fleet.go is split into transport.go (all hosts), pool.go (one host), conn.go (one connection), idle.go (the order of idle connections) and attempt.go; hosts.go into failure.go and answer.go; gate.go is limiter.go. Fleet is Transport, Send is Attempt, Gate is ConnectionLimiter, Host is hostPool; fields and functions have whole names and doc comments; constants their units. No change of behaviour: log lines, error texts and golden traces are as they were.

--- a/internal/hosts/begin_test.go
+++ b/internal/hosts/begin_test.go
@@ -27,7 +27,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	f := &far{desk: newDesk(t, l.Addr().String(), 9), conns: make(chan *net.TCPConn, 9)}
-	f.Fleet.now = func() int64 {
+	f.Transport.now = func() int64 {
 		if tick := f.tick.Swap(nil); tick != nil {
 			(*tick)()
 		}
@@ -56,8 +56,8 @@
 }
 
 // ask dispatches a command with a body and does not yet write it.
-func (f *far) ask(name string, body int) *Send {
-	return f.Dispatch(1, []byte(name+" "), nil, nil, make([]byte, body), 20e9, f.now.Load()+20e9, func(e gateway.Event, value []byte, _ int64) {
+func (f *far) ask(name string, body int) *Attempt {
+	return f.Send(1, []byte(name+" "), nil, nil, make([]byte, body), 20e9, f.now.Load()+20e9, func(e gateway.Event, value []byte, _ int64) {
 		f.out = append(f.out, fmt.Sprintf("%s: result %d, value %q", name, e.Result, value))
 	})
 }
@@ -71,7 +71,7 @@
 
 // up runs the loop until no dial is out, and gives the connection.
 func (f *far) up() *net.TCPConn {
-	for f.host(1).dialing > 0 {
+	for f.pool(1).dialing > 0 {
 		f.pass(1)
 	}
 	f.Flush()
@@ -104,7 +104,7 @@
 	f.reads(c)
 	io.WriteString(c, value("a"))
 	f.pass(1)
-	f.now.Add(settle)
+	f.now.Add(defaultReuseDelay)
 	return c
 }
 
@@ -166,7 +166,7 @@
 func TestComesWithTheNext(t *testing.T) {
 	f := newFar(t)
 	c := f.first()
-	f.now.Add(4e6 - settle)
+	f.now.Add(4e6 - defaultReuseDelay)
 	f.ask("b", 0)
 	f.Flush()
 	io.WriteString(c, value("a"))
@@ -241,7 +241,7 @@
 		f.pass(1)
 		x.do(f, <-f.conns)
 		f.until(1)
-		fmt.Fprintf(&all, "%s: %s; %d connections\n", x.what, f.out[0], f.count)
+		fmt.Fprintf(&all, "%s: %s; %d connections\n", x.what, f.out[0], f.openConns)
 	}
 	golden.Check(t, all.String())
 }
@@ -261,7 +261,7 @@
 	f.pass(1)
 	f.Flush()
 	f.until(1)
-	f.now.Add(settle) // the connection rests, and is good for the next
+	f.now.Add(defaultReuseDelay) // the connection rests, and is good for the next
 	f.ask("b", 0)
 	f.Flush()
 	c := <-f.conns
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -24,7 +24,7 @@
 		return fmt.Sprintf("whole %t, %v", ok, err)
 	}
 	var e gateway.Event
-	value, err := read(v, []string{"outstanding", "utilization"}, &e)
+	value, err := parseAnswer(v, []string{"outstanding", "utilization"}, &e)
 	return fmt.Sprintf("result %d, value %q, null %t, used %d, %g units, load %v, %v", e.Result, value, value == nil, e.Used, e.Units, e.Load, err)
 }
 
@@ -48,7 +48,7 @@
 
 func TestResults(t *testing.T) { // how far it had come tells whether it may have run
 	var all strings.Builder
-	for _, why := range []error{errReply, io.EOF, ErrTimedOut, ErrCanceled} {
+	for _, why := range []error{errMalformed, io.EOF, ErrTimedOut, ErrCanceled} {
 		for stage := Connecting; stage <= Sent; stage++ {
 			f := &Failure{stage, why}
 			fmt.Fprintf(&all, "%v: result %d, never ran %t\n", f, f.Result(), f.Result().NeverRan())
@@ -57,10 +57,10 @@
 	golden.Check(t, all.String())
 }
 
-// desk is a loop of a fleet of one host, and what came of its sends.
+// desk is the event loop of a transport with one host, and the results of its attempts.
 type desk struct {
 	*testing.T
-	*Fleet
+	*Transport
 	work chan func()
 	now  atomic.Int64
 	out  []string
@@ -68,14 +68,14 @@
 
 func newDesk(t *testing.T, addr string, most int) *desk {
 	d := &desk{T: t, work: make(chan func(), 99)}
-	d.Fleet = NewFleet(func(f func()) { d.work <- f }, func() int64 { return 0 }, nil, 250e6, 1e9, most)
-	d.Fleet.now = func() int64 { return d.now.Load() }
-	d.Place(1, netip.MustParseAddrPort(addr))
+	d.Transport = NewTransport(func(f func()) { d.work <- f }, func() int64 { return 0 }, nil, 250e6, 1e9, most)
+	d.Transport.now = func() int64 { return d.now.Load() }
+	d.SetAddress(1, netip.MustParseAddrPort(addr))
 	return d
 }
 
-func (d *desk) send() *Send {
-	s := d.Dispatch(1, []byte("*2\r\n"), []byte("d="), nil, nil, 2e6, 1e18, func(e gateway.Event, value []byte, _ int64) {
+func (d *desk) send() *Attempt {
+	s := d.Send(1, []byte("*2\r\n"), []byte("d="), nil, nil, 2e6, 1e18, func(e gateway.Event, value []byte, _ int64) {
 		d.out = append(d.out, fmt.Sprintf("result %d, value %q", e.Result, value))
 	})
 	d.Flush()
@@ -124,29 +124,29 @@
 	d.send()
 	d.send() // no descriptor is left for it: it never ran
 	d.until(3)
-	d.now.Add(settle)
+	d.now.Add(defaultReuseDelay)
 	d.send()
 	d.until(4)
-	for d.host(1).dialing > 0 { // the first may have served all before the second was up
+	for d.pool(1).dialing > 0 { // the first may have served all before the second was up
 		(<-d.work)()
 	}
-	if d.count != 2 || len(d.host(1).free) != 2 {
-		t.Errorf("%d connections, %d free", d.count, len(d.host(1).free))
+	if d.openConns != 2 || len(d.pool(1).idle) != 2 {
+		t.Errorf("%d connections, %d free", d.openConns, len(d.pool(1).idle))
 	}
-	d.now.Add(settle)
+	d.now.Add(defaultReuseDelay)
 	d.send()
-	d.Place(1, netip.MustParseAddrPort("127.0.0.1:1")) // it moved: what is out there ends, and nothing follows
+	d.SetAddress(1, netip.MustParseAddrPort("127.0.0.1:1")) // it moved: what is out there ends, and nothing follows
 	d.until(5)
-	if d.count != 0 {
-		t.Errorf("%d connections to where the host was", d.count)
+	if d.openConns != 0 {
+		t.Errorf("%d connections to where the host was", d.openConns)
 	}
-	d.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	d.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 	d.send()
 	d.until(6)
 	d.now.Add(2e9)
-	d.Tidy()
-	if d.count != 0 {
-		t.Errorf("%d connections kept for too long", d.count)
+	d.CloseIdle()
+	if d.openConns != 0 {
+		t.Errorf("%d connections kept for too long", d.openConns)
 	}
 	golden.Check(t, strings.Join(d.out, "\n")+"\n")
 }
@@ -159,15 +159,15 @@
 	}
 	d := newDesk(t, l.Addr().String(), 9)
 	s := d.send()
-	s.Stop(ErrTimedOut)
-	s.Stop(ErrTimedOut) // once only
+	s.Cancel(ErrTimedOut)
+	s.Cancel(ErrTimedOut) // once only
 	(<-d.work)()
-	if len(d.host(1).free) != 1 {
+	if len(d.pool(1).idle) != 1 {
 		t.Error("its connection was not kept")
 	}
-	d.Fleet.Drop(1)
+	d.Transport.Remove(1)
 	d.send() // to one that is gone
-	d.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	d.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 	l.Close()
 	d.send()
 	d.until(3)
@@ -221,7 +221,7 @@
 			close(first)
 			<-written
 		}
-		d.now.Add(settle)
+		d.now.Add(defaultReuseDelay)
 		d.send()
 		d.until(2)
 		fmt.Fprintf(&all, "%.60q\n  %s\n", x, strings.Join(d.out, "; "))
@@ -259,7 +259,7 @@
 	(<-d.work)()
 	d.Flush()
 	<-read
-	s.Stop(ErrCanceled)
+	s.Cancel(ErrCanceled)
 	<-ended
 	golden.Check(t, strings.Join(d.out, "\n")+"\n")
 }
@@ -270,7 +270,7 @@
 		for _, probe := range []bool{true, false} {
 			addr, _, _ := one(t, x)
 			d := newDesk(t, addr, 9)
-			d.names = []string{"utilization"}
+			d.loadFields = []string{"utilization"}
 			if probe {
 				d.Probe(1, func(e gateway.Event, value []byte, _ int64) {
 					d.out = append(d.out, fmt.Sprintf("result %d, load %v", e.Result, e.Load))
--- /dev/null
+++ b/internal/hosts/idle.go
@@ -0,0 +1,87 @@
+package hosts
+
+import "slices"
+
+// addIdle marks the connection as idle from now on.
+func (c *conn) addIdle(now int64) {
+	c.idleSince = now
+	c.pool.idle = append(c.pool.idle, c)
+	c.idleElement = c.pool.transport.idle.PushBack(c)
+}
+
+// removeIdle takes the connection out of the idle ones, if it is idle.
+func (c *conn) removeIdle() {
+	if c.idleElement == nil {
+		return
+	}
+	c.pool.transport.idle.Remove(c.idleElement)
+	c.idleElement = nil
+	if i := slices.Index(c.pool.idle, c); i >= 0 {
+		c.pool.idle = slices.Delete(c.pool.idle, i, i+1)
+	}
+}
+
+// reusableConn returns the most recently used connection that has been idle for the reuse delay, nil if there is none. Some
+// hosts send more after an answer, even a second copy, some milliseconds later, which must not be taken for the answer of the
+// next request. What arrives within the delay is detected before the next command is written; what arrives later could not be
+// told from its answer.
+func (p *hostPool) reusableConn(now int64) *conn {
+	for _, c := range slices.Backward(p.idle) {
+		if now-c.idleSince >= p.transport.reuseDelay {
+			return c
+		}
+	}
+	return nil
+}
+
+// closeIdle closes the host's idle connections.
+func (p *hostPool) closeIdle() {
+	for len(p.idle) > 0 {
+		p.idle[0].close()
+	}
+}
+
+// makeRoom reports whether one more connection may be opened. At the limit it closes the longest idle one.
+func (t *Transport) makeRoom() bool {
+	if t.openConns < t.maxConns {
+		return true
+	}
+	longest := t.longestIdle()
+	if longest == nil {
+		return false
+	}
+	longest.close()
+	return true
+}
+
+// longestIdle returns the connection that has been idle the longest, nil if none is idle.
+func (t *Transport) longestIdle() *conn {
+	first := t.idle.Front()
+	if first == nil {
+		return nil
+	}
+	return first.Value.(*conn)
+}
+
+// closeLongestIdle closes the connection that has been idle the longest, and reports whether there was one. Where except is
+// not nil, it spares connections to that host and to hosts that a queued attempt goes to.
+func (t *Transport) closeLongestIdle(except *hostPool) bool {
+	for element := t.idle.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*conn)
+		if c.pool == except || except != nil && t.limiter.hasQueued(c.pool) {
+			continue
+		}
+		c.close()
+		return true
+	}
+	return false
+}
+
+// CloseIdle closes connections that have been idle for longer than the idle timeout. Hosts close theirs soon after, and a
+// request that is on its way then might have run. It looks only at the connections that it closes and one more.
+func (t *Transport) CloseIdle() {
+	now := t.now()
+	for c := t.longestIdle(); c != nil && now-c.idleSince > t.idleTimeout; c = t.longestIdle() {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/hosts/limiter.go
@@ -0,0 +1,285 @@
+package hosts
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	limitedReuseDelay = int64(time.Millisecond)       // reuse delay under a quota, whose connections are too few for the default
+	minDialBackoff    = int64(50 * time.Millisecond)  // pause of dials after a refusal, doubled with each
+	maxDialBackoff    = int64(400 * time.Millisecond) // up to this
+	minRetryAfter     = int64(50 * time.Millisecond)  // bounds of the time after which a rejected client is told to retry
+	maxRetryAfter     = int64(2 * time.Second)
+	serviceTimeWeight = 1.0 / 16 // of the latest attempt in the average service time
+)
+
+var (
+	errQueueTimeout = errors.New("no connection in time") // rejected by the quota; it never ran
+	errStoreRefused = errors.New("the store refused the connection")
+)
+
+// ConnectionLimiter keeps a transport within a quota of connections, dials included, over all hosts: they share one store.
+// Attempts without a connection queue, urgent ones first while fewer than the urgent floor are in flight. An attempt that
+// would wait too long is rejected at once, with a time to retry after. Where the store refuses a connection, the attempt stays
+// in the queue and dials pause. Times and durations are in nanoseconds.
+type ConnectionLimiter struct {
+	transport      *Transport
+	allowed        func(now int64) int     // the quota at a time
+	onRejected     func(serviceTime int64) // called for each rejected attempt, with the expected time of its use of a connection
+	urgentFloor    int                     // urgent attempts go first while fewer of them are in flight
+	maxWait        int64                   // in the queue
+	queue          []*Attempt              // the longest waiting first
+	serviceTime    float64                 // moving average of an attempt's time on a connection
+	urgentInFlight int                     // urgent attempts on a connection
+	dialBackoff    int64                   // latest pause of dials after a refusal
+	nextDial       int64                   // no dial starts earlier
+	timerSet       bool                    // whether a timer for serveQueue is running
+	retryAfter     int64                   // see RetryAfter
+
+	Queued   int // attempts that had to wait, since the start
+	Rejected int // attempts rejected, since the start
+	Refused  int // connections that the store refused, since the start
+	Dials    int // since the start
+}
+
+// LimitConnections puts the transport under a quota of connections. It is called before the first attempt.
+func (t *Transport) LimitConnections(urgentFloor int, maxWait time.Duration, allowed func(now int64) int,
+	onRejected func(serviceTime int64)) *ConnectionLimiter {
+	t.reuseDelay = limitedReuseDelay
+	t.limiter = &ConnectionLimiter{
+		transport:   t,
+		allowed:     allowed,
+		onRejected:  onRejected,
+		urgentFloor: urgentFloor,
+		maxWait:     int64(maxWait),
+	}
+	return t.limiter
+}
+
+// SetUrgent sets whether the attempts made from now on are of an urgent request class.
+func (l *ConnectionLimiter) SetUrgent(urgent bool) { l.transport.nextUrgent = urgent }
+
+// RetryAfter returns the time after which to retry while a rejected attempt reports its result, and 0 otherwise.
+func (l *ConnectionLimiter) RetryAfter() int64 { return l.retryAfter }
+
+// Usage returns the connections held, dials included, and the attempts that are on one or wait for one.
+func (l *ConnectionLimiter) Usage() (held, demand int) {
+	t := l.transport
+	unassigned := t.idle.Len() + t.dialingCount
+	assigned := max(t.openConns-unassigned, 0)
+	return t.openConns, len(l.queue) + t.pendingCount + assigned
+}
+
+// enqueue adds an attempt to the queue and serves it. If the attempt is still there and is expected to wait past its queue
+// deadline, it is rejected at once.
+func (l *ConnectionLimiter) enqueue(attempt *Attempt, wait int64) {
+	now := l.transport.now()
+	attempt.queueDeadline = now + min(l.maxWait, wait/2)
+	l.queue = append(l.queue, attempt)
+	l.serveQueue()
+	if attempt.done || attempt.conn != nil || !slices.Contains(l.queue, attempt) {
+		return
+	}
+	l.Queued++
+	if now+l.expectedWait(attempt, now) > attempt.queueDeadline {
+		l.reject(attempt)
+		return
+	}
+	time.AfterFunc(time.Duration(attempt.queueDeadline-now), func() { l.transport.runOnLoop(l.serveQueue) })
+}
+
+// expectedWait returns the time until a queued attempt is expected to get a connection.
+func (l *ConnectionLimiter) expectedWait(attempt *Attempt, now int64) int64 {
+	allowed := l.allowed(now)
+	_, demand := l.Usage()
+	busy := demand - len(l.queue)
+	available := max(allowed-busy, 0)
+	ahead := float64(max(slices.Index(l.queue, attempt)+1-available, 0))
+	return int64(ahead * l.serviceTime / float64(max(allowed, 1)))
+}
+
+// reject fails an attempt for want of a connection, with a time to retry after.
+func (l *ConnectionLimiter) reject(attempt *Attempt) {
+	now := l.transport.now()
+	l.dequeue(attempt)
+	l.Rejected++
+	l.onRejected(int64(l.serviceTime))
+	drainTime := int64(float64(len(l.queue)+1) * l.serviceTime / float64(max(l.allowed(now), 1)))
+	l.retryAfter = min(max(drainTime, l.nextDial-now, minRetryAfter), maxRetryAfter)
+	attempt.fail(&Failure{Connecting, errQueueTimeout})
+	l.retryAfter = 0
+}
+
+// dequeue removes an attempt from the queue, if it is there.
+func (l *ConnectionLimiter) dequeue(attempt *Attempt) {
+	l.queue = slices.DeleteFunc(l.queue, func(other *Attempt) bool { return other == attempt })
+}
+
+// inOrder returns the queued attempts in the order in which they get connections.
+func (l *ConnectionLimiter) inOrder() []*Attempt {
+	ordered := slices.Clone(l.queue)
+	if l.urgentInFlight >= l.urgentFloor {
+		return ordered
+	}
+	slices.SortStableFunc(ordered, func(a, b *Attempt) int {
+		switch {
+		case a.urgent == b.urgent:
+			return 0
+		case a.urgent:
+			return -1
+		}
+		return 1
+	})
+	return ordered
+}
+
+// serveQueue closes idle connections above the quota, and gives connections and dials to queued attempts in their order.
+func (l *ConnectionLimiter) serveQueue() {
+	t := l.transport
+	now := t.now()
+	allowed := l.allowed(now)
+	for t.openConns > allowed && t.closeLongestIdle(nil) {
+	}
+	if len(l.queue) == 0 {
+		return
+	}
+	for _, attempt := range l.inOrder() {
+		l.serve(attempt, now, allowed)
+	}
+	l.setTimer(now)
+}
+
+// serve assigns an idle connection to a queued attempt, or dials one where the quota has room. It ends attempts whose host is
+// removed or whose queue deadline has passed.
+func (l *ConnectionLimiter) serve(attempt *Attempt, now int64, allowed int) {
+	pool := attempt.pool
+	switch {
+	case attempt.done:
+		l.dequeue(attempt)
+		return
+	case pool.removed:
+		l.dequeue(attempt)
+		attempt.fail(&Failure{Connecting, errHostRemoved})
+		return
+	case now >= attempt.queueDeadline:
+		l.reject(attempt)
+		return
+	}
+	if c := pool.reusableConn(now); c != nil {
+		l.dequeue(attempt)
+		c.assign(attempt)
+		return
+	}
+	if now < l.nextDial || len(pool.idle) > 0 || !l.makeRoom(pool, allowed) {
+		return
+	}
+	l.dequeue(attempt)
+	l.Dials++
+	pool.setPending(append(pool.pending, attempt))
+	pool.dialPending()
+}
+
+// makeRoom reports whether one more connection is within the quota. At the quota it closes an idle one of another host.
+func (l *ConnectionLimiter) makeRoom(pool *hostPool, allowed int) bool {
+	t := l.transport
+	if t.openConns < allowed {
+		return true
+	}
+	return t.openConns == allowed && t.closeLongestIdle(pool)
+}
+
+// setTimer has the queue served again when a connection or dial may become available with time, unless that is due already.
+func (l *ConnectionLimiter) setTimer(now int64) {
+	delay := l.untilNextCheck(now)
+	if delay == 0 || l.timerSet {
+		return
+	}
+	l.timerSet = true
+	time.AfterFunc(time.Duration(delay), func() {
+		l.transport.runOnLoop(func() {
+			l.timerSet = false
+			l.serveQueue()
+		})
+	})
+}
+
+// untilNextCheck returns the time until a connection within its reuse delay, or a dial that is paused, may serve the queue; 0
+// where only an answer can. Each answer has the queue served anyway.
+func (l *ConnectionLimiter) untilNextCheck(now int64) int64 {
+	for _, attempt := range l.queue {
+		if len(attempt.pool.idle) > 0 {
+			return limitedReuseDelay
+		}
+	}
+	if len(l.queue) > 0 && now < l.nextDial {
+		return l.nextDial - now
+	}
+	return 0
+}
+
+// hasQueued reports whether an attempt to the host is in the queue.
+func (l *ConnectionLimiter) hasQueued(pool *hostPool) bool {
+	return slices.ContainsFunc(l.queue, func(attempt *Attempt) bool { return attempt.pool == pool })
+}
+
+// requeueRefused puts an attempt back at the head of the queue if err says that the store refused its connection, and reports
+// whether it did. Other errors of a dial are the host's.
+func (l *ConnectionLimiter) requeueRefused(attempt *Attempt, err error) bool {
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, errStoreRefused)
+	if !refused {
+		return false
+	}
+	l.backOff()
+	attempt.conn = nil
+	attempt.started = false
+	if l.transport.now() >= attempt.queueDeadline {
+		l.reject(attempt)
+		return true
+	}
+	l.queue = append([]*Attempt{attempt}, l.queue...)
+	l.serveQueue()
+	return true
+}
+
+// backOff counts a refusal and pauses dials.
+func (l *ConnectionLimiter) backOff() {
+	l.Refused++
+	l.dialBackoff = min(max(2*l.dialBackoff, minDialBackoff), maxDialBackoff)
+	l.nextDial = l.transport.now() + l.dialBackoff
+}
+
+// requeuePending moves the host's longest pending attempt back to the queue when its connection comes up, which so stays idle
+// for the reuse delay first: a full store may accept a connection and close it at once, and a request written to it might have
+// run.
+func (l *ConnectionLimiter) requeuePending(pool *hostPool) {
+	if len(pool.pending) > 0 {
+		l.queue = append([]*Attempt{pool.takePending()}, l.queue...)
+	}
+}
+
+// attemptAssigned counts an attempt that got a connection.
+func (l *ConnectionLimiter) attemptAssigned(attempt *Attempt) {
+	if attempt.urgent {
+		l.urgentInFlight++
+	}
+}
+
+// attemptDone counts an attempt that left its connection. An answer ends the backoff and updates the average service time.
+func (l *ConnectionLimiter) attemptDone(attempt *Attempt, answered bool) {
+	if attempt.urgent {
+		l.urgentInFlight--
+	}
+	if !answered {
+		return
+	}
+	l.dialBackoff = 0
+	serviceTime := float64(l.transport.now() - attempt.startedAt)
+	if l.serviceTime == 0 {
+		l.serviceTime = serviceTime
+		return
+	}
+	l.serviceTime += (serviceTime - l.serviceTime) * serviceTimeWeight
+}
--- a/internal/hosts/gate_test.go
+++ b/internal/hosts/limiter_test.go
@@ -46,32 +46,32 @@
 	}()
 	d := newDesk(t, l.Addr().String(), 99)
 	clock := time.Now()
-	d.Fleet.now = func() int64 { return int64(time.Since(clock)) }
+	d.Transport.now = func() int64 { return int64(time.Since(clock)) }
 	allowed := 1
-	g := d.Limit(1, 19*time.Second, func(int64) int { return allowed }, func(int64) {})
+	g := d.LimitConnections(1, 19*time.Second, func(int64) int { return allowed }, func(int64) {})
 	ask := func(name string, wait time.Duration) {
-		g.Urgent(name == "urgent")
-		d.Dispatch(1, []byte("*2\r\n"), []byte(name), nil, nil, int64(wait), 1e18, func(e gateway.Event, value []byte, _ int64) {
-			d.out = append(d.out, fmt.Sprintf("%s: result %d, value %q, come back %t", name, e.Result, value, g.Back() > 0))
+		g.SetUrgent(name == "urgent")
+		d.Send(1, []byte("*2\r\n"), []byte(name), nil, nil, int64(wait), 1e18, func(e gateway.Event, value []byte, _ int64) {
+			d.out = append(d.out, fmt.Sprintf("%s: result %d, value %q, come back %t", name, e.Result, value, g.RetryAfter() > 0))
 		})
 		d.Flush()
 	}
 	ask("a", 40*time.Second)
 	ask("b", 40*time.Second)
 	ask("urgent", 40*time.Second)
-	if held, use := g.Use(); held != 1 || use != 3 {
+	if held, use := g.Usage(); held != 1 || use != 3 {
 		t.Errorf("%d connections, %d in use or waited for", held, use)
 	}
-	if g.armed {
+	if g.timerSet {
 		t.Error("the loop is woken again and again while only an answer can help")
 	}
 	d.until(3)
-	g.service = float64(time.Hour)
+	g.serviceTime = float64(time.Hour)
 	ask("c", 40*time.Second) // a connection rests, and is its at once
 	ask("late", 40*time.Second)
 	d.until(5)
 	allowed = 0 // recalled: what is free ends
 	d.Flush()
-	held, _ := g.Use()
-	golden.Check(t, fmt.Sprintf("%s\nstore saw %.3s... first, %d refused, %d turned away, %d held\n", strings.Join(d.out, "\n"), <-got, g.Refused, g.Away, held))
+	held, _ := g.Usage()
+	golden.Check(t, fmt.Sprintf("%s\nstore saw %.3s... first, %d refused, %d turned away, %d held\n", strings.Join(d.out, "\n"), <-got, g.Refused, g.Rejected, held))
 }
--- a/internal/hosts/scale_test.go
+++ b/internal/hosts/scale_test.go
@@ -8,24 +8,24 @@
 	"ravensill/gateway"
 )
 
-// count adds up over all hosts what the fleet keeps counts of.
-func (f *Fleet) countAll() (waiting, dialing, free int) {
-	for _, h := range f.hosts {
-		waiting += len(h.waiting)
+// countAll counts over all hosts what the transport keeps counts of.
+func (t *Transport) countAll() (waiting, dialing, free int) {
+	for _, h := range t.pools {
+		waiting += len(h.pending)
 		dialing += h.dialing
-		free += len(h.free)
+		free += len(h.idle)
 	}
 	return waiting, dialing, free
 }
 
-// TestCounts: the fleet's own counts and order of free connections are those of its hosts, whatever befalls these.
+// TestCounts: the transport's own counts and order of idle connections are those of its hosts, whatever befalls these.
 func TestCounts(t *testing.T) {
 	f := newFar(t)
 	check := func(after string) {
 		t.Helper()
 		waiting, dialing, free := f.countAll()
-		if f.waiting != waiting || f.dialing != dialing || f.free.Len() != free {
-			t.Errorf("%s: counted %d waiting, %d dialing, %d free; there are %d, %d, %d", after, f.waiting, f.dialing, f.free.Len(),
+		if f.pendingCount != waiting || f.dialingCount != dialing || f.idle.Len() != free {
+			t.Errorf("%s: counted %d waiting, %d dialing, %d free; there are %d, %d, %d", after, f.pendingCount, f.dialingCount, f.idle.Len(),
 				waiting, dialing, free)
 		}
 	}
@@ -33,9 +33,9 @@
 		f.ask(name, 1)
 	}
 	check("three sends")
-	f.ask("d", 1).Stop(ErrCanceled)
+	f.ask("d", 1).Cancel(ErrCanceled)
 	check("one of four given up")
-	for f.host(1).dialing > 0 {
+	for f.pool(1).dialing > 0 {
 		f.pass(1)
 	}
 	f.Flush()
@@ -47,18 +47,18 @@
 		f.pass(1)
 	}
 	check("answered")
-	if !slices.IsSortedFunc(f.host(1).free, func(a, b *conn) int { return int(a.freed - b.freed) }) {
+	if !slices.IsSortedFunc(f.pool(1).idle, func(a, b *conn) int { return int(a.idleSince - b.idleSince) }) {
 		t.Error("free connections are out of order")
 	}
 	f.now.Add(1)
-	f.closeOldest(nil)
+	f.closeLongestIdle(nil)
 	check("the oldest is closed")
 	f.ask("e", 1)
 	f.ask("f", 1)
 	check("two more sends")
-	f.Drop(1)
+	f.Remove(1)
 	check("the host is gone")
-	for f.count > 0 {
+	for f.openConns > 0 {
 		f.pass(1)
 	}
 	check("all has ended")
@@ -68,20 +68,20 @@
 // were looked at.
 func TestIdleHosts(t *testing.T) {
 	d := newDesk(t, "127.0.0.1:1", 1)
-	g := d.Limit(0, 1, func(int64) int { return 0 }, func(int64) {})
+	g := d.LimitConnections(0, 1, func(int64) int { return 0 }, func(int64) {})
 	for id := range uint32(87_000) {
-		d.Place(id+2, netip.MustParseAddrPort("127.0.0.1:1"))
-		d.hosts[id+2] = nil
+		d.SetAddress(id+2, netip.MustParseAddrPort("127.0.0.1:1"))
+		d.pools[id+2] = nil
 	}
-	d.Tidy()
-	g.Use()
+	d.CloseIdle()
+	g.Usage()
 	d.Flush()
-	d.room()
-	d.closeOldest(nil)
-	d.Drop(1)
-	if n := testing.AllocsPerRun(10, func() { d.Tidy(); g.Use() }); n != 0 {
+	d.makeRoom()
+	d.closeLongestIdle(nil)
+	d.Remove(1)
+	if n := testing.AllocsPerRun(10, func() { d.CloseIdle(); g.Usage() }); n != 0 {
 		t.Errorf("%v allocations for a tick", n)
 	}
-	d.Place(1, netip.MustParseAddrPort("127.0.0.1:2"))
-	d.Probe(1, func(gateway.Event, []byte, int64) {}).Stop(ErrCanceled)
+	d.SetAddress(1, netip.MustParseAddrPort("127.0.0.1:2"))
+	d.Probe(1, func(gateway.Event, []byte, int64) {}).Cancel(ErrCanceled)
 }
--- /dev/null
+++ b/internal/hosts/transport.go
@@ -0,0 +1,172 @@
+package hosts
+
+import (
+	"container/list"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"ravensill/internal/resp"
+)
+
+// defaultReuseDelay is the time for which a connection is not used again after an answer, in nanoseconds: whatever else the
+// host sends for that answer arrives within it.
+const defaultReuseDelay = int64(10 * time.Millisecond)
+
+// probeTimeout bounds a load probe, its wait for a connection included.
+const probeTimeout = int64(time.Second)
+
+// Transport owns the connections to all hosts. It is not safe for concurrent use: its methods and callbacks run on one
+// event loop, to which runOnLoop brings work from other goroutines. Times and durations are in nanoseconds.
+type Transport struct {
+	runOnLoop    func(func())
+	now          func() int64
+	loadFields   []string // names of a load report's fields
+	idleTimeout  int64    // idle connections are closed after it
+	maxConns     int      // limit of openConns
+	openConns    int      // connections, dials in progress included
+	reuseDelay   int64    // minimum idle time before a connection is used again
+	addrs        map[uint32]netip.AddrPort
+	pools        map[uint32]*hostPool // of the hosts that an attempt was made to
+	pendingCount int                  // attempts that wait for a connection, over all pools
+	dialingCount int                  // dials in progress, over all pools
+	idle         *list.List           // of *conn, over all pools, the longest idle first
+	toFlush      []*conn              // connections with something to write
+	limiter      *ConnectionLimiter   // nil without a connection quota
+	nextUrgent   bool                 // whether the next attempt is of an urgent request class
+
+	// Dial opens a connection, which must be a *net.TCPConn. Tests replace it.
+	Dial func(addr string) (net.Conn, error)
+}
+
+// NewTransport returns a transport without hosts. runOnLoop runs a function on the event loop, loadFields names the fields of
+// a load report; connectTimeout and idleTimeout are in nanoseconds, and at most maxConns connections are open at a time.
+func NewTransport(runOnLoop func(func()), now func() int64, loadFields []string,
+	connectTimeout, idleTimeout int64, maxConns int) *Transport {
+	dialer := net.Dialer{Timeout: time.Duration(connectTimeout), KeepAlive: -1}
+	return &Transport{
+		runOnLoop:   runOnLoop,
+		now:         now,
+		loadFields:  loadFields,
+		idleTimeout: idleTimeout,
+		maxConns:    maxConns,
+		reuseDelay:  defaultReuseDelay,
+		addrs:       map[uint32]netip.AddrPort{},
+		pools:       map[uint32]*hostPool{},
+		idle:        list.New(),
+		Dial:        func(addr string) (net.Conn, error) { return dialer.Dial("tcp4", addr) },
+	}
+}
+
+// SetAddress adds a host or changes its address. Connections to an earlier address are closed once they are idle.
+func (t *Transport) SetAddress(id uint32, addr netip.AddrPort) {
+	t.addrs[id] = addr
+	pool := t.pools[id]
+	if pool != nil && pool.addr != addr {
+		pool.addr = addr
+		pool.closeIdle()
+	}
+}
+
+// Remove forgets a host. Its idle connections are closed and attempts that wait for one fail; attempts that have started go on.
+func (t *Transport) Remove(id uint32) {
+	delete(t.addrs, id)
+	pool := t.pools[id]
+	if pool == nil {
+		return
+	}
+	delete(t.pools, id)
+	t.pendingCount -= len(pool.pending)
+	t.dialingCount -= pool.dialing
+	pool.removed = true
+	pool.closeIdle()
+	pool.cancelUnstarted(errHostRemoved)
+}
+
+// Drain cancels the attempts to a host that have not started: a connection that they wait for may come up after the host's
+// grace period. The policy knows of the drain before these results reach it, and makes its next attempts elsewhere.
+func (t *Transport) Drain(id uint32) {
+	if pool := t.pools[id]; pool != nil {
+		pool.cancelUnstarted(ErrCanceled)
+	}
+}
+
+// Send makes an attempt. The command is head, then a bulk string of before, wait in whole milliseconds and after, then tail.
+// It is not started after writeDeadline. onResult is called once, possibly before Send returns.
+func (t *Transport) Send(id uint32, head, before, after, tail []byte, wait, writeDeadline int64, onResult ResultHandler) *Attempt {
+	milliseconds := strconv.AppendInt(nil, max((wait+999_999)/1_000_000, 1), 10)
+	bulkLength := int64(len(before) + len(milliseconds) + len(after))
+	command := make([]byte, 0, len(head)+int(bulkLength)+len(tail)+32)
+	command = append(command, head...)
+	command = append(command, '$')
+	command = strconv.AppendInt(command, bulkLength, 10)
+	command = append(command, "\r\n"...)
+	command = append(command, before...)
+	command = append(command, milliseconds...)
+	command = append(command, after...)
+	command = append(command, "\r\n"...)
+	command = append(command, tail...)
+	return t.start(id, command, wait, writeDeadline, onResult)
+}
+
+// Probe asks a host for its load report.
+func (t *Transport) Probe(id uint32, onResult ResultHandler) *Attempt {
+	command := resp.Bulk(resp.Bulk(resp.Array(nil, 2), "INFO"), "load")
+	attempt := t.start(id, command, probeTimeout, t.now()+probeTimeout, onResult)
+	attempt.probe = true
+	return attempt
+}
+
+// start makes an attempt with a whole command.
+func (t *Transport) start(id uint32, command []byte, wait, writeDeadline int64, onResult ResultHandler) *Attempt {
+	pool := t.pool(id)
+	if pool == nil {
+		removed := &hostPool{transport: t, removed: true}
+		attempt := &Attempt{pool: removed, command: command, onResult: onResult}
+		attempt.fail(&Failure{Connecting, errHostRemoved})
+		return attempt
+	}
+	attempt := &Attempt{pool: pool, command: command, onResult: onResult, urgent: t.nextUrgent, writeDeadline: writeDeadline}
+	if t.limiter != nil {
+		t.limiter.enqueue(attempt, wait)
+		return attempt
+	}
+	pool.schedule(attempt)
+	return attempt
+}
+
+// pool returns the connection pool of a host, nil for an unknown host.
+func (t *Transport) pool(id uint32) *hostPool {
+	if pool := t.pools[id]; pool != nil {
+		return pool
+	}
+	addr, known := t.addrs[id]
+	if !known {
+		return nil
+	}
+	pool := &hostPool{transport: t, addr: addr}
+	t.pools[id] = pool
+	return pool
+}
+
+// Flush writes the commands scheduled since the last call, with one write per connection, and reports whether bytes are left
+// to be written. A write that fails may schedule its attempt on another connection and so extend the list while it is walked.
+func (t *Transport) Flush() bool {
+	if t.limiter != nil {
+		t.limiter.serveQueue()
+	}
+	left := 0
+	for i := 0; i < len(t.toFlush); i++ {
+		c := t.toFlush[i]
+		if !c.flush() {
+			c.flushQueued = false
+			continue
+		}
+		t.toFlush[left] = c
+		left++
+	}
+	clear(t.toFlush[left:])
+	t.toFlush = t.toFlush[:left]
+	return left > 0
+}
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -125,8 +125,8 @@
 func (r *rig) hold() (_, _ chan struct{}) {
 	dials, up := make(chan struct{}, 9), make(chan struct{})
 	r.do(func() {
-		dial := r.fleet.Dial
-		r.fleet.Dial = func(addr string) (net.Conn, error) {
+		dial := r.transport.Dial
+		r.transport.Dial = func(addr string) (net.Conn, error) {
 			dials <- struct{}{}
 			<-up
 			return dial(addr)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -142,7 +142,7 @@
 func (n *Node) listed(text string, old bool) {
 	n.told = n.told || !old
 	had := n.book.Version
-	kind, list, odd, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
+	kind, list, odd, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.transport.SetAddress(host, addr) })
 	if err != nil {
 		n.broken++
 		log.Printf("event=list_dropped error=%q count=%d", err, n.broken)
@@ -163,10 +163,10 @@
 			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
 		}
 		if l.State == gateway.Draining {
-			n.fleet.Hold(l.Host)
+			n.transport.Drain(l.Host)
 		}
 		if l.State == gateway.Gone {
-			n.fleet.Drop(l.Host)
+			n.transport.Remove(l.Host)
 			n.book.Forget(l.Host)
 		}
 	}
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -52,7 +52,7 @@
 	m := &eager{}
 	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
 		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
-	n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+	n.transport.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 	arrive := func(id string) *clients.Answer {
 		a := new(clients.Line).Add()
 		n.arrive(a, n.now(), id, "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
@@ -62,7 +62,7 @@
 	n.turn()
 	a := arrive("with-the-end-of-its-attempt")
 	n.turn()
-	n.reqs["with-the-end-of-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
+	n.reqs["with-the-end-of-its-attempt"].sends[0].send.Cancel(hosts.ErrTimedOut)
 	a.Left()
 	n.turn()
 	a = arrive("while-it-waits-for-a-connection") // it ends at once, unsent
@@ -70,12 +70,12 @@
 	a.Left()
 	n.turn()
 	a = arrive("under-its-attempt")
-	for n.turn(); !n.reqs["under-its-attempt"].sends[0].send.Sent(); n.turn() {
+	for n.turn(); !n.reqs["under-its-attempt"].sends[0].send.Written(); n.turn() {
 		(<-n.work)()
 	}
 	a.Left()
 	n.turn()
-	n.reqs["under-its-attempt"].sends[0].send.Stop(hosts.ErrTimedOut)
+	n.reqs["under-its-attempt"].sends[0].send.Cancel(hosts.ErrTimedOut)
 	n.turn()
 	fmt.Fprintf(m, "%d requests and %d attempts are held\n", len(n.reqs), len(n.open))
 	golden.Check(t, m.String())
@@ -111,7 +111,7 @@
 	m := &leaver{left: func() { (<-all).Close() }}
 	addr, stop, ended := serve(t, m, func(n *Node) {
 		m.n = n
-		n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+		n.transport.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 	}, "panic")
 	c := dial(t, addr)
 	fmt.Fprint(c, command("a", 1))
@@ -135,15 +135,15 @@
 	for _, effect := range []gateway.Effect{gateway.Replayable, gateway.Uniqued} {
 		n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1},
 			Fronts: []gateway.Frontend{{Effect: effect, Window: 1}}, Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
-		n.fleet.Place(1, netip.MustParseAddrPort(l.Addr().String()))
+		n.transport.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 		n.arrive(new(clients.Line).Add(), n.now(), "r", "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
 		n.turn()
 		for i, r := 0, n.reqs["r"]; i < 2; i++ {
-			for ; !r.sends[i].send.Sent(); n.turn() {
+			for ; !r.sends[i].send.Written(); n.turn() {
 				(<-n.work)()
 			}
 			if i == 0 {
-				r.sends[0].send.Stop(hosts.ErrTimedOut) // it may have run
+				r.sends[0].send.Cancel(hosts.ErrTimedOut) // it may have run
 				n.turn()
 			}
 		}
@@ -159,7 +159,7 @@
 	m := &eager{}
 	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
 		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
-	n.fleet.Place(1, netip.MustParseAddrPort("127.0.0.1:1"))
+	n.transport.SetAddress(1, netip.MustParseAddrPort("127.0.0.1:1"))
 	arrive := func(id string) *clients.Answer {
 		a := new(clients.Line).Add() // its line has no ring: an answer panics
 		n.arrive(a, n.now(), id, "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
@@ -170,11 +170,11 @@
 	d := n.reqs["answered"].sends[0]
 	n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.Passed}, []byte("v"), n.now()) })
 	n.step()
-	fleet := n.fleet
-	n.fleet = nil
+	fleet := n.transport
+	n.transport = nil
 	a := arrive("sent")
 	n.step()
-	n.fleet = fleet
+	n.transport = fleet
 	n.unix += 2e12
 	n.step()
 	a.Left()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,43 +44,43 @@
 
 // Node is one gateway. All its fields belong to the loop.
 type Node struct {
-	cfg     *config.Config
-	module  Decider
-	work    chan func()
-	epoch   time.Time // and its Unix time: now is counted from there and never runs back
-	unix    int64
-	reqs    map[string]*req
-	events  []gateway.Event // since the last round
-	news    []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
-	round   gateway.Round
-	rounds  int   // handed to the module
-	wakeAt  int64 // 0: no wake-up is due
-	dueAt   int64 // when the first dispatch of open times out at the earliest
-	open    []*dispatch
-	classes []gateway.Frontend // request classes by index, as they are in force
-	catalog *clients.Catalog
-	clients *clients.Server
-	fleet   *hosts.Fleet
-	book    *discovery.Book
-	post    *peers.Post
-	counter *counter.Counter // nil: none is configured
-	watch   *watch
-	witness *watching             // nil: off
-	pool    *pooling              // nil: off
-	pending []revision            // of the configuration; each is in force after the turn at hand
-	over    chan struct{}         // closed when Run returns
-	tasks   []func() (end func()) // started once the gateway has its addresses
-	lost    bool                  // the watch broke, and none has brought anything since
-	told    bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int                   // lists dropped
-	strange int                   // datagrams dropped since the last line on them
-	lineAt  int64                 // of that line
-	tallyAt int64                 // of the last line of decisions
-	stopAt  int64                 // the next step to the end is due then; 0 none
-	leaveAt int64                 // what is taken has its answer by then; 0 not called to stop
-	serving bool                  // clients are taken in
-	stopped bool                  // no more are: the gateway ends with its last connection
-	retired bool                  // those that are owed nothing are closed
+	cfg       *config.Config
+	module    Decider
+	work      chan func()
+	epoch     time.Time // and its Unix time: now is counted from there and never runs back
+	unix      int64
+	reqs      map[string]*req
+	events    []gateway.Event // since the last round
+	news      []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
+	round     gateway.Round
+	rounds    int   // handed to the module
+	wakeAt    int64 // 0: no wake-up is due
+	dueAt     int64 // when the first dispatch of open times out at the earliest
+	open      []*dispatch
+	classes   []gateway.Frontend // request classes by index, as they are in force
+	catalog   *clients.Catalog
+	clients   *clients.Server
+	transport *hosts.Transport
+	book      *discovery.Book
+	post      *peers.Post
+	counter   *counter.Counter // nil: none is configured
+	watch     *watch
+	witness   *watching             // nil: off
+	pool      *pooling              // nil: off
+	pending   []revision            // of the configuration; each is in force after the turn at hand
+	over      chan struct{}         // closed when Run returns
+	tasks     []func() (end func()) // started once the gateway has its addresses
+	lost      bool                  // the watch broke, and none has brought anything since
+	told      bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken    int                   // lists dropped
+	strange   int                   // datagrams dropped since the last line on them
+	lineAt    int64                 // of that line
+	tallyAt   int64                 // of the last line of decisions
+	stopAt    int64                 // the next step to the end is due then; 0 none
+	leaveAt   int64                 // what is taken has its answer by then; 0 not called to stop
+	serving   bool                  // clients are taken in
+	stopped   bool                  // no more are: the gateway ends with its last connection
+	retired   bool                  // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
@@ -92,7 +92,7 @@
 	n.catalog = clients.NewCatalog(catalogOf(cfg))
 	sockets := descriptors(cfg.Sockets)
 	n.clients = clients.NewServer(n.catalog, sockets/3, n.do, n.now, n.arrive)
-	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
+	n.transport = hosts.NewTransport(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		sockets*2/5)
 	if cfg.Counter.IsValid() {
 		n.counter = counter.New(cfg.Counter, cfg.Limits.CounterWait, n.do, n.now, func(e gateway.Event) {
@@ -245,7 +245,7 @@
 	countAt := int64(0)
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
-		n.fleet.Tidy()
+		n.transport.CloseIdle()
 		n.clients.Tidy()
 		if n.strange > 0 && now-n.lineAt > int64(time.Second) {
 			log.Printf("event=datagrams_dropped count=%d", n.strange)
@@ -271,7 +271,7 @@
 		}
 		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
-		left = n.fleet.Flush() || left
+		left = n.transport.Flush() || left
 		if n.counter != nil {
 			left = n.counter.Flush() || left
 			countAt = n.counter.Expire(n.now())
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -10,14 +10,14 @@
 )
 
 // pooling keeps the gateway to its quota of connections where the section pool is on: the holder says how many there may be,
-// the gate of the fleet keeps to it, and the client tells the voters. Its fields belong to the loop.
+// the connection limiter keeps to it, and the client tells the voters. Its fields belong to the loop.
 type pooling struct {
-	node   *Node
-	holder *pool.Holder
-	gate   *hosts.Gate
-	client *pooler.Client
-	urgent []bool // by request class: first within the floor
-	lineAt int64
+	node        *Node
+	leaseholder *pool.Holder
+	limiter     *hosts.ConnectionLimiter
+	client      *pooler.Client
+	urgent      []bool // by request class: first within the floor
+	lineAt      int64
 }
 
 const poolLine = int64(5 * time.Second)
@@ -50,13 +50,13 @@
 	}
 	now := n.now()
 	p := &pooling{node: n, client: client, lineAt: now,
-		holder: pool.NewHolder(&cfg.Terms, n.cfg.Seat.Index, uint64(n.unix), cfg.Weight, cfg.Serial, cfg.Capacity, now)}
+		leaseholder: pool.NewHolder(&cfg.Terms, n.cfg.Seat.Index, uint64(n.unix), cfg.Weight, cfg.Serial, cfg.Capacity, now)}
 	for index, name := range n.cfg.FrontNames {
 		p.named(index, name)
 	}
-	p.gate = n.fleet.Limit(cfg.Terms.Floor, cfg.Turn, p.holder.Allowed, p.holder.Turned)
+	p.limiter = n.transport.LimitConnections(cfg.Terms.Floor, cfg.Turn, p.leaseholder.Allowed, p.leaseholder.Turned)
 	n.pool = p
-	go client.Listen(func(g *pool.Grant) { p.holder.Hear(n.now(), g) })
+	go client.Listen(func(g *pool.Grant) { p.leaseholder.Hear(n.now(), g) })
 	log.Printf("event=pool_on seat=%d floor=%d capacity=%d voters=%d", n.cfg.Seat.Index, cfg.Terms.Floor, cfg.Capacity, len(cfg.Voters))
 	return end, nil
 }
@@ -67,18 +67,19 @@
 		return 0
 	}
 	now := p.node.now()
-	held, use := p.gate.Use()
-	p.holder.Use(now, held, use)
-	if r := p.holder.Report(now); r != nil {
+	held, demand := p.limiter.Usage()
+	p.leaseholder.Use(now, held, demand)
+	if r := p.leaseholder.Report(now); r != nil {
 		p.client.Tell(r)
 	}
 	if now-p.lineAt >= poolLine {
 		p.lineAt = now
-		g, c := p.gate, p.client
+		limiter, client := p.limiter, p.client
 		log.Printf("event=pool_quota allowed=%d held=%d use=%d waited=%d turned_away=%d dials=%d refused=%d told=%d heard=%d dropped=%d silent_ms=%d",
-			p.holder.Allowed(now), held, use, g.Waited, g.Away, g.Dials, g.Refused, c.Told, c.Heard, c.Dropped, (now-p.holder.Heard())/1e6)
+			p.leaseholder.Allowed(now), held, demand, limiter.Queued, limiter.Rejected, limiter.Dials, limiter.Refused,
+			client.Told, client.Heard, client.Dropped, (now-p.leaseholder.Heard())/1e6)
 	}
-	return p.holder.Due(now)
+	return p.leaseholder.Due(now)
 }
 
 // named takes in a request class; a new one has the next index.
@@ -88,19 +89,19 @@
 	}
 }
 
-// next tells the gate whose dispatch comes next.
+// next tells the connection limiter of whose request class the next attempt is.
 func (p *pooling) next(r *req) {
 	if p != nil {
-		p.gate.Urgent(p.urgent[r.front])
+		p.limiter.SetUrgent(p.urgent[r.front])
 	}
 }
 
 // ended denies a req whose dispatch was turned away for want of a connection, with the time to come back.
 func (p *pooling) ended(r *req) {
-	if p == nil || r.closed || r.out > 0 || p.gate.Back() == 0 {
+	if p == nil || r.closed || r.out > 0 || p.limiter.RetryAfter() == 0 {
 		return
 	}
-	after := p.gate.Back()
+	after := p.limiter.RetryAfter()
 	if !p.node.cfg.Limits.RetryAfter {
 		after = 0
 	}
@@ -114,6 +115,6 @@
 // capacity takes in what the file now says of the store.
 func (p *pooling) capacity(serial uint64, capacity int) {
 	if p != nil {
-		p.holder.Capacity(serial, capacity)
+		p.leaseholder.Capacity(serial, capacity)
 	}
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -32,7 +32,7 @@
 	host    uint32
 	n       int
 	at, due int64
-	send    *hosts.Send
+	send    *hosts.Attempt
 }
 
 // expire ends the dispatches whose time is up.
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, d := range due { // each ends at once, also one whose send a panic has swallowed
-		n.guard("loop", func() { d.send.Stop(hosts.ErrTimedOut) })
+		n.guard("loop", func() { d.send.Cancel(hosts.ErrTimedOut) })
 		if slices.Contains(n.open, d) {
 			n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.TimedOut}, nil, now) })
 		}
@@ -98,8 +98,8 @@
 // withdraw gives up a dispatch that has not begun: it waits for a connection, or its last byte is not yet written. Its
 // connection may come up long after, and then carry a req whose client is gone.
 func (d *dispatch) withdraw() {
-	if !d.send.Sent() {
-		d.send.Stop(hosts.ErrCanceled)
+	if !d.send.Written() {
+		d.send.Cancel(hosts.ErrCanceled)
 	}
 }
 
@@ -148,7 +148,7 @@
 	if r.ranAt > 0 && r.class.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
 		by = min(by, r.ranAt+r.class.Window)
 	}
-	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
+	d.send = n.transport.Send(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
 	if r.closed { // it left meanwhile: the end of another may have ended its connection
 		d.withdraw()
 	}
@@ -156,12 +156,12 @@
 
 func (n *Node) Probe(host uint32) {
 	d := n.sent(nil, host, probeWait)
-	d.send = n.fleet.Probe(host, d.ended)
+	d.send = n.transport.Probe(host, d.ended)
 }
 
 // sent notes a dispatch that is to end within a time.
 func (n *Node) sent(r *req, host uint32, wait int64) *dispatch {
-	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.Never}
+	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.NeverStarted}
 	if r != nil {
 		d.n = len(r.sends)
 	}
@@ -203,7 +203,7 @@
 
 func (n *Node) Cancel(id string, dispatch int) {
 	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
-		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
+		r.sends[dispatch].send.Cancel(hosts.ErrCanceled)
 	}
 }
 
