Gossip: package mail is internal/gossip; Format, Header, Counter, Decode, MaxMessageBytes, MaxTags

Cause: 'mail', 'post' and 'total' were house words for gossip between gateways.

Change: internal/mail is internal/gossip with a format's Header, Counter and Decode in short functions; peers.Post is peers.Transport with Send and SetMembers; the laboratories' Mail is Gossip. Messages, configuration keys and the relay's chance keys ('mail') are as they were.

--- a/cmd/ravensill/configuration_test.go
+++ b/cmd/ravensill/configuration_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/prometheus/procfs"
 
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"ravensill/internal/publisher"
 	"ravensill/internal/publishertest"
 )
@@ -197,21 +197,21 @@
 		if line := gateway.waitInForce(group.Publish(0, "PATCH", "/v1/configuration", body)); !strings.Contains(line, "members=2") {
 			t.Error(line)
 		}
-		message := make([]byte, mail.Most)
+		message := make([]byte, gossip.MaxMessageBytes)
 		member.SetReadDeadline(time.Now().Add(waitLimit))
 		n, _, err := member.ReadFromUDPAddrPort(message)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if byID := (mail.Form{Members: 2, ByID: true}); !wellFormed(byID, message[:n]) {
+		if byID := (gossip.Format{Members: 2, ByID: true}); !wellFormed(byID, message[:n]) {
 			t.Errorf("a message of another form: %x", message[:n])
 		}
 	}
 }
 
 // wellFormed tells whether a message is of a form.
-func wellFormed(form mail.Form, message []byte) (read bool) {
-	form.Read(message, func(uint64, uint64) bool {
+func wellFormed(form gossip.Format, message []byte) (read bool) {
+	form.Decode(message, func(uint64, uint64) bool {
 		read = true
 		return false
 	}, nil, nil)
@@ -285,7 +285,7 @@
 				follow(config, settings)
 			}
 		}, newHost(t, func([]string) string { return successReply("v") }))
-		message := make([]byte, mail.Most)
+		message := make([]byte, gossip.MaxMessageBytes)
 		member.SetReadDeadline(time.Now().Add(waitLimit))
 		n, _, err := member.ReadFromUDPAddrPort(message)
 		if err != nil {
@@ -294,7 +294,7 @@
 		return gateway, message[:n]
 	}
 	gateway, message := start(false)
-	if byIndex := (mail.Form{Plans: 1, Members: 2}); !wellFormed(byIndex, message) {
+	if byIndex := (gossip.Format{Plans: 1, Members: 2}); !wellFormed(byIndex, message) {
 		t.Errorf("off: a message of another form: %x", message)
 	}
 	if log := strings.Join(gateway.startupLog, "\n"); strings.Contains(log, "configuration") {
--- a/cmd/ravensill/peers_test.go
+++ b/cmd/ravensill/peers_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 )
 
 // TestPeers checks that the quota holds across gateways: one rejects what the other has admitted. Datagrams from unknown
@@ -40,7 +40,7 @@
 				return
 			}
 			relays[0].WriteToUDP(buf[:n], peerAddr)
-			mail.Form{Plans: 1, Members: 2}.Read(buf[:n], func(uint64, uint64) bool { return true }, func(uint16) {},
+			gossip.Format{Plans: 1, Members: 2}.Decode(buf[:n], func(uint64, uint64) bool { return true }, func(uint16) {},
 				func(_, _ uint32, _, _ int, total, _ uint64) {
 					if total == 8*16 { // all of it, in parts of a unit
 						reported <- struct{}{}
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	stranger.Write(mail.Form{}.Head(1, 1, nil)) // well-formed, but from an unknown address
+	stranger.Write(gossip.Format{}.Header(1, 1, nil)) // well-formed, but from an unknown address
 	relays[0].WriteToUDP([]byte("hello"), peerAddr)
 	for n, all := 0, 0; all < 2; all += n {
 		l := gateway[1].waitForLog("event=datagrams_dropped")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,7 +105,7 @@
 	Cancel(req string, dispatch int)
 	Deny(req string, after int64) // final; a repeat is harmless, after this long
 	Abort(req string)             // final; promises nothing
-	Tell(peer int, body []byte)   // at most Mail.Bytes
+	Tell(peer int, body []byte)   // at most gossip.MaxMessageBytes
 	Probe(host uint32)
 	Wake(after int64)
 	Follow()          // asks for the list and its changes
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,185 @@
+// Package gossip encodes and decodes the messages between gateways: a version, the sender's incarnation, the message's sequence
+// number, tags of hosts, then the cumulative counters of customers. Integers are varints unless said otherwise.
+package gossip
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+const (
+	versionByIndex = 3 // messages that name a quota plan by its index
+	versionByID    = 4 // messages that name a quota plan by its ID
+
+	MaxMessageBytes = 256 // in a message
+	MaxTags         = 100 // hosts in a message
+)
+
+// Flags of a counter, below its plan's index. Counters of earlier builds may carry a further number under flagGiven, which is
+// skipped.
+const (
+	flagOwed  = 1
+	flagGiven = 2
+	flagBits  = 2
+)
+
+// Format is what the gateways of a fleet must agree on to read each other's messages. Where plans are named by ID, gateways on
+// different versions of the configuration understand each other. The header then carries the number of gateways that the sender
+// knows of, and a message from a fleet of another size is not decoded: the routes of gossip depend on that number.
+type Format struct {
+	Plans   int  // number of quota plans; used only where plans are named by index
+	Members int  // number of gateways
+	ByID    bool // whether plans are named by ID
+}
+
+// Header returns the beginning of a message. The tags are of two bytes each, little-endian.
+func (f Format) Header(incarnation, number uint64, tags []uint16) []byte {
+	var message []byte
+	if f.ByID {
+		message = appendNumbers([]byte{versionByID}, incarnation, number, uint64(f.Members))
+	} else {
+		message = appendNumbers([]byte{versionByIndex}, incarnation, number)
+	}
+	message = appendNumbers(message, uint64(len(tags)))
+	for _, tag := range tags {
+		message = binary.LittleEndian.AppendUint16(message, tag)
+	}
+	return message
+}
+
+// Counter returns the entry of a customer's counter. The customer's hash is of four bytes, little-endian, and so is the plan if
+// it is named by ID; else plan is its index. owed is what a copy that receives the counter for the first time subtracts.
+func (f Format) Counter(hash, plan uint32, spread, first int, total, owed uint64) []byte {
+	entry := binary.LittleEndian.AppendUint32(nil, hash)
+	var flags uint64
+	if f.ByID {
+		entry = binary.LittleEndian.AppendUint32(entry, plan)
+	} else {
+		flags = uint64(plan) << flagBits
+	}
+	if owed > 0 {
+		flags |= flagOwed
+	}
+	entry = appendNumbers(entry, flags, uint64(spread), uint64(first), total)
+	if owed > 0 {
+		entry = appendNumbers(entry, owed)
+	}
+	return entry
+}
+
+func appendNumbers(message []byte, numbers ...uint64) []byte {
+	for _, number := range numbers {
+		message = binary.AppendUvarint(message, number)
+	}
+	return message
+}
+
+// Decode passes the parts of a message to header, tag and counter in turn. It calls none of them for a message that is truncated,
+// of another version or of a fleet of another size, or that names a plan's index or a member that does not exist; and only header
+// if that returns false.
+func (f Format) Decode(message []byte, header func(incarnation, number uint64) bool, tag func(uint16),
+	counter func(hash, plan uint32, spread, first int, total, owed uint64)) {
+	version := byte(versionByIndex)
+	if f.ByID {
+		version = versionByID
+	}
+	if len(message) == 0 || len(message) > MaxMessageBytes || message[0] != version {
+		return
+	}
+	r := reader{rest: message[1:], ok: true}
+	incarnation := r.number()
+	number := r.number()
+	if f.ByID && r.number() != uint64(f.Members) {
+		return
+	}
+	tagCount := r.number()
+	if !r.ok || tagCount > MaxTags || len(r.rest) < 2*int(tagCount) {
+		return
+	}
+	tags := r.rest[:2*tagCount]
+	counters := r.rest[2*tagCount:]
+	if !f.validCounters(counters) || !header(incarnation, number) {
+		return
+	}
+	for ; len(tags) > 0; tags = tags[2:] {
+		tag(binary.LittleEndian.Uint16(tags))
+	}
+	r = reader{rest: counters, ok: true}
+	for len(r.rest) > 0 {
+		e := r.entry(f.ByID)
+		counter(e.hash, e.plan, int(e.spread), int(e.first), e.total, e.owed)
+	}
+}
+
+// validCounters reports whether all counters are whole and name plans and members that exist.
+func (f Format) validCounters(counters []byte) bool {
+	r := reader{rest: counters, ok: true}
+	for len(r.rest) > 0 {
+		e := r.entry(f.ByID)
+		planKnown := f.ByID || int(e.plan) < f.Plans
+		membersKnown := e.spread <= uint64(f.Members) && e.first < uint64(f.Members)
+		if !r.ok || !planKnown || !membersKnown {
+			return false
+		}
+	}
+	return true
+}
+
+// entry is a customer's counter as decoded.
+type entry struct {
+	hash   uint32
+	plan   uint32
+	spread uint64
+	first  uint64
+	total  uint64
+	owed   uint64
+}
+
+// entry reads a counter. Its result is valid only if r.ok holds afterwards.
+func (r *reader) entry(byID bool) (e entry) {
+	e.hash = r.uint32()
+	if byID {
+		e.plan = r.uint32()
+	}
+	flags := r.number()
+	if !byID {
+		e.plan = uint32(min(flags>>flagBits, math.MaxUint32))
+	}
+	e.spread = r.number()
+	e.first = r.number()
+	e.total = r.number()
+	if flags&flagOwed > 0 {
+		e.owed = r.number()
+	}
+	if flags&flagGiven > 0 {
+		r.number()
+	}
+	return e
+}
+
+// reader reads numbers from the front of rest. ok turns false at the first that is truncated or too large.
+type reader struct {
+	rest []byte
+	ok   bool
+}
+
+func (r *reader) number() uint64 {
+	number, length := binary.Uvarint(r.rest)
+	if length <= 0 {
+		r.ok = false
+		return number
+	}
+	r.rest = r.rest[length:]
+	return number
+}
+
+func (r *reader) uint32() uint32 {
+	if len(r.rest) < 4 {
+		r.ok = false
+		r.rest = nil
+		return 0
+	}
+	number := binary.LittleEndian.Uint32(r.rest)
+	r.rest = r.rest[4:]
+	return number
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -99,14 +99,14 @@
 }
 
 func (n *Node) applyMembers(next *config.Revision) {
-	if n.post == nil || len(next.Members) == 0 && next.Update.Members == 0 {
+	if n.peerTransport == nil || len(next.Members) == 0 && next.Update.Members == 0 {
 		return
 	}
 	changed := make([]peers.Member, 0, len(next.Members))
 	for _, member := range next.Members {
 		changed = append(changed, peers.Member{Index: member.Index, Address: member.Address})
 	}
-	n.post.Change(changed, next.MemberCount)
+	n.peerTransport.SetMembers(changed, next.MemberCount)
 }
 
 func (n *Node) logRevision(next *revision) {
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -17,7 +17,7 @@
 	"ravensill/gateway"
 	"ravensill/internal/config"
 	"ravensill/internal/golden"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"ravensill/logic"
 )
 
@@ -255,13 +255,13 @@
 		if line := <-l.lines; !strings.Contains(line, "members=2") {
 			t.Error(line)
 		}
-		message := make([]byte, mail.Most)
+		message := make([]byte, gossip.MaxMessageBytes)
 		n, _, err := socket.ReadFromUDPAddrPort(message)
 		if err != nil {
 			t.Fatalf("address %d: %v", i, err)
 		}
 		read := false
-		mail.Form{Members: 2, ByID: true}.Read(message[:n], func(uint64, uint64) bool {
+		gossip.Format{Members: 2, ByID: true}.Decode(message[:n], func(uint64, uint64) bool {
 			read = true
 			return false
 		}, nil, nil)
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"ravensill/internal/peers"
 )
 
@@ -25,8 +25,8 @@
 func (n *Node) addresses(stop <-chan struct{}) (listener *net.TCPListener, err error) {
 	if len(n.cfg.Peers) > 0 {
 		err = claim("peer_listen", n.cfg.PeerListen, stop, func() (err error) {
-			form := mail.Form{Plans: len(n.cfg.Plans), Members: len(n.cfg.Peers), ByID: n.cfg.Configuration != nil}
-			n.post, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, form)
+			format := gossip.Format{Plans: len(n.cfg.Plans), Members: len(n.cfg.Peers), ByID: n.cfg.Configuration != nil}
+			n.peerTransport, err = peers.Open(n.cfg.PeerListen, n.cfg.Peers, format)
 			return err
 		})
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,43 +44,43 @@
 
 // Node is one gateway. All its fields belong to the loop.
 type Node struct {
-	cfg       *config.Config
-	module    Decider
-	work      chan func()
-	epoch     time.Time // and its Unix time: now is counted from there and never runs back
-	unix      int64
-	reqs      map[string]*req
-	events    []gateway.Event // since the last round
-	news      []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
-	round     gateway.Round
-	rounds    int   // handed to the module
-	wakeAt    int64 // 0: no wake-up is due
-	dueAt     int64 // when the first dispatch of open times out at the earliest
-	open      []*dispatch
-	classes   []gateway.Frontend // request classes by index, as they are in force
-	catalog   *clients.Catalog
-	clients   *clients.Server
-	transport *hosts.Transport
-	book      *discovery.Book
-	post      *peers.Post
-	counter   *counter.Counter // nil: none is configured
-	watch     *watch
-	witness   *watching             // nil: off
-	pool      *pooling              // nil: off
-	pending   []revision            // of the configuration; each is in force after the turn at hand
-	over      chan struct{}         // closed when Run returns
-	tasks     []func() (end func()) // started once the gateway has its addresses
-	lost      bool                  // the watch broke, and none has brought anything since
-	told      bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken    int                   // lists dropped
-	strange   int                   // datagrams dropped since the last line on them
-	lineAt    int64                 // of that line
-	tallyAt   int64                 // of the last line of decisions
-	stopAt    int64                 // the next step to the end is due then; 0 none
-	leaveAt   int64                 // what is taken has its answer by then; 0 not called to stop
-	serving   bool                  // clients are taken in
-	stopped   bool                  // no more are: the gateway ends with its last connection
-	retired   bool                  // those that are owed nothing are closed
+	cfg           *config.Config
+	module        Decider
+	work          chan func()
+	epoch         time.Time // and its Unix time: now is counted from there and never runs back
+	unix          int64
+	reqs          map[string]*req
+	events        []gateway.Event // since the last round
+	news          []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
+	round         gateway.Round
+	rounds        int   // handed to the module
+	wakeAt        int64 // 0: no wake-up is due
+	dueAt         int64 // when the first dispatch of open times out at the earliest
+	open          []*dispatch
+	classes       []gateway.Frontend // request classes by index, as they are in force
+	catalog       *clients.Catalog
+	clients       *clients.Server
+	transport     *hosts.Transport
+	book          *discovery.Book
+	peerTransport *peers.Transport
+	counter       *counter.Counter // nil: none is configured
+	watch         *watch
+	witness       *watching             // nil: off
+	pool          *pooling              // nil: off
+	pending       []revision            // of the configuration; each is in force after the turn at hand
+	over          chan struct{}         // closed when Run returns
+	tasks         []func() (end func()) // started once the gateway has its addresses
+	lost          bool                  // the watch broke, and none has brought anything since
+	told          bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken        int                   // lists dropped
+	strange       int                   // datagrams dropped since the last line on them
+	lineAt        int64                 // of that line
+	tallyAt       int64                 // of the last line of decisions
+	stopAt        int64                 // the next step to the end is due then; 0 none
+	leaveAt       int64                 // what is taken has its answer by then; 0 not called to stop
+	serving       bool                  // clients are taken in
+	stopped       bool                  // no more are: the gateway ends with its last connection
+	retired       bool                  // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
@@ -153,8 +153,8 @@
 		}
 	}()
 	listener, err := n.addresses(stop)
-	if n.post != nil {
-		defer n.post.Close()
+	if n.peerTransport != nil {
+		defer n.peerTransport.Close()
 	}
 	if listener != nil {
 		defer listener.Close()
@@ -186,9 +186,9 @@
 	for _, start := range n.tasks {
 		ends = append(ends, start())
 	}
-	if n.post != nil {
-		go n.post.Listen(func(seat int, body []byte) {
-			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
+	if n.peerTransport != nil {
+		go n.peerTransport.Listen(func(member int, body []byte) {
+			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: member, Body: body}) })
 		}, func() { n.do(func() { n.strange++ }) })
 	}
 	n.start()
@@ -198,7 +198,7 @@
 			n.serving = true
 			n.clients.Listen(listener)
 			log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
-				n.post.Addr(), n.book.Count(), n.book.Version)
+				n.peerTransport.Addr(), n.book.Count(), n.book.Version)
 		}
 		select {
 		case f := <-n.work:
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -222,8 +222,8 @@
 }
 
 func (n *Node) Tell(peer int, body []byte) {
-	if n.post != nil {
-		n.post.Tell(peer, body)
+	if n.peerTransport != nil {
+		n.peerTransport.Send(peer, body)
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,4 @@
-// Package peers carries messages between gateways as datagrams. It decides nothing.
+// Package peers sends and receives gossip messages between gateways as UDP datagrams.
 package peers
 
 import (
@@ -10,17 +10,17 @@
 	"slices"
 	"sync"
 
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 )
 
-// Post is this gateway's place in the exchange.
-type Post struct {
+// Transport is this gateway's socket for gossip. It is safe for concurrent use.
+type Transport struct {
 	conn *net.UDPConn
 
 	mu        sync.RWMutex
 	addresses []netip.AddrPort       // by member index
 	members   map[netip.AddrPort]int // indices by address
-	form      mail.Form              // of the messages that are taken in
+	format    gossip.Format          // of the messages that are received
 }
 
 // Member is the address of a gateway.
@@ -29,17 +29,17 @@
 	Address netip.AddrPort
 }
 
-// Open listens at the address. peers are the gateways of the fleet by member index, form is that of their messages.
-func Open(listen netip.AddrPort, peers []netip.AddrPort, form mail.Form) (*Post, error) {
+// Open listens at the address. peers are the gateways of the fleet by member index, format is that of their messages.
+func Open(listen netip.AddrPort, peers []netip.AddrPort, format gossip.Format) (*Transport, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, err
 	}
-	return &Post{conn: conn, addresses: slices.Clone(peers), members: byAddress(peers), form: form}, nil
+	return &Transport{conn: conn, addresses: slices.Clone(peers), members: indexByAddress(peers), format: format}, nil
 }
 
-// byAddress finds senders at the same cost however many peers there are. Of two at one address the first counts.
-func byAddress(peers []netip.AddrPort) map[netip.AddrPort]int {
+// indexByAddress returns the member index of each address. Of two members at one address the first counts.
+func indexByAddress(peers []netip.AddrPort) map[netip.AddrPort]int {
 	members := make(map[netip.AddrPort]int, len(peers))
 	for index, address := range peers {
 		if _, known := members[address]; !known {
@@ -49,99 +49,99 @@
 	return members
 }
 
-// Change puts new addresses and the size of the fleet in force at once: a message is taken in by the old table or by the
-// new one. Members from count on are gone; each new one below count has its address among the changed ones.
-func (p *Post) Change(changed []Member, count int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for index := count; index < len(p.addresses); index++ {
-		p.forget(index)
+// SetMembers changes addresses and the size of the fleet atomically: a message is received under the old table or under the
+// new one. Members from count on are removed; each new one below count must have its address in changed.
+func (t *Transport) SetMembers(changed []Member, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for index := count; index < len(t.addresses); index++ {
+		t.removeAddress(index)
 	}
 	for _, member := range changed {
-		if member.Index < len(p.addresses) {
-			p.forget(member.Index)
+		if member.Index < len(t.addresses) {
+			t.removeAddress(member.Index)
 		}
 	}
-	more := max(count-len(p.addresses), 0)
-	p.addresses = slices.Grow(p.addresses, more)[:count]
+	added := max(count-len(t.addresses), 0)
+	t.addresses = slices.Grow(t.addresses, added)[:count]
 	for _, member := range changed {
-		p.addresses[member.Index] = member.Address
-		p.members[member.Address] = member.Index
+		t.addresses[member.Index] = member.Address
+		t.members[member.Address] = member.Index
 	}
-	p.form.Members = count
+	t.format.Members = count
 }
 
-// forget lets go of a member's address, unless that is another's.
-func (p *Post) forget(index int) {
-	address := p.addresses[index]
-	if p.members[address] == index {
-		delete(p.members, address)
+// removeAddress removes a member's address from the index, unless another member has it by now.
+func (t *Transport) removeAddress(index int) {
+	address := t.addresses[index]
+	if t.members[address] == index {
+		delete(t.members, address)
 	}
 }
 
-// sender tells which member a message is of, -1 for none, and the form that it should have.
-func (p *Post) sender(from netip.AddrPort) (index int, form mail.Form) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	index, known := p.members[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+// sender returns the index of the member with the address, -1 for none, and the format that its messages must have.
+func (t *Transport) sender(from netip.AddrPort) (index int, format gossip.Format) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	index, known := t.members[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 	if !known {
-		return -1, p.form
+		return -1, t.format
 	}
-	return index, p.form
+	return index, t.format
 }
 
-// Listen hands on each sound message of a peer, known by its address, until Close. Others are dropped;
-// dropped is called for each.
-func (p *Post) Listen(heard func(seat int, body []byte), dropped func()) {
+// Listen calls received for each well-formed message from the address of a peer, and dropped for each other message, until
+// Close. The body is the callee's to keep.
+func (t *Transport) Listen(received func(member int, body []byte), dropped func()) {
 	defer func() {
 		if e := recover(); e != nil {
 			log.Printf("event=panic where=peers error=%q stack=%q", e, debug.Stack())
 		}
 	}()
-	buf := make([]byte, mail.Most+1)
+	buf := make([]byte, gossip.MaxMessageBytes+1)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil { // such as a refusal told of an earlier message to a peer that is down
+		if err != nil { // such as an ICMP error for an earlier message to a peer that is down
 			continue
 		}
-		member, form := p.sender(from)
-		if member < 0 || !sound(form, buf[:n]) {
+		member, format := t.sender(from)
+		if member < 0 || !wellFormed(format, buf[:n]) {
 			dropped()
 			continue
 		}
-		heard(member, slices.Clone(buf[:n]))
+		received(member, slices.Clone(buf[:n]))
 	}
 }
 
-// sound tells whether a message is of the form.
-func sound(form mail.Form, message []byte) bool {
+// wellFormed reports whether a message is of the format.
+func wellFormed(format gossip.Format, message []byte) bool {
 	whole := false
-	form.Read(message, func(uint64, uint64) bool {
+	format.Decode(message, func(uint64, uint64) bool {
 		whole = true
 		return false
 	}, nil, nil)
 	return whole
 }
 
-// Tell sends a message; it may be lost.
-func (p *Post) Tell(member int, body []byte) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	if member >= 0 && member < len(p.addresses) && len(body) <= mail.Most {
-		p.conn.WriteToUDPAddrPort(body, p.addresses[member])
+// Send sends a message, which may be lost. It does nothing for unknown members and messages that are too long.
+func (t *Transport) Send(member int, body []byte) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if member >= 0 && member < len(t.addresses) && len(body) <= gossip.MaxMessageBytes {
+		t.conn.WriteToUDPAddrPort(body, t.addresses[member])
 	}
 }
 
-// Addr gives where this gateway listens, "none" where gateways do not message each other.
-func (p *Post) Addr() string {
-	if p == nil {
+// Addr returns the address that this gateway listens at, "none" for a nil transport.
+func (t *Transport) Addr() string {
+	if t == nil {
 		return "none"
 	}
-	return p.conn.LocalAddr().String()
+	return t.conn.LocalAddr().String()
 }
 
 // Close ends Listen.
-func (p *Post) Close() { p.conn.Close() }
+func (t *Transport) Close() { t.conn.Close() }
--- a/lab/coldsim/coldsim.go
+++ b/lab/coldsim/coldsim.go
@@ -29,7 +29,7 @@
 	Apart           time.Duration // it is told to each gateway at a time of its own within this
 	Cut             time.Duration // from the start on a third of the gateways and hosts, with the cold ones, and the rest don't reach each other
 	Failing         float64       // after the lull this part of the other hosts answers with errors; a req may go to two hosts
-	Mail            bool          // gateways message each other; else all of them are cut off from each other
+	Gossip          bool          // gateways message each other; else all of them are cut off from each other
 	InTurn          bool          // a host answers what it gets in turn, as fast as it can; else all after the same time
 	Length          time.Duration // from the start on
 	Settings        gateway.Cold
@@ -49,12 +49,12 @@
 }
 
 const (
-	warmUp  = 5 * time.Second // until cold hosts start: the gateways know their hosts by then
-	answers = 100 * time.Millisecond
-	beat    = 40 * time.Millisecond
-	gone    = 250 * time.Millisecond // a connection to a host that is cut off is given up
-	mail    = 5 * time.Millisecond   // a message takes
-	perSec  = 60                     // messages a gateway takes in a second
+	warmUp      = 5 * time.Second // until cold hosts start: the gateways know their hosts by then
+	answers     = 100 * time.Millisecond
+	beat        = 40 * time.Millisecond
+	gone        = 250 * time.Millisecond // a connection to a host that is cut off is given up
+	gossipDelay = 5 * time.Millisecond   // a message takes
+	perSec      = 60                     // messages a gateway takes in a second
 )
 
 type event struct {
@@ -108,7 +108,7 @@
 	fronts := []gateway.Frontend{{Target: int64(time.Second), Timeout: int64(3 * time.Second), Value: 1}}
 	plans := []gateway.Plan{{Rate: 1e9, Burst: 1e9, Price: 1}}
 	for i := range c.Gateways {
-		s.gws = append(s.gws, logic.New(s.rnd.Uint64(), gateway.Seat{Index: i, Count: c.Gateways, Messages: c.Mail, PerSecond: perSec},
+		s.gws = append(s.gws, logic.New(s.rnd.Uint64(), gateway.Seat{Index: i, Count: c.Gateways, Messages: c.Gossip, PerSecond: perSec},
 			fronts, plans, gateway.Limits{Dispatches: 2}, c.Settings, gateway.Report{}))
 		s.round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list(0)})
 	}
@@ -196,7 +196,7 @@
 
 func (s *sim) Tell(peer int, body []byte) {
 	if !s.cut(s.turn%3 == 0, peer%3 == 0) {
-		s.q.Add(s.now+int64(mail), event{gw: peer, e: gateway.Event{Kind: gateway.Heard, Peer: s.turn, Body: bytes.Clone(body)}})
+		s.q.Add(s.now+int64(gossipDelay), event{gw: peer, e: gateway.Event{Kind: gateway.Heard, Peer: s.turn, Body: bytes.Clone(body)}})
 	}
 }
 
--- a/lab/coldsim/coldsim_test.go
+++ b/lab/coldsim/coldsim_test.go
@@ -44,7 +44,7 @@
 			}
 			for seed := range seeds {
 				c.Seed, c.Gateways, c.Hosts, c.PerSecond, c.Load, c.Length = seed+1, z.gateways, z.hosts, z.perSecond, 0.6, 10*s
-				c.Settings, c.Mail = z.settings, z.gateways < 100
+				c.Settings, c.Gossip = z.settings, z.gateways < 100
 				plays = append(plays, c)
 			}
 		}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -26,21 +26,21 @@
 
 // Plan says what a fleet consists of. Zero values leave what is usual.
 type Plan struct {
-	Gateways, Hosts int
-	Seed            uint64
-	Zones           []string
-	Host            func(i int, h *standin.HostPlan)                // changes a host before it starts
-	Settings        func(s map[string]any)                          // changes the deployment's settings, the same for all
-	Config          func(f *Fleet, i int, cfg map[string]any) error // adds to one gateway's configuration
-	Prepare         func(f *Fleet) error                            // makes nets and streams of the relay, before any gateway is configured
-	Serving         func(f *Fleet, i int, line string)              // a life of a gateway serves; line is its log line. Called by the gateway's task: it must not ask the gateway
-	Late            map[int]bool                                    // gateways that Start does not launch
-	Unlisted        map[int]bool                                    // hosts that run and are not in the first list
-	Counter         bool                                            // there is a shared counter
-	Alone           bool                                            // gateways do not message each other
-	MailPerSecond   float64                                         // messages a gateway takes in; 0 leaves 40
-	Binary          string                                          // "" builds the program
-	Env             []string
+	Gateways, Hosts   int
+	Seed              uint64
+	Zones             []string
+	Host              func(i int, h *standin.HostPlan)                // changes a host before it starts
+	Settings          func(s map[string]any)                          // changes the deployment's settings, the same for all
+	Config            func(f *Fleet, i int, cfg map[string]any) error // adds to one gateway's configuration
+	Prepare           func(f *Fleet) error                            // makes nets and streams of the relay, before any gateway is configured
+	Serving           func(f *Fleet, i int, line string)              // a life of a gateway serves; line is its log line. Called by the gateway's task: it must not ask the gateway
+	Late              map[int]bool                                    // gateways that Start does not launch
+	Unlisted          map[int]bool                                    // hosts that run and are not in the first list
+	Counter           bool                                            // there is a shared counter
+	Alone             bool                                            // gateways do not message each other
+	MessagesPerSecond float64                                         // messages a gateway takes in; 0 leaves 40
+	Binary            string                                          // "" builds the program
+	Env               []string
 }
 
 // Fleet is what runs.
@@ -50,7 +50,7 @@
 	Counter *standin.Counter
 	Relay   *relay.Relay
 	Clients *standin.Clients
-	Mail    *relay.Datagrams // between the gateways; nil where they are alone
+	Gossip  *relay.Datagrams // between the gateways; nil where they are alone
 	Dir     string
 	Took    time.Duration // until all served
 	hosts   []*standin.Host
@@ -90,8 +90,8 @@
 	if len(p.Zones) == 0 {
 		p.Zones = []string{"a"}
 	}
-	if p.MailPerSecond == 0 {
-		p.MailPerSecond = 40
+	if p.MessagesPerSecond == 0 {
+		p.MessagesPerSecond = 40
 	}
 	if p.Binary == "" {
 		if p.Binary, err = Binary(); err != nil {
@@ -132,7 +132,7 @@
 		}
 	}
 	if !p.Alone && p.Gateways > 1 {
-		if f.Mail, err = f.Relay.Datagrams("mail", Names(0, p.Gateways)); err != nil {
+		if f.Gossip, err = f.Relay.Datagrams("mail", Names(0, p.Gateways)); err != nil {
 			return f, err
 		}
 	}
@@ -173,8 +173,8 @@
 // serves takes in that a life of a gateway serves.
 func (f *Fleet) serves(g *Gateway, listen, peer string) {
 	f.Clients.Place(g.Index, listen)
-	if at, err := netip.ParseAddrPort(peer); err == nil && f.Mail != nil {
-		f.Mail.Place(g.Index, at)
+	if at, err := netip.ParseAddrPort(peer); err == nil && f.Gossip != nil {
+		f.Gossip.Place(g.Index, at)
 	}
 	if f.Plan.Serving != nil {
 		f.Plan.Serving(f, g.Index, g.lines[len(g.lines)-1])
@@ -182,8 +182,8 @@
 }
 
 func (f *Fleet) dies(g *Gateway) {
-	if f.Mail != nil {
-		f.Mail.Place(g.Index, netip.AddrPort{})
+	if f.Gossip != nil {
+		f.Gossip.Place(g.Index, netip.AddrPort{})
 	}
 }
 
@@ -196,13 +196,13 @@
 func (f *Fleet) settings(i int) map[string]any {
 	s := map[string]any{"balancers": f.Plan.Gateways, "position": i, "locality": i % len(f.Plan.Zones), "zones": f.Plan.Zones, "skus": []string{"m"},
 		"limits": map[string]any{"max_attempts": 3, "cancelling": true, "retry_after": true, "max_retry_after_us": 10_000_000,
-			"conn_idle_us": 30_000_000, "connect_timeout_us": 250_000, "peer_messages": f.Mail != nil},
+			"conn_idle_us": 30_000_000, "connect_timeout_us": 250_000, "peer_messages": f.Gossip != nil},
 		"profiles": []any{front("lookup", "safe"), front("order", "keyed"), front("pay", "unsafe")},
 		"plans": []any{map[string]any{"name": "team", "rate": 1e6, "burst": 1e6, "worth_factor": 1},
 			map[string]any{"name": "small", "rate": 20, "burst": 40, "worth_factor": 1}},
 		"report":      map[string]any{"how": "inline", "names": []string{"utilization"}},
 		"rules":       map[string]any{"start_capacity": 0.2, "warm_up_us": 10_000_000, "fall_multiple": 3, "fall_us": 1_000_000},
-		"family_info": map[string]any{"mail_per_s": f.Plan.MailPerSecond}}
+		"family_info": map[string]any{"mail_per_s": f.Plan.MessagesPerSecond}}
 	if f.Plan.Counter {
 		s["family_info"].(map[string]any)["shared_counter"] = true
 	}
@@ -216,8 +216,8 @@
 	cfg := map[string]any{"name": Name(i), "listen": netip.AddrPortFrom(standin.Loopback(homes, i), 0).String(),
 		"discovery": f.Agent.Addr(i), "seed": fmt.Sprintf("%016x", f.Plan.Seed*1000003+uint64(i)+1),
 		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "known": f.Agent.Known(i), "settings": f.settings(i)}
-	if f.Mail != nil {
-		cfg["peer_listen"], cfg["peers"] = "127.0.0.1:0", f.Mail.Peers(i)
+	if f.Gossip != nil {
+		cfg["peer_listen"], cfg["peers"] = "127.0.0.1:0", f.Gossip.Peers(i)
 	}
 	if f.Counter != nil {
 		cfg["counter"] = f.Counter.Addr()
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -55,7 +55,7 @@
 	if g := f.Gateway(1); g.Addr() != addr || g.Counts()["serving"] != 2 {
 		t.Errorf("at %s, then %s; %v", addr, g.Addr(), g.Counts())
 	}
-	if all, _ := f.Mail.Counts(); all.Passed == 0 {
+	if all, _ := f.Gossip.Counts(); all.Passed == 0 {
 		t.Errorf("no datagram passed the relay: %+v", all)
 	}
 }
--- a/lab/fleet/report.go
+++ b/lab/fleet/report.go
@@ -23,7 +23,7 @@
 	Hosts        []HostReport
 	Gates        []GateReport
 	Changes      []standin.Change
-	Mail         relay.Counts
+	Gossip       relay.Counts
 	Broken       []string // what does not hold
 
 	byID   map[string]int // a req's place in Clients.Reqs
@@ -61,8 +61,8 @@
 		r.Gates = append(r.Gates, GateReport{g.Past(), g.Counts(), r.before[i], after[i]})
 	}
 	r.Changes = f.Agent.Changes()
-	if f.Mail != nil {
-		r.Mail, _ = f.Mail.Counts()
+	if f.Gossip != nil {
+		r.Gossip, _ = f.Gossip.Counts()
 	}
 	r.Index()
 }
@@ -150,7 +150,7 @@
 		dispatches += len(h.Commands)
 	}
 	return fmt.Sprintf("%d reqs (%s), %d dispatches, %d datagrams (%d lost)", len(r.Clients.Reqs), strings.Join(some, ", "),
-		dispatches, r.Mail.Sent, r.Mail.Lost)
+		dispatches, r.Gossip.Sent, r.Gossip.Lost)
 }
 
 // some prints the first few of what is wrong.
--- a/lab/poolsim/poolsim.go
+++ b/lab/poolsim/poolsim.go
@@ -23,22 +23,22 @@
 
 // World is all of it. Its time is true time; every process has its own.
 type World struct {
-	Terms  pool.Terms
-	Faults Faults
-	Now    int64
-	Gates  []*Gate
-	Agreed *pool.Ledger
-	Leader *Lead
-	Closed int // connections that the store has not yet seen to be closed
-	Steps  int
-	rng    *rand.Rand
-	old    []*Lead
-	mail   mails
-	lives  uint64
-	Notes  []pool.Note
-	Noted  map[string]int
-	Told   int            // reports and grants sent
-	cut    map[int]string // up, down, both: what does not pass
+	Terms    pool.Terms
+	Faults   Faults
+	Now      int64
+	Gates    []*Gate
+	Agreed   *pool.Ledger
+	Leader   *Lead
+	Closed   int // connections that the store has not yet seen to be closed
+	Steps    int
+	rng      *rand.Rand
+	old      []*Lead
+	messages deliveries
+	lives    uint64
+	Notes    []pool.Note
+	Noted    map[string]int
+	Told     int            // reports and grants sent
+	cut      map[int]string // up, down, both: what does not pass
 }
 
 type clock struct {
@@ -74,17 +74,17 @@
 	deposed bool
 }
 
-type mail struct {
+type delivery struct {
 	at int64
 	to func()
 }
-type mails []mail
+type deliveries []delivery
 
-func (m mails) Len() int           { return len(m) }
-func (m mails) Less(a, b int) bool { return m[a].at < m[b].at }
-func (m mails) Swap(a, b int)      { m[a], m[b] = m[b], m[a] }
-func (m *mails) Push(x any)        { *m = append(*m, x.(mail)) }
-func (m *mails) Pop() any          { x := (*m)[len(*m)-1]; *m = (*m)[:len(*m)-1]; return x }
+func (m deliveries) Len() int           { return len(m) }
+func (m deliveries) Less(a, b int) bool { return m[a].at < m[b].at }
+func (m deliveries) Swap(a, b int)      { m[a], m[b] = m[b], m[a] }
+func (m *deliveries) Push(x any)        { *m = append(*m, x.(delivery)) }
+func (m *deliveries) Pop() any          { x := (*m)[len(*m)-1]; *m = (*m)[:len(*m)-1]; return x }
 
 // New makes a world of gateways that start now.
 func New(seed uint64, t pool.Terms, capacity int, f Faults) *World {
@@ -170,13 +170,13 @@
 	}
 }
 
-func (w *World) post(at int64, to func()) { heap.Push(&w.mail, mail{at, to}) }
+func (w *World) schedule(at int64, to func()) { heap.Push(&w.messages, delivery{at, to}) }
 
 func (w *World) send(seat int, way string, to func()) {
 	w.Told++
 	for {
 		if w.passes(seat, way) && w.rng.Float64() >= w.Faults.Loss {
-			w.post(w.Now+int64(w.rng.Uint64N(uint64(w.Faults.Delay+1))), func() {
+			w.schedule(w.Now+int64(w.rng.Uint64N(uint64(w.Faults.Delay+1))), func() {
 				if w.passes(seat, way) {
 					to()
 				}
@@ -193,7 +193,7 @@
 	w.Agreed.Apply(l.pending)
 	l.pending = nil
 	ledger := w.Agreed.Clone()
-	w.post(w.Now+int64(w.rng.Uint64N(uint64(late))), func() { w.done(l, l.Lender.Step(l.at(w.Now), pool.Written{Ledger: ledger})) })
+	w.schedule(w.Now+int64(w.rng.Uint64N(uint64(late))), func() { w.done(l, l.Lender.Step(l.at(w.Now), pool.Written{Ledger: ledger})) })
 }
 
 func (w *World) done(l *Lead, out []any) {
@@ -215,7 +215,7 @@
 		return
 	}
 	if g.Frozen > w.Now { // it lies in the socket
-		w.post(g.Frozen+1, func() { w.hear(g, m) })
+		w.schedule(g.Frozen+1, func() { w.hear(g, m) })
 		return
 	}
 	was := g.Holder.Allowed(g.at(w.Now))
@@ -229,8 +229,8 @@
 func (w *World) Step(dt int64) {
 	w.Now += dt
 	w.Steps++
-	for len(w.mail) > 0 && w.mail[0].at <= w.Now {
-		heap.Pop(&w.mail).(mail).to()
+	for len(w.messages) > 0 && w.messages[0].at <= w.Now {
+		heap.Pop(&w.messages).(delivery).to()
 	}
 	for _, g := range w.Gates {
 		w.play(g, dt)
--- a/logic/gauges.go
+++ b/logic/gauges.go
@@ -45,7 +45,7 @@
 	for i, n := range g.denied {
 		text += fmt.Sprintf(" %s=%d", reasonNames[i], n)
 	}
-	if g.form.ByID {
+	if g.format.ByID {
 		text += fmt.Sprintf(" totals_unmatched=%d", g.unmatched)
 	}
 	return text
--- a/logic/gossip.go
+++ b/logic/gossip.go
@@ -6,7 +6,7 @@
 	"cmp"
 	"maps"
 	"math"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"slices"
 )
 
@@ -14,7 +14,7 @@
 // are first totals again on both sides: among another number who tells what to whom may differ.
 func (g *Gateway) resize(n int) {
 	perSecond := g.seat.PerSecond
-	g.form.Members, g.rows = n, 1
+	g.format.Members, g.rows = n, 1
 	if float64(n-1) > perSecond*gossipShare*seconds(interval) {
 		g.rows = int(math.Sqrt(float64(n)) + 0.5)
 	}
@@ -52,14 +52,14 @@
 		for _, h := range g.pool.near {
 			for i, of := range h.classes {
 				recent := of.lastGood > 0 && g.now-of.lastGood <= g.pause
-				if recent && of.unanswered < suspectShare && len(tags) < mail.Tags {
+				if recent && of.unanswered < suspectShare && len(tags) < gossip.MaxTags {
 					tags = append(tags, h.tag(i))
 				}
 			}
 		}
 	}
 	p.sent, p.credit = p.sent+1, p.credit-1
-	msg := g.form.Head(uint64(g.start/1e6), p.sent, tags)
+	msg := g.format.Header(uint64(g.start/1e6), p.sent, tags)
 	slices.SortStableFunc(p.queue, func(a, b *subscription) int { return cmp.Compare(b.unsent(), a.unsent()) })
 	for len(p.queue) > 0 {
 		t := p.queue[0]
@@ -77,11 +77,11 @@
 			owed = min(total, uint64(lack))
 		}
 		name := uint32(c.planIndex)
-		if g.form.ByID {
+		if g.format.ByID {
 			name = c.plan.ID
 		}
-		if entry := g.form.Total(c.hash, name, c.spread, c.first, total, owed); owed > 0 || t.unsent() > 0 {
-			if len(msg)+len(entry) > mail.Most {
+		if entry := g.format.Counter(c.hash, name, c.spread, c.first, total, owed); owed > 0 || t.unsent() > 0 {
+			if len(msg)+len(entry) > gossip.MaxMessageBytes {
 				break
 			}
 			msg = append(msg, entry...)
@@ -97,7 +97,7 @@
 		return
 	}
 	p := g.peers[from]
-	g.form.Read(msg, func(incarnation, number uint64) bool {
+	g.format.Decode(msg, func(incarnation, number uint64) bool {
 		if incarnation < p.incarnation || incarnation == p.incarnation && number <= p.number { // overtaken
 			return false
 		}
@@ -114,10 +114,10 @@
 		return true
 	}, g.pool.vouched, func(hash, name uint32, spread, first int, total, owed uint64) {
 		plan, known := int(name), true
-		if g.form.ByID {
+		if g.format.ByID {
 			plan, known = g.byID[name]
 		}
-		if c := g.customers[hash]; !known || g.form.ByID && c != nil && c.planIndex != plan {
+		if c := g.customers[hash]; !known || g.format.ByID && c != nil && c.planIndex != plan {
 			g.unmatched++ // of a plan that is unknown here, or that the customer is not on
 			return
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -18,7 +18,7 @@
 	"slices"
 
 	"ravensill/gateway"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 )
 
 const (
@@ -63,7 +63,7 @@
 	for i := range plans {
 		g.setPlan(&gateway.PlanUpdate{Index: i, Plan: plans[i]})
 	}
-	g.form = mail.Form{Plans: len(plans), ByID: len(plans) > 0 && plans[0].ID != 0}
+	g.format = gossip.Format{Plans: len(plans), ByID: len(plans) > 0 && plans[0].ID != 0}
 	g.resize(max(seat.Count, 1))
 	return g
 }
@@ -122,7 +122,7 @@
 	fr.units += (e.Units - fr.units) / 64
 	g.arrived++
 	g.largest = max(g.largest, r.units)
-	if g.form.ByID { // its plan may be gone, or it is on another now
+	if g.format.ByID { // its plan may be gone, or it is on another now
 		c.planIndex = e.Plan
 	}
 	g.refill(c)
--- a/logic/reconfigure_test.go
+++ b/logic/reconfigure_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"ravensill/gateway"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 )
 
 // fleetOf starts gateways whose quota plans are named by ID, one customer's request at each possible.
@@ -144,7 +144,8 @@
 	w.in(0, gateway.Event{Kind: gateway.Woke})
 	for _, body := range w.seats[0].mail {
 		sound := false
-		mail.Form{Members: 3, ByID: true}.Read(body, func(uint64, uint64) bool { sound = true; return false }, nil, nil)
+		format := gossip.Format{Members: 3, ByID: true}
+		format.Decode(body, func(uint64, uint64) bool { sound = true; return false }, nil, nil)
 		if sound {
 			t.Error("a message of a fleet of 4 is read in one of 3")
 		}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"ravensill/gateway"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 )
 
 // A gateway of many holds few of the hosts. What a tick, a request and a peer's message cost must not grow with the list: at
@@ -40,7 +40,7 @@
 		t.Fatal("no message to a peer")
 	}
 	for _, body := range w.seats[0].mail {
-		mail.Form{Plans: 1, Members: 300}.Read(body, func(uint64, uint64) bool { return true },
+		gossip.Format{Plans: 1, Members: 300}.Decode(body, func(uint64, uint64) bool { return true },
 			func(uint16) { t.Error("a peer is told of a host that is not near") }, nil)
 	}
 	far := g.pool.all[slices.IndexFunc(g.pool.all, func(h *host) bool { return !h.Held })]
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,7 +2,7 @@
 
 import (
 	"ravensill/gateway"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"ravensill/limit"
 	"ravensill/spread"
 )
@@ -105,7 +105,7 @@
 	calls     map[uint64][]*request // of the shared counter, by its number, in order
 	pool      hostPool
 
-	form       mail.Form
+	format     gossip.Format
 	rows       int     // of the grid that the gateways stand in
 	neighbours []*peer // the gateways that this one sends to or hears
 	peers      []*peer // by member index; nil: no neighbour
