--- a/logic/options_test.go
+++ b/logic/options_test.go
@@ -10,7 +10,7 @@
 
 // watcher is a Witness over a member index that drops what the member index would trace.
 type watcher struct {
-	*seat
+	*simulatedGateway
 	options []gateway.Option
 	hosts   []uint32
 	told    int
@@ -26,9 +26,9 @@
 func TestConsidered(t *testing.T) {
 	var picked [2][]uint32
 	for on := range 2 {
-		w := start(1, 8, nil)
-		s := w.seats[0]
-		watch := &watcher{seat: s}
+		w := newSimulation(1, 8, nil)
+		s := w.gateways[0]
+		watch := &watcher{simulatedGateway: s}
 		var out gateway.Writer = watch
 		if on == 0 {
 			out = struct{ gateway.Writer }{watch} // hides what the Witness adds
@@ -36,7 +36,7 @@
 		chances, chosen := map[uint32]float64{}, map[uint32]float64{}
 		for i := range 4000 {
 			w.now += ms
-			s.g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Arrived, Req: fmt.Sprint(i),
+			s.gateway.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Arrived, Req: fmt.Sprint(i),
 				Customer: fmt.Sprint("c", i), Until: w.now + second, Units: 1, Spread: 1}}}, out)
 			if len(watch.hosts) != i+1 {
 				t.Fatalf("req %d is not dispatched", i)
@@ -57,10 +57,10 @@
 				chosen[watch.hosts[i]]++
 			}
 			if i%3 == 0 {
-				for _, h := range s.g.pool.all {
+				for _, h := range s.gateway.pool.all {
 					if len(h.inFlight) > 0 {
 						x := h.inFlight[0]
-						s.g.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Ended, Req: x.request.id,
+						s.gateway.Round(&gateway.Round{Now: w.now, Events: []gateway.Event{{Kind: gateway.Ended, Req: x.request.id,
 							Host: h.id, Dispatch: x.n, Lag: ms * int64(h.id), Closed: true}}}, out)
 					}
 				}
@@ -85,9 +85,9 @@
 func BenchmarkConsidered(b *testing.B) {
 	for on, name := range []string{"off", "on"} {
 		b.Run(name, func(b *testing.B) {
-			w := start(1, 12, func(w *world) { w.plans[0].Rate, w.plans[0].Burst = 1e9, 1e9 })
-			s := w.seats[0]
-			watch := &watcher{seat: s}
+			w := newSimulation(1, 12, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 1e9, 1e9 })
+			s := w.gateways[0]
+			watch := &watcher{simulatedGateway: s}
 			var out gateway.Writer = watch
 			if on == 0 {
 				out = struct{ gateway.Writer }{watch}
@@ -99,9 +99,9 @@
 				watch.hosts = watch.hosts[:0]
 				round.Now, round.Events[0] = w.now, gateway.Event{Kind: gateway.Arrived, Req: "r", Customer: "c",
 					Until: w.now + second, Units: 1, Spread: 1}
-				s.g.Round(round, out)
+				s.gateway.Round(round, out)
 				round.Events[0] = gateway.Event{Kind: gateway.Ended, Req: "r", Lag: 5 * ms, Closed: true}
-				s.g.Round(round, out)
+				s.gateway.Round(round, out)
 			}
 		})
 	}
--- /dev/null
+++ b/logic/quota_test.go
@@ -0,0 +1,223 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"ravensill/gateway"
+	"ravensill/internal/golden"
+)
+
+// TestOrdinaryPath: spend, deny with a time to come back, refill, forget.
+func TestOrdinaryPath(t *testing.T) {
+	w := newSimulation(2, 4, nil)
+	w.arrive(0, "a", 11)
+	w.finishAll(0)
+	w.advance(300*ms, true)
+	w.arrive(0, "a", 1)
+	w.finishAll(0)
+	w.recordLevels("a")
+	w.advance(5*second, true)
+	w.recordLevels("a")
+	golden.Check(t, w.trace.String())
+}
+
+// TestDebt: two gateways spend a burst each before they hear: one half burst of debt, then refill.
+func TestDebt(t *testing.T) {
+	w := newSimulation(2, 4, nil)
+	w.arrive(0, "a", 10)
+	w.arrive(1, "a", 10)
+	w.finishAll(0)
+	w.finishAll(1)
+	w.trace.Reset()
+	w.advance(40*ms, true)
+	w.recordLevels("a")
+	w.arrive(0, "a", 1)
+	w.advance(800*ms, true)
+	w.arrive(0, "a", 1)
+	w.arrive(1, "b", 1)
+	golden.Check(t, w.trace.String())
+}
+
+// TestSilence: no peer heard for four intervals: half of rate and burst; heard again: all.
+func TestSilence(t *testing.T) {
+	w := newSimulation(2, 4, nil)
+	w.advance(second, true)
+	w.advance(2*second, false)
+	w.arrive(0, "a", 6)
+	w.finishAll(0)
+	w.advance(400*ms, false)
+	w.recordLevels("a")
+	w.advance(600*ms, true)
+	w.advance(400*ms, true)
+	w.recordLevels("a")
+	golden.Check(t, w.trace.String())
+}
+
+// TestCeiling: half the ceiling each; a started gateway owns nothing yet.
+func TestCeiling(t *testing.T) {
+	w := newSimulation(2, 4, func(w *simulation) {
+		w.plans[0] = gateway.Plan{Rate: 100, Burst: 100, CeilingRate: 8, CeilingBurst: 8, Price: 1}
+	})
+	w.arrive(0, "a", 1)
+	w.advance(500*ms, true)
+	w.arrive(0, "a", 3)
+	w.advance(5*second, true)
+	w.arrive(0, "a", 5)
+	w.restart(0, 4, 2)
+	w.arrive(0, "a", 1)
+	golden.Check(t, w.trace.String())
+}
+
+// TestOpenCap: no more out than the plan's cap, and fewer when a peer admits much.
+func TestOpenCap(t *testing.T) {
+	w := newSimulation(2, 4, func(w *simulation) { w.plans[0].Open, w.plans[0].Rate, w.plans[0].Burst = 2, 100, 100 })
+	w.arrive(0, "a", 3)
+	w.finishAll(0)
+	for range 50 {
+		w.gateways[1].gateway.customer(hashText("a"), 0, 2, 0).total[0]++
+	}
+	w.arrive(1, "a", 1)
+	w.advance(60*ms, true)
+	w.arrive(0, "a", 1)
+	golden.Check(t, w.trace.String())
+}
+
+// TestWorth: near the limit, the class that earns less for its time is denied first.
+func TestWorth(t *testing.T) {
+	w := newSimulation(1, 2, func(w *simulation) {
+		w.plans[0].Rate, w.plans[0].Burst = 1000, 1000
+		w.classes = append(w.classes, gateway.Frontend{Target: 800 * ms, Value: 5})
+	})
+	for i := range 15 {
+		for f := range 2 {
+			w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("worth%.0f.%d", w.classes[f].Value, i),
+				Customer: "a", Until: w.now + 2500*ms, Units: 1, Spread: 1, Frontend: f})
+		}
+	}
+	golden.Check(t, w.trace.String())
+}
+
+// TestGreed: a customer that asks five times its rate at 100 gateways, with totals a second old.
+func TestGreed(t *testing.T) {
+	w := newSimulation(100, 100, nil)
+	said := ""
+	for s := range 8 {
+		w.trace.Reset()
+		for i := range 100 {
+			w.arrive(i, "a", 1)
+			w.advance(tickInterval/2, true)
+			for k := range w.gateways {
+				w.finishAll(k)
+			}
+		}
+		said += fmt.Sprintf("2 s from %d: %d of 100 reqs sent, the rate holds 20\n", 2*s, strings.Count(w.trace.String(), "dispatch a"))
+	}
+	golden.Check(t, said)
+}
+
+// TestTally: each deny is counted under its reason, each send once.
+func TestTally(t *testing.T) {
+	w := newSimulation(1, 2, nil)
+	w.arrive(0, "a", 12) // a burst of 10: two lack the units
+	g := w.gateways[0].gateway
+	if got, want := g.Tally(), "passed=10 quota=2 ceiling=0 unanswered=0 late=0 cap=0 hosts=0 failure=0"; got != want {
+		t.Fatalf("tally %q, want %q", got, want)
+	}
+	w.finishAttempt(0, 0, gateway.Unreached, false) // never ran: sent again, not denied
+	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2} || x.Out != 10 {
+		t.Fatalf("after a dispatch that never ran: %+v", x)
+	}
+	for k := 0; g.pool.inFlight > 0 && k < 40; k++ { // every attempt fails: each request ends denied, once
+		w.finishAttempt(0, 0, gateway.Errored, false)
+	}
+	if x := g.Gauges(); x.Passed != 10 || x.Denied != [Reasons]int{ByQuota: 2, ByFailure: 10} || x.Reqs != 0 {
+		t.Fatalf("after failures: %+v", x)
+	}
+}
+
+// TestCutOff: in incident i4c236e 39 gateways heard nobody for 10 s. A thirtieth of a burst is less than a request, so that
+// copies which could hold no more denied everyone, whatever their part of the rate.
+func TestCutOff(t *testing.T) {
+	w := newSimulation(30, 4, nil)
+	w.arrive(0, "a", 1)
+	w.finishAll(0)
+	w.advance(8*second, false)
+	w.trace.Reset()
+	for range 30 { // 0.33 units a second are its due
+		w.arrive(0, "a", 1)
+		w.finishAll(0)
+		w.advance(500*ms, false)
+	}
+	if n := strings.Count(w.trace.String(), "dispatch"); n < 4 || n > 7 {
+		t.Errorf("cut off for 15 s, a gateway of 30 let %d reqs go, its due is 5", n)
+	}
+}
+
+// answerCounter ends the earliest call of gateway i to the shared counter.
+func (w *simulation) answerCounter(i int, res gateway.Result, total float64) {
+	s := w.gateways[i]
+	name := s.counterNames[0]
+	s.counterNames = s.counterNames[1:]
+	w.deliver(i, gateway.Event{Kind: gateway.Counted, Name: name, Result: res, Total: total, Lag: 5 * ms})
+}
+
+// TestCounter: a plan with an open cap and no rate asks the counter; without an answer the guess decides, and a counter
+// that stays silent is left alone for a second. What was admitted leaves no debt behind: there is no store.
+func TestCounter(t *testing.T) {
+	w := newSimulation(2, 4, func(w *simulation) {
+		w.plans[0] = gateway.Plan{Open: 2, Price: 1, BeyondCost: 0.5}
+		w.limits.Counter, w.limits.CounterWait = true, 50*ms
+	})
+	w.arrive(0, "within", 1)
+	w.answerCounter(0, gateway.Passed, 2)
+	w.arrive(0, "beyond", 1)
+	w.answerCounter(0, gateway.Passed, 3)
+	w.arrive(0, "busy", 1)
+	w.answerCounter(0, gateway.Busy, 0)
+	w.arrive(0, "left", 1)
+	w.deliver(0, gateway.Event{Kind: gateway.Left, Req: "left0.0"})
+	w.deliver(0, gateway.Event{Kind: gateway.Counted, Name: 77, Total: 1}) // nobody asked
+	w.finishAll(0)
+	w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: "hasty", Customer: "hasty", Until: w.now + 90*ms, Units: 1, Spread: 2})
+	for len(w.gateways[0].counterNames) > 0 {
+		w.answerCounter(0, gateway.TimedOut, 0)
+	}
+	w.arrive(0, "deaf", 1)
+	w.finishAll(0)
+	w.advance(second+tickInterval, true)
+	w.arrive(0, "again", 1)
+	w.answerCounter(0, gateway.Passed, 1) // a lower total than any before
+	w.finishAll(0)
+	g := w.gateways[0].gateway
+	fmt.Fprintf(&w.trace, "reqs still held: %d; copy of within holds %.1f units\n", len(g.requests), g.customer(hashText("within"), 0, 2, 0).level)
+	golden.Check(t, w.trace.String())
+}
+
+// TestCut: the network between 100 gateways is cut under a customer that asks four times its rate: what they send on while
+// nobody is heard stays near what it was. Copies refilled at the full rate and sent on all that was asked, 38% beyond quotas.
+func TestCut(t *testing.T) {
+	w := newSimulation(100, 400, nil)
+	var all strings.Builder
+	n := 0
+	for half := range 20 { // half seconds
+		sent := 0
+		for range 20 {
+			w.trace.Reset()
+			n++
+			w.arrive(n*37%100, "a", 1)
+			sent += strings.Count(w.trace.String(), "dispatch")
+			w.finishAll(n * 37 % 100)
+			w.advance(tickInterval*5/8, half < 8 || half >= 14)
+		}
+		if half%2 == 0 {
+			fmt.Fprintf(&all, "%d s", half/2)
+		}
+		fmt.Fprintf(&all, " %d of 20", sent)
+		if half%2 == 1 {
+			fmt.Fprintf(&all, ", cut %t\n", half >= 8 && half < 14)
+		}
+	}
+	golden.Check(t, all.String())
+}
--- /dev/null
+++ b/logic/requests_test.go
@@ -0,0 +1,162 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"ravensill/gateway"
+	"ravensill/internal/golden"
+)
+
+// TestRepeats: what each kind of class may do after an answer that proves nothing.
+func TestRepeats(t *testing.T) {
+	for _, kind := range []struct {
+		name  string
+		front gateway.Frontend
+	}{
+		{"replayable", gateway.Frontend{}},
+		{"uniqued_all", gateway.Frontend{Effect: gateway.Uniqued, Window: 600 * ms}},
+		{"uniqued_cell", gateway.Frontend{Effect: gateway.Uniqued, Group: gateway.SameCell, Window: 600 * ms}},
+		{"non_replayable", gateway.Frontend{Effect: gateway.NonReplayable}},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			kind.front.Target, kind.front.Timeout = 2000*ms, 3000*ms
+			w := newSimulation(1, 4, func(w *simulation) { w.classes[0] = kind.front })
+			w.gateways[0].gateway.retryBudget = 10
+			w.arrive(0, "a", 1)
+			w.finishAttempt(0, 0, gateway.Busy, false) // it never ran: again, anywhere
+			w.finishAttempt(0, 0, gateway.Errored, false)
+			w.advance(500*ms, true)
+			w.finishAttempt(0, 0, gateway.Errored, false)
+			golden.Check(t, w.trace.String())
+		})
+	}
+}
+
+// TestOverload: answers that come late cut what is out; beyond that denials are at once.
+func TestOverload(t *testing.T) {
+	w := newSimulation(1, 2, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	for range 40 {
+		w.arrive(0, "a", 20)
+		w.advance(700*ms, true)
+		w.finishAll(0)
+	}
+	w.trace.Reset()
+	w.arrive(0, "a", 4)
+	golden.Check(t, w.trace.String())
+}
+
+// TestFinalAnswers: one final answer each: passed, late, left by the client, nowhere to go.
+func TestFinalAnswers(t *testing.T) {
+	w := newSimulation(1, 1, nil)
+	w.arrive(0, "a", 1)
+	w.advance(100*ms, true)
+	w.finishAttempt(0, 0, gateway.Passed, true)
+	w.arrive(0, "b", 1)
+	w.advance(800*ms, true)
+	w.finishAttempt(0, 0, gateway.TimedOut, false)
+	w.arrive(0, "c", 1)
+	w.deliver(0, gateway.Event{Kind: gateway.Left, Req: "c900.0"})
+	w.finishAttempt(0, 0, gateway.Passed, true)
+	w.arrive(0, "d", 1)
+	w.finishAttempt(0, 0, gateway.Unreached, false)
+	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.gateways[0].gateway.requests))
+	golden.Check(t, w.trace.String())
+}
+
+// TestUnanswered: a customer whose requests go unanswered holds no places; others go on.
+func TestUnanswered(t *testing.T) {
+	w := newSimulation(1, 4, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+	for range 5 {
+		w.arrive(0, "poison", 2)
+		w.arrive(0, "good", 1)
+		w.advance(800*ms, true)
+		for _, h := range w.gateways[0].gateway.pool.all {
+			for len(h.inFlight) > 0 {
+				res := gateway.TimedOut
+				if strings.HasPrefix(h.inFlight[0].request.id, "good") {
+					res = gateway.Passed
+				}
+				w.finishAttempt(0, h.id, res, res == gateway.Passed)
+			}
+		}
+	}
+	golden.Check(t, w.trace.String())
+}
+
+// TestStall: a gateway that stood still: the longest waits are denied, late answers cut no limit.
+func TestStall(t *testing.T) {
+	w := newSimulation(1, 4, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 100, 100 })
+	w.arrive(0, "a", 2)
+	limit := w.gateways[0].gateway.pool.limit.Limit()
+	w.now += 2 * second
+	var in []gateway.Event
+	for _, h := range w.gateways[0].gateway.pool.all {
+		for _, s := range h.inFlight {
+			in = append(in, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: h.id, Lag: 2 * second, Closed: true})
+		}
+	}
+	for k := range 6 {
+		in = append(in, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint("late", k), Customer: "b", Units: 1, Spread: 1,
+			Until: w.now + 2*second})
+	}
+	w.deliver(0, in...)
+	w.gateways[0].record("limit moved by %.1f", w.gateways[0].gateway.pool.limit.Limit()-limit)
+	golden.Check(t, w.trace.String())
+}
+
+// TestRepeatStock: connections break under one attempt in four: each is sent again, one in two is not.
+func TestRepeatStock(t *testing.T) {
+	for _, every := range []int{4, 2} {
+		w := newSimulation(1, 4, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
+		for i := range 100 {
+			w.now += 50 * ms
+			w.arrive(0, "a", 1)
+			if i >= 20 && i%every == 0 {
+				w.finishAttempt(0, 0, gateway.Broken, false)
+			}
+			w.finishAll(0)
+		}
+		if n := strings.Count(w.trace.String(), "deny"); (n > 0) != (every == 2) {
+			t.Errorf("one in %d broken: %d denied", every, n)
+		}
+	}
+}
+
+// TestLateValue: a gateway that stood still waits for a late answer that earns a part for that part of the time left,
+// 0.2 of 2.2 s; without a stall, or where a late answer earns nothing, until the target.
+func TestLateValue(t *testing.T) {
+	for _, x := range []struct {
+		late  float64
+		stood bool
+		want  string
+	}{{0.2, false, "timeout 800 ms"}, {0, true, "timeout 800 ms"}, {0.2, true, "timeout 1240 ms"}, {1, true, "timeout 2500 ms"}} {
+		w := newSimulation(1, 2, func(w *simulation) { w.classes[0].Late = x.late })
+		if x.stood {
+			w.now += 2 * second
+			w.deliver(0, gateway.Event{Kind: gateway.Woke})
+			w.now += 100 * ms
+		}
+		w.arrive(0, "a", 1) // its client gives up after 2.5 s
+		if got := w.trace.String(); !strings.Contains(got, x.want) {
+			t.Errorf("late answers earn %.1f, stood still %t: %q, want %s", x.late, x.stood, got, x.want)
+		}
+		w.advance(5*second, true) // what was learned of the stall wears off
+		w.finishAll(0)
+		w.trace.Reset()
+		if w.arrive(0, "b", 1); !strings.Contains(w.trace.String(), "timeout 800 ms") {
+			t.Errorf("5 s after the stall: %q", w.trace.String())
+		}
+	}
+}
+
+// TestTimeUp: a request whose time is up when it comes, as near the end of a gateway that was told to stop, is denied at once. It
+// was dispatched for a microsecond, and a non-replayable one then aborted, since it may have run.
+func TestTimeUp(t *testing.T) {
+	w := newSimulation(1, 3, nil)
+	for i, left := range []int64{second, 0, -second} {
+		w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprint("a", i), Customer: "a", Until: w.now + left, Units: 1, Spread: 1})
+	}
+	golden.Check(t, w.trace.String())
+}
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -13,14 +13,16 @@
 // walk that comes to it panics.
 func TestWalksOnlyHostsNear(t *testing.T) {
 	const hosts = 5000
-	w := start(1, 1, func(w *world) { w.limits.Cancel = true })
+	w := newSimulation(1, 1, func(w *simulation) { w.limits.Cancel = true })
 	seat := gateway.Seat{Count: 300, Messages: true, PerSecond: 40}
-	g := New(1, seat, w.fronts, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
+	g := New(1, seat, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
 	var list []gateway.Listing
 	for i := range hosts {
 		list = append(list, gateway.Listing{Host: uint32(hosts - i), Share: 1})
 	}
-	round := func(at int64, events ...gateway.Event) { g.Round(&gateway.Round{Now: at, Events: events}, w.seats[0]) }
+	round := func(at int64, events ...gateway.Event) {
+		g.Round(&gateway.Round{Now: at, Events: events}, w.gateways[0])
+	}
 	round(second, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list})
 	if near := len(g.pool.near); near == 0 || near > hosts/10 {
 		t.Fatalf("%d of %d hosts are near", near, hosts)
@@ -36,10 +38,10 @@
 	}
 	round(2*second, gateway.Event{Kind: gateway.Woke}, gateway.Event{Kind: gateway.Arrived, Req: "a", Customer: "c", Spread: 1,
 		Units: 1, Until: 10 * second})
-	if len(w.seats[0].mail) == 0 {
+	if len(w.gateways[0].messages) == 0 {
 		t.Fatal("no message to a peer")
 	}
-	for _, body := range w.seats[0].mail {
+	for _, body := range w.gateways[0].messages {
 		gossip.Format{Plans: 1, Members: 300}.Decode(body, func(uint64, uint64) bool { return true },
 			func(uint16) { t.Error("a peer is told of a host that is not near") }, nil)
 	}
@@ -54,13 +56,13 @@
 
 // When all hosts near are busy the others serve: the first walk must not hide them.
 func TestBusyNearLeavesToOthers(t *testing.T) {
-	w := start(1, 1, nil)
-	g := New(1, gateway.Seat{Count: 300}, w.fronts, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
+	w := newSimulation(1, 1, nil)
+	g := New(1, gateway.Seat{Count: 300}, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
 	var list []gateway.Listing
 	for i := range 1000 {
 		list = append(list, gateway.Listing{Host: uint32(i), Share: 1})
 	}
-	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.seats[0])
+	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.gateways[0])
 	for _, h := range g.pool.near {
 		h.pace = 1000
 		h.of(g.classes[0]).lastAnswer = second
--- /dev/null
+++ b/logic/simulation_test.go
@@ -0,0 +1,154 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+
+	"ravensill/gateway"
+)
+
+const ms = int64(1e6)
+
+// simulation runs gateways on a simulated clock and records their decisions. Hosts, clients and the network are the test's.
+type simulation struct {
+	now      int64
+	gateways []*simulatedGateway
+	trace    strings.Builder
+	classes  []gateway.Frontend
+	plans    []gateway.Plan
+	limits   gateway.Limits
+	cold     gateway.Cold
+}
+
+// simulatedGateway is a gateway of the simulation, and the writer that records its decisions.
+type simulatedGateway struct {
+	simulation      *simulation
+	index           int
+	gateway         *Gateway
+	messages        [][]byte // sent and not yet delivered
+	receivers       []int    // of each message
+	listRequestedAt []int64  // times at which it asked for the host list
+	counterNames    []uint64 // names of the shared counter's entries, by call
+}
+
+// record writes a line of the trace.
+func (s *simulatedGateway) record(format string, args ...any) {
+	fmt.Fprintf(&s.simulation.trace, "%5d ms  gateway %d  %s\n", s.simulation.now/ms, s.index, fmt.Sprintf(format, args...))
+}
+
+func (s *simulatedGateway) Dispatch(req string, host uint32, timeout int64) {
+	s.record("dispatch %s to host %d, timeout %d ms", req, host, timeout/ms)
+}
+
+func (s *simulatedGateway) Cancel(req string, n int) { s.record("cancel dispatch %d of %s", n, req) }
+func (s *simulatedGateway) Deny(req string, after int64) {
+	s.record("deny %s, come back after %d ms", req, after/ms)
+}
+func (s *simulatedGateway) Abort(req string)  { s.record("abort %s", req) }
+func (s *simulatedGateway) Probe(host uint32) { s.record("probe host %d", host) }
+func (s *simulatedGateway) Follow() {
+	s.record("follow the list")
+	s.listRequestedAt = append(s.listRequestedAt, s.simulation.now)
+}
+func (s *simulatedGateway) Note(text string) { s.record("note %s", text) }
+func (s *simulatedGateway) Wake(int64)       {}
+func (s *simulatedGateway) Count(name uint64, amount float64, life int64) {
+	s.record("count %+g, to live %d ms", amount, life/ms)
+	s.counterNames = append(s.counterNames, name)
+}
+
+func (s *simulatedGateway) Tell(peer int, body []byte) {
+	s.messages, s.receivers = append(s.messages, body), append(s.receivers, peer)
+}
+
+// newSimulation starts n gateways with one replayable class and a plan of 10 units a second and a burst of 10, unless set changes
+// these.
+func newSimulation(n, hosts int, set func(w *simulation)) *simulation {
+	w := &simulation{classes: []gateway.Frontend{{Target: 800 * ms, Timeout: 3000 * ms, Value: 1}},
+		plans:  []gateway.Plan{{Rate: 10, Burst: 10, Price: 1, BeyondCost: 0.5}},
+		limits: gateway.Limits{Dispatches: 3, Cancel: true, RetryAfter: true},
+		cold:   gateway.Cold{From: 0.2, Warm: 10 * second, Multiple: 2, Window: 2 * second}, now: 100 * second}
+	if set != nil {
+		set(w)
+	}
+	for i := range n {
+		w.gateways = append(w.gateways, &simulatedGateway{simulation: w, index: i})
+		w.restart(i, hosts, n)
+	}
+	return w
+}
+
+// restart starts gateway i anew, with its cached host list.
+func (w *simulation) restart(i, hosts, n int) {
+	var list []gateway.Listing
+	for h := range hosts {
+		list = append(list, gateway.Listing{Host: uint32(h + 1), Cell: h / 2})
+	}
+	s := w.gateways[i]
+	s.messages, s.receivers = nil, nil
+	s.gateway = New(uint64(i)+1, gateway.Seat{Index: i, Count: n, Messages: n > 1, PerSecond: 40}, w.classes, w.plans,
+		w.limits, w.cold, gateway.Report{})
+	w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Old, Hosts: list})
+}
+
+// deliver has gateway i handle a batch of events.
+func (w *simulation) deliver(i int, e ...gateway.Event) {
+	w.gateways[i].gateway.Round(&gateway.Round{Now: w.now, Events: e}, w.gateways[i])
+}
+
+// arrive delivers n requests of customer c to gateway i, of one unit each.
+func (w *simulation) arrive(i int, c string, n int) {
+	for k := range n {
+		w.deliver(i, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("%s%d.%d", c, (w.now-100*second)/ms, k),
+			Customer: c, Until: w.now + 2500*ms, Units: 1, Spread: len(w.gateways)})
+	}
+}
+
+// finishAttempt ends the first attempt that gateway i has in flight at host h, or at any host if h is 0.
+func (w *simulation) finishAttempt(i int, h uint32, res gateway.Result, closed bool) {
+	for _, x := range w.gateways[i].gateway.pool.all {
+		if len(x.inFlight) > 0 && (h == 0 || x.id == h) {
+			s := x.inFlight[0]
+			w.deliver(i, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: x.id, Dispatch: s.n, Result: res,
+				Lag: w.now - s.at, Closed: closed})
+			return
+		}
+	}
+}
+
+// finishAll ends all attempts of gateway i with success.
+func (w *simulation) finishAll(i int) {
+	for w.gateways[i].gateway.pool.inFlight > 0 {
+		w.finishAttempt(i, 0, gateway.Passed, true)
+	}
+}
+
+// advance lets time pass in ticks. Messages are delivered at once if carry is set, else lost. It returns how many were sent.
+func (w *simulation) advance(t int64, carry bool) (sent int) {
+	for end := w.now + t; w.now < end; {
+		w.now += tickInterval
+		for i, s := range w.gateways {
+			w.deliver(i, gateway.Event{Kind: gateway.Woke})
+			sent += len(s.messages)
+			for k, m := range s.messages {
+				if carry {
+					w.deliver(s.receivers[k], gateway.Event{Kind: gateway.Heard, Peer: i, Body: m})
+				}
+			}
+			s.messages, s.receivers = nil, nil
+		}
+	}
+	return sent
+}
+
+// recordLevels records the levels of all copies of customer c.
+func (w *simulation) recordLevels(c string) {
+	for _, s := range w.gateways {
+		if x := s.gateway.customers[hashText(c)]; x != nil {
+			s.gateway.refill(x)
+			s.record("copy of %s holds %.1f units", c, x.level)
+		} else {
+			s.record("holds no copy of %s", c)
+		}
+	}
+}
