Discovery: a list of 87,000 hosts comes through the watch

A list of more than 4 MB ended its watch, each time anew: some 30,000 hosts at 130 bytes each, and the agent's news never arrived. The bound is 32 MB, room for 87,000 hosts indented. A list is copied once and not twice, and the decoder's buffer is let go of behind a large one.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -15,7 +15,7 @@
 func cut(text string, at int) string {
 	var said strings.Builder
 	r := io.MultiReader(strings.NewReader(text[:at]), strings.NewReader(text[at:]))
-	err := split(r, func() {}, func(list []byte) { fmt.Fprintf(&said, "%q\n", list) }, func(bool) {})
+	err := split(r, func() {}, func(list string) { fmt.Fprintf(&said, "%q\n", list) }, func(bool) {})
 	return said.String() + err.Error() + "\n"
 }
 
--- a/internal/discovery/scale_test.go
+++ b/internal/discovery/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/netip"
 	"strings"
 	"testing"
@@ -65,3 +66,19 @@
 		t.Errorf("%d run and %d are gone, %v", running, gone, err)
 	}
 }
+
+// TestWholeFleet: a list of 87,000 hosts comes through, and what comes behind it, cut anywhere near its ends.
+func TestWholeFleet(t *testing.T) {
+	entry := server("s-00000", "10.100.100.100:6379", "active")
+	whole := `{"servers":[` + strings.Repeat(entry+",\n    ", 87_000) + entry + `]}`
+	next := `{"version":2}`
+	for _, at := range []int{1, len(whole) - 1, len(whole), len(whole) + 5} {
+		body := whole + next
+		r := io.MultiReader(strings.NewReader(body[:at]), strings.NewReader(body[at:]))
+		var lists []string
+		err := split(r, func() {}, func(list string) { lists = append(lists, list) }, func(bool) {})
+		if err != io.EOF || len(lists) != 2 || lists[0] != whole || lists[1] != next {
+			t.Errorf("cut at %d: %d lists, %v", at, len(lists), err)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,13 +17,14 @@
 
 const (
 	mostHead  = 64 << 10 // bytes before the body
-	mostValue = 4 << 20  // of one list: some thousand hosts, indented
+	mostValue = 32 << 20 // of one list: 87,000 hosts, indented
+	mostKept  = 1 << 20  // of a list that was handed on: a larger buffer is let go of
 )
 
 // Watch follows the list after a version until its connection or the context ends, and tells why it did. news
 // takes each list, alive is called for any bytes of the body: empty lines come while nothing changes. Both are
 // called by one goroutine. The pace and the feed are the watch's own.
-func Watch(ctx context.Context, addr string, after int64, pace *Pace, feed *Feed, alive func(), news func(list []byte)) (err error) {
+func Watch(ctx context.Context, addr string, after int64, pace *Pace, feed *Feed, alive func(), news func(list string)) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			log.Printf("event=panic where=discovery error=%q stack=%q", p, debug.Stack())
@@ -92,19 +93,30 @@
 	return n, err
 }
 
+// text takes a JSON value as it was written, with one copy.
+type text string
+
+func (t *text) UnmarshalJSON(value []byte) error {
+	*t = text(value)
+	return nil
+}
+
 // split hands on each JSON value of a body once it is whole. White space alone lies between values, as little or
 // as much as there is. value is told whether one that is not whole has begun.
-func split(r io.Reader, alive func(), news func([]byte), value func(began bool)) error {
+func split(r io.Reader, alive func(), news func(list string), value func(began bool)) error {
 	b := &body{Reader: r, alive: alive, value: value, room: mostValue}
 	for dec := json.NewDecoder(b); ; {
-		var list json.RawMessage
+		var list text
 		if err := dec.Decode(&list); err != nil {
 			return err
 		}
-		news(list)
+		news(string(list))
 		rest, _ := io.ReadAll(dec.Buffered())
 		rest = bytes.TrimLeft(rest, space)
 		b.began, b.room = len(rest) > 0, mostValue-len(rest)
+		if len(list) > mostKept {
+			dec = json.NewDecoder(io.MultiReader(bytes.NewReader(rest), b))
+		}
 		value(false) // the next one has its own time
 		value(b.began)
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -66,7 +66,7 @@
 				}
 				n.lost = false
 			})
-		}, func(list []byte) { newest(func() { n.listed(string(list), false) }) })
+		}, func(list string) { newest(func() { n.listed(list, false) }) })
 		stop()
 		n.do(func() { n.ended(w, err) })
 	}()
