--- /dev/null
+++ b/lab/startcost/searches.go
@@ -0,0 +1,92 @@
+package startcost
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"go/types"
+	"io/fs"
+	"slices"
+	"strings"
+)
+
+// Search is a call that goes through a list, made once for each turn of a loop: where the list grows with what the loop
+// goes through, the cost is quadratic.
+type Search struct {
+	Place string // file:line
+	Call  string // function and list, such as "slices.Index(names)"
+}
+
+func (s Search) String() string { return s.Place + ": " + s.Call }
+
+// linear are the functions of the standard library's slices that go through their first argument.
+var linear = []string{"Contains", "ContainsFunc", "Delete", "DeleteFunc", "Index", "IndexFunc", "Insert"}
+
+// loops are the functions, of any package, that call a function literal for each element of a list.
+var loops = []string{"ForEach", "each"}
+
+// Searches finds the searches within loops in the Go files of a folder, tests left out.
+func Searches(folder fs.FS) ([]Search, error) {
+	names, err := fs.Glob(folder, "*.go")
+	if err != nil {
+		return nil, err
+	}
+	var found []Search
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		text, err := fs.ReadFile(folder, name)
+		if err != nil {
+			return nil, err
+		}
+		files := token.NewFileSet()
+		file, err := parser.ParseFile(files, name, text, parser.SkipObjectResolution)
+		if err != nil {
+			return nil, fmt.Errorf("searches: %w", err)
+		}
+		ast.Walk(&finder{files: files, found: &found}, file)
+	}
+	return found, nil
+}
+
+// finder goes through a syntax tree and knows whether it stands within a loop.
+type finder struct {
+	files  *token.FileSet
+	found  *[]Search
+	looped bool
+}
+
+// Visit implements ast.Visitor.
+func (f *finder) Visit(node ast.Node) ast.Visitor {
+	switch n := node.(type) {
+	case *ast.ForStmt, *ast.RangeStmt:
+		return f.within()
+	case *ast.CallExpr:
+		f.note(n)
+		if selector, ok := n.Fun.(*ast.SelectorExpr); ok && slices.Contains(loops, selector.Sel.Name) {
+			return f.within()
+		}
+	}
+	return f
+}
+
+func (f *finder) within() *finder { return &finder{files: f.files, found: f.found, looped: true} }
+
+// note takes a call down if it is a search within a loop.
+func (f *finder) note(call *ast.CallExpr) {
+	selector, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || !f.looped || len(call.Args) == 0 {
+		return
+	}
+	library, ok := selector.X.(*ast.Ident)
+	if !ok || library.Name != "slices" || !slices.Contains(linear, selector.Sel.Name) {
+		return
+	}
+	place := f.files.Position(call.Pos())
+	*f.found = append(*f.found, Search{
+		Place: fmt.Sprintf("%s:%d", place.Filename, place.Line),
+		Call:  fmt.Sprintf("slices.%s(%s)", selector.Sel.Name, types.ExprString(call.Args[0])),
+	})
+}
--- /dev/null
+++ b/lab/startcost/startcost.go
@@ -0,0 +1,255 @@
+// Package startcost measures what the size of a configuration costs one process of the program: the time until it
+// serves, processor time, memory, and its share of a core at rest.
+package startcost
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"ravensill/lab/standin"
+)
+
+// Axis is what a configuration has many of, all else being small.
+type Axis string
+
+const (
+	QuotaPlans Axis = "quota plans"
+	Hosts      Axis = "hosts"           // in the configuration's own list; discovery's agent is absent
+	Delivered  Axis = "hosts delivered" // by discovery's agent, which is there; none in the configuration
+)
+
+// Size is one point of an axis.
+type Size struct {
+	Axis  Axis
+	Count int
+}
+
+// Cost is what one process took.
+type Cost struct {
+	Size
+	FileBytes int
+	Serving   time.Duration // from the call of exec to the line that tells of serving
+	StartCPU  time.Duration // processor time until that line
+	Resident  uint64        // bytes at rest
+	Peak      uint64        // bytes, the most so far
+	AtRest    float64       // part of a core
+	ReloadCPU time.Duration // processor time of a SIGHUP, until the line that tells that the file was read anew
+}
+
+// ErrEnded is told of a process that ended before it did what was waited for.
+var ErrEnded = errors.New("the process ended")
+
+const agents = 55 // net of the agent's address in 127.0.0.0/8
+
+// Measure starts a program on a configuration of one size and takes its cost. It stands at rest for so long.
+func Measure(ctx context.Context, binary string, size Size, rest time.Duration) (cost Cost, err error) {
+	cost.Size = size
+	folder, err := os.MkdirTemp("", "ravensill-startcost-")
+	if err != nil {
+		return cost, err
+	}
+	defer os.RemoveAll(folder)
+	discovery := "127.0.0.1:1" // nobody listens there
+	if size.Axis == Delivered {
+		agent, err := standin.NewAgent(agents, 1, entries(size.Count)...)
+		if err != nil {
+			return cost, err
+		}
+		defer agent.Close()
+		discovery = agent.Addr(0)
+	}
+	file := filepath.Join(folder, "config.json")
+	text, err := json.Marshal(configuration(size, discovery))
+	if err != nil {
+		return cost, err
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return cost, err
+	}
+	cost.FileBytes = len(text)
+	p, err := launch(ctx, binary, file)
+	if err != nil {
+		return cost, err
+	}
+	defer p.kill()
+	return cost, p.measure(ctx, &cost, rest)
+}
+
+// measure takes the cost of a process that was just launched.
+func (p *process) measure(ctx context.Context, cost *Cost, rest time.Duration) error {
+	line, err := p.line(ctx, "event=serving ")
+	if err != nil {
+		return err
+	}
+	cost.Serving = time.Since(p.began)
+	if cost.Axis != QuotaPlans && !strings.Contains(line, fmt.Sprintf(" hosts=%d ", cost.Count)) {
+		return fmt.Errorf("not all of %d hosts: %s", cost.Count, line)
+	}
+	if cost.StartCPU, err = p.cpu(); err != nil {
+		return err
+	}
+	if err := p.rest(ctx, cost, rest); err != nil {
+		return err
+	}
+	before, err := p.cpu()
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	if _, err := p.line(ctx, "event=reloaded "); err != nil {
+		return err
+	}
+	after, err := p.cpu()
+	cost.ReloadCPU = after - before
+	return err
+}
+
+// rest takes what the process needs while nothing happens.
+func (p *process) rest(ctx context.Context, cost *Cost, rest time.Duration) error {
+	before, err := p.cpu()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(rest):
+	}
+	after, err := p.cpu()
+	if err != nil {
+		return err
+	}
+	cost.AtRest = (after - before).Seconds() / time.Since(began).Seconds()
+	status, err := p.proc.NewStatus()
+	cost.Resident, cost.Peak = status.VmRSS, status.VmHWM
+	return err
+}
+
+// process is one life of the program.
+type process struct {
+	cmd   *exec.Cmd
+	proc  procfs.Proc
+	began time.Time
+	lines chan string // of its log; closed at its end
+}
+
+func launch(ctx context.Context, binary, file string) (*process, error) {
+	p := &process{cmd: exec.CommandContext(ctx, binary), lines: make(chan string, 64)}
+	p.cmd.Env = append(os.Environ(), "GW_CONFIG="+file)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	p.began = time.Now()
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(log); s.Scan(); {
+			p.lines <- s.Text()
+		}
+	}()
+	p.proc, err = procfs.NewProc(p.cmd.Process.Pid)
+	if err != nil {
+		p.kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+// line waits for a line of the log that holds a text.
+func (p *process) line(ctx context.Context, text string) (string, error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return "", ctx.Err()
+		case line, ok := <-p.lines:
+			if !ok {
+				return "", ErrEnded
+			}
+			if strings.Contains(line, text) {
+				return line, nil
+			}
+		}
+	}
+}
+
+// cpu gives the processor time so far, of all threads.
+func (p *process) cpu() (time.Duration, error) {
+	stat, err := p.proc.Stat()
+	return time.Duration(stat.CPUTime() * float64(time.Second)), err
+}
+
+// kill ends the process and waits for its end.
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	for range p.lines {
+	}
+	p.cmd.Wait()
+}
+
+// configuration is that of a gateway by itself, with so many of what the axis names.
+func configuration(size Size, discovery string) map[string]any {
+	plans, hosts := 1, 2
+	known := map[string]any{"version": 0, "full": true, "servers": []any{}}
+	switch size.Axis {
+	case QuotaPlans:
+		plans = size.Count
+	case Hosts:
+		hosts = size.Count
+	}
+	if size.Axis != Delivered {
+		known = map[string]any{"version": 1, "full": true, "servers": entries(hosts)}
+	}
+	return map[string]any{
+		"listen":    "127.0.0.1:0",
+		"discovery": discovery,
+		"known":     known,
+		"settings": map[string]any{
+			"balancers": 1,
+			"zones":     []string{"a"},
+			"skus":      []string{"m"},
+			"limits":    map[string]any{"max_attempts": 3, "retry_after": true},
+			"profiles":  []any{map[string]any{"name": "lookup", "effect": "safe", "target_us": 600_000, "hard_limit_us": 2_500_000, "points": 1}},
+			"plans":     quotaPlans(plans),
+		},
+	}
+}
+
+func quotaPlans(count int) (plans []any) {
+	for i := range count {
+		plans = append(plans, map[string]any{"name": fmt.Sprintf("tenant-%05d", i), "rate": 10, "burst": 20, "worth_factor": 1})
+	}
+	return plans
+}
+
+func entries(count int) (hosts []standin.Entry) {
+	for i := range count {
+		hosts = append(hosts, standin.Entry{
+			ID:     fmt.Sprintf("s-%05d", i),
+			Addr:   fmt.Sprintf("10.%d.%d.%d:6380", i>>16, i>>8&255, i&255),
+			Zone:   "a",
+			Kind:   "m",
+			Cell:   i % 4,
+			State:  "active",
+			Weight: 1,
+		})
+	}
+	return hosts
+}
