--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"errors"
+	"log"
+
+	"ravensill/configsync"
+	"ravensill/gateway"
+	"ravensill/internal/clients"
+	"ravensill/internal/config"
+	"ravensill/internal/peers"
+)
+
+// maxAdjustedLines bounds the log lines on settings that one version led to: a document may hold thousands of them.
+const maxAdjustedLines = 20
+
+// ErrEnded is the error for a revision that came when the gateway had ended.
+var ErrEnded = errors.New("the gateway has ended")
+
+// revision is a version of the configuration that is checked and pending.
+type revision struct {
+	*config.Revision
+	version configsync.Version
+	inForce chan struct{} // closed then
+}
+
+// Apply puts a revision in force between two batches of events, and returns once it is. It is called by the task
+// that follows the publishers, with one revision at a time. The error is ErrEnded.
+func (n *Node) Apply(version configsync.Version, changes *config.Revision) error {
+	next := revision{Revision: changes, version: version, inForce: make(chan struct{})}
+	select {
+	case n.work <- func() { n.pending = append(n.pending, next) }:
+	case <-n.over:
+		return ErrEnded
+	}
+	select {
+	case <-next.inForce:
+		return nil
+	case <-n.over:
+		return ErrEnded
+	}
+}
+
+// applyPending puts the pending revisions in force, and tells whether there were any. It is called after a turn: all that
+// came in before has been decided under the version before.
+func (n *Node) applyPending() bool {
+	pending := n.pending
+	n.pending = nil
+	for i := range pending {
+		n.guard("configuration", func() { n.applyRevision(&pending[i]) })
+		close(pending[i].inForce)
+	}
+	return len(pending) > 0
+}
+
+// applyRevision changes all that goes by the configuration, the module first: no other part may name an index that it lacks.
+func (n *Node) applyRevision(next *revision) {
+	n.module.Reconfigure(n.now(), &next.Update)
+	if next.Update.Limits != nil {
+		n.cfg.Limits = *next.Update.Limits
+	}
+	n.applyClasses(next.Classes)
+	n.catalog.Apply(catalogEdit(next.Revision))
+	n.applyMembers(next.Revision)
+	n.logRevision(next)
+}
+
+func (n *Node) applyClasses(changes []config.ClassChange) {
+	for _, change := range changes {
+		if change.Index == len(n.classes) {
+			n.classes = append(n.classes, gateway.Frontend{})
+		}
+		n.classes[change.Index] = change.Class
+		n.pool.named(change.Index, change.Name)
+	}
+}
+
+// catalogEdit tells what commands may name from now on.
+func catalogEdit(next *config.Revision) clients.Edit {
+	edit := clients.Edit{Members: next.MemberCount}
+	for i := range next.Update.Plans {
+		update := &next.Update.Plans[i]
+		edit.Plans = append(edit.Plans, clients.PlanEdit{
+			Index:    update.Index,
+			Name:     next.PlanNames[i],
+			MaxUnits: maxUnits(&update.Plan),
+			Removed:  update.Removed,
+		})
+	}
+	for _, change := range next.Classes {
+		edit.Classes = append(edit.Classes, clients.ClassEdit{
+			Index:   change.Index,
+			Name:    change.Name,
+			Effect:  change.Class.Effect,
+			Removed: change.Removed,
+		})
+	}
+	return edit
+}
+
+func (n *Node) applyMembers(next *config.Revision) {
+	if n.post == nil || len(next.Members) == 0 && next.Update.Members == 0 {
+		return
+	}
+	changed := make([]peers.Member, 0, len(next.Members))
+	for _, member := range next.Members {
+		changed = append(changed, peers.Member{Index: member.Index, Address: member.Address})
+	}
+	n.post.Change(changed, next.MemberCount)
+}
+
+func (n *Node) logRevision(next *revision) {
+	for i, adjusted := range next.Adjusted {
+		if i == maxAdjustedLines {
+			log.Printf("event=settings_adjusted more=%d", len(next.Adjusted)-i)
+			break
+		}
+		log.Printf("event=settings_adjusted key=%q meaning=%q", adjusted.Key, adjusted.Meaning)
+	}
+	log.Printf("event=configuration_applied version=%d plans=%d classes=%d members=%d", next.version, next.PlanCount,
+		next.ClassCount, next.MemberCount)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 // Decider is the module.
 type Decider interface {
 	Round(in *gateway.Round, out gateway.Writer)
+	Reconfigure(now int64, update *gateway.Update) // between two rounds
 }
 
 // Tallier is a module that counts its decisions; the node logs them every tallyEach, for on-call and for
@@ -56,71 +57,41 @@
 	wakeAt  int64 // 0: no wake-up is due
 	dueAt   int64 // when the first dispatch of open times out at the earliest
 	open    []*dispatch
+	classes []gateway.Frontend // request classes by index, as they are in force
+	catalog *clients.Catalog
 	clients *clients.Server
 	fleet   *hosts.Fleet
 	book    *discovery.Book
 	post    *peers.Post
 	counter *counter.Counter // nil: none is configured
 	watch   *watch
-	witness *watching // nil: off
-	pool    *pooling  // nil: off
-	lost    bool      // the watch broke, and none has brought anything since
-	told    bool      // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int       // lists dropped
-	strange int       // datagrams dropped since the last line on them
-	lineAt  int64     // of that line
-	tallyAt int64     // of the last line of decisions
-	stopAt  int64     // the next step to the end is due then; 0 none
-	leaveAt int64     // what is taken has its answer by then; 0 not called to stop
-	serving bool      // clients are taken in
-	stopped bool      // no more are: the gateway ends with its last connection
-	retired bool      // those that are owed nothing are closed
-}
-
-// req is held until it is answered and no dispatch is out.
-type req struct {
-	node                      *Node
-	id                        string
-	answer                    *clients.Answer
-	front                     int // frontend
-	until                     int64
-	head, before, after, tail []byte
-	sends                     []*dispatch // by their numbers
-	out                       int         // dispatches, and 1 from its leaving until the module has heard of that
-	closed                    bool
-	ranAt                     int64 // when the first that may have run was sent; 0 none has ended so
-	round, event              int   // its arrival is this event of that round
-}
-
-// dispatch is one that is out. A probe has no req.
-type dispatch struct {
-	node    *Node
-	req     *req
-	host    uint32
-	n       int
-	at, due int64
-	send    *hosts.Send
+	witness *watching             // nil: off
+	pool    *pooling              // nil: off
+	pending []revision            // of the configuration; each is in force after the turn at hand
+	over    chan struct{}         // closed when Run returns
+	tasks   []func() (end func()) // started once the gateway has its addresses
+	lost    bool                  // the watch broke, and none has brought anything since
+	told    bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken  int                   // lists dropped
+	strange int                   // datagrams dropped since the last line on them
+	lineAt  int64                 // of that line
+	tallyAt int64                 // of the last line of decisions
+	stopAt  int64                 // the next step to the end is due then; 0 none
+	leaveAt int64                 // what is taken has its answer by then; 0 not called to stop
+	serving bool                  // clients are taken in
+	stopped bool                  // no more are: the gateway ends with its last connection
+	retired bool                  // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
 func New(cfg *config.Config, module Decider) *Node {
-	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(),
-		reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
+	n := &Node{cfg: cfg, module: module, work: make(chan func(), inbox), epoch: time.Now(), over: make(chan struct{}),
+		classes: slices.Clone(cfg.Fronts), reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
-	words := clients.Words{Fronts: clients.NewNames(cfg.FrontNames...), Plans: clients.NewNames(cfg.PlanNames...), Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
-	for _, f := range cfg.Fronts {
-		words.Effects = append(words.Effects, f.Effect)
-	}
-	for _, p := range cfg.Plans {
-		most := p.Burst
-		if p.Rate == 0 {
-			most = 0
-		}
-		words.Most = append(words.Most, most)
-	}
+	n.catalog = clients.NewCatalog(catalogOf(cfg))
 	sockets := descriptors(cfg.Sockets)
-	n.clients = clients.NewServer(words, sockets/3, n.do, n.now, n.arrive)
+	n.clients = clients.NewServer(n.catalog, sockets/3, n.do, n.now, n.arrive)
 	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		sockets*2/5)
 	if cfg.Counter.IsValid() {
@@ -131,12 +102,50 @@
 	return n
 }
 
+// catalogOf lists what commands name.
+func catalogOf(cfg *config.Config) clients.CatalogConfig {
+	catalog := clients.CatalogConfig{
+		Classes:  cfg.FrontNames,
+		Effects:  make([]gateway.Effect, 0, len(cfg.Fronts)),
+		Plans:    cfg.PlanNames,
+		MaxUnits: make([]float64, 0, len(cfg.Plans)),
+		Members:  cfg.Seat.Count,
+		Own:      cfg.Seat.Index,
+	}
+	for i := range cfg.Fronts {
+		catalog.Effects = append(catalog.Effects, cfg.Fronts[i].Effect)
+	}
+	for i := range cfg.Plans {
+		catalog.MaxUnits = append(catalog.MaxUnits, maxUnits(&cfg.Plans[i]))
+	}
+	return catalog
+}
+
+// maxUnits gives the units that a request of a quota plan may ask for; 0: any.
+func maxUnits(plan *gateway.Plan) float64 {
+	if plan.Rate == 0 {
+		return 0
+	}
+	return plan.Burst
+}
+
 func (n *Node) do(f func()) { n.work <- f }
 
 func (n *Node) now() int64 { return n.unix + int64(time.Since(n.epoch)) }
 
+// WhileRunning has Run start a task beside the loop once the gateway has its addresses: a former process of this gateway
+// that serves to its end runs no more then. Run calls what start returns after the loop has ended, and waits for it.
+func (n *Node) WhileRunning(start func() (end func())) { n.tasks = append(n.tasks, start) }
+
 // Run serves until it is called to stop and owes nothing more.
 func (n *Node) Run(stop <-chan struct{}) (err error) {
+	var ends []func()
+	defer func() {
+		close(n.over)
+		for _, end := range ends {
+			end()
+		}
+	}()
 	defer func() {
 		if err == errCalled {
 			log.Printf("event=stopped")
@@ -174,6 +183,9 @@
 		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
 	}
 	n.step() // the first round
+	for _, start := range n.tasks {
+		ends = append(ends, start())
+	}
 	if n.post != nil {
 		go n.post.Listen(func(seat int, body []byte) {
 			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
@@ -198,7 +210,11 @@
 		}
 		n.drain()
 		n.catchUp()
-		timer.Reset(n.step())
+		wait := n.step()
+		if n.applyPending() {
+			wait = n.step()
+		}
+		timer.Reset(wait)
 	}
 	log.Printf("event=stopped")
 	return nil
@@ -211,40 +227,6 @@
 	}
 }
 
-// stop begins the end. Clients go on sending on what they have open, and a close that crosses a command leaves
-// that unanswered. So what is open is served until shortly before the platform kills, which counts from the
-// longest client timeout, and ends then: a kill that crosses a command would lose it. One that serves nobody yet ends at once.
-func (n *Node) stop() {
-	longest := int64(0)
-	for _, f := range n.cfg.Fronts {
-		longest = max(longest, f.Timeout)
-	}
-	n.stopAt = n.now() + int64(accepting)
-	n.leaveAt = n.now() + min(longest, int64(mostLeave)) + int64(leave)
-	if !n.serving {
-		n.stopAt = n.now()
-	}
-	log.Printf("event=stopping clients=%d open=%d", n.clients.Count(), len(n.reqs))
-}
-
-// stopping takes the next step to the end: first no new clients, then none that is owed nothing, at last none at all. One
-// that neither reads nor closes must not hold the program.
-func (n *Node) stopping() {
-	switch {
-	case !n.stopped:
-		n.stopped, n.stopAt = true, n.leaveAt
-		n.clients.Unlisten()
-		log.Printf("event=closed_to_new clients=%d open=%d", n.clients.Count(), len(n.reqs))
-	case !n.retired:
-		n.retired, n.stopAt = true, n.now()+int64(parting)
-		n.clients.Retire()
-	default:
-		n.stopAt = 0
-		log.Printf("event=cut_off clients=%d open=%d", n.clients.Count(), len(n.reqs))
-		n.clients.End()
-	}
-}
-
 // step is a turn; a panic in it costs what was at hand, not the program.
 func (n *Node) step() (wait time.Duration) {
 	wait = retry
@@ -335,208 +317,3 @@
 	}()
 	f()
 }
-
-// expire ends the dispatches whose time is up.
-func (n *Node) expire(now int64) {
-	if n.dueAt == 0 || now < n.dueAt {
-		return
-	}
-	var due []*dispatch
-	n.dueAt = 0
-	for _, d := range n.open {
-		if d.due <= now {
-			due = append(due, d)
-		} else if n.dueAt == 0 || d.due < n.dueAt {
-			n.dueAt = d.due
-		}
-	}
-	for _, d := range due { // each ends at once, also one whose send a panic has swallowed
-		n.guard("loop", func() { d.send.Stop(hosts.ErrTimedOut) })
-		if slices.Contains(n.open, d) {
-			n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.TimedOut}, nil, now) })
-		}
-	}
-}
-
-// arrive takes in a req.
-func (n *Node) arrive(a *clients.Answer, came int64, id, customer string, front, plan int, until int64,
-	units float64, spread, first int, again bool, head, before, after, tail []byte) {
-	if n.reqs[id] != nil {
-		a.Aborted("id: in use")
-		return
-	}
-	if n.leaveAt > 0 {
-		until = min(until, n.leaveAt)
-	}
-	r := &req{node: n, id: id, answer: a, front: front, until: until, head: head, before: before,
-		after: after, tail: tail, round: n.rounds, event: len(n.events)}
-	n.reqs[id] = r
-	a.Left = r.left
-	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Frontend: front,
-		Plan: plan, Until: until, Units: units, Spread: spread, First: first, Again: again})
-}
-
-// left takes in that the client is gone. Where the module has not heard of the req yet it never does: behind a stall or
-// a flood the arrival and this wait together, and the req would be sent on for nobody. Else the req is held until the
-// round in which the module hears of this: what it decides before that meets a closed req.
-func (r *req) left() {
-	n := r.node
-	if n.reqs[r.id] != r { // the module has heard of its end: the id may be another's by now
-		return
-	}
-	r.answer, r.closed = nil, true
-	r.out++
-	if e := (gateway.Event{Kind: gateway.Left, Req: r.id}); r.round == n.rounds {
-		n.events[r.event] = e
-	} else {
-		n.events = append(n.events, e)
-	}
-	for _, d := range r.sends {
-		d.withdraw()
-	}
-}
-
-// withdraw gives up a dispatch that has not begun: it waits for a connection, or its last byte is not yet written. Its
-// connection may come up long after, and then carry a req whose client is gone.
-func (d *dispatch) withdraw() {
-	if !d.send.Sent() {
-		d.send.Stop(hosts.ErrCanceled)
-	}
-}
-
-// forget lets go of the reqs whose leaving the module has now heard of.
-func (n *Node) forget() {
-	for _, e := range n.round.Events {
-		if e.Kind != gateway.Left {
-			continue
-		}
-		if r := n.reqs[e.Req]; r != nil {
-			r.out--
-			r.close()
-		}
-	}
-}
-
-func (r *req) close() {
-	r.closed = true
-	if r.out == 0 {
-		delete(r.node.reqs, r.id)
-	}
-}
-
-// Dispatch sends a req to a host.
-func (n *Node) Dispatch(id string, host uint32, timeout int64) {
-	r := n.reqs[id]
-	if r == nil {
-		return
-	}
-	wait := r.until - n.round.Now
-	if timeout > 0 {
-		wait = min(wait, timeout)
-	}
-	d := n.sent(r, host, wait)
-	r.sends = append(r.sends, d)
-	r.out++
-	// Its client left in this round, or has left by what its reader saw, though that still waits for the loop: nothing is sent,
-	// and the module must hear of the end or it counts it as out for ever.
-	if r.closed || r.answer.Gone() {
-		r.closed = true
-		d.ended(gateway.Event{Result: gateway.Skipped}, nil, n.now())
-		return
-	}
-	n.pool.next(r)
-	by := d.due
-	if f := n.cfg.Fronts[r.front]; r.ranAt > 0 && f.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
-		by = min(by, r.ranAt+f.Window)
-	}
-	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
-	if r.closed { // it left meanwhile: the end of another may have ended its connection
-		d.withdraw()
-	}
-}
-
-func (n *Node) Probe(host uint32) {
-	d := n.sent(nil, host, probeWait)
-	d.send = n.fleet.Probe(host, d.ended)
-}
-
-// sent notes a dispatch that is to end within a time.
-func (n *Node) sent(r *req, host uint32, wait int64) *dispatch {
-	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.Never}
-	if r != nil {
-		d.n = len(r.sends)
-	}
-	n.open = append(n.open, d)
-	if n.dueAt == 0 || d.due < n.dueAt {
-		n.dueAt = d.due
-	}
-	return d
-}
-
-// ended takes in how a dispatch ended. The first good answer goes to the client at once.
-func (d *dispatch) ended(e gateway.Event, value []byte, came int64) {
-	r, n := d.req, d.node
-	n.open = slices.DeleteFunc(n.open, func(o *dispatch) bool { return o == d })
-	e.Kind, e.Host, e.Dispatch, e.Lag = gateway.Ended, d.host, d.n, came-d.at
-	if r == nil {
-		e.Kind = gateway.Probed
-		n.events = append(n.events, e)
-		return
-	}
-	r.out--
-	if r.ranAt == 0 && !e.Result.NeverRan() {
-		r.ranAt = d.at
-	}
-	defer func() { // also behind a panic: else the module holds the dispatch as out for ever
-		if r.closed {
-			r.close()
-		}
-		e.Req, e.Closed = r.id, r.closed
-		n.events = append(n.events, e)
-	}()
-	n.pool.ended(r)
-	if e.Result == gateway.Passed && !r.closed {
-		r.closed = true
-		r.answer.Passed(value)
-	}
-	n.witness.ended(d, e.Result, e.Lag)
-}
-
-func (n *Node) Cancel(id string, dispatch int) {
-	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
-		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
-	}
-}
-
-func (n *Node) Deny(id string, after int64) {
-	if r := n.reqs[id]; r != nil && !r.closed {
-		r.answer.Denied(after)
-		r.close()
-	}
-}
-
-func (n *Node) Abort(id string) {
-	if r := n.reqs[id]; r != nil && !r.closed {
-		r.answer.Aborted("aborted")
-		r.close()
-	}
-}
-
-func (n *Node) Tell(peer int, body []byte) {
-	if n.post != nil {
-		n.post.Tell(peer, body)
-	}
-}
-
-// Count calls the shared counter. Without one the call is answered as unreached: the module does without.
-func (n *Node) Count(name uint64, amount float64, life int64) {
-	if n.counter == nil {
-		n.events = append(n.events, gateway.Event{Kind: gateway.Counted, Name: name, Result: gateway.Unreached})
-		return
-	}
-	n.counter.Count(name, amount, life)
-}
-
-func (n *Node) Wake(after int64) { n.wakeAt = n.round.Now + after }
-
-func (n *Node) Note(text string) { log.Printf("event=note text=%q", text) }
--- /dev/null
+++ b/logic/gossip.go
@@ -0,0 +1,152 @@
+// Gossip: which peers are told of a customer, and what their totals take from this copy.
+
+package logic
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"ravensill/internal/mail"
+	"slices"
+)
+
+// resize takes in how many gateways there are: which of them this one tells and hears, and how often. Totals
+// are first totals again on both sides: among another number who tells what to whom may differ.
+func (g *Gateway) resize(n int) {
+	perSecond := g.seat.PerSecond
+	g.form.Members, g.rows = n, 1
+	if float64(n-1) > perSecond*gossipShare*seconds(interval) {
+		g.rows = int(math.Sqrt(float64(n)) + 0.5)
+	}
+	g.arrange(n)
+	g.rate = max(perSecond*gossipShare/float64(max(n/g.rows+g.rows-2, 1)), 0.01)
+	g.pause = max(interval, int64(float64(second)/g.rate))
+	g.silence, g.age = silent*g.pause, 0.5/g.rate*float64(min(g.rows, 2))
+	g.quiet = max(g.silence/int64(max(len(g.neighbours), 1)), 2*stall) // when several signs of life are overdue
+	g.pool.members, g.pool.limit.Start = n, initialInFlight/float64(n)
+}
+
+// enqueue has the customer's counters sent: after admissions here to all peers, else the column; or to one.
+func (c *customer) enqueue(here bool, one *peer) {
+	for i := range c.subscriptions {
+		t := &c.subscriptions[i]
+		wanted := t.peer == one || one == nil && (here || t.peer.total == 1)
+		if t.sends && !t.queued && wanted {
+			t.queued, t.peer.queue = true, append(t.peer.queue, t)
+		}
+	}
+}
+
+func (t *subscription) unsent() float64 { return t.customer.total[t.peer.total] - t.sentTotal }
+
+// send gives p the totals that changed, as soon as it can take a message, and signs of life with hosts' tags.
+func (g *Gateway) send(p *peer, credit float64) {
+	p.credit = min(p.credit+credit, max(g.rate, 1))
+	due := g.now >= p.due
+	if !p.sends || p.credit < 1 || !due && len(p.queue) == 0 {
+		return
+	}
+	var tags []uint16
+	if due {
+		p.due = g.now + g.pause
+		for _, h := range g.pool.near {
+			for i, of := range h.classes {
+				recent := of.lastGood > 0 && g.now-of.lastGood <= g.pause
+				if recent && of.unanswered < suspectShare && len(tags) < mail.Tags {
+					tags = append(tags, h.tag(i))
+				}
+			}
+		}
+	}
+	p.sent, p.credit = p.sent+1, p.credit-1
+	msg := g.form.Head(uint64(g.start/1e6), p.sent, tags)
+	slices.SortStableFunc(p.queue, func(a, b *subscription) int { return cmp.Compare(b.unsent(), a.unsent()) })
+	for len(p.queue) > 0 {
+		t := p.queue[0]
+		c, total := t.customer, uint64(t.customer.total[p.total]*unit)
+		g.refill(c)
+		owed, lack := uint64(0), max(c.plan.Burst-c.level, 0)*unit
+		switch recent := func(at int64) bool { return g.now-at < g.silence }; {
+		case recent(c.created) && c.created >= g.resized: // a copy there that has not heard of it loses the whole,
+			owed = total
+		case recent(p.born): // of a new incarnation, full, this gateway's part of what is gone,
+			owed = uint64(lack / float64(len(c.subscriptions)))
+		case g.resized > 0 && recent(g.resized): // after a change of the fleet's size what was not sent,
+			owed = uint64(t.unsent() * unit)
+		case t.sentTotal == 0: // if first sent late, what has not been refilled since
+			owed = min(total, uint64(lack))
+		}
+		name := uint32(c.planIndex)
+		if g.form.ByID {
+			name = c.plan.ID
+		}
+		if entry := g.form.Total(c.hash, name, c.spread, c.first, total, owed); owed > 0 || t.unsent() > 0 {
+			if len(msg)+len(entry) > mail.Most {
+				break
+			}
+			msg = append(msg, entry...)
+		}
+		t.sentTotal, t.queued, p.queue = c.total[p.total], false, p.queue[1:]
+	}
+	g.writer.Tell(p.member, msg)
+}
+
+// receive takes in a message of a peer.
+func (g *Gateway) receive(from int, msg []byte) {
+	if from < 0 || from >= len(g.peers) || g.peers[from] == nil {
+		return
+	}
+	p := g.peers[from]
+	g.form.Read(msg, func(incarnation, number uint64) bool {
+		if incarnation < p.incarnation || incarnation == p.incarnation && number <= p.number { // overtaken
+			return false
+		}
+		if incarnation != p.incarnation {
+			p.born = g.now
+			for _, hash := range slices.Sorted(maps.Keys(g.customers)) {
+				g.customers[hash].enqueue(false, p)
+			}
+		}
+		if incarnation != p.incarnation || g.now-p.received > 2*g.silence { // its totals are first totals again
+			p.incarnation, p.first = incarnation, g.now
+		}
+		p.received, g.heard, p.number = g.now, g.now, number
+		return true
+	}, g.pool.vouched, func(hash, name uint32, spread, first int, total, owed uint64) {
+		plan, known := int(name), true
+		if g.form.ByID {
+			plan, known = g.byID[name]
+		}
+		if c := g.customers[hash]; !known || g.form.ByID && c != nil && c.planIndex != plan {
+			g.unmatched++ // of a plan that is unknown here, or that the customer is not on
+			return
+		}
+		g.charge(p, g.customer(hash, plan, spread, first), total, owed)
+	})
+}
+
+// charge subtracts what a peer admitted since its last message, and passes it on to the other rows. Of a
+// first or lower total it subtracts what the peer says this copy owes; the rest is only recorded.
+func (g *Gateway) charge(p *peer, c *customer, total, owed uint64) {
+	i := slices.IndexFunc(c.subscriptions, func(t subscription) bool { return t.peer == p })
+	if i < 0 {
+		return
+	}
+	g.refill(c)
+	t := &c.subscriptions[i]
+	last := t.receivedTotal
+	if t.received < p.first || t.received == 0 || total < last {
+		last = total - owed
+	}
+	if units := float64(total-last) / unit; units > 0 {
+		known := min(units, c.presumed) // taken while nobody was heard
+		c.presumed -= known
+		c.level = max(c.level-units+known, min(c.level, -debt*c.plan.Burst))
+		c.peerRate += units / seconds(g.silence)
+		if p.total == 0 {
+			c.total[1] += units
+			c.enqueue(false, nil)
+		}
+	}
+	t.receivedTotal, t.received, c.lastAdmission = total, g.now, g.now
+}
