Configuration: classes named twice are looked for in one pass

The search check of lab/startcost found it on the merged program: each request class's name was compared with all before it, and each urgent name of a pool with all classes.

--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -60,10 +60,12 @@
 // identify gives each quota plan of the file the identity by which gossip names it. Two plans of one identity could not
 // be told apart by other gateways, nor two request classes of one name by documents.
 func (c *Config) identify() error {
+	classes := make(map[string]bool, len(c.FrontNames))
 	for i, name := range c.FrontNames {
-		if slices.Index(c.FrontNames, name) < i {
+		if classes[name] {
 			return fmt.Errorf("settings.profiles.%d.name: %w", i, errGivenTwice)
 		}
+		classes[name] = true
 	}
 	first := make(map[uint32]int, len(c.Plans))
 	for i, name := range c.PlanNames {
--- a/internal/config/pool.go
+++ b/internal/config/pool.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ravensill/pool"
@@ -148,8 +147,12 @@
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
+	classes := make(map[string]bool, len(c.FrontNames))
+	for _, name := range c.FrontNames {
+		classes[name] = true
+	}
 	for i, name := range text.Urgent {
-		if !slices.Contains(c.FrontNames, name) {
+		if !classes[name] {
 			return nil, fmt.Errorf("urgent.%d: no frontend %q", i, name)
 		}
 		p.Urgent[name] = true
--- a/lab/startcost/startcost_test.go
+++ b/lab/startcost/startcost_test.go
@@ -28,9 +28,10 @@
 
 // bounded are the searches within loops that go through a list of a bounded length.
 var bounded = []string{
-	"slices.Contains(n.open)",    // attempts in flight
-	"slices.ContainsFunc(parts)", // the words of one command
-	"slices.Index(names)",        // the keys that a command may have
+	"slices.Contains(section.Publishers)", // seven addresses at most
+	"slices.Contains(n.open)",             // attempts in flight
+	"slices.ContainsFunc(parts)",          // the words of one command
+	"slices.Index(names)",                 // the keys that a command may have
 }
 
 // TestSearches: on the way of the start, of a request and of a message no list that grows with the fleet is searched for each
