--- /dev/null
+++ b/internal/node/scale_test.go
@@ -0,0 +1,31 @@
+package node
+
+import "testing"
+
+// TestListsAreLetGo: a list that the module has taken in stays neither in the configuration nor in the loop's events: it may
+// be as large as all else together.
+func TestListsAreLetGo(t *testing.T) {
+	r := newRig(t)
+	<-r.told // the list of the configuration
+	left := make(chan []string, 1)
+	r.do(func() {
+		var held []string
+		if r.cfg.Known != "" {
+			held = append(held, "the configuration")
+		}
+		for _, e := range r.news[:cap(r.news)] {
+			if e.Hosts != nil {
+				held = append(held, "the news")
+			}
+		}
+		for _, e := range r.round.Events[:cap(r.round.Events)] {
+			if e.Hosts != nil {
+				held = append(held, "the batch of events")
+			}
+		}
+		left <- held
+	})
+	if held := <-left; len(held) > 0 {
+		t.Errorf("held by %q", held)
+	}
+}
