--- a/lab/startcost/startcost_test.go
+++ b/lab/startcost/startcost_test.go
@@ -97,8 +97,8 @@
 			t.Fatal(err)
 		}
 		book := discovery.NewBook([]string{"a"}, []string{"m"})
-		fleet := hosts.NewFleet(func(func()) {}, func() int64 { return 0 }, nil, 1, 1, 1)
-		_, listed, _, err := book.Read(string(list), func(host uint32, addr netip.AddrPort) { fleet.Place(host, addr) })
+		transport := hosts.NewTransport(func(func()) {}, func() int64 { return 0 }, nil, 1, 1, 1)
+		_, listed, _, err := book.Read(string(list), func(host uint32, addr netip.AddrPort) { transport.SetAddress(host, addr) })
 		if err != nil || size.Axis == Hosts && len(listed) != size.Count {
 			t.Fatal(len(listed), err)
 		}
