Scale: hollow gateways on a simulated clock, and beside real processes

Cause: what a gateway needs at the operators' size is unknown; slopes need many gateways on one machine. Change: lab/scale runs hollow gateways with the program's own control code: all on a simulated clock, or on real loopback datagrams beside real processes, and compares the two. Clients and hosts are simulated.

--- /dev/null
+++ b/lab/scale/hollow.go
@@ -0,0 +1,208 @@
+// Package scale measures how what one gateway needs (memory, messages, processor time) grows with each size of a
+// deployment: gateways, hosts, quota plans, request classes, customers, requests a second, changes a second.
+//
+// It runs hollow gateways, many in one process: the program's own code for all control work, with the sockets to
+// clients and hosts left out. Simulation drives them on a simulated clock; Serve drives them on the real clock
+// with the program's own datagram sockets, beside real processes of the program. Clients and hosts are simulated
+// in both. docs/scale.md describes the method.
+package scale
+
+import (
+	"net/netip"
+	"time"
+
+	"ravensill/gateway"
+	"ravensill/internal/config"
+	"ravensill/internal/discovery"
+	"ravensill/internal/hosts"
+	"ravensill/internal/mail"
+	"ravensill/logic"
+)
+
+// connectionsPerSocket is the part of a gateway's sockets that its connections to hosts may use, as in package node.
+const connectionsPerSocket = 0.4
+
+// Outside carries out what a hollow gateway decides, in place of sockets.
+type Outside interface {
+	Send(from *Hollow, peer int, body []byte)
+	Attempt(from *Hollow, request string, host uint32, attempt int)
+	Closed(from *Hollow, request string, outcome Outcome)
+}
+
+// Outcome tells how the gateway closed a request by itself.
+type Outcome int
+
+// Outcomes of a request that the gateway closed without an answer of a host.
+const (
+	Rejected Outcome = iota // throttled, with a time to come back after
+	Failed
+)
+
+// Counts are of one hollow gateway since its start.
+type Counts struct {
+	MessagesOut, BytesOut int
+	MessagesIn, BytesIn   int
+	Rounds                int // batches of events handed to the decision module
+	Ticks                 int // of them, timers that fell due
+}
+
+// Hollow is one gateway without sockets to clients and hosts. It repeats what node.Node does between its sockets and
+// the decision module. Its fields belong to one goroutine.
+type Hollow struct {
+	Counts
+	outside       Outside
+	configuration *config.Config
+	module        *logic.Gateway
+	book          *discovery.Book
+	connections   *hosts.Fleet
+	lists         []gateway.Event // of the host list: they precede other events, as in package node
+	events        []gateway.Event
+	round         gateway.Round
+	attempts      map[string]int // made for each open request
+	now           int64          // Unix time in nanoseconds
+	wakeAt        int64          // the decision module's timer; 0 none
+	badLists      int
+}
+
+// NewHollow starts a gateway with a configuration, as the program does, and hands the module the last known host list.
+func NewHollow(configuration *config.Config, outside Outside, now int64) *Hollow {
+	h := &Hollow{outside: outside, configuration: configuration, now: now, attempts: map[string]int{}}
+	h.module = logic.New(configuration.Seed, configuration.Seat, configuration.Fronts, configuration.Plans,
+		configuration.Limits, configuration.Cold, configuration.Report)
+	h.book = discovery.NewBook(configuration.Zones, configuration.Machines)
+	h.book.Even = configuration.Even
+	run := func(work func()) { work() }
+	clock := func() int64 { return h.now }
+	h.connections = hosts.NewFleet(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
+		configuration.ConnIdle, int(connectionsPerSocket*float64(configuration.Sockets)))
+	h.List([]byte(configuration.Known), true)
+	h.Turn(now)
+	return h
+}
+
+// Index is the gateway's member index.
+func (h *Hollow) Index() int { return h.configuration.Seat.Index }
+
+// Customers is how many customers the gateway has a record of.
+func (h *Hollow) Customers() int { return h.module.Gauges().Customers }
+
+// List takes in a host list or changes of it, as discovery writes them. cached tells that it comes from the
+// configuration and may be out of date.
+func (h *Hollow) List(text []byte, cached bool) {
+	place := func(host uint32, address netip.AddrPort) { h.connections.Place(host, address) }
+	kind, listings, _, err := h.book.Read(text, place)
+	if err != nil {
+		h.badLists++
+		return
+	}
+	if cached {
+		kind = gateway.Old
+	}
+	for _, listing := range listings {
+		switch listing.State {
+		case gateway.Draining:
+			h.connections.Hold(listing.Host)
+		case gateway.Gone:
+			h.connections.Drop(listing.Host)
+			h.book.Forget(listing.Host)
+		}
+	}
+	h.lists = append(h.lists, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: listings})
+}
+
+// Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
+func (h *Hollow) Receive(peer int, body []byte) {
+	sound := false
+	mail.Read(body, len(h.configuration.Plans), h.configuration.Seat.Count, func(uint64, uint64) bool {
+		sound = true
+		return false
+	}, nil, nil)
+	if !sound {
+		return
+	}
+	h.MessagesIn++
+	h.BytesIn += len(body)
+	h.events = append(h.events, gateway.Event{Kind: gateway.Heard, Peer: peer, Body: body})
+}
+
+// Request takes in a request of a simulated client.
+func (h *Hollow) Request(request Request) {
+	h.attempts[request.ID] = 0
+	h.events = append(h.events, gateway.Event{Kind: gateway.Arrived, Req: request.ID, Customer: request.Customer,
+		Frontend: request.Class, Plan: request.Plan, Until: request.Deadline, Units: 1,
+		Spread: request.Spread, First: request.First})
+}
+
+// Answered takes in that a simulated host answered an attempt well, so long after it was made.
+func (h *Hollow) Answered(request string, host uint32, attempt int, after time.Duration) {
+	delete(h.attempts, request)
+	h.events = append(h.events, gateway.Event{Kind: gateway.Ended, Req: request, Host: host, Dispatch: attempt,
+		Result: gateway.Passed, Lag: int64(after), Closed: true, Load: []float64{hostUtilization}})
+}
+
+// Due is when the gateway's timer falls due; 0 never.
+func (h *Hollow) Due() int64 { return h.wakeAt }
+
+// Turn does what is due and has the module decide on all that came in.
+func (h *Hollow) Turn(now int64) {
+	h.now = now
+	if h.wakeAt > 0 && now >= h.wakeAt {
+		h.wakeAt = 0
+		h.Ticks++
+		h.connections.Tidy()
+		h.events = append(h.events, gateway.Event{Kind: gateway.Woke})
+	}
+	for len(h.lists)+len(h.events) > 0 {
+		h.round.Now = now
+		h.round.Events = append(append(h.round.Events[:0], h.lists...), h.events...)
+		h.lists, h.events = h.lists[:0], h.events[:0]
+		h.Rounds++
+		h.module.Round(&h.round, h)
+	}
+	h.connections.Flush()
+}
+
+// Tell sends a message to a peer.
+func (h *Hollow) Tell(peer int, body []byte) {
+	h.MessagesOut++
+	h.BytesOut += len(body)
+	h.outside.Send(h, peer, body)
+}
+
+// Dispatch makes an attempt of a request at a host.
+func (h *Hollow) Dispatch(request string, host uint32, _ int64) {
+	attempt := h.attempts[request]
+	h.attempts[request]++
+	h.outside.Attempt(h, request, host, attempt)
+}
+
+// Deny rejects a request.
+func (h *Hollow) Deny(request string, _ int64) { h.close(request, Rejected) }
+
+// Abort fails a request.
+func (h *Hollow) Abort(request string) { h.close(request, Failed) }
+
+func (h *Hollow) close(request string, outcome Outcome) {
+	delete(h.attempts, request)
+	h.outside.Closed(h, request, outcome)
+}
+
+// Wake sets the module's timer.
+func (h *Hollow) Wake(after int64) { h.wakeAt = h.round.Now + after }
+
+// Count answers that there is no shared counter, as the program does where none is configured.
+func (h *Hollow) Count(name uint64, _ float64, _ int64) {
+	h.events = append(h.events, gateway.Event{Kind: gateway.Counted, Name: name, Result: gateway.Unreached})
+}
+
+// Cancel does nothing: a simulated host answers all the same.
+func (h *Hollow) Cancel(string, int) {}
+
+// Probe does nothing: simulated hosts tell their load with answers.
+func (h *Hollow) Probe(uint32) {}
+
+// Follow does nothing: the simulated discovery pushes changes.
+func (h *Hollow) Follow() {}
+
+// Note does nothing: lines of the log are left out.
+func (h *Hollow) Note(string) {}
