--- a/lab/scale/compare.go
+++ b/lab/scale/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -17,10 +18,10 @@
 )
 
 // Comparison says how real and hollow gateways are compared: in one fleet, at the same time, each gateway with the same
-// load. The hollow ones are run twice over: each in a process of its own, and all in one process.
+// load. There are hollow ones of two kinds: each in a process of its own, and all in one process.
 type Comparison struct {
-	Each      int // gateways of each of the three kinds
-	Hosts     int // simulated ones that listen
+	Gateways  [kinds]int // of each kind; some of each wanted
+	Hosts     int        // simulated ones that listen
 	Customers int
 	Rate      float64 // requests a second at each gateway
 	Seed      uint64
@@ -58,7 +59,7 @@
 // Compared is the outcome of a comparison.
 type Compared struct {
 	Comparison `json:"-"`
-	Gateways   int                    `json:"gateways"`
+	Fleet      map[string]int         `json:"gateways"`
 	Load       float64                `json:"requests_per_s"`
 	Known      int                    `json:"customers"`
 	Figures    map[string]KindFigures `json:"figures"`
@@ -85,7 +86,8 @@
 	if err := m.start(ctx, directory); err != nil {
 		return result, err
 	}
-	result = Compared{Comparison: c, Gateways: len(m.kind), Load: c.Rate, Known: c.Customers, Figures: map[string]KindFigures{}}
+	result = Compared{Comparison: c, Fleet: map[string]int{}, Load: c.Rate, Known: c.Customers,
+		Figures: map[string]KindFigures{}}
 	rest, err := m.window(ctx)
 	if err != nil {
 		return result, err
@@ -112,6 +114,7 @@
 			MessagesIn: load[kind].messagesIn, LiveHeap: heaps[kind]}
 		result.Kinds[kind] = figures
 		result.Figures[kind.String()] = figures
+		result.Fleet[kind.String()] = c.Gateways[kind]
 	}
 	return result, nil
 }
@@ -125,7 +128,27 @@
 	}
 }
 
-// start brings up the fleet. Kinds take turns by member index, so that each has all kinds among its neighbours.
+// interleave spreads the kinds evenly over the member indices, so that each has all kinds among its neighbours.
+func interleave(gateways [kinds]int) (order []Kind) {
+	total := 0
+	for _, n := range gateways {
+		total += n
+	}
+	var given [kinds]int
+	for i := range total {
+		next, lack := Real, math.Inf(-1)
+		for kind, n := range gateways {
+			if behind := float64(n*(i+1))/float64(total) - float64(given[kind]); behind > lack {
+				next, lack = Kind(kind), behind
+			}
+		}
+		given[next]++
+		order = append(order, next)
+	}
+	return order
+}
+
+// start brings up the fleet.
 func (m *mixed) start(ctx context.Context, directory string) error {
 	program, err := buildProgram(directory)
 	if err != nil {
@@ -135,13 +158,13 @@
 	if err != nil {
 		return err
 	}
-	plan := fleet.Plan{Gateways: m.Each * int(kinds), Hosts: m.Hosts, Seed: m.Seed, MailPerSecond: messagesPerSecond,
+	m.kind = interleave(m.Gateways)
+	plan := fleet.Plan{Gateways: len(m.kind), Hosts: m.Hosts, Seed: m.Seed, MailPerSecond: messagesPerSecond,
 		Binary: program, Late: map[int]bool{}, Settings: func(s map[string]any) {
 			s["plans"] = []quotaPlan{{Name: "team", Rate: planRate, Burst: planBurst, Price: 1}}
 		}}
-	for i := range plan.Gateways {
-		m.kind = append(m.kind, Kind(i%int(kinds)))
-		plan.Late[i] = m.kind[i] != Real
+	for i, kind := range m.kind {
+		plan.Late[i] = kind != Real
 	}
 	if m.fleet, err = fleet.Start(ctx, plan); err != nil {
 		return err
@@ -189,7 +212,7 @@
 
 // load has clients send the same to each gateway: real clients of the rig to real ones, simulated ones to hollow ones.
 func (m *mixed) load() (*standin.Run, error) {
-	load := standin.Load{Seed: m.Seed, Rate: m.Rate * float64(m.Each), Customers: m.Customers, Plan: "team", Hot: map[int]float64{}}
+	load := standin.Load{Seed: m.Seed, Rate: m.Rate * float64(m.Gateways[Real]), Customers: m.Customers, Plan: "team", Hot: map[int]float64{}}
 	for i, kind := range m.kind {
 		if kind != Real {
 			load.Hot[i] = 0
@@ -228,8 +251,9 @@
 	if err != nil {
 		return windows, err
 	}
-	per := time.Since(began).Seconds() * float64(m.Each)
+	length := time.Since(began).Seconds()
 	for kind := range windows {
+		per := length * float64(m.Gateways[kind])
 		windows[kind].messagesOut = float64(after[kind].messagesOut-before[kind].messagesOut) / per
 		windows[kind].bytesOut = float64(after[kind].bytesOut-before[kind].bytesOut) / per
 		windows[kind].messagesIn = float64(after[kind].messagesIn-before[kind].messagesIn) / per
@@ -283,7 +307,7 @@
 		if err != nil {
 			return heaps, err
 		}
-		heaps[Real] += live / float64(m.Each)
+		heaps[Real] += live / float64(m.Gateways[Real])
 	}
 	for _, p := range m.processes {
 		state, err := p.ask(Order{Load: &Load{}, Heap: true})
@@ -292,7 +316,8 @@
 		}
 		idle, gateways := float64(p.IdleHeap), float64(len(p.Gateways))
 		own := (float64(state.LiveHeap)-idle)/gateways + idle
-		heaps[m.kind[p.Gateways[0].Index]] += own * gateways / float64(m.Each)
+		kind := m.kind[p.Gateways[0].Index]
+		heaps[kind] += own * gateways / float64(m.Gateways[kind])
 	}
 	return heaps, nil
 }
--- a/lab/scale/measure.go
+++ b/lab/scale/measure.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	settling       = 3 * time.Second // simulated, between the phases of a measurement
-	collectorGoal  = 100             // percent; the program's 400 would take five times the live heap of all gateways
+	collectorGoal  = 100 // percent; the program's 400 would take five times the live heap of all gateways
 	nanosPerSecond = 1e9
 )
 
@@ -86,8 +85,17 @@
 // Figures are one point's figures by metric. What was not measured is absent.
 type Figures map[string]float64
 
-// Lengths are how long the windows of a measurement are in simulated time.
-type Lengths struct{ Rest, Load time.Duration }
+// least keeps the lesser processor time of each kind, from another measurement of the same.
+func (f Figures) least(other Figures) {
+	for _, metric := range Metrics() {
+		if figure, measured := other[metric.Name]; measured && !metric.Counted {
+			f[metric.Name] = min(f[metric.Name], figure)
+		}
+	}
+}
+
+// Lengths are how long the parts of a measurement are in simulated time: before each window, and the windows.
+type Lengths struct{ Settle, Rest, Load time.Duration }
 
 // Measure runs a deployment and gives what one gateway of it needs: means over all, unless the metric says otherwise.
 func Measure(d Deployment, lengths Lengths, options Options) (figures Figures, err error) {
@@ -125,7 +133,7 @@
 
 // phases measures at rest, with customers known, and under load.
 func (s *Simulation) phases(figures Figures, lengths Lengths) error {
-	if err := s.Run(settling); err != nil {
+	if err := s.Run(lengths.Settle); err != nil {
 		return err
 	}
 	rest, err := s.window(lengths.Rest)
@@ -134,7 +142,7 @@
 	}
 	figures[RestMessages], figures[RestBytes], figures[RestShare] = rest.messagesOut, rest.bytesOut, rest.share
 	if s.Customers > 0 {
-		if err := s.Run(s.Seed() + settling); err != nil {
+		if err := s.Run(s.Seed() + lengths.Settle); err != nil {
 			return err
 		}
 		known, err := s.window(lengths.Rest)
@@ -149,7 +157,7 @@
 		return err
 	}
 	s.underLoad(figures, load)
-	return s.Run(settling)
+	return s.Run(lengths.Settle)
 }
 
 // underLoad enters what the window of the load measured.
--- /dev/null
+++ b/lab/scale/report.go
@@ -0,0 +1,174 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+)
+
+// Report is all that a run measured.
+type Report struct {
+	Command  string     `json:"command"`
+	Go       string     `json:"go"`
+	Cores    int        `json:"cores"`
+	Load     string     `json:"load_average"` // of the machine as the run began: other work beside it
+	Metrics  []Metric   `json:"metrics"`
+	Compared []Compared `json:"real_and_hollow"`
+	Axes     []Growth   `json:"axes"`
+	Products []Grid     `json:"products"`
+}
+
+// NewReport begins a report of a run by a command.
+func NewReport(command string) *Report {
+	load, _ := os.ReadFile("/proc/loadavg")
+	return &Report{Command: command, Go: runtime.Version(), Cores: runtime.NumCPU(), Load: strings.TrimSpace(string(load)),
+		Metrics: Metrics()}
+}
+
+// Write writes the report as JSON and as text into a folder.
+func (r *Report) Write(folder string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "scale.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	var page strings.Builder
+	r.Text(&page)
+	return os.WriteFile(filepath.Join(folder, "scale.md"), []byte(page.String()), 0o644)
+}
+
+// Text writes the report as tables.
+func (r *Report) Text(w io.Writer) {
+	fmt.Fprintf(w, "# Figures of the scale run\n\n`%s`, %s, %d cores, load average %s. Clients and hosts are simulated; "+
+		"`docs/scale.md` tells how and what is left out.\n", r.Command, r.Go, r.Cores, r.Load)
+	for _, compared := range r.Compared {
+		compared.text(w)
+	}
+	for _, axis := range r.Axes {
+		fmt.Fprintf(w, "\n## By %s\n\n", axis.Name)
+		axis.text(w, r.Metrics)
+	}
+	for _, product := range r.Products {
+		product.text(w, r.Metrics)
+	}
+}
+
+func (c Compared) text(w io.Writer) {
+	fmt.Fprintf(w, "\n## Real and hollow gateways in one fleet\n\n%d real gateways, %d hollow ones in a process each, %d in one; %d customers, %g requests a second "+
+		"at each under load. Means of a gateway.\n\n| figure | %v | %v | %v | real over hollow, a process each | real over hollow, one process |\n"+
+		"| --- | --- | --- | --- | --- | --- |\n", c.Gateways[Real], c.Gateways[Single], c.Gateways[Shared],
+		c.Known, c.Load, Real, Single, Shared)
+	for _, row := range c.rows() {
+		fmt.Fprintf(w, "| %s | %.4g | %.4g | %.4g | %.2f | %.2f |\n", row.name, row.figures[Real], row.figures[Single],
+			row.figures[Shared], row.figures[Real]/row.figures[Single], row.figures[Real]/row.figures[Shared])
+	}
+}
+
+type comparedRow struct {
+	name    string
+	figures [kinds]float64
+}
+
+func (c Compared) rows() (rows []comparedRow) {
+	for _, one := range []struct {
+		name string
+		of   func(f KindFigures) float64
+	}{
+		{"messages out at rest, 1/s", func(f KindFigures) float64 { return f.RestMessages }},
+		{"bytes out at rest, 1/s", func(f KindFigures) float64 { return f.RestBytes }},
+		{"processor at rest, core", func(f KindFigures) float64 { return f.RestShare }},
+		{"messages out under load, 1/s", func(f KindFigures) float64 { return f.LoadMessages }},
+		{"bytes out under load, 1/s", func(f KindFigures) float64 { return f.LoadBytes }},
+		{"messages in under load, 1/s", func(f KindFigures) float64 { return f.MessagesIn }},
+		{"processor under load, core", func(f KindFigures) float64 { return f.LoadShare }},
+		{"live heap, bytes", func(f KindFigures) float64 { return f.LiveHeap }},
+	} {
+		row := comparedRow{name: one.name}
+		for kind, figures := range c.Kinds {
+			row.figures[kind] = one.of(figures)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// text writes an axis as a table: a row for each metric, a column for each size, then how the metric grows.
+func (g Growth) text(w io.Writer, metrics []Metric) {
+	if g.Note != "" {
+		fmt.Fprintf(w, "%s. ", g.Note)
+	}
+	fmt.Fprintf(w, "Held: %s.\n\n| figure |", g.Held.text())
+	for _, point := range g.Points {
+		fmt.Fprintf(w, " %g |", point.Size)
+	}
+	fmt.Fprintf(w, " exponent, residual | at the top | form, error | at %g |\n| --- |%s --- | --- | --- | --- |\n", g.Target,
+		strings.Repeat(" --- |", len(g.Points)))
+	for _, metric := range metrics {
+		fit, ok := g.Fits[metric.Name]
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(w, "| %s |", strings.TrimSuffix(metric.Name+", "+metric.Unit, ", "))
+		for _, point := range g.Points {
+			figure, measured := point.Figures[metric.Name]
+			if !measured {
+				fmt.Fprint(w, " - |")
+				continue
+			}
+			fmt.Fprintf(w, " %.4g |", figure)
+		}
+		fmt.Fprintf(w, " %.2f, %.2f | %.2f | %s, %.2f | %s |\n", fit.Exponent, fit.Residual, fit.Top, fit.Form, fit.Error,
+			g.predicted(metric.Name, fit))
+	}
+	for _, point := range g.Points {
+		if point.NotRun != "" {
+			fmt.Fprintf(w, "\n%g not run: %s.\n", point.Size, point.NotRun)
+		}
+	}
+}
+
+// predicted tells the figure at the operators' size: as measured there, by the fit, or that it bends.
+func (g Growth) predicted(metric string, fit Fit) string {
+	if g.Target == 0 {
+		return "-"
+	}
+	for _, point := range g.Points {
+		if figure, measured := point.Figures[metric]; measured && point.Size == g.Target {
+			return fmt.Sprintf("%.4g measured", figure)
+		}
+	}
+	figure, told := fit.Predict(g.Target)
+	if !told {
+		return "bends"
+	}
+	return fmt.Sprintf("%.4g by the fit", figure)
+}
+
+func (d Deployment) text() string {
+	return fmt.Sprintf("%d gateways, %d hosts, %d quota plans, %d request classes, %d customers, %g requests a second at each",
+		d.Gateways, d.Hosts, d.Plans, d.Classes, d.Customers, d.RequestRate)
+}
+
+func (g Grid) text(w io.Writer, metrics []Metric) {
+	fmt.Fprintf(w, "\n## By %s\n\n%s. Each figure as factor * (%s)^a * (%s)^b.\n\n| figure | factor | a | b | residual |\n"+
+		"| --- | --- | --- | --- | --- |\n", g.Name, g.Note, g.First, g.Second)
+	for _, metric := range metrics {
+		if joint, ok := g.Joint[metric.Name]; ok {
+			fmt.Fprintf(w, "| %s | %.4g | %.2f | %.2f | %.2f |\n", strings.TrimSuffix(metric.Name+", "+metric.Unit, ", "),
+				joint.Factor, joint.FirstExponent, joint.SecondExponent, joint.Residual)
+		}
+	}
+	for i, row := range g.Rows {
+		fmt.Fprintf(w, "\nBy %s at %s %g:\n\n", g.First, g.Second, g.SecondSizes[i])
+		row.text(w, metrics)
+	}
+}
--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -29,6 +29,7 @@
 type Options struct {
 	Directory string // for configuration files
 	Seed      uint64
+	Repeats   int // measurements of each short point
 	// Change has a gateway take in a changed configuration. Nil restarts it: the program as it is takes in changes
 	// of plans, limits, request classes and members at its start only.
 	Change func(s *Simulation, index int) error
