--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -169,3 +169,19 @@
 		}
 	}
 }
+
+// The same seed gives the same messages, to the byte.
+func TestSame(t *testing.T) {
+	var runs [2]Figures
+	for i := range runs {
+		var err error
+		if runs[i], err = Measure(usual, Lengths{Settle: time.Second, Rest: time.Second, Load: 2 * time.Second}, Options{Seed: 3}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{RestBytes, KnownBytes, LoadMessages, LoadBytes, LoadMessagesIn, CustomersKnown, RejectedShare} {
+		if runs[0][name] != runs[1][name] || runs[0][LoadBytes] == 0 {
+			t.Errorf("%s: %v, then %v", name, runs[0][name], runs[1][name])
+		}
+	}
+}
