--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -53,6 +53,7 @@
 	outside       Outside
 	configuration *config.Config
 	module        *logic.Gateway
+	form          mail.Form // of the messages that are taken in
 	book          *discovery.Book
 	connections   *hosts.Fleet
 	lists         []gateway.Event // of the host list: they precede other events, as in package node
@@ -67,6 +68,7 @@
 // NewHollow starts a gateway with a configuration, as the program does, and hands the module the last known host list.
 func NewHollow(configuration *config.Config, outside Outside, now int64) *Hollow {
 	h := &Hollow{outside: outside, configuration: configuration, now: now, attempts: map[string]int{}}
+	h.form = messageForm(configuration)
 	h.module = logic.New(configuration.Seed, configuration.Seat, configuration.Fronts, configuration.Plans,
 		configuration.Limits, configuration.Cold, configuration.Report)
 	h.book = discovery.NewBook(configuration.Zones, configuration.Machines)
@@ -80,6 +82,11 @@
 	return h
 }
 
+// messageForm is the form of the messages between gateways, as package node has it.
+func messageForm(c *config.Config) mail.Form {
+	return mail.Form{Plans: len(c.Plans), Members: len(c.Peers), ByID: c.Configuration != nil}
+}
+
 // Index is the gateway's member index.
 func (h *Hollow) Index() int { return h.configuration.Seat.Index }
 
@@ -113,7 +120,7 @@
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
 func (h *Hollow) Receive(peer int, body []byte) {
 	sound := false
-	mail.Read(body, len(h.configuration.Plans), h.configuration.Seat.Count, func(uint64, uint64) bool {
+	h.form.Read(body, func(uint64, uint64) bool {
 		sound = true
 		return false
 	}, nil, nil)
--- a/lab/scale/serve.go
+++ b/lab/scale/serve.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.post, err = peers.Open(c.PeerListen, c.Peers, len(c.Plans)); err != nil {
+	if s.post, err = peers.Open(c.PeerListen, c.Peers, messageForm(c)); err != nil {
 		return nil, fmt.Errorf("hollow gateway %d: %w", c.Seat.Index, err)
 	}
 	h := NewHollow(c, s, s.now())
--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"ravensill/internal/config"
-	"ravensill/lab/agenda"
+	"ravensill/lab/schedule"
 )
 
 const (
@@ -50,7 +50,7 @@
 	former    Counts  // of gateways that were restarted
 	armed     []int64 // time of each gateway's timer in the schedule
 	busy      []int64 // until when each gateway's loop is at work
-	schedule  agenda.Agenda[func()]
+	schedule  schedule.Schedule[func()]
 	now       int64
 	random    *rand.Rand
 	requests  int
@@ -127,7 +127,7 @@
 	for s.schedule.Len() > 0 && s.fault == nil {
 		at, do := s.schedule.Next()
 		if at > end {
-			s.schedule.Put(at, do)
+			s.schedule.Add(at, do)
 			break
 		}
 		s.now = at
@@ -244,11 +244,11 @@
 		return
 	}
 	s.armed[index] = due
-	s.schedule.Put(max(due, s.now), func() {
+	s.schedule.Add(max(due, s.now), func() {
 		if s.gateways[index] == h && h.Due() == due {
 			s.turn(Tick, h, func() {})
 		}
 	})
 }
 
-func (s *Simulation) after(wait time.Duration, do func()) { s.schedule.Put(s.now+int64(wait), do) }
+func (s *Simulation) after(wait time.Duration, do func()) { s.schedule.Add(s.now+int64(wait), do) }
