Scale: axes for changes of the configuration in running gateways

Cause: the publishers' versions need slopes of their own beside the restart on each change. Change: hollow gateways follow a stand-in publisher by configsync's rules; two axes, live changes and live quota plans.

--- a/lab/scale/deployment.go
+++ b/lab/scale/deployment.go
@@ -33,6 +33,7 @@
 	HostChanges          float64 // of one host's state, a second
 	ConfigurationChanges float64 // a second; each is taken in by all gateways
 	Restarts             float64 // of one gateway, a second
+	Live                 bool    // gateways follow publishers, so that a configuration change restarts none
 }
 
 // hostEntry is one host in discovery's list.
@@ -98,16 +99,26 @@
 	classes, plans, peers, known json.RawMessage
 }
 
-func (d Deployment) shared() (s shared, err error) {
-	var classes []requestClass
+func (d Deployment) classes() (classes []requestClass) {
 	for i := range d.Classes {
 		classes = append(classes, requestClass{Name: fmt.Sprintf("class-%d", i), Effect: "safe",
 			Target: latencyObjective.Microseconds(), Timeout: clientTimeout.Microseconds(), Value: 1})
 	}
-	var plans []quotaPlan
+	return classes
+}
+
+func (d Deployment) plans() (plans []quotaPlan) {
 	for i := range d.Plans {
-		plans = append(plans, quotaPlan{Name: fmt.Sprintf("plan-%d", i), Rate: planRate, Burst: planBurst, Price: 1})
+		plans = append(plans, d.plan(i))
 	}
+	return plans
+}
+
+func (d Deployment) plan(i int) quotaPlan {
+	return quotaPlan{Name: fmt.Sprintf("plan-%d", i), Rate: planRate, Burst: planBurst, Price: 1}
+}
+
+func (d Deployment) shared() (s shared, err error) {
 	var peers []string
 	for i := range d.Gateways {
 		address := netip.AddrFrom4([4]byte{10, 255, byte(i >> 8), byte(i)})
@@ -116,7 +127,7 @@
 	for _, part := range []struct {
 		to   *json.RawMessage
 		from any
-	}{{&s.classes, classes}, {&s.plans, plans}, {&s.peers, peers}} {
+	}{{&s.classes, d.classes()}, {&s.plans, d.plans()}, {&s.peers, peers}} {
 		if *part.to, err = json.Marshal(part.from); err != nil {
 			return s, err
 		}
@@ -127,7 +138,7 @@
 
 // configuration is one gateway's configuration, in the program's keys.
 func (d Deployment) configuration(s shared, index int, seed uint64) map[string]any {
-	return map[string]any{
+	configuration := map[string]any{
 		"name": fmt.Sprintf("gateway-%d", index), "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
 		"seed": strconv.FormatUint(seed*1000003+uint64(index)+1, 16), "known": s.known,
 		"peer_listen": "127.0.0.1:0", "peers": s.peers,
@@ -138,6 +149,10 @@
 			"profiles": s.classes, "plans": s.plans,
 			"report":      map[string]any{"how": "inline", "names": []string{"utilization"}},
 			"family_info": map[string]any{"mail_per_s": messagesPerSecond}}}
+	if d.Live {
+		configuration["configuration"] = map[string]any{"publishers": []string{publisherName}, "dir": "unused"}
+	}
+	return configuration
 }
 
 // environment writes a configuration to a file and gives the environment in which the program reads it.
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"ravensill/configsync"
 	"ravensill/gateway"
 	"ravensill/internal/config"
 	"ravensill/internal/discovery"
@@ -44,6 +45,8 @@
 	MessagesIn, BytesIn   int
 	Rounds                int // batches of events handed to the decision module
 	Ticks                 int // of them, timers that fell due
+	ConfigurationIn       int // bytes of versions
+	ConfigurationOut      int // bytes of acknowledgements
 }
 
 // Hollow is one gateway without sockets to clients and hosts. It repeats what node.Node does between its sockets and
@@ -59,9 +62,11 @@
 	lists         []gateway.Event // of the host list: they precede other events, as in package node
 	events        []gateway.Event
 	round         gateway.Round
-	attempts      map[string]int // made for each open request
-	now           int64          // Unix time in nanoseconds
-	wakeAt        int64          // the decision module's timer; 0 none
+	live          *config.Live         // nil: the gateway follows no publisher
+	follower      *configsync.Follower // the same
+	attempts      map[string]int       // made for each open request
+	now           int64                // Unix time in nanoseconds
+	wakeAt        int64                // the decision module's timer; 0 none
 	badLists      int
 }
 
@@ -77,6 +82,9 @@
 	clock := func() int64 { return h.now }
 	h.connections = hosts.NewFleet(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
 		configuration.ConnIdle, int(connectionsPerSocket*float64(configuration.Sockets)))
+	if configuration.Configuration != nil {
+		h.follow()
+	}
 	h.List([]byte(configuration.Known), true)
 	h.Turn(now)
 	return h
--- a/lab/scale/measure.go
+++ b/lab/scale/measure.go
@@ -47,6 +47,7 @@
 	RequestTime       = "request_processor"
 	MembershipTime    = "membership_processor"
 	ConfigurationTime = "configuration_processor"
+	ConfigurationIn   = "configuration_bytes_in"
 	DecisionMedian    = "decision_p50"
 	DecisionTail      = "decision_p99"
 	CustomersKnown    = "customers_known"
@@ -76,6 +77,7 @@
 		{RequestTime, "us", "processor time of a request and its answer, mean", false},
 		{MembershipTime, "us", "processor time of a change of the host list, mean", false},
 		{ConfigurationTime, "us", "processor time of a change of the configuration, mean", false},
+		{ConfigurationIn, "bytes/s", "versions of the configuration received, heartbeats left out", true},
 		{DecisionMedian, "us", "from a request's arrival to its decision, median, behind the gateway's other work", false},
 		{DecisionTail, "us", "the same, 99 in 100", false},
 		{CustomersKnown, "", "customers that a gateway has a record of, mean", true},
@@ -173,6 +175,7 @@
 	}
 	if _, changes := s.Processor.Total(Reconfigured); changes > 0 {
 		figures[ConfigurationTime] = s.Processor.Mean(Reconfigured) / 1e3
+		figures[ConfigurationIn] = load.configurationIn
 	}
 	if _, requests := s.Processor.Total(Arrival); requests > 0 {
 		figures[RequestTime] = float64(s.Processor.Sum(Arrival, Answer)) / float64(requests) / 1e3
@@ -183,11 +186,12 @@
 }
 
 // window is what happened in some simulated time: of one gateway, a second.
-type window struct{ messagesOut, bytesOut, messagesIn, bytesIn, share, allocated float64 }
+type window struct{ messagesOut, bytesOut, messagesIn, bytesIn, configurationIn, share, allocated float64 }
 
 func (s *Simulation) window(length time.Duration) (w window, err error) {
 	s.Processor.Reset()
 	s.Latencies, s.Rejected = nil, 0
+	clear(s.busy) // with what was before: a long start is not part of the window
 	before := s.counts()
 	_, allocatedBefore := heap()
 	if err := s.Run(length); err != nil {
@@ -200,6 +204,7 @@
 	w.bytesOut = float64(after.BytesOut-before.BytesOut) / per
 	w.messagesIn = float64(after.MessagesIn-before.MessagesIn) / per
 	w.bytesIn = float64(after.BytesIn-before.BytesIn) / per
+	w.configurationIn = float64(after.ConfigurationIn-before.ConfigurationIn) / per
 	w.allocated = float64(allocated-allocatedBefore) / per
 	w.share = float64(s.Processor.Sum(Start, Tick, Message, Arrival, Answer, Membership, Reconfigured)) / nanosPerSecond / per
 	return w, nil
@@ -221,6 +226,8 @@
 	c.BytesIn += other.BytesIn
 	c.Rounds += other.Rounds
 	c.Ticks += other.Ticks
+	c.ConfigurationIn += other.ConfigurationIn
+	c.ConfigurationOut += other.ConfigurationOut
 }
 
 // heap gives the live heap after a collection, and the bytes allocated since the process began.
