--- a/lab/scale/axis.go
+++ b/lab/scale/axis.go
@@ -47,9 +47,8 @@
 func (a Axis) Run(most time.Duration, options Options) (growth Growth, err error) {
 	growth = Growth{Name: a.Name, Unit: a.Unit, Note: a.Note, Held: a.Held, Target: a.Target}
 	for _, size := range a.Sizes {
-		if long := growth.expected(size); long > most {
-			growth.Points = append(growth.Points, Point{Size: size,
-				NotRun: fmt.Sprintf("would take some %.0f s by the growth so far", long.Seconds())})
+		if why := growth.tooLong(size, most); why != "" {
+			growth.Points = append(growth.Points, Point{Size: size, NotRun: why})
 			continue
 		}
 		d := a.Held
@@ -72,21 +71,25 @@
 	return growth, nil
 }
 
-// expected is how long a size will take: quadratic in it at worst, by the last two points where there are two.
-func (g *Growth) expected(size float64) time.Duration {
+// tooLong tells why a size is not run: it would take longer than most, by the last two points at most quadratic.
+func (g *Growth) tooLong(size float64, most time.Duration) string {
 	n := len(g.Points)
 	if n == 0 {
-		return 0
+		return ""
 	}
-	last, power := g.Points[n-1], 2.0
+	last, power := g.Points[n-1], 1.0
 	if last.NotRun != "" {
-		return math.MaxInt64
+		return "the size before was not run"
 	}
 	if n > 1 {
 		before := g.Points[n-2]
-		power = min(max(math.Log(last.Took/before.Took)/math.Log(last.Size/before.Size), 1), 2)
+		power = min(max(math.Log(last.Took/before.Took)/math.Log(last.Size/before.Size), 0), 2)
 	}
-	return time.Duration(last.Took * math.Pow(size/last.Size, power) * float64(time.Second))
+	seconds := last.Took * math.Pow(size/last.Size, power)
+	if seconds <= most.Seconds() {
+		return ""
+	}
+	return fmt.Sprintf("would take some %.0f s by the growth so far", seconds)
 }
 
 func (g *Growth) fit() {
@@ -163,5 +166,9 @@
 			Target: 0.17, Set: func(d *Deployment, size float64) { d.Restarts = size },
 			Sizes: []float64{0.25, 1, 4, 16}, Lengths: usualLengths,
 			Note: "of one of 128 gateways each; figures are means of all gateways"},
+		{Name: "gateways restarted at once", Held: held(func(d *Deployment) { d.Gateways, d.Customers, d.RequestRate = 400, 64, 2 }),
+			Target: 200, Set: func(d *Deployment, size float64) { d.RestartsAtOnce = int(size) },
+			Sizes: []float64{2, 10, 40, 200}, Lengths: brief,
+			Note: "of 400; 40 are a rack, 200 a zone; under load are 5 s, of which 4 after the restart, means of all gateways"},
 	}
 }
--- a/lab/scale/deployment.go
+++ b/lab/scale/deployment.go
@@ -33,6 +33,7 @@
 	HostChanges          float64 // of one host's state, a second
 	ConfigurationChanges float64 // a second; each is taken in by all gateways
 	Restarts             float64 // of one gateway, a second
+	RestartsAtOnce       int     // of that many gateways, one second into the load
 	Live                 bool    // gateways follow publishers, so that a configuration change restarts none
 }
 
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -15,7 +15,7 @@
 		"request classes": {16, 64, 256, 1024}, "customers": {32, 128, 512, 2048}, "requests a second": {4, 16, 64, 256},
 		"membership changes a second": {0.5, 2, 8, 32}, "configuration changes a second": {0.5, 2, 8, 32},
 		"restarts a second":                   {0.5, 2, 8, 32},
-		"live configuration changes a second": {0.5, 2, 8, 32}, "live quota plans": {16, 64, 256, 1024}, "services": {4, 16, 64, 256}}
+		"live configuration changes a second": {0.5, 2, 8, 32}, "live quota plans": {16, 64, 256, 1024}, "gateways restarted at once": {1, 2, 4, 8}, "services": {4, 16, 64, 256}}
 	var some []Axis
 	for _, axis := range Axes() {
 		axis.Sizes, axis.Lengths = sizes[axis.Name], brief
@@ -34,6 +34,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if len(growth.Fits) == 0 {
+				t.Error("nothing was measured")
+			}
 			for _, fault := range growth.Faults() {
 				t.Error(fault)
 			}
--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -166,6 +166,11 @@
 		s.note(s.Restart(Start, restarts%s.Gateways))
 		restarts++
 	})
+	s.after(time.Second, func() {
+		for index := range s.RestartsAtOnce {
+			s.note(s.Restart(Start, index))
+		}
+	})
 }
 
 // each does something at a rate a second until a time: at equal intervals, or as a Poisson process.
