--- a/lab/scale/compare.go
+++ b/lab/scale/compare.go
@@ -72,7 +72,6 @@
 	Load       float64                `json:"requests_per_s"`
 	Known      int                    `json:"customers"`
 	Figures    map[string]KindFigures `json:"figures"`
-	Kinds      [kinds]KindFigures     `json:"-"`
 	Added      Added                  `json:"added_by_real_gateways"`
 }
 
@@ -123,7 +122,6 @@
 		figures := KindFigures{RestMessages: rest[kind].messagesOut, RestBytes: rest[kind].bytesOut, RestShare: rest[kind].share,
 			LoadMessages: load[kind].messagesOut, LoadBytes: load[kind].bytesOut, LoadShare: load[kind].share,
 			MessagesIn: load[kind].messagesIn, LiveHeap: heaps[kind]}
-		result.Kinds[kind] = figures
 		result.Figures[kind.String()] = figures
 		result.Fleet[kind.String()] = c.Gateways[kind]
 	}
--- a/lab/scale/full_test.go
+++ b/lab/scale/full_test.go
@@ -13,11 +13,20 @@
 	full = flag.Bool("full", false, "the full-size measurement")
 	axes = flag.String("axes", "", "axes and products of the full measurement whose names hold this")
 	most = flag.Duration("most", 2*time.Minute, "sizes that would take longer are not run")
+	from = flag.String("from", "", "folder with a scale.json that is written again as text; nothing is measured")
 	into = flag.String("into", "", "folder that scale.json and scale.md are written to; empty prints the text only")
 )
 
 // The full size writes figures; nothing is decided by them here.
 func TestFull(t *testing.T) {
+	if *from != "" {
+		report, err := ReadReport(*from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		report.Text(os.Stdout)
+		return
+	}
 	if !*full {
 		t.Skip("no -full")
 	}
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -22,6 +22,16 @@
 	Products []Grid     `json:"products"`
 }
 
+// ReadReport reads a report that Write wrote into a folder.
+func ReadReport(folder string) (*Report, error) {
+	text, err := os.ReadFile(filepath.Join(folder, "scale.json"))
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{}
+	return r, json.Unmarshal(text, r)
+}
+
 // NewReport begins a report of a run by a command.
 func NewReport(command string) *Report {
 	load, _ := os.ReadFile("/proc/loadavg")
@@ -65,12 +75,15 @@
 func (c Compared) text(w io.Writer) {
 	fmt.Fprintf(w, "\n## Real and hollow gateways in one fleet\n\n%d real gateways, %d hollow ones in a process each, %d in one; %d customers, %g requests a second "+
 		"at each under load. Means of a gateway.\n\n| figure | %v | %v | %v | real over hollow, a process each | real over hollow, one process |\n"+
-		"| --- | --- | --- | --- | --- | --- |\n", c.Gateways[Real], c.Gateways[Single], c.Gateways[Shared],
+		"| --- | --- | --- | --- | --- | --- |\n", c.Fleet[Real.String()], c.Fleet[Single.String()], c.Fleet[Shared.String()],
 		c.Known, c.Load, Real, Single, Shared)
 	for _, row := range c.rows() {
 		fmt.Fprintf(w, "| %s | %.4g | %.4g | %.4g | %.2f | %.2f |\n", row.name, row.figures[Real], row.figures[Single],
 			row.figures[Shared], row.figures[Real]/row.figures[Single], row.figures[Real]/row.figures[Shared])
 	}
+	if c.Added.Requests == 0 {
+		return
+	}
 	fmt.Fprintf(w, "\nReal gateways added %.2f ms (median) and %.2f ms (99 in 100) to %d requests, wall time on the busy machine; "+
 		"clients wrote up to %.1f ms late.\n", c.Added.Median, c.Added.Tail, c.Added.Requests, c.Added.Late)
 }
@@ -95,8 +108,8 @@
 		{"live heap, bytes", func(f KindFigures) float64 { return f.LiveHeap }},
 	} {
 		row := comparedRow{name: one.name}
-		for kind, figures := range c.Kinds {
-			row.figures[kind] = one.of(figures)
+		for kind := range kinds {
+			row.figures[kind] = one.of(c.Figures[kind.String()])
 		}
 		rows = append(rows, row)
 	}
@@ -108,7 +121,7 @@
 	if g.Note != "" {
 		fmt.Fprintf(w, "%s. ", g.Note)
 	}
-	fmt.Fprintf(w, "Held: %s.\n\n| figure |", g.Held.text())
+	fmt.Fprintf(w, "Held, but for the axis itself: %s.\n\n| figure |", g.Held.text())
 	for _, point := range g.Points {
 		fmt.Fprintf(w, " %g |", point.Size)
 	}
@@ -169,8 +182,5 @@
 				joint.Factor, joint.FirstExponent, joint.SecondExponent, joint.Residual)
 		}
 	}
-	for i, row := range g.Rows {
-		fmt.Fprintf(w, "\nBy %s at %s %g:\n\n", g.First, g.Second, g.SecondSizes[i])
-		row.text(w, metrics)
-	}
+	fmt.Fprint(w, "\nThe points are in scale.json.\n")
 }
