--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -85,7 +85,7 @@
 	if configuration.Configuration != nil {
 		h.follow()
 	}
-	h.List([]byte(configuration.Known), true)
+	h.List(configuration.Known, true)
 	h.Turn(now)
 	return h
 }
@@ -103,9 +103,9 @@
 
 // List takes in a host list or changes of it, as discovery writes them. cached tells that it comes from the
 // configuration and may be out of date.
-func (h *Hollow) List(text []byte, cached bool) {
+func (h *Hollow) List(text string, cached bool) {
 	place := func(host uint32, address netip.AddrPort) { h.connections.Place(host, address) }
-	kind, listings, _, err := h.book.Read(text, place)
+	kind, listings, _, err := readList(h.book.Read, text, place)
 	if err != nil {
 		h.badLists++
 		return
@@ -125,6 +125,12 @@
 	h.lists = append(h.lists, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: listings})
 }
 
+// readList hands a list to the reader in the type that it takes.
+func readList[Text string | []byte](read func(Text, func(uint32, netip.AddrPort)) (gateway.List, []gateway.Listing, error, error),
+	text string, place func(uint32, netip.AddrPort)) (gateway.List, []gateway.Listing, error, error) {
+	return read(Text(text), place)
+}
+
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
 func (h *Hollow) Receive(peer int, body []byte) {
 	sound := false
--- a/lab/scale/serve.go
+++ b/lab/scale/serve.go
@@ -121,7 +121,7 @@
 		discovery.Watch(ctx, address, version, discovery.NewPace(false), &feed, func() {}, func(text []byte) {
 			taken := make(chan int64, 1)
 			s.do(func() {
-				s.hollow.List(text, false)
+				s.hollow.List(string(text), false)
 				taken <- s.hollow.book.Version
 			})
 			version = <-taken
--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -200,7 +200,7 @@
 	s.lists++
 	s.note(err)
 	for _, h := range s.gateways {
-		s.turn(Membership, h, func() { h.List(text, false) })
+		s.turn(Membership, h, func() { h.List(string(text), false) })
 	}
 }
 
