--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -86,6 +86,7 @@
 		h.follow()
 	}
 	h.List(configuration.Known, true)
+	configuration.Known = "" // as package node: the list is in the book
 	h.Turn(now)
 	return h
 }
@@ -176,9 +177,11 @@
 	for len(h.lists)+len(h.events) > 0 {
 		h.round.Now = now
 		h.round.Events = append(append(h.round.Events[:0], h.lists...), h.events...)
+		clear(h.lists) // a whole list must not stay in memory until the next comes
 		h.lists, h.events = h.lists[:0], h.events[:0]
 		h.Rounds++
 		h.module.Round(&h.round, h)
+		clear(h.round.Events)
 	}
 	h.connections.Flush()
 }
