--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -83,8 +83,12 @@
 	var h *Hollow
 	took := s.Processor.Measure(kind, func() {
 		configuration, fault := config.Load(getenv)
-		if err = fault; err == nil {
-			h = NewHollow(configuration, s, s.now)
+		if err = fault; err != nil {
+			return
+		}
+		h = NewHollow(configuration, s, s.now)
+		if s.publisher != nil { // it kept nothing
+			err = h.Publish(s.publisher.snapshot()...)
 		}
 	})
 	if err != nil {
