--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -106,7 +106,7 @@
 // configuration and may be out of date.
 func (h *Hollow) List(text string, cached bool) {
 	place := func(host uint32, address netip.AddrPort) { h.connections.Place(host, address) }
-	kind, listings, _, err := readList(h.book.Read, text, place)
+	kind, listings, _, err := h.book.Read(text, place)
 	if err != nil {
 		h.badLists++
 		return
@@ -126,12 +126,6 @@
 	h.lists = append(h.lists, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: listings})
 }
 
-// readList hands a list to the reader in the type that it takes.
-func readList[Text string | []byte](read func(Text, func(uint32, netip.AddrPort)) (gateway.List, []gateway.Listing, error, error),
-	text string, place func(uint32, netip.AddrPort)) (gateway.List, []gateway.Listing, error, error) {
-	return read(Text(text), place)
-}
-
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
 func (h *Hollow) Receive(peer int, body []byte) {
 	sound := false
