--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -47,14 +47,14 @@
 // The processor time of a start grows no faster than linear with the sizes of the configuration and of the host list.
 func TestStart(t *testing.T) {
 	for _, axis := range small() {
-		sizes := map[string][]float64{"hosts": {512, 2048, 8192, 32768}, "quota plans": {128, 512, 2048, 8192},
-			"request classes": {128, 512, 2048, 8192}}[axis.Name]
+		sizes := map[string][]float64{"hosts": {512, 2048, 8192, 32768}, "quota plans": {128, 512, 2048, 8192, 32768},
+			"request classes": {128, 512, 2048, 8192, 32768}}[axis.Name]
 		if sizes == nil {
 			continue
 		}
 		t.Run(axis.Name, func(t *testing.T) {
 			axis.Sizes, axis.Lengths = sizes, Lengths{Rest: tickInterval, Load: tickInterval}
-			axis.Held.Gateways, axis.Held.Customers = 3, 0 // the least of three starts counts
+			axis.Held.Gateways, axis.Held.Customers = 5, 0 // the least of five starts counts
 			growth, err := axis.Run(10*time.Second, Options{Seed: 1})
 			if err != nil {
 				t.Fatal(err)
