Scale: the exponent at the top for unequal steps; figures before the work fitted anew

Cause: 4,000 and 8,000 quota plans are no equal steps, and the growth of the start read as 4.9. Change: the exponent is solved for; -from fits a report anew.

--- a/lab/scale/fit.go
+++ b/lab/scale/fit.go
@@ -131,18 +131,33 @@
 	return math.Sqrt(sum / float64(len(sizes)))
 }
 
-// top gives the exponent p with which at + per*size^p goes through the figures of the three greatest sizes, where these
-// grow by equal factors: a constant part, however great, does not hide the growth.
+// top gives the exponent p with which at + per*size^p goes through the figures of the three greatest sizes: a constant part,
+// however great, does not hide the growth. It is 0 where the figure does not grow, or not even with the logarithm.
 func top(sizes, figures []float64) float64 {
 	n := len(sizes)
 	if n < 3 {
 		return 0
 	}
-	floor := noise * figures[n-1]
 	last, before := figures[n-1]-figures[n-2], figures[n-2]-figures[n-3]
-	if last <= floor {
+	if last <= noise*figures[n-1] {
 		return 0
 	}
-	apart := math.Log((sizes[n-1] - sizes[n-2]) / (sizes[n-2] - sizes[n-3]))
-	return math.Log(last/math.Max(before, floor)) / apart
+	want := last / math.Max(before, noise*figures[n-2])
+	ratio := func(p float64) float64 { // grows with p
+		power := func(i int) float64 { return math.Pow(sizes[i]/sizes[n-1], p) }
+		return (power(n-1) - power(n-2)) / (power(n-2) - power(n-3))
+	}
+	low, high := 0.01, 6.0
+	if ratio(low) >= want {
+		return 0
+	}
+	for high-low > 0.001 {
+		middle := (low + high) / 2
+		if ratio(middle) < want {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
 }
--- a/lab/scale/full_test.go
+++ b/lab/scale/full_test.go
@@ -13,7 +13,7 @@
 	full = flag.Bool("full", false, "the full-size measurement")
 	axes = flag.String("axes", "", "axes and products of the full measurement whose names hold this")
 	most = flag.Duration("most", 2*time.Minute, "sizes that would take longer are not run")
-	from = flag.String("from", "", "folder with a scale.json that is written again as text; nothing is measured")
+	from = flag.String("from", "", "folder with a scale.json whose figures are fitted and written again; nothing is measured")
 	into = flag.String("into", "", "folder that scale.json and scale.md are written to; empty prints the text only")
 )
 
@@ -24,6 +24,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if *into != "" {
+			err = report.Write(*into)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
 		report.Text(os.Stdout)
 		return
 	}
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -22,14 +22,26 @@
 	Products []Grid     `json:"products"`
 }
 
-// ReadReport reads a report that Write wrote into a folder.
+// ReadReport reads a report that Write wrote into a folder, and fits its figures anew.
 func ReadReport(folder string) (*Report, error) {
 	text, err := os.ReadFile(filepath.Join(folder, "scale.json"))
 	if err != nil {
 		return nil, err
 	}
 	r := &Report{}
-	return r, json.Unmarshal(text, r)
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, err
+	}
+	for i := range r.Axes {
+		r.Axes[i].fit()
+	}
+	for i := range r.Products {
+		for j := range r.Products[i].Rows {
+			r.Products[i].Rows[j].fit()
+		}
+		r.Products[i].fit()
+	}
+	return r, nil
 }
 
 // NewReport begins a report of a run by a command.
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -151,7 +151,7 @@
 
 // Fits tell the forms apart, whatever constant part they stand on.
 func TestFit(t *testing.T) {
-	sizes := []float64{10, 40, 160, 640}
+	sizes := []float64{10, 40, 160, 320, 2560}
 	for _, one := range []struct {
 		form  Form
 		top   float64
@@ -163,7 +163,7 @@
 		{SquareRoot, 0.5, func(x float64) float64 { return 9 + math.Sqrt(x) }, false},
 		{Linear, 1, func(x float64) float64 { return 100 + 3*x }, false},
 		{Quadratic, 2, func(x float64) float64 { return 1e5 + x*x }, false},
-		{Quadratic, 2.81, func(x float64) float64 { return 1 + x*x*x }, true},
+		{Quadratic, 3, func(x float64) float64 { return 1 + x*x*x }, true},
 	} {
 		var figures []float64
 		for _, x := range sizes {
