--- a/lab/scale/compare.go
+++ b/lab/scale/compare.go
@@ -168,7 +168,7 @@
 		return err
 	}
 	m.kind = interleave(m.Gateways)
-	plan := fleet.Plan{Gateways: len(m.kind), Hosts: m.Hosts, Seed: m.Seed, MailPerSecond: messagesPerSecond,
+	plan := fleet.Plan{Gateways: len(m.kind), Hosts: m.Hosts, Seed: m.Seed, MessagesPerSecond: messagesPerSecond,
 		Binary: program, Late: map[int]bool{}, Settings: func(s map[string]any) {
 			s["plans"] = []quotaPlan{{Name: "team", Rate: planRate, Burst: planBurst, Price: 1}}
 		}}
@@ -214,7 +214,7 @@
 		if err != nil {
 			return err
 		}
-		m.fleet.Mail.Place(g.Index, at)
+		m.fleet.Gossip.Place(g.Index, at)
 	}
 	return nil
 }
@@ -249,9 +249,9 @@
 		return windows, err
 	}
 	began := time.Now()
-	first, _ := m.fleet.Mail.Counts()
+	first, _ := m.fleet.Gossip.Counts()
 	if err := fleet.Until(ctx, "messages between gateways", func() bool {
-		all, _ := m.fleet.Mail.Counts()
+		all, _ := m.fleet.Gossip.Counts()
 		return all.Sent-first.Sent >= m.Enough
 	}); err != nil {
 		return windows, err
@@ -274,7 +274,7 @@
 // totals reads what all gateways have sent, as the relay saw it, and the processor time of their processes. What real
 // ones received is what the relay passed on less what hollow ones counted.
 func (m *mixed) totals() (sums [kinds]totals, err error) {
-	all, each := m.fleet.Mail.Counts()
+	all, each := m.fleet.Gossip.Counts()
 	sums[Real].messagesIn = all.Passed
 	for i, kind := range m.kind {
 		sums[kind].messagesOut += each[i].Sent
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -15,8 +15,8 @@
 	"ravensill/gateway"
 	"ravensill/internal/config"
 	"ravensill/internal/discovery"
+	"ravensill/internal/gossip"
 	"ravensill/internal/hosts"
-	"ravensill/internal/mail"
 	"ravensill/logic"
 )
 
@@ -56,9 +56,9 @@
 	outside       Outside
 	configuration *config.Config
 	module        *logic.Gateway
-	form          mail.Form // of the messages that are taken in
+	form          gossip.Format // of the messages that are taken in
 	book          *discovery.Book
-	connections   *hosts.Fleet
+	connections   *hosts.Transport
 	lists         []gateway.Event // of the host list: they precede other events, as in package node
 	events        []gateway.Event
 	round         gateway.Round
@@ -80,7 +80,7 @@
 	h.book.Even = configuration.Even
 	run := func(work func()) { work() }
 	clock := func() int64 { return h.now }
-	h.connections = hosts.NewFleet(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
+	h.connections = hosts.NewTransport(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
 		configuration.ConnIdle, int(connectionsPerSocket*float64(configuration.Sockets)))
 	if configuration.Configuration != nil {
 		h.follow()
@@ -92,8 +92,8 @@
 }
 
 // messageForm is the form of the messages between gateways, as package node has it.
-func messageForm(c *config.Config) mail.Form {
-	return mail.Form{Plans: len(c.Plans), Members: len(c.Peers), ByID: c.Configuration != nil}
+func messageForm(c *config.Config) gossip.Format {
+	return gossip.Format{Plans: len(c.Plans), Members: len(c.Peers), ByID: c.Configuration != nil}
 }
 
 // Index is the gateway's member index.
@@ -105,7 +105,7 @@
 // List takes in a host list or changes of it, as discovery writes them. cached tells that it comes from the
 // configuration and may be out of date.
 func (h *Hollow) List(text string, cached bool) {
-	place := func(host uint32, address netip.AddrPort) { h.connections.Place(host, address) }
+	place := func(host uint32, address netip.AddrPort) { h.connections.SetAddress(host, address) }
 	kind, listings, _, err := h.book.Read(text, place)
 	if err != nil {
 		h.badLists++
@@ -117,9 +117,9 @@
 	for _, listing := range listings {
 		switch listing.State {
 		case gateway.Draining:
-			h.connections.Hold(listing.Host)
+			h.connections.Drain(listing.Host)
 		case gateway.Gone:
-			h.connections.Drop(listing.Host)
+			h.connections.Remove(listing.Host)
 			h.book.Forget(listing.Host)
 		}
 	}
@@ -129,7 +129,7 @@
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
 func (h *Hollow) Receive(peer int, body []byte) {
 	sound := false
-	h.form.Read(body, func(uint64, uint64) bool {
+	h.form.Decode(body, func(uint64, uint64) bool {
 		sound = true
 		return false
 	}, nil, nil)
@@ -165,7 +165,7 @@
 	if h.wakeAt > 0 && now >= h.wakeAt {
 		h.wakeAt = 0
 		h.Ticks++
-		h.connections.Tidy()
+		h.connections.CloseIdle()
 		h.events = append(h.events, gateway.Event{Kind: gateway.Woke})
 	}
 	for len(h.lists)+len(h.events) > 0 {
--- a/lab/scale/serve.go
+++ b/lab/scale/serve.go
@@ -30,7 +30,7 @@
 // program's own sockets for both, from a loop like that of package node.
 type Served struct {
 	hollow   *Hollow
-	post     *peers.Post
+	post     *peers.Transport
 	work     chan func()
 	over     context.CancelFunc
 	epoch    time.Time
@@ -118,10 +118,10 @@
 func (s *Served) follow(ctx context.Context, address string, version int64) {
 	for ctx.Err() == nil {
 		var feed discovery.Feed
-		discovery.Watch(ctx, address, version, discovery.NewPace(false), &feed, func() {}, func(text []byte) {
+		discovery.Watch(ctx, address, version, discovery.NewPace(false), &feed, func() {}, func(text string) {
 			taken := make(chan int64, 1)
 			s.do(func() {
-				s.hollow.List(string(text), false)
+				s.hollow.List(text, false)
 				taken <- s.hollow.book.Version
 			})
 			version = <-taken
@@ -161,7 +161,7 @@
 }
 
 // Send sends a datagram.
-func (s *Served) Send(_ *Hollow, peer int, body []byte) { s.post.Tell(peer, body) }
+func (s *Served) Send(_ *Hollow, peer int, body []byte) { s.post.Send(peer, body) }
 
 // Attempt has a simulated host answer after an exponential service time.
 func (s *Served) Attempt(from *Hollow, request string, host uint32, attempt int) {
