Rollout: publishers and gateways as real processes, through kills, cuts and old logs

Cause: the distribution of the configuration was shown between tasks in one process only.

The rig starts any process with a configuration file (fleet.NewProcess), a client's error text is kept, and an address that was tried is free at once also while another process is being started.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -144,7 +144,7 @@
 	}
 	for i := range p.Gateways {
 		g := &Gateway{Task: task.New(), Index: i, Name: Name(i), Dir: filepath.Join(f.Dir, Name(i), "disk"),
-			file: filepath.Join(f.Dir, Name(i), "config.json"), binary: p.Binary, env: p.Env, counts: map[string]int{},
+			file: filepath.Join(f.Dir, Name(i), "config.json"), binary: p.Binary, variable: "GW_CONFIG", ready: "serving", env: p.Env, counts: map[string]int{},
 			serves: f.serves, dies: f.dies}
 		f.gates = append(f.gates, g)
 		if g.Config, err = f.config(i); err != nil {
--- a/lab/fleet/process.go
+++ b/lab/fleet/process.go
@@ -53,27 +53,62 @@
 // Gateway is one process in its lives: a task that owns its log and its present life.
 type Gateway struct {
 	*task.Task
-	Index  int
-	Name   string
-	Dir    string         // a folder of its own for what it keeps on disk; the configuration file is beside it
-	Config map[string]any // written to its file at each start; change it between lives only
-	binary string
-	file   string
-	listen string // of its first life, for all later ones
-	peer   string // where it listens for datagrams in this life
-	env    []string
-	cmd    *exec.Cmd
-	up     bool
-	gone   chan struct{} // closed when the present life is over
-	lines  []string
-	cut    int // lines dropped in front
-	life   int // lines before this life's
-	lives  int
-	counts map[string]int // by event, over all lives
-	past   []Moment
-	watch  []*wait
-	serves func(g *Gateway, listen, peer string)
-	dies   func(g *Gateway)
+	Index    int
+	Name     string
+	Dir      string         // a folder of its own for what it keeps on disk; the configuration file is beside it
+	Config   map[string]any // written to its file at each start; change it between lives only
+	binary   string
+	variable string // of the environment; names the configuration file
+	ready    string // the event by which a life says that it serves
+	file     string
+	listen   string // of its first life, for all later ones
+	peer     string // where it listens for datagrams in this life
+	env      []string
+	cmd      *exec.Cmd
+	up       bool
+	gone     chan struct{} // closed when the present life is over
+	lines    []string
+	cut      int // lines dropped in front
+	life     int // lines before this life's
+	lives    int
+	counts   map[string]int // by event, over all lives
+	past     []Moment
+	watch    []*wait
+	serves   func(g *Gateway, listen, peer string)
+	dies     func(g *Gateway)
+}
+
+// Process is any program that reads a configuration file which a variable of its environment names, and that logs events
+// as the gateway does.
+type Process = Gateway
+
+// ProcessPlan describes a process that is no gateway of a fleet.
+type ProcessPlan struct {
+	Name     string
+	Index    int
+	Binary   string         // path of the program
+	Variable string         // of the environment; names the configuration file
+	Ready    string         // the event by which the process says that it serves
+	Dir      string         // working folder; the configuration file is beside it
+	Config   map[string]any // content of the configuration file
+}
+
+// NewProcess makes a process that is not yet launched. The caller kills it and stops its task.
+func NewProcess(p ProcessPlan) *Process {
+	return &Process{
+		Task:     task.New(),
+		Index:    p.Index,
+		Name:     p.Name,
+		Dir:      p.Dir,
+		Config:   p.Config,
+		binary:   p.Binary,
+		variable: p.Variable,
+		ready:    p.Ready,
+		file:     filepath.Join(filepath.Dir(p.Dir), "config.json"),
+		counts:   map[string]int{},
+		serves:   func(*Gateway, string, string) {},
+		dies:     func(*Gateway) {},
+	}
 }
 
 // Moment is something that befell a process.
@@ -144,7 +179,7 @@
 	}
 	g.cmd = exec.Command(g.binary)
 	g.cmd.Dir = g.Dir
-	g.cmd.Env = append(append(os.Environ(), "GW_CONFIG="+g.file), g.env...)
+	g.cmd.Env = append(append(os.Environ(), g.variable+"="+g.file), g.env...)
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // should the test itself be killed
 	r, w, err := os.Pipe()
 	if err != nil {
@@ -196,8 +231,8 @@
 		if event == "host" {
 			g.past = append(g.past, Moment{task.Now(), "told", g.lives, field(line, "id"), field(line, "state")})
 		}
-		if event == "serving" {
-			g.moment(event)
+		if event == g.ready {
+			g.moment("serving")
 			g.listen, g.peer = field(line, "listen"), field(line, "peer_listen")
 			g.serves(g, g.listen, g.peer)
 		}
@@ -271,6 +306,15 @@
 	return text
 }
 
+// LinesAfter gives the lines after a mark, as Mark gives one or 0, and the mark after the last of them.
+func (g *Gateway) LinesAfter(mark int) (lines []string, next int) {
+	g.Ask(func() {
+		lines = slices.Clone(g.lines[min(max(mark-g.cut, 0), len(g.lines)):])
+		next = g.cut + len(g.lines)
+	})
+	return lines, next
+}
+
 // Lines gives the kept lines that hold a text.
 func (g *Gateway) Lines(text string) (lines []string) {
 	g.Ask(func() {
@@ -397,7 +441,7 @@
 
 // Serving waits until the present life serves.
 func (g *Gateway) Serving(ctx context.Context) error {
-	_, err := g.Wait(ctx, "event=serving")
+	_, err := g.Wait(ctx, "event="+g.ready)
 	return err
 }
 
--- /dev/null
+++ b/lab/rollout/publishers.go
@@ -0,0 +1,219 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"ravensill/lab/fleet"
+	"ravensill/lab/relay"
+	"ravensill/lab/standin"
+)
+
+const (
+	addressNet    = 130 // loopback net of the publishers' addresses
+	publisherRoom = 8   // publishers of one group at most
+	groupKeyBytes = 16
+)
+
+// publisherBinary builds the publisher once a test process and gives its path.
+var publisherBinary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "ravensill-rollout-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "ravensill-publisher")
+	text, err := exec.Command("go", "build", "-o", path, "ravensill/cmd/ravensill-publisher").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("building the publisher: %w: %s", err, text)
+	}
+	return path, nil
+})
+
+// publisherAddresses are where one publisher listens. They stay the same in all of its lives.
+type publisherAddresses struct {
+	followers netip.AddrPort
+	raft      netip.AddrPort
+	admin     netip.AddrPort
+}
+
+// Publishers is a group of publisher processes.
+type Publishers struct {
+	processes []*fleet.Process
+	addresses []publisherAddresses
+	dir       string // holds a folder for each publisher, and copies of them
+}
+
+// publisherName is a publisher's name, in the relay's rules too.
+func publisherName(i int) string { return fmt.Sprintf("p%d", i) }
+
+// publisherNames names all publishers of a group.
+func publisherNames(count int) (names []string) {
+	for i := range count {
+		names = append(names, publisherName(i))
+	}
+	return names
+}
+
+// startPublishers starts a group whose messages to each other go through a relay. number tells groups apart that run at
+// the same time in one test process.
+func startPublishers(ctx context.Context, net *relay.Relay, dir string, count, number, electionMS int) (*Publishers, error) {
+	binary, err := publisherBinary()
+	if err != nil {
+		return nil, err
+	}
+	p := &Publishers{dir: dir}
+	p.addresses, err = freeAddresses(count, number)
+	if err != nil {
+		return nil, err
+	}
+	for i := range count {
+		cfg, err := p.config(net, i, electionMS)
+		if err != nil {
+			return nil, err
+		}
+		p.processes = append(p.processes, fleet.NewProcess(fleet.ProcessPlan{
+			Name:     publisherName(i),
+			Index:    i,
+			Binary:   binary,
+			Variable: "PUBLISHER_CONFIG",
+			Ready:    "publisher_started",
+			Dir:      filepath.Join(dir, publisherName(i), "work"),
+			Config:   cfg,
+		}))
+	}
+	err = p.each(func(process *fleet.Process) error { return errors.Join(process.Launch(), process.Serving(ctx)) })
+	if err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// freeAddresses finds the addresses of a group.
+func freeAddresses(count, number int) ([]publisherAddresses, error) {
+	const each = 3 // addresses of a publisher
+	all := make([]publisherAddresses, count)
+	for i := range all {
+		first := (number*publisherRoom + i) * each
+		for k, into := range []*netip.AddrPort{&all[i].followers, &all[i].raft, &all[i].admin} {
+			address, err := standin.Free(addressNet, first+k)
+			if err != nil {
+				return nil, err
+			}
+			*into = address
+		}
+	}
+	return all, nil
+}
+
+// config gives the content of a publisher's configuration file.
+func (p *Publishers) config(net *relay.Relay, i, electionMS int) (map[string]any, error) {
+	var raft, admin []string
+	for k, addresses := range p.addresses {
+		way := addresses.raft.String()
+		if k != i {
+			stream, err := net.Stream(publisherName(i), publisherName(k), way)
+			if err != nil {
+				return nil, err
+			}
+			way = stream.Addr()
+		}
+		raft = append(raft, way)
+		admin = append(admin, addresses.admin.String())
+	}
+	own := p.addresses[i]
+	return map[string]any{
+		"index":        i,
+		"listen":       own.followers.String(),
+		"raft_listen":  own.raft.String(),
+		"raft":         raft,
+		"admin_listen": own.admin.String(),
+		"admin":        admin,
+		"dir":          stateFolder,
+		"key":          strings.Repeat("5a", groupKeyBytes),
+		"election_ms":  electionMS,
+	}, nil
+}
+
+// stateFolder is the folder of a publisher's log, in its working folder.
+const stateFolder = "state"
+
+// each does something with all processes at the same time.
+func (p *Publishers) each(do func(process *fleet.Process) error) error {
+	var all errgroup.Group
+	for _, process := range p.processes {
+		all.Go(func() error { return do(process) })
+	}
+	return all.Wait()
+}
+
+// Process gives one publisher's process.
+func (p *Publishers) Process(i int) *fleet.Process { return p.processes[i] }
+
+// Count is the number of publishers, running or not.
+func (p *Publishers) Count() int { return len(p.processes) }
+
+// CopyState copies a publisher's log aside. The publisher must be down: a copy of a log that is being written is torn.
+func (p *Publishers) CopyState(i int) error {
+	to := p.copyOf(i)
+	err := os.RemoveAll(to)
+	if err != nil {
+		return err
+	}
+	return os.CopyFS(to, os.DirFS(filepath.Join(p.processes[i].Dir, stateFolder)))
+}
+
+// RestoreState puts the copy in the place of a publisher's log. The publisher must be down.
+func (p *Publishers) RestoreState(i int) error {
+	folder := filepath.Join(p.processes[i].Dir, stateFolder)
+	err := os.RemoveAll(folder)
+	if err != nil {
+		return err
+	}
+	return os.CopyFS(folder, os.DirFS(p.copyOf(i)))
+}
+
+func (p *Publishers) copyOf(i int) string { return filepath.Join(p.dir, "copy-"+publisherName(i)) }
+
+// Close ends all processes.
+func (p *Publishers) Close() {
+	p.each(func(process *fleet.Process) error {
+		if process.Running() {
+			process.Kill()
+		}
+		process.Task.Stop()
+		return nil
+	})
+}
+
+// Unhealthy tells which publishers printed a trace or ended by themselves.
+func (p *Publishers) Unhealthy() (faults []string) {
+	for _, process := range p.processes {
+		if process.Counts()["unnamed"] > 0 {
+			faults = append(faults, fmt.Sprintf("%s printed a trace", process.Name))
+		}
+		asked := false
+		for _, moment := range process.Past() {
+			switch moment.What {
+			case "launched":
+				asked = false
+			case "kill", "term":
+				asked = true
+			case "exited":
+				if !asked {
+					faults = append(faults, process.Name+" ended by itself")
+				}
+			}
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/lab/rollout/steps.go
@@ -0,0 +1,182 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"ravensill/configsync"
+	"ravensill/internal/publisher"
+	"ravensill/lab/fleet"
+)
+
+// Quota plans of the first version that steps use beside those of the clients' load.
+const (
+	planKept    = "kept"    // stays as it is
+	planLowered = "lowered" // its burst is lowered
+	planRemoved = "removed"
+	planAdded   = "added" // by a later version
+)
+
+const (
+	unbounded   = 1e6  // rate and burst that no run uses up
+	slowRate    = 0.01 // units a second, so that a burst is all that a run can use
+	highBurst   = 40
+	loweredTo   = 3
+	beforeLower = 2 // requests of a customer before the burst is lowered
+	afterLower  = 6 // and after
+)
+
+// firstVersion is the step that publishes the first version to a fleet that serves by its files.
+func firstVersion() Step {
+	return Step{"first version", func(ctx context.Context, r *Run) error {
+		r.changes = &changes{publishers: r.Publishers, pace: r.Scenario.Size.Pace}
+		content, err := wholeContent(map[string]map[string]any{
+			"team":      quotaPlan(unbounded, unbounded),
+			"small":     quotaPlan(20, 40),
+			planKept:    quotaPlan(unbounded, unbounded),
+			planLowered: quotaPlan(slowRate, highBurst),
+			planRemoved: quotaPlan(unbounded, unbounded),
+		})
+		if err != nil {
+			return err
+		}
+		publication, err := r.changes.publish(ctx, Request{http.MethodPut, configurationPath, content})
+		if err != nil {
+			return err
+		}
+		return r.inForce(ctx, publication.Version, r.members())
+	}}
+}
+
+// startChanges is the step from which on changes are published at the size's pace.
+func startChanges() Step {
+	return Step{"changes begin", func(ctx context.Context, r *Run) error {
+		r.changes.start(ctx)
+		return nil
+	}}
+}
+
+// settle is the step that ends the changes and waits until the last one is in force everywhere and on every disk.
+func settle() Step {
+	return Step{"the latest version in force everywhere", func(ctx context.Context, r *Run) error {
+		err := r.changes.stop()
+		if err != nil {
+			return err
+		}
+		publication, err := r.changes.patch(ctx, map[string]any{planResource("last"): quotaPlan(unbounded, unbounded)})
+		if err != nil {
+			return err
+		}
+		err = r.inForce(ctx, publication.Version, r.members())
+		if err != nil {
+			return err
+		}
+		return r.settled(ctx, &publication)
+	}}
+}
+
+// settled waits until all publishers, what they know of the gateways, and the disks have come to a version: they follow
+// the gateways by a moment.
+func (r *Run) settled(ctx context.Context, last *publisher.Publication) error {
+	what := fmt.Sprintf("version %d at the publishers and on the disks", last.Version)
+	return r.until(ctx, what, func() bool {
+		states, err := r.Publishers.states(ctx)
+		if err != nil {
+			return false
+		}
+		record := Record{Publishers: states}
+		for i := range states {
+			if states[i].Version < last.Version {
+				return false
+			}
+		}
+		for member, g := range r.Fleet.Gateways() {
+			disk := readDisk(g)
+			saved := disk.Version == last.Version || disk.Err != nil // what can't be written is the checks' matter
+			if !saved || !record.told(member, last.Version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// members are all member indices.
+func (r *Run) members() []int { return fleet.Seats(0, r.Scenario.Size.Gateways) }
+
+// inForce waits until a version or a later one is in force at some gateways.
+func (r *Run) inForce(ctx context.Context, version configsync.Version, members []int) error {
+	what := fmt.Sprintf("version %d at members %v", version, members)
+	return r.until(ctx, what, func() bool {
+		for _, member := range members {
+			if r.Record.Histories[member].InForce() < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// latest is the latest version that a publisher has told.
+func (r *Run) latest() configsync.Version {
+	record := Record{Published: r.changes.list()}
+	return record.latest()
+}
+
+// More is the step that waits until as many more versions were published and are in force at all gateways but some.
+func More(versions int, without ...int) Step {
+	what := fmt.Sprintf("%d more versions in force at all but %d gateways", versions, len(without))
+	return Step{what, func(ctx context.Context, r *Run) error {
+		version := r.latest() + configsync.Version(versions)
+		err := r.until(ctx, fmt.Sprintf("version %d published", version), func() bool { return r.latest() >= version })
+		if err != nil {
+			return err
+		}
+		return r.inForce(ctx, version, others(r.members(), without))
+	}}
+}
+
+// others gives the members that are not among some.
+func others(members, without []int) (rest []int) {
+	excluded := make(map[int]bool, len(without))
+	for _, member := range without {
+		excluded[member] = true
+	}
+	for _, member := range members {
+		if !excluded[member] {
+			rest = append(rest, member)
+		}
+	}
+	return rest
+}
+
+// Burst is the step that publishes the size's burst of changes, one right after the other, and waits until the last one is
+// in force everywhere.
+func Burst() Step {
+	return Step{"burst", func(ctx context.Context, r *Run) error {
+		const first = 1_000_000 // numbers apart from those of the changes at a pace
+		var last publisher.Publication
+		for i := range r.Scenario.Size.Burst {
+			publication, err := r.changes.routine(ctx, first+i)
+			if err != nil {
+				return err
+			}
+			last = publication
+		}
+		return r.inForce(ctx, last.Version, r.members())
+	}}
+}
+
+// Hold is the step that lets a fault last.
+func Hold(length time.Duration) Step {
+	return Step{fmt.Sprintf("hold for %v", length), func(ctx context.Context, _ *Run) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(length):
+			return nil
+		}
+	}}
+}
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -97,7 +97,7 @@
 		if l, err = net.Listen("tcp4", a.String()); err != nil {
 			continue
 		}
-		l.Close()
+		closeListener(l)
 		if p, err = net.ListenPacket("udp4", a.String()); err == nil {
 			p.Close()
 			return a, nil
--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -66,6 +66,7 @@
 	Result              Result
 	Host                string        // that answered; "" none
 	After               time.Duration // a denial's time to come back
+	Text                string        // of an error that aborted it
 	Twice               bool          // sent again after a close that crossed it
 	list                string
 	wait                time.Duration
@@ -421,7 +422,7 @@
 		c.log.Stray++ // would be a second outcome
 		return
 	}
-	q.Ended, q.Result, q.Host, q.After = task.Now(), why, p.Host, p.After
+	q.Ended, q.Result, q.Host, q.After, q.Text = task.Now(), why, p.Host, p.After, p.Text
 	c.open--
 	c.quiet()
 }
@@ -497,6 +498,8 @@
 		if ms, err := strconv.Atoi(strings.TrimPrefix(text, "BUSY ")); err == nil {
 			p.After = time.Duration(ms) * time.Millisecond
 		}
+	case kind == redcon.Error:
+		p.Text = text
 	}
 	c.idle[k.gateway] = append(c.idle[k.gateway], k)
 	c.end(p, why)
--- a/lab/standin/host.go
+++ b/lab/standin/host.go
@@ -409,16 +409,21 @@
 		return
 	}
 	h.running, h.hang, h.held = false, false, nil
-	// A process that this one is just starting holds copies of its descriptors until it runs: closed alone, the listener went on.
-	if raw, err := h.ln.(*net.TCPListener).SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
-	}
-	h.ln.Close()
+	closeListener(h.ln)
 	for k := range h.conns {
 		k.end("lost")
 	}
 }
 
+// closeListener ends a listener at once. A process that this one is just starting holds copies of its descriptors until it
+// runs: closed alone, the listener would go on until then.
+func closeListener(l net.Listener) {
+	if raw, err := l.(*net.TCPListener).SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+	l.Close()
+}
+
 // Start begins a new life at the same address, cold where the model says so. It tells the Unix time of it in
 // milliseconds, as the list does.
 func (h *Host) Start() (startedMS int64, err error) {
