--- a/lab/rollout/changes.go
+++ b/lab/rollout/changes.go
@@ -68,15 +68,16 @@
 func (c *changes) start(ctx context.Context) {
 	c.done = make(chan struct{})
 	c.ended = make(chan error, 1)
-	go func() { c.ended <- c.run(ctx) }()
+	done := c.done
+	go func() { c.ended <- c.run(ctx, done) }()
 }
 
-func (c *changes) run(ctx context.Context) error {
+func (c *changes) run(ctx context.Context, done <-chan struct{}) error {
 	ticker := time.NewTicker(c.pace)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
-		case <-c.done:
+		case <-done:
 			return nil
 		case <-ticker.C:
 		}
--- a/lab/rollout/rollout.go
+++ b/lab/rollout/rollout.go
@@ -144,7 +144,7 @@
 		Rate:      z.Rate,
 		Customers: 20 * z.Gateways,
 		Skew:      0.5,
-		Spread:    max(1, z.Gateways/3),
+		Spread:    max(2, z.Gateways/3), // the front has another gateway to go to where one is down
 		Body:      "body",
 		Classes: []standin.Class{
 			{Name: "lookup", Wait: patience, Part: 0.6},
