--- /dev/null
+++ b/lab/rollout/refusals.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"ravensill/configsync"
+	"ravensill/internal/publisher"
+	"ravensill/lab/fleet"
+)
+
+func memberResource(member int) string { return string(configsync.MemberPrefix) + strconv.Itoa(member) }
+
+// NameMembers is the step that publishes the gossip addresses of some gateways, by which all that can take them go from
+// now on.
+func NameMembers(members ...int) Step {
+	return Step{fmt.Sprintf("name %d members", len(members)), func(ctx context.Context, r *Run) error {
+		set := map[string]any{}
+		for _, member := range members {
+			set[memberResource(member)] = r.Fleet.Gateway(member).PeerListen().String()
+		}
+		publication, err := r.changes.patch(ctx, set)
+		if err != nil {
+			return err
+		}
+		return r.inForce(ctx, publication.Version, members)
+	}}
+}
+
+// RemoveMember is the step that publishes a version without a gateway, which that one can't take. All others have it in
+// force, and the publishers tell who refused it and by which resource.
+func RemoveMember(member int) Step {
+	return Step{fmt.Sprintf("a version without member %d", member), func(ctx context.Context, r *Run) error {
+		publication, err := r.changes.patch(ctx, nil, memberResource(member))
+		if err != nil {
+			return err
+		}
+		err = r.inForce(ctx, publication.Version, others(r.members(), []int{member}))
+		if err != nil {
+			return err
+		}
+		what := fmt.Sprintf("the publishers to show that member %d refused version %d", member, publication.Version)
+		return r.until(ctx, what, func() bool { return r.showsRefusal(ctx, member, publication.Version) })
+	}}
+}
+
+// showsRefusal tells whether the status of the publisher that a gateway follows says which version it refused, by which
+// resource and why, and that no other gateway refused any.
+func (r *Run) showsRefusal(ctx context.Context, member int, version configsync.Version) bool {
+	states, err := r.Publishers.states(ctx)
+	if err != nil {
+		return false
+	}
+	shown := false
+	for i := range states {
+		for _, follower := range states[i].Followers {
+			if follower.Refused == 0 {
+				continue
+			}
+			if !refusalOf(&follower, member, version) {
+				return false
+			}
+			shown = true
+		}
+	}
+	return shown
+}
+
+func refusalOf(follower *publisher.Follower, member int, version configsync.Version) bool {
+	resource := string(follower.Resource)
+	return follower.Member == member && follower.Refused == version && follower.InForce < version &&
+		resource == memberResource(member) && follower.Reason != ""
+}
+
+// NoRefusals is the step that wants the publishers to show no refusal any more.
+func NoRefusals() Step {
+	return Step{"no refusal shown", func(ctx context.Context, r *Run) error {
+		return r.until(ctx, "the publishers to show no refusal", func() bool {
+			states, err := r.Publishers.states(ctx)
+			if err != nil {
+				return false
+			}
+			for i := range states {
+				for _, follower := range states[i].Followers {
+					if follower.Connected && follower.Refused > 0 {
+						return false
+					}
+				}
+			}
+			return true
+		})
+	}}
+}
+
+// badRequest is a request that the publishers have to refuse, and how the error begins.
+type badRequest struct {
+	request Request
+	path    string // of the key at fault
+}
+
+// badRequests are requests with an unknown or malformed key, and some that are wrong as a whole.
+func badRequests() []badRequest {
+	patch := func(body string) Request { return Request{http.MethodPatch, configurationPath, body} }
+	put := func(body string) Request { return Request{http.MethodPut, configurationPath, body} }
+	return []badRequest{
+		{patch(`{"set":{"plans/x":{"rate":1,"burst":1,"colour":2}}}`), "plans/x: colour: "},
+		{patch(`{"set":{"plans/x":{"rate":"fast","burst":1}}}`), "plans/x: rate: "},
+		{patch(`{"set":{"plans/x":{"rate":-1,"burst":1}}}`), "plans/x: rate: "},
+		{patch(`{"set":{"plans/x":{"rate":1e300,"burst":1}}}`), "plans/x: rate: "},
+		{patch(`{"set":{"plans/x":{"name":"y","rate":1,"burst":1}}}`), "plans/x: name: "},
+		{patch(`{"set":{"plans/x":[1]}}`), "plans/x: "},
+		{patch(`{"set":{"classes/lookup":{"effect":"sometimes","hard_limit_us":1}}}`), "classes/lookup: effect: "},
+		{patch(`{"set":{"classes/lookup":{"effect":"safe"}}}`), "classes/lookup: hard_limit_us: "},
+		{patch(`{"set":{"members/one":"127.0.0.1:1"}}`), `"members/one": `},
+		{patch(`{"set":{"members/0":"nowhere"}}`), "members/0: "},
+		{patch(`{"set":{"members/7":"127.0.0.1:1"}}`), "members/0: "},
+		{patch(`{"set":{"limits":{"max_attempts":3,"cancelling":true,"retry_after":true,"probes":true}}}`), "limits: probes: "},
+		{patch(`{"set":{"limits":{"max_attempts":"many"}}}`), "limits: max_attempts: "},
+		{patch(`{"set":{"routes/x":{}}}`), `"routes/x": `},
+		{patch(`{"set":{},"delete":[]}`), `json: unknown field "delete"`},
+		{patch(`{"set":{"plans/x":`), ""},
+		{put(`{"plans":[{"name":"x","rate":1,"burst":1,"colour":2}],"profiles":[]}`), "plans/x: colour: "},
+		{put(`{"plans":[{"rate":1}],"profiles":[]}`), "plans.0.name: "},
+		{put(`{"plans":[],"profiles":[]}`), "plans/: "},
+		{put(`{"tenants":[]}`), `json: unknown field "tenants"`},
+		{Request{http.MethodPost, "/v1/rollback", `{"to":1000000}`}, "to: "},
+		{Request{http.MethodPost, "/v1/rollback", `{}`}, "to: "},
+	}
+}
+
+// BadRequests is the step that puts wrong requests to each publisher: each is refused by the path of its key, and nothing
+// is published.
+func BadRequests() Step {
+	return Step{"bad requests", func(ctx context.Context, r *Run) error {
+		before := r.latest()
+		var faults []error
+		for i := range r.Publishers.Count() {
+			for _, bad := range badRequests() {
+				faults = append(faults, r.Publishers.wantRejected(ctx, i, bad))
+			}
+		}
+		if err := errors.Join(faults...); err != nil {
+			return err
+		}
+		states, err := r.Publishers.states(ctx)
+		if err != nil {
+			return err
+		}
+		for _, state := range states {
+			if state.Version != before {
+				return fmt.Errorf("%s has version %d after bad requests, not %d", state.Name, state.Version, before)
+			}
+		}
+		return nil
+	}}
+}
+
+// wantRejected puts a wrong request to a publisher.
+func (p *Publishers) wantRejected(ctx context.Context, i int, bad badRequest) error {
+	var publication publisher.Publication
+	err := p.ask(ctx, i, bad.request, &publication)
+	var rejected *RejectedError
+	if !errors.As(err, &rejected) || rejected.Status >= http.StatusInternalServerError {
+		return fmt.Errorf("%s: %s is not refused: %w", publisherName(i), bad.request.Body, err)
+	}
+	if !strings.HasPrefix(rejected.Text, bad.path) {
+		return fmt.Errorf("%s: %s is refused by %q, not by its key %q", publisherName(i), bad.request.Body, rejected.Text, bad.path)
+	}
+	return nil
+}
+
+// Lines is the step that wants a number of log lines of an event from gateways, over all of their lives.
+func Lines(event string, count int, members ...int) Step {
+	return Step{fmt.Sprintf("%d lines of %s", count, event), func(_ context.Context, r *Run) error {
+		for _, member := range members {
+			lines := r.Fleet.Gateway(member).Lines("event=" + event + " ")
+			if len(lines) != count {
+				return fmt.Errorf("%s said it %d times: %s", fleet.Name(member), len(lines), strings.Join(lines, "\n"))
+			}
+		}
+		return nil
+	}}
+}
--- a/lab/standin/agent.go
+++ b/lab/standin/agent.go
@@ -98,7 +98,7 @@
 		if listener, err = net.Listen("tcp4", addr.String()); err != nil {
 			continue
 		}
-		listener.Close()
+		closeListener(listener)
 		if packets, err = net.ListenPacket("udp4", addr.String()); err == nil {
 			packets.Close()
 			return addr, nil
