--- a/lab/rollout/publishers.go
+++ b/lab/rollout/publishers.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -63,20 +65,31 @@
 	return names
 }
 
-// startPublishers starts a group whose messages to each other go through a relay. number tells groups apart that run at
-// the same time in one test process.
-func startPublishers(ctx context.Context, net *relay.Relay, dir string, count, number, electionMS int) (*Publishers, error) {
+// GroupPlan describes a group of publishers.
+type GroupPlan struct {
+	Count      int
+	Dir        string         // holds a folder for each publisher, and copies of them
+	Relay      *relay.Relay   // carries the publishers' messages to each other; nil: they go straight
+	ElectionMS int            // without contact to the leading publisher before another is elected
+	Settings   map[string]any // keys of the publishers' configuration files beside those that a group needs
+}
+
+// groups counts the groups of publishers of this test process.
+var groups atomic.Int64
+
+// NewPublishers starts a group and waits until all of it serve followers.
+func NewPublishers(ctx context.Context, plan GroupPlan) (*Publishers, error) {
 	binary, err := publisherBinary()
 	if err != nil {
 		return nil, err
 	}
-	p := &Publishers{dir: dir}
-	p.addresses, err = freeAddresses(count, number)
+	p := &Publishers{dir: plan.Dir}
+	p.addresses, err = freeAddresses(plan.Count, int(groups.Add(1)))
 	if err != nil {
 		return nil, err
 	}
-	for i := range count {
-		cfg, err := p.config(net, i, electionMS)
+	for i := range plan.Count {
+		cfg, err := p.config(&plan, i)
 		if err != nil {
 			return nil, err
 		}
@@ -86,7 +99,7 @@
 			Binary:   binary,
 			Variable: "PUBLISHER_CONFIG",
 			Ready:    "publisher_started",
-			Dir:      filepath.Join(dir, publisherName(i), "work"),
+			Dir:      filepath.Join(plan.Dir, publisherName(i), "work"),
 			Config:   cfg,
 		}))
 	}
@@ -116,12 +129,12 @@
 }
 
 // config gives the content of a publisher's configuration file.
-func (p *Publishers) config(net *relay.Relay, i, electionMS int) (map[string]any, error) {
+func (p *Publishers) config(plan *GroupPlan, i int) (map[string]any, error) {
 	var raft, admin []string
 	for k, addresses := range p.addresses {
 		way := addresses.raft.String()
-		if k != i {
-			stream, err := net.Stream(publisherName(i), publisherName(k), way)
+		if k != i && plan.Relay != nil {
+			stream, err := plan.Relay.Stream(publisherName(i), publisherName(k), way)
 			if err != nil {
 				return nil, err
 			}
@@ -131,7 +144,7 @@
 		admin = append(admin, addresses.admin.String())
 	}
 	own := p.addresses[i]
-	return map[string]any{
+	cfg := map[string]any{
 		"index":        i,
 		"listen":       own.followers.String(),
 		"raft_listen":  own.raft.String(),
@@ -140,10 +153,15 @@
 		"admin":        admin,
 		"dir":          stateFolder,
 		"key":          strings.Repeat("5a", groupKeyBytes),
-		"election_ms":  electionMS,
-	}, nil
+		"election_ms":  plan.ElectionMS,
+	}
+	maps.Copy(cfg, plan.Settings)
+	return cfg, nil
 }
 
+// FollowerAddress is where a publisher serves followers.
+func (p *Publishers) FollowerAddress(i int) netip.AddrPort { return p.addresses[i].followers }
+
 // stateFolder is the folder of a publisher's log, in its working folder.
 const stateFolder = "state"
 
--- a/lab/rollout/rollout.go
+++ b/lab/rollout/rollout.go
@@ -74,9 +74,6 @@
 	From, To time.Time
 }
 
-// groups counts the groups of publishers of this test process.
-var groups atomic.Int64
-
 // Play plays a scenario. The error is of the rig itself; what does not hold is in broken.
 func (s *Scenario) Play(ctx context.Context) (run *Run, broken []string, err error) {
 	run = &Run{Scenario: s}
@@ -109,8 +106,12 @@
 			r.Record.Histories = append(r.Record.Histories, &History{})
 		}
 		var err error
-		dir := filepath.Join(f.Dir, "publishers")
-		r.Publishers, err = startPublishers(ctx, f.Relay, dir, size.Publishers, int(groups.Add(1)), size.ElectionMS)
+		r.Publishers, err = NewPublishers(ctx, GroupPlan{
+			Count:      size.Publishers,
+			Dir:        filepath.Join(f.Dir, "publishers"),
+			Relay:      f.Relay,
+			ElectionMS: size.ElectionMS,
+		})
 		return err
 	}
 	plan.Config = func(f *fleet.Fleet, i int, cfg map[string]any) error {
