Rollout: hundreds of hollow followers against three publishers, verdicts by counts and bytes

The distribution of the configuration was tested with tens of gateways; nothing showed how its bytes grow with the fleet.

lab/rollout/hollow runs many followers in one process, each with the gateway's own subscriber, disk folder, config.Live and logic.Gateway.Reconfigure, against three publisher processes. Verdicts are counts, digests and bytes alone.

--- /dev/null
+++ b/lab/rollout/hollow/latency.go
@@ -0,0 +1,51 @@
+package hollow
+
+import (
+	"slices"
+	"time"
+
+	"ravensill/lab/rollout"
+)
+
+// Latency is the time from the request for a publication until the version, or a later one, is in force, in seconds, over
+// all changes and followers.
+type Latency struct {
+	Changes int     `json:"changes"`
+	Samples int     `json:"samples"` // changes in force at a follower
+	Median  float64 `json:"p50"`
+	Tail    float64 `json:"p99"`
+	Latest  float64 `json:"latest"`
+}
+
+// newLatency joins what was published with what came in force at each follower.
+func newLatency(published []rollout.Published, histories [][]Applied) Latency {
+	var delays []time.Duration
+	for _, applied := range histories {
+		delays = appendDelays(delays, published, applied)
+	}
+	l := Latency{Changes: len(published), Samples: len(delays)}
+	if len(delays) == 0 {
+		return l
+	}
+	slices.Sort(delays)
+	at := func(part float64) float64 { return delays[int(part*float64(len(delays)-1))].Seconds() }
+	l.Median = at(0.5)
+	l.Tail = at(0.99)
+	l.Latest = at(1)
+	return l
+}
+
+// appendDelays adds the delays of changes at one follower; both lists are in the order of versions.
+func appendDelays(delays []time.Duration, published []rollout.Published, applied []Applied) []time.Duration {
+	next := 0
+	for _, change := range published {
+		for next < len(applied) && applied[next].To < change.Version {
+			next++
+		}
+		if next == len(applied) {
+			break
+		}
+		delays = append(delays, time.Unix(0, applied[next].At).Sub(change.Sent))
+	}
+	return delays
+}
--- /dev/null
+++ b/lab/rollout/hollow/point.go
@@ -0,0 +1,300 @@
+package hollow
+
+import (
+	"context"
+	"time"
+
+	"ravensill/lab/scale"
+)
+
+// Shape says what is measured at one size.
+type Shape struct {
+	Setup
+	Rest    time.Duration // without any change
+	Changes int           // one each Pace
+	Pace    time.Duration // 0: a change follows as soon as the one before is in force everywhere
+	Burst   int           // changes one right after the other
+}
+
+// Point is one size with its figures by name. What was not measured is absent.
+type Point struct {
+	Followers int                `json:"followers"`
+	Content   Content            `json:"content"`
+	Figures   map[string]float64 `json:"figures"`
+	Faults    []string           `json:"faults"`
+}
+
+// Names of figures.
+const (
+	StartTime         = "start"
+	StartProcessor    = "start_processor"
+	StartBytes        = "start_bytes_in"
+	StartDeferred     = "start_deferred"
+	LiveHeap          = "live_heap"
+	Stacks            = "stacks"
+	RestProcessor     = "rest_processor"
+	RestBytesIn       = "rest_bytes_in"
+	RestBytesOut      = "rest_bytes_out"
+	PacedMedian       = "paced_p50"
+	PacedTail         = "paced_p99"
+	PacedLatest       = "paced_latest"
+	PacedProcessor    = "paced_processor"
+	PacedBytesIn      = "paced_bytes_in"
+	PacedBytesOut     = "paced_bytes_out"
+	ChangeProcessor   = "change_processor"
+	ChangeBytes       = "change_bytes"
+	ChangeDeltas      = "change_deltas"
+	BurstMedian       = "burst_p50"
+	BurstTail         = "burst_p99"
+	BurstLatest       = "burst_latest"
+	BurstSeconds      = "burst_seconds"
+	BurstDeltas       = "burst_deltas"
+	BurstBytesIn      = "burst_bytes_in"
+	BurstProcessor    = "burst_processor"
+	PublisherRest     = "publisher_rest_processor"
+	PublisherPaced    = "publisher_paced_processor"
+	PublisherChange   = "publisher_change_processor"
+	PublisherBurst    = "publisher_burst_processor"
+	PublisherMemory   = "publisher_memory"
+	PublisherBytesOut = "publisher_change_bytes"
+	PublisherRestOut  = "publisher_rest_bytes_out"
+)
+
+// Metric says what a figure is.
+type Metric struct {
+	Name    string  `json:"name"`
+	Unit    string  `json:"unit"`
+	What    string  `json:"what"`
+	Counted bool    `json:"counted"` // a count or bytes, not a time
+	Budget  float64 `json:"budget,omitempty"`
+}
+
+// What the operators allow: a change in force within 12 s, and a gateway's control within 7 KB a second, 1.3% of a core and
+// 128 MB.
+const (
+	budgetSeconds   = 12
+	budgetBytes     = 7 * 1024
+	budgetProcessor = 0.013
+	budgetMemory    = 128 << 20
+)
+
+// Metrics are all figures in the order of the report. Those of followers are means of one.
+func Metrics() []Metric {
+	return []Metric{
+		{PacedMedian, "s", "one change at a time, from the request until in force: median over changes and followers", false, budgetSeconds},
+		{PacedTail, "s", "the same, 99 in 100", false, budgetSeconds},
+		{PacedLatest, "s", "the same, the latest", false, budgetSeconds},
+		{BurstMedian, "s", "changes of a burst, from each request until in force: median", false, budgetSeconds},
+		{BurstTail, "s", "the same, 99 in 100", false, budgetSeconds},
+		{BurstLatest, "s", "the same, the latest", false, budgetSeconds},
+		{BurstSeconds, "s", "from the burst's first request until all is in force everywhere", false, 0},
+		{BurstDeltas, "", "deltas by which a follower got the burst", true, 0},
+		{RestBytesIn, "bytes/s", "received by a follower at rest: heartbeats", true, budgetBytes},
+		{RestBytesOut, "bytes/s", "sent by a follower at rest", true, budgetBytes},
+		{PacedBytesIn, "bytes/s", "received by a follower under changes one at a time", true, budgetBytes},
+		{PacedBytesOut, "bytes/s", "sent by a follower then", true, budgetBytes},
+		{BurstBytesIn, "bytes/s", "received by a follower during the burst", true, budgetBytes},
+		{ChangeBytes, "bytes", "delta of a change on the wire, a follower", true, 0},
+		{ChangeDeltas, "", "deltas a change at a follower", true, 0},
+		{RestProcessor, "core", "processor share of a follower at rest", false, budgetProcessor},
+		{PacedProcessor, "core", "processor share of a follower under changes one at a time", false, budgetProcessor},
+		{ChangeProcessor, "ms", "processor time of a change at a follower, beyond rest", false, 0},
+		{BurstProcessor, "ms", "processor time of the burst at a follower", false, 0},
+		{LiveHeap, "bytes", "live heap of a follower", true, budgetMemory},
+		{Stacks, "bytes", "stacks of a follower", true, budgetMemory},
+		{StartTime, "s", "all followers at once from an empty disk, until in force everywhere", false, 0},
+		{StartProcessor, "ms", "processor time of such a start, a follower", false, 0},
+		{StartBytes, "bytes", "received by a follower in such a start", true, 0},
+		{StartDeferred, "", "snapshots put off at such a start, all followers", false, 0},
+		{PublisherRest, "core", "processor share of all publishers at rest", false, 0},
+		{PublisherPaced, "core", "processor share of all publishers under changes one at a time", false, 0},
+		{PublisherChange, "ms", "processor time of a change, all publishers, beyond rest", false, 0},
+		{PublisherBurst, "s", "processor time of the burst, all publishers", false, 0},
+		{PublisherMemory, "bytes", "resident memory of the publisher with most", false, 0},
+		{PublisherBytesOut, "bytes", "sent for a change, all publishers, without heartbeats", true, 0},
+		{PublisherRestOut, "bytes/s", "sent at rest, all publishers", true, 0},
+	}
+}
+
+// Measure runs one size.
+func (s Shape) Measure(ctx context.Context) (*Point, error) {
+	g, err := NewGroup(ctx, s.Setup)
+	if err != nil {
+		return nil, err
+	}
+	defer g.Close()
+	m := &measurement{Shape: s, group: g, figures: map[string]float64{}, followers: float64(s.Followers)}
+	m.heap, m.stacks = memory()
+	for _, phase := range []func(context.Context) error{m.start, m.rest, m.paced, m.burst} {
+		err := phase(ctx)
+		if err != nil {
+			return nil, err
+		}
+	}
+	m.memory()
+	faults, err := g.Faults(ctx)
+	return &Point{Followers: s.Followers, Content: s.Content, Figures: m.figures, Faults: faults}, err
+}
+
+// measurement is one size under way.
+type measurement struct {
+	Shape
+	group        *Group
+	figures      map[string]float64
+	followers    float64
+	heap, stacks float64 // before any follower ran
+	atRest       window
+}
+
+// start has all followers begin with empty disks, so that each gets a snapshot.
+func (m *measurement) start(ctx context.Context) error {
+	g := m.group
+	w, err := g.during(ctx, func() error {
+		err := g.Fleet.Start(g.Fleet.members())
+		if err != nil {
+			return err
+		}
+		return g.everywhere(ctx)
+	})
+	m.figures[StartTime] = w.Seconds
+	m.figures[StartProcessor] = milliseconds(w.Processor) / m.followers
+	m.figures[StartBytes] = w.BytesIn / m.followers
+	m.figures[StartDeferred] = w.Deferred
+	g.take()
+	g.Fleet.Take()
+	return err
+}
+
+// rest measures a time without changes.
+func (m *measurement) rest(ctx context.Context) (err error) {
+	if m.Rest == 0 {
+		return nil
+	}
+	m.atRest, err = m.group.during(ctx, func() error { return waitUntil(ctx, time.Now().Add(m.Rest)) })
+	w := &m.atRest
+	m.figures[RestProcessor] = w.Processor / w.Seconds / m.followers
+	m.figures[RestBytesIn] = w.BytesIn / w.Seconds / m.followers
+	m.figures[RestBytesOut] = w.BytesOut / w.Seconds / m.followers
+	m.figures[PublisherRest] = w.PublisherProcessor / w.Seconds
+	m.figures[PublisherRestOut] = w.PublisherBytesOut / w.Seconds
+	return err
+}
+
+// beyondRest gives how much more a figure of a window is than in as much time at rest.
+func (m *measurement) beyondRest(w *window, of func(w *window) float64) float64 {
+	if m.Rest == 0 {
+		return of(w)
+	}
+	return of(w) - of(&m.atRest)/m.atRest.Seconds*w.Seconds
+}
+
+// paced measures changes one at a time.
+func (m *measurement) paced(ctx context.Context) error {
+	g := m.group
+	w, err := g.during(ctx, func() error { return g.spaced(ctx, m.Changes, m.Pace) })
+	if err != nil {
+		return err
+	}
+	histories := g.Fleet.Take()
+	latency := newLatency(g.take(), histories)
+	m.figures[PacedMedian] = latency.Median
+	m.figures[PacedTail] = latency.Tail
+	m.figures[PacedLatest] = latency.Latest
+	changes := float64(m.Changes)
+	deltas, bytes := g.Fleet.deltas(histories)
+	m.figures[ChangeDeltas] = deltas / changes / m.followers
+	m.figures[ChangeBytes] = bytes / changes / m.followers
+	m.figures[PublisherBytesOut] = (w.PublisherBytesOut - (w.BytesIn - bytes)) / changes
+	if m.Pace == 0 {
+		return nil
+	}
+	m.figures[PacedProcessor] = w.Processor / w.Seconds / m.followers
+	m.figures[PacedBytesIn] = w.BytesIn / w.Seconds / m.followers
+	m.figures[PacedBytesOut] = w.BytesOut / w.Seconds / m.followers
+	m.figures[PublisherPaced] = w.PublisherProcessor / w.Seconds
+	ofFollowers := func(w *window) float64 { return w.Processor }
+	ofPublishers := func(w *window) float64 { return w.PublisherProcessor }
+	m.figures[ChangeProcessor] = milliseconds(m.beyondRest(&w, ofFollowers)) / changes / m.followers
+	m.figures[PublisherChange] = milliseconds(m.beyondRest(&w, ofPublishers)) / changes
+	return nil
+}
+
+// burst measures changes one right after the other.
+func (m *measurement) burst(ctx context.Context) error {
+	if m.Burst == 0 {
+		return nil
+	}
+	g := m.group
+	w, err := g.during(ctx, func() error {
+		err := g.burst(ctx, m.Burst)
+		if err != nil {
+			return err
+		}
+		return g.everywhere(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	histories := g.Fleet.Take()
+	latency := newLatency(g.take(), histories)
+	deltas, _ := g.Fleet.deltas(histories)
+	m.figures[BurstMedian] = latency.Median
+	m.figures[BurstTail] = latency.Tail
+	m.figures[BurstLatest] = latency.Latest
+	m.figures[BurstSeconds] = w.Seconds
+	m.figures[BurstDeltas] = deltas / m.followers
+	m.figures[BurstBytesIn] = w.BytesIn / w.Seconds / m.followers
+	m.figures[BurstProcessor] = milliseconds(w.Processor) / m.followers
+	m.figures[PublisherBurst] = w.PublisherProcessor
+	m.figures[PublisherMemory] = w.PublisherMemory
+	return nil
+}
+
+// memory measures what the followers keep.
+func (m *measurement) memory() {
+	heap, stacks := memory()
+	m.figures[LiveHeap] = (heap - m.heap) / m.followers
+	m.figures[Stacks] = (stacks - m.stacks) / m.followers
+}
+
+// deltas counts the deltas among what came in force, and their bytes on the wire.
+func (f *Fleet) deltas(histories [][]Applied) (count, bytes float64) {
+	for _, history := range histories {
+		for i := range history {
+			if history[i].Snapshot {
+				continue
+			}
+			count++
+			bytes += float64(f.frames.bytes(&history[i]))
+		}
+	}
+	return count, bytes
+}
+
+func milliseconds(seconds float64) float64 { return seconds * 1e3 }
+
+// Axis is points of several sizes with the fit of each figure.
+type Axis struct {
+	Points []*Point             `json:"points"`
+	Fits   map[string]scale.Fit `json:"fits"`
+}
+
+// NewAxis fits the figures of points, by the number of followers.
+func NewAxis(points []*Point) Axis {
+	axis := Axis{Points: points, Fits: map[string]scale.Fit{}}
+	for _, metric := range Metrics() {
+		var sizes, figures []float64
+		for _, point := range points {
+			figure, measured := point.Figures[metric.Name]
+			if measured {
+				sizes = append(sizes, float64(point.Followers))
+				figures = append(figures, figure)
+			}
+		}
+		const fewest = 3
+		if len(sizes) >= fewest {
+			axis.Fits[metric.Name] = scale.NewFit(sizes, figures, metric.Counted)
+		}
+	}
+	return axis
+}
