--- a/lab/rollout/hollow/group.go
+++ b/lab/rollout/hollow/group.go
@@ -25,7 +25,6 @@
 type Setup struct {
 	Followers int
 	Content   Content
-	Dir       string         // for all folders; empty: a temporary one
 	Settings  map[string]any // keys of the publishers' configuration files beside the defaults
 }
 
@@ -50,7 +49,7 @@
 			g = nil
 		}
 	}()
-	g.dir, err = os.MkdirTemp(setup.Dir, "hollow-")
+	g.dir, err = os.MkdirTemp("", "hollow-")
 	if err != nil {
 		return g, err
 	}
@@ -127,9 +126,9 @@
 	return nil
 }
 
-// spaced publishes a change each pace and waits until the last one is in force everywhere. Where the pace is 0, a change
-// follows as soon as the one before is in force everywhere.
-func (g *Group) spaced(ctx context.Context, changes int, pace time.Duration) error {
+// spaced publishes a change each pace and waits until the last one is in force by a function. Where the pace is 0, a change
+// follows as soon as the one before is in force.
+func (g *Group) spaced(ctx context.Context, changes int, pace time.Duration, inForce func(context.Context) error) error {
 	begin := time.Now()
 	for i := range changes {
 		err := waitUntil(ctx, begin.Add(time.Duration(i)*pace))
@@ -143,7 +142,7 @@
 		if pace > 0 {
 			continue
 		}
-		err = g.everywhere(ctx)
+		err = inForce(ctx)
 		if err != nil {
 			return err
 		}
@@ -152,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	return g.everywhere(ctx)
+	return inForce(ctx)
 }
 
 // everywhere waits until the last version is in force at all followers, and their counters tell so.
--- a/lab/rollout/hollow/point.go
+++ b/lab/rollout/hollow/point.go
@@ -49,6 +49,7 @@
 	BurstLatest       = "burst_latest"
 	BurstSeconds      = "burst_seconds"
 	BurstDeltas       = "burst_deltas"
+	BurstBytes        = "burst_bytes"
 	BurstBytesIn      = "burst_bytes_in"
 	BurstProcessor    = "burst_processor"
 	PublisherRest     = "publisher_rest_processor"
@@ -93,7 +94,8 @@
 		{RestBytesOut, "bytes/s", "sent by a follower at rest", true, budgetBytes},
 		{PacedBytesIn, "bytes/s", "received by a follower under changes one at a time", true, budgetBytes},
 		{PacedBytesOut, "bytes/s", "sent by a follower then", true, budgetBytes},
-		{BurstBytesIn, "bytes/s", "received by a follower during the burst", true, budgetBytes},
+		{BurstBytes, "bytes", "received by a follower in the burst; the budget is that of 12 s", true, budgetBytes * budgetSeconds},
+		{BurstBytesIn, "bytes/s", "the same a second, as long as the burst lasts", true, budgetBytes},
 		{ChangeBytes, "bytes", "delta of a change on the wire, a follower", true, 0},
 		{ChangeDeltas, "", "deltas a change at a follower", true, 0},
 		{RestProcessor, "core", "processor share of a follower at rest", false, budgetProcessor},
@@ -191,7 +193,7 @@
 // paced measures changes one at a time.
 func (m *measurement) paced(ctx context.Context) error {
 	g := m.group
-	w, err := g.during(ctx, func() error { return g.spaced(ctx, m.Changes, m.Pace) })
+	w, err := g.during(ctx, func() error { return g.spaced(ctx, m.Changes, m.Pace, g.everywhere) })
 	if err != nil {
 		return err
 	}
@@ -243,6 +245,7 @@
 	m.figures[BurstLatest] = latency.Latest
 	m.figures[BurstSeconds] = w.Seconds
 	m.figures[BurstDeltas] = deltas / m.followers
+	m.figures[BurstBytes] = w.BytesIn / m.followers
 	m.figures[BurstBytesIn] = w.BytesIn / w.Seconds / m.followers
 	m.figures[BurstProcessor] = milliseconds(w.Processor) / m.followers
 	m.figures[PublisherBurst] = w.PublisherProcessor
--- /dev/null
+++ b/lab/rollout/hollow/report.go
@@ -0,0 +1,209 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+
+	"ravensill/lab/scale"
+)
+
+// Report is all that a run measured.
+type Report struct {
+	Command  string         `json:"command"`
+	Go       string         `json:"go"`
+	Cores    int            `json:"cores"`
+	LoadFrom string         `json:"load_average_before"` // of the machine, other work included
+	LoadTo   string         `json:"load_average_after"`
+	Metrics  []Metric       `json:"metrics"`
+	Axis     Axis           `json:"by_followers"`
+	Large    []*Point       `json:"large_contents"`
+	Storms   []*Storm       `json:"restarts"`
+	Compared *Comparison    `json:"real_and_hollow"`
+	Events   map[string]int `json:"log_events"` // of the followers' logs
+}
+
+// NewReport begins a report of a run by a command.
+func NewReport(command string) *Report {
+	return &Report{
+		Command:  command,
+		Go:       runtime.Version(),
+		Cores:    runtime.NumCPU(),
+		LoadFrom: loadAverage(),
+		Metrics:  Metrics(),
+	}
+}
+
+// loadAverage gives the machine's load average over 1, 5 and 15 minutes.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	const averages = 3
+	fields := strings.Fields(string(text))
+	return strings.Join(fields[:min(averages, len(fields))], " ")
+}
+
+// Finish takes in what is known at the end.
+func (r *Report) Finish(lines *Lines) {
+	r.LoadTo = loadAverage()
+	r.Events = lines.Events()
+}
+
+// Write writes the report as JSON and as text into a folder.
+func (r *Report) Write(folder string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	err = os.WriteFile(filepath.Join(folder, "rollout-scale.json"), append(text, '\n'), 0o644)
+	if err != nil {
+		return err
+	}
+	var page strings.Builder
+	r.Text(&page)
+	return os.WriteFile(filepath.Join(folder, "rollout-scale.md"), []byte(page.String()), 0o644)
+}
+
+// Text writes the report as tables.
+func (r *Report) Text(w io.Writer) {
+	fmt.Fprintf(w, "# Figures of the configuration's distribution by hollow followers\n\n`%s`, %s, %d cores, load average %s before "+
+		"and %s after: a machine shared with other runs. Three publishers. `docs/rollout-scale.md` tells how and what is left "+
+		"out. Figures of followers are means of one, in force is wall time under that load.\n", r.Command, r.Go, r.Cores, r.LoadFrom,
+		r.LoadTo)
+	if len(r.Axis.Points) > 0 {
+		r.axisText(w)
+	}
+	if len(r.Large) > 0 {
+		r.largeText(w)
+	}
+	if len(r.Storms) > 0 {
+		r.stormsText(w)
+	}
+	if r.Compared != nil {
+		r.Compared.text(w)
+	}
+	fmt.Fprintf(w, "\nLog lines of all followers by event: %v.\n", r.Events)
+	for _, fault := range r.Faults() {
+		fmt.Fprintf(w, "\nDoes not hold: %s.\n", fault)
+	}
+}
+
+// Faults lists all that does not hold.
+func (r *Report) Faults() (faults []string) {
+	if len(r.Axis.Points) > 0 {
+		faults = append(faults, r.Axis.Faults()...)
+	}
+	for _, point := range r.Large {
+		faults = append(faults, point.Faults...)
+	}
+	for _, storm := range r.Storms {
+		faults = append(faults, storm.Faults...)
+	}
+	return faults
+}
+
+// axisText writes a row for each figure, with a column for each number of followers.
+func (r *Report) axisText(w io.Writer) {
+	fmt.Fprintf(w, "\n## By followers\n\n%s.\n\n| figure | what |", r.Axis.Points[0].Content.text())
+	for _, point := range r.Axis.Points {
+		fmt.Fprintf(w, " %d |", point.Followers)
+	}
+	fmt.Fprintf(w, " exponent, residual | form, error | budget | of it at most |\n| --- | --- |%s --- | --- | --- | --- |\n",
+		strings.Repeat(" --- |", len(r.Axis.Points)))
+	for i := range r.Metrics {
+		metric := &r.Metrics[i]
+		fit, fitted := r.Axis.Fits[metric.Name]
+		if !fitted {
+			continue
+		}
+		fmt.Fprintf(w, "| %s | %s |", metric.title(), metric.What)
+		for _, point := range r.Axis.Points {
+			fmt.Fprintf(w, " %s |", figure(point, metric))
+		}
+		fmt.Fprintf(w, " %.2f, %.2f | %s, %.2f | %s |\n", fit.Exponent, fit.Residual, form(fit), fit.Error,
+			metric.budget(r.Axis.Points))
+	}
+}
+
+func form(fit scale.Fit) string {
+	if fit.Bends {
+		return "bends"
+	}
+	return string(fit.Form)
+}
+
+func (m *Metric) title() string { return strings.TrimSuffix(m.Name+", "+m.Unit, ", ") }
+
+func figure(point *Point, metric *Metric) string {
+	value, measured := point.Figures[metric.Name]
+	if !measured {
+		return "-"
+	}
+	return fmt.Sprintf("%.4g", value)
+}
+
+// budget tells the budget and the greatest part of it that a point takes.
+func (m *Metric) budget(points []*Point) string {
+	if m.Budget == 0 {
+		return "- | -"
+	}
+	most := 0.0
+	for _, point := range points {
+		most = max(most, point.Figures[m.Name])
+	}
+	return fmt.Sprintf("%.4g | %.1f%%", m.Budget, 100*most/m.Budget)
+}
+
+func (c Content) text() string {
+	return fmt.Sprintf("%d quota plans and %d request classes in the configuration", c.Plans, c.Classes)
+}
+
+// largeText writes points whose contents are large.
+func (r *Report) largeText(w io.Writer) {
+	for _, point := range r.Large {
+		fmt.Fprintf(w, "\n## %d followers with a large configuration\n\n%s.\n\n| figure | what | value | budget | of it |\n"+
+			"| --- | --- | --- | --- | --- |\n", point.Followers, point.Content.text())
+		for i := range r.Metrics {
+			metric := &r.Metrics[i]
+			if _, measured := point.Figures[metric.Name]; !measured {
+				continue
+			}
+			fmt.Fprintf(w, "| %s | %s | %s | %s |\n", metric.title(), metric.What, figure(point, metric),
+				metric.budget([]*Point{point}))
+		}
+	}
+}
+
+func (r *Report) stormsText(w io.Writer) {
+	fmt.Fprint(w, "\n## Restarts at once\n\n| what | followers | configuration | versions missed | s until in force everywhere | from disk | snapshots | deltas | "+
+		"put off | bytes of publishers | processor s, followers | processor s, publishers |\n"+
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range r.Storms {
+		fmt.Fprintf(w, "| %s | %d | %s | %d | %.2f | %d | %d | %d | %d | %.4g | %.2f | %.2f |\n", s.What, s.Followers, s.Content.text(),
+			s.Missed, s.Seconds, s.FromDisk, s.Snapshots, s.Deltas, s.Deferred, s.BytesOut, s.Processor, s.Publishers)
+	}
+}
+
+func (c *Comparison) text(w io.Writer) {
+	ratio := c.Ratio()
+	fmt.Fprintf(w, "\n## Real and hollow\n\n%d real gateway processes and %d hollow followers of the same publishers, %d changes at one "+
+		"pace each; means of a gateway and change, with the heartbeats of that time.\n\n| figure | real | hollow | real over hollow |\n"+
+		"| --- | --- | --- | --- |\n", c.Gateways, c.Gateways, c.Changes)
+	for _, row := range []struct {
+		name                string
+		real, hollow, ratio float64
+	}{
+		{"bytes in", c.Real.BytesIn, c.Hollow.BytesIn, ratio.BytesIn},
+		{"bytes out", c.Real.BytesOut, c.Hollow.BytesOut, ratio.BytesOut},
+		{"versions put in force", c.Real.Versions, c.Hollow.Versions, ratio.Versions},
+		{"processor time beyond rest, ms", c.Real.Processor, c.Hollow.Processor, ratio.Processor},
+	} {
+		fmt.Fprintf(w, "| %s | %.4g | %.4g | %.3f |\n", row.name, row.real, row.hollow, row.ratio)
+	}
+}
