--- a/lab/rollout/hollow/compare.go
+++ b/lab/rollout/hollow/compare.go
@@ -185,6 +185,9 @@
 
 // rest gives the processor share of all gateways without changes, in cores.
 func (c *compared) rest(ctx context.Context, side gateways) (share float64, err error) {
+	if c.Rest == 0 {
+		return 0, nil
+	}
 	before, err := side.processor()
 	if err != nil {
 		return 0, err
--- a/lab/rollout/hollow/hollow_test.go
+++ b/lab/rollout/hollow/hollow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -94,3 +95,26 @@
 		}
 	}
 }
+
+// A hollow follower receives, sends and puts in force what a process of the program does.
+func TestComparison(t *testing.T) {
+	const margin = 0.2
+	comparison, err := compared{
+		Gateways: 6,
+		Changes:  20,
+		Pace:     100 * time.Millisecond,
+		Setup:    Setup{Content: smallContent},
+	}.Compare(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", *comparison)
+	if comparison.Real.Versions != 1 || comparison.Hollow.Versions != 1 {
+		t.Errorf("%g and %g versions a change in force at real gateways and at hollow followers", comparison.Real.Versions,
+			comparison.Hollow.Versions)
+	}
+	ratio := comparison.Ratio()
+	if math.Abs(ratio.BytesIn-1) > margin || math.Abs(ratio.BytesOut-1) > margin {
+		t.Errorf("real gateways receive %.2f and send %.2f times as many bytes as hollow followers", ratio.BytesIn, ratio.BytesOut)
+	}
+}
--- a/lab/rollout/hollow/lines.go
+++ b/lab/rollout/hollow/lines.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"maps"
+	"strconv"
 	"sync"
 )
 
-// Lines counts the lines of a log by their events, in place of printing the lines of thousands of followers.
+// Lines counts the lines of a log by their events and causes, in place of printing the lines of thousands of followers.
 type Lines struct {
 	mu     sync.Mutex
 	events map[string]int
@@ -15,19 +16,37 @@
 // Write takes in one line, as package log writes it.
 func (l *Lines) Write(line []byte) (int, error) {
 	_, rest, found := bytes.Cut(line, []byte("event="))
-	event, _, _ := bytes.Cut(rest, []byte(" "))
+	event, rest, _ := bytes.Cut(rest, []byte(" "))
 	if !found {
 		event = line
 	}
+	name := string(event)
+	_, rest, found = bytes.Cut(rest, []byte("cause="))
+	if found {
+		name += ": " + firstQuoted(string(rest))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.events == nil {
 		l.events = map[string]int{}
 	}
-	l.events[string(event)]++
+	l.events[name]++
 	return len(line), nil
 }
 
+// firstQuoted gives the quoted text that another begins with, without its quotes.
+func firstQuoted(text string) string {
+	quoted, err := strconv.QuotedPrefix(text)
+	if err != nil {
+		return ""
+	}
+	unquoted, err := strconv.Unquote(quoted)
+	if err != nil {
+		return ""
+	}
+	return unquoted
+}
+
 // Events gives the counts so far.
 func (l *Lines) Events() map[string]int {
 	l.mu.Lock()
--- a/lab/rollout/hollow/report.go
+++ b/lab/rollout/hollow/report.go
@@ -110,7 +110,7 @@
 
 // axisText writes a row for each figure, with a column for each number of followers.
 func (r *Report) axisText(w io.Writer) {
-	fmt.Fprintf(w, "\n## By followers\n\n%s.\n\n| figure | what |", r.Axis.Points[0].Content.text())
+	fmt.Fprintf(w, "\n## By followers\n\nConfiguration: %s.\n\n| figure | what |", r.Axis.Points[0].Content.text())
 	for _, point := range r.Axis.Points {
 		fmt.Fprintf(w, " %d |", point.Followers)
 	}
@@ -161,7 +161,7 @@
 }
 
 func (c Content) text() string {
-	return fmt.Sprintf("%d quota plans and %d request classes in the configuration", c.Plans, c.Classes)
+	return fmt.Sprintf("%d quota plans, %d request classes", c.Plans, c.Classes)
 }
 
 // largeText writes points whose contents are large.
