Module: a tick walks the hosts with attempts in flight, not all that are near

Cause: seen at rest with 87,000 hosts and a gateway by itself, to which all are near: 4.7% of a core, some 90% of it in Gateway.tick (profile of lab/startcost). Change: hosts with attempts in flight stand in a list of their own, in the same order; and the subscriptions of a customer find their peers' former ones by index when the number of gateways changes, not by search.

--- a/logic/hostlist.go
+++ b/logic/hostlist.go
@@ -46,8 +46,23 @@
 	}
 }
 
+// active gives the hosts with attempts in flight, in the order of their ids. A tick walks these alone: to a gateway by itself
+// all hosts are near, and at rest it has none in flight.
+func (f *hostPool) active() []*host {
+	f.busyHosts = slices.DeleteFunc(f.busyHosts, func(h *host) bool {
+		h.listedBusy = len(h.inFlight) > 0 && h.state != gateway.Gone
+		return !h.listedBusy
+	})
+	return f.busyHosts
+}
+
 // use notes that a host is sent to.
 func (f *hostPool) use(h *host) {
+	if !h.listedBusy {
+		i, _ := slices.BinarySearchFunc(f.busyHosts, h.id, byID)
+		f.busyHosts = slices.Insert(f.busyHosts, i, h)
+		h.listedBusy = true
+	}
 	if !h.Held && !h.used {
 		i, _ := slices.BinarySearchFunc(f.near, h.id, byID)
 		f.near = slices.Insert(f.near, i, h)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -306,7 +306,7 @@
 		g.asked, g.nextAsk = g.now, math.MaxInt64
 		g.writer.Follow()
 	}
-	for _, h := range g.pool.near {
+	for _, h := range g.pool.active() {
 		for _, s := range h.inFlight {
 			if r := s.request; h.silent(s, g.now) {
 				h.of(r.class).suspect(g.now)
--- a/logic/state.go
+++ b/logic/state.go
@@ -149,6 +149,7 @@
 	all       []*host // by id
 	near      []*host // those of all in this gateway's subset, or sent to
 	weighed   []*host // those whose loads pick has set last
+	busyHosts []*host // those with attempts in flight at the last tick, or sent to since
 	cold      gateway.Cold
 	rnd       *mwc
 	busyField int // place of the busy share in load reports; -1 none
@@ -163,16 +164,17 @@
 // host is one of the list.
 type host struct {
 	spread.Host
-	id       uint32
-	state    gateway.State
-	used     bool  // sent to since it is in the list
-	since    int64 // its last start
-	inFlight []*attempt
-	pace     float64 // its answers' time against the usual
-	busy     float64 // share told by itself
-	load     float64 // how long an answer would take, as pick weighed it
-	allow    float64 // attempts that it may get while cold
-	classes  []health
+	id         uint32
+	state      gateway.State
+	used       bool  // sent to since it is in the list
+	since      int64 // its last start
+	inFlight   []*attempt
+	listedBusy bool    // in busyHosts
+	pace       float64 // its answers' time against the usual
+	busy       float64 // share told by itself
+	load       float64 // how long an answer would take, as pick weighed it
+	allow      float64 // attempts that it may get while cold
+	classes    []health
 }
 
 // health is how a host serves a request class: it may fail one and serve the others.
--- a/logic/topology.go
+++ b/logic/topology.go
@@ -48,9 +48,12 @@
 		c.subscribe(g.to[s], true)
 	}
 	for i := range had {
-		k := slices.IndexFunc(c.subscriptions, func(t subscription) bool { return t.peer.member == had[i].peer.member })
-		if k >= 0 && had[i].peer.total == c.subscriptions[k].peer.total {
-			c.subscriptions[k].sentTotal = had[i].sentTotal
+		var p *peer
+		if member := had[i].peer.member; member < len(g.peers) {
+			p = g.peers[member]
+		}
+		if p != nil && p.latest == c && p.total == had[i].peer.total {
+			c.subscriptions[p.nth].sentTotal = had[i].sentTotal
 		}
 	}
 	if len(had) > 0 {
