--- a/configsync/state_test.go
+++ b/configsync/state_test.go
@@ -98,8 +98,9 @@
 			t.Errorf("a command of %s applied: %v", name, err)
 		}
 	}
-	if err := try(t, NewState(testLimits), NewCommand("", 0, []Change{set("limits", "1")})); err == nil {
-		t.Error("a version without a log")
+	err = try(t, NewState(testLimits), NewCommand("", 0, []Change{set("limits", "1")}))
+	if _, ok := err.(*WrongLogError); !ok {
+		t.Errorf("a version without a log: %v", err)
 	}
 }
 
