--- a/configsync/state.go
+++ b/configsync/state.go
@@ -174,7 +174,7 @@
 	for i := range changes {
 		change := &changes[i]
 		name, isPlan := strings.CutPrefix(string(change.Resource), PlanPrefix)
-		if !isPlan || change.Removed() {
+		if !isPlan { // a removed one has its id already
 			continue
 		}
 		id := PlanID(name)
@@ -198,7 +198,7 @@
 func (s *State) reservePlans(changes []Change) {
 	for i := range changes {
 		name, isPlan := strings.CutPrefix(string(changes[i].Resource), PlanPrefix)
-		if isPlan && !changes[i].Removed() {
+		if isPlan {
 			s.plans[PlanID(name)] = name
 		}
 	}
--- a/configsync/state_test.go
+++ b/configsync/state_test.go
@@ -77,6 +77,12 @@
 		if !bytes.Equal(state.Snapshot(), before) {
 			t.Errorf("%s: the state changed", name)
 		}
+		if test.command.Create == "" {
+			err = state.Check(test.command)
+			if reflect.TypeOf(err) != reflect.TypeOf(test.want) {
+				t.Errorf("%s, checked before: %T %v", name, err, err)
+			}
+		}
 	}
 	err := try(t, state, NewCommand(testLog, 2, []Change{set("plans/liquid", "1")}))
 	if refused, ok := err.(*PlanIDError); !ok || refused.Resource != "plans/liquid" || refused.Owner != "costarring" {
@@ -237,6 +243,32 @@
 	}
 }
 
+func TestStateIsBounded(t *testing.T) {
+	isMalformed := func(name string, state *State, changes []Change) {
+		err := state.Check(NewCommand(testLog, state.Document().Version(), changes))
+		if _, ok := err.(*MalformedError); !ok {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	many := make([]Change, MaxDocumentResources+1)
+	for i := range many {
+		many[i] = remove(Resource(fmt.Sprintf("plans/%06d", i)))
+	}
+	isMalformed("many changes", newTestState(t, testLimits), many)
+	full := newTestState(t, testLimits)
+	full.document.size = MaxDocumentBytes
+	isMalformed("a large document", full, []Change{set("limits", "1")})
+	named := newTestState(t, testLimits)
+	for id := range uint32(maxReservedPlans) {
+		named.plans[id] = "of before"
+	}
+	isMalformed("many plans", named, []Change{set("plans/a", "1")})
+	publish(t, named, set("classes/a", "1")) // reserves no id
+	if len(named.plans) != maxReservedPlans {
+		t.Errorf("%d names", len(named.plans))
+	}
+}
+
 func TestRestoreRefuses(t *testing.T) {
 	state := newTestState(t, testLimits)
 	publish(t, state, set("limits", "1"))
@@ -247,12 +279,19 @@
 	publish(t, gap, set("limits", "1"))
 	publish(t, gap, set("limits", "2"))
 	gap.history.entries[1].Delta.From = 0
+	unpaired := newTestState(t, testLimits)
+	publish(t, unpaired, set("limits", "1"))
+	unpaired.history.entries[0].Previous = nil
+	wrong := newTestState(t, testLimits)
+	publish(t, wrong, set("limits", "1"))
+	wrong.document.digest[0]++
 	altered := bytes.Clone(good)
 	altered[len(altered)-1] ^= 1
 	for name, text := range map[string][]byte{
 		"altered": altered, "cut": good[:len(good)-1], "longer": append(bytes.Clone(good), 0),
 		"a document": EncodeFile(state.Document()), "history apart": short.Snapshot(),
-		"history with a gap": gap.Snapshot(),
+		"history with a gap": gap.Snapshot(), "history without values": unpaired.Snapshot(), "digest": wrong.Snapshot(),
+		"another kind": encodeRecord(recordDocument, good[fileHeader:]), "not CBOR": encodeRecord(recordState, []byte("\xff")),
 	} {
 		if err := state.Restore(text); err == nil {
 			t.Errorf("%s: taken", name)
