--- a/internal/config/pool.go
+++ b/internal/config/pool.go
@@ -29,10 +29,10 @@
 	Urgent   map[string]bool  // names of request classes that go first within the floor
 }
 
-// Voter gives the place of a seat among the voters, -1 where it is none.
-func (p *Pool) Voter(seat int) int {
-	for i, s := range p.Seats {
-		if s == seat {
+// VoterIndex returns the index of a member among the voters, -1 if it is none.
+func (p *Pool) VoterIndex(member int) int {
+	for i, voter := range p.Seats {
+		if voter == member {
 			return i
 		}
 	}
@@ -91,9 +91,9 @@
 	const ms = int64(time.Millisecond)
 	p := &Pool{Capacity: text.Capacity, Serial: text.Serial, Weight: text.Weight, Dir: text.Dir,
 		Election: time.Duration(text.Election) * time.Millisecond, Turn: time.Duration(text.Turn) * time.Millisecond,
-		Terms: pool.Terms{Seats: c.Seat.Count, Floor: text.Floor, Reserve: text.Reserve, Lease: int64(text.Lease) * ms,
-			Drain: longest + int64(text.Lease)*ms, Drift: text.Drift, Hold: int64(text.Hold) * ms, Tell: int64(text.Tell) * ms,
-			Rest: int64(text.Rest) * ms},
+		Terms: pool.Terms{Members: c.Seat.Count, Floor: text.Floor, Reserve: text.Reserve, Lease: int64(text.Lease) * ms,
+			Drain: longest + int64(text.Lease)*ms, Drift: text.Drift, TargetHold: int64(text.Hold) * ms, ReportInterval: int64(text.Tell) * ms,
+			CloseDelay: int64(text.Rest) * ms},
 		Urgent: make(map[string]bool, len(text.Urgent))}
 	var err error
 	switch {
@@ -135,12 +135,12 @@
 		p.Streams = append(p.Streams, a)
 	}
 	for i, s := range text.Seats {
-		if s < 0 || s >= c.Seat.Count || p.Voter(s) >= 0 {
+		if s < 0 || s >= c.Seat.Count || p.VoterIndex(s) >= 0 {
 			return nil, fmt.Errorf("voter_seats.%d: %d is no seat, or a second time one", i, s)
 		}
 		p.Seats = append(p.Seats, s)
 	}
-	if p.Voter(c.Seat.Index) >= 0 {
+	if p.VoterIndex(c.Seat.Index) >= 0 {
 		if p.Dir == "" {
 			return nil, errors.New("dir: missing")
 		}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -71,7 +71,7 @@
 			n.classes = append(n.classes, gateway.Frontend{})
 		}
 		n.classes[change.Index] = change.Class
-		n.pool.named(change.Index, change.Name)
+		n.pool.addClass(change.Index, change.Name)
 	}
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -103,7 +103,7 @@
 		log.Printf("event=reloaded discovery=%s version=%d others_changed=%t", cfg.Discovery, n.book.Version,
 			n.cfg.Fixed != cfg.Fixed) // these count from the next start on
 		if cfg.Pool != nil {
-			n.pool.capacity(cfg.Pool.Serial, cfg.Pool.Capacity)
+			n.pool.setCapacity(cfg.Pool.Serial, cfg.Pool.Capacity)
 		}
 		if cfg.Discovery == n.cfg.Discovery {
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,7 +66,7 @@
 	counter       *counter.Counter // nil: none is configured
 	watch         *watch
 	witness       *watching             // nil: off
-	pool          *pooling              // nil: off
+	pool          *connectionQuota      // nil: off
 	pending       []revision            // of the configuration; each is in force after the turn at hand
 	over          chan struct{}         // closed when Run returns
 	tasks         []func() (end func()) // started once the gateway has its addresses
@@ -171,7 +171,7 @@
 		return err
 	}
 	defer unwatch()
-	unpool, err := n.poolUp(stop)
+	unpool, err := n.startPool(stop)
 	if err != nil {
 		return err
 	}
@@ -278,7 +278,7 @@
 		}
 	}
 	wait := time.Hour
-	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt, n.pool.turn()} {
+	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt, n.pool.report()} {
 		if at > 0 {
 			wait = min(wait, time.Duration(at-n.now()))
 		}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -9,21 +9,22 @@
 	"ravensill/pool"
 )
 
-// pooling keeps the gateway to its quota of connections where the section pool is on: the holder says how many there may be,
-// the connection limiter keeps to it, and the client tells the voters. Its fields belong to the loop.
-type pooling struct {
+// connectionQuota keeps the gateway to its quota of connections where the section pool is configured: the lease holder says how many
+// may be open, the connection limiter enforces it, and the client exchanges reports and grants with the voters. Its fields belong to
+// the loop. The methods do nothing on nil, without a quota.
+type connectionQuota struct {
 	node        *Node
-	leaseholder *pool.Holder
+	leaseholder *pool.Leaseholder
 	limiter     *hosts.ConnectionLimiter
 	client      *pooler.Client
-	urgent      []bool // by request class: first within the floor
-	lineAt      int64
+	urgent      []bool // by request class
+	lastLog     int64  // time of the last line in the log, in ns
 }
 
-const poolLine = int64(5 * time.Second)
+const poolLogInterval = int64(5 * time.Second)
 
-// poolUp starts the holder, and the voter where this gateway is one; the returned function ends them.
-func (n *Node) poolUp(stop <-chan struct{}) (end func(), err error) {
+// startPool starts the lease holder, and the voter if this gateway is one. The returned function ends them.
+func (n *Node) startPool(stop <-chan struct{}) (end func(), err error) {
 	cfg := n.cfg.Pool
 	if cfg == nil {
 		return func() {}, nil
@@ -33,10 +34,10 @@
 		return nil, err
 	}
 	end = client.Close
-	if me := cfg.Voter(n.cfg.Seat.Index); me >= 0 {
+	if index := cfg.VoterIndex(n.cfg.Seat.Index); index >= 0 {
 		var voter *pooler.Voter
 		err := claim("pool.listen", cfg.Listen, stop, func() (err error) {
-			voter, err = pooler.Start(cfg, me)
+			voter, err = pooler.StartVoter(cfg, index)
 			return err
 		})
 		if err != nil {
@@ -49,55 +50,55 @@
 		}
 	}
 	now := n.now()
-	p := &pooling{node: n, client: client, lineAt: now,
-		leaseholder: pool.NewHolder(&cfg.Terms, n.cfg.Seat.Index, uint64(n.unix), cfg.Weight, cfg.Serial, cfg.Capacity, now)}
+	p := &connectionQuota{node: n, client: client, lastLog: now,
+		leaseholder: pool.NewLeaseholder(&cfg.Terms, n.cfg.Seat.Index, uint64(n.unix), cfg.Weight, cfg.Serial, cfg.Capacity, now)}
 	for index, name := range n.cfg.FrontNames {
-		p.named(index, name)
+		p.addClass(index, name)
 	}
-	p.limiter = n.transport.LimitConnections(cfg.Terms.Floor, cfg.Turn, p.leaseholder.Allowed, p.leaseholder.Turned)
+	p.limiter = n.transport.LimitConnections(cfg.Terms.Floor, cfg.Turn, p.leaseholder.Allowed, p.leaseholder.AddRejected)
 	n.pool = p
-	go client.Listen(func(g *pool.Grant) { p.leaseholder.Hear(n.now(), g) })
+	go client.Listen(func(grant *pool.Grant) { p.leaseholder.Receive(n.now(), grant) })
 	log.Printf("event=pool_on seat=%d floor=%d capacity=%d voters=%d", n.cfg.Seat.Index, cfg.Terms.Floor, cfg.Capacity, len(cfg.Voters))
 	return end, nil
 }
 
-// turn tells what is to be told, and when it next has to look; 0 where there is no quota.
-func (p *pooling) turn() int64 {
+// report sends a report if one is due, and returns the time by which to call it again, 0 without a quota.
+func (p *connectionQuota) report() int64 {
 	if p == nil {
 		return 0
 	}
 	now := p.node.now()
 	held, demand := p.limiter.Usage()
-	p.leaseholder.Use(now, held, demand)
-	if r := p.leaseholder.Report(now); r != nil {
-		p.client.Tell(r)
+	p.leaseholder.SetUsage(now, held, demand)
+	if report := p.leaseholder.Report(now); report != nil {
+		p.client.Send(report)
 	}
-	if now-p.lineAt >= poolLine {
-		p.lineAt = now
+	if now-p.lastLog >= poolLogInterval {
+		p.lastLog = now
 		limiter, client := p.limiter, p.client
 		log.Printf("event=pool_quota allowed=%d held=%d use=%d waited=%d turned_away=%d dials=%d refused=%d told=%d heard=%d dropped=%d silent_ms=%d",
 			p.leaseholder.Allowed(now), held, demand, limiter.Queued, limiter.Rejected, limiter.Dials, limiter.Refused,
-			client.Told, client.Heard, client.Dropped, (now-p.leaseholder.Heard())/1e6)
+			client.Sent, client.Received, client.Dropped, (now-p.leaseholder.LastAnswered())/1e6)
 	}
 	return p.leaseholder.Due(now)
 }
 
-// named takes in a request class; a new one has the next index.
-func (p *pooling) named(index int, name string) {
+// addClass adds a request class; a new one has the next index.
+func (p *connectionQuota) addClass(index int, name string) {
 	if p != nil && index == len(p.urgent) {
 		p.urgent = append(p.urgent, p.node.cfg.Pool.Urgent[name])
 	}
 }
 
-// next tells the connection limiter of whose request class the next attempt is.
-func (p *pooling) next(r *req) {
+// setUrgency tells the connection limiter whether the next attempt is of an urgent request class.
+func (p *connectionQuota) setUrgency(r *req) {
 	if p != nil {
 		p.limiter.SetUrgent(p.urgent[r.front])
 	}
 }
 
-// ended denies a req whose dispatch was turned away for want of a connection, with the time to come back.
-func (p *pooling) ended(r *req) {
+// rejectThrottled rejects a request whose attempt was rejected for want of a connection, with the time to retry after.
+func (p *connectionQuota) rejectThrottled(r *req) {
 	if p == nil || r.closed || r.out > 0 || p.limiter.RetryAfter() == 0 {
 		return
 	}
@@ -112,9 +113,9 @@
 	r.closed = true
 }
 
-// capacity takes in what the file now says of the store.
-func (p *pooling) capacity(serial uint64, capacity int) {
+// setCapacity sets the capacity of the store that the configuration file now gives.
+func (p *connectionQuota) setCapacity(serial uint64, capacity int) {
 	if p != nil {
-		p.leaseholder.Capacity(serial, capacity)
+		p.leaseholder.SetCapacity(serial, capacity)
 	}
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -143,7 +143,7 @@
 		d.ended(gateway.Event{Result: gateway.Skipped}, nil, n.now())
 		return
 	}
-	n.pool.next(r)
+	n.pool.setUrgency(r)
 	by := d.due
 	if r.ranAt > 0 && r.class.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
 		by = min(by, r.ranAt+r.class.Window)
@@ -193,7 +193,7 @@
 		e.Req, e.Closed = r.id, r.closed
 		n.events = append(n.events, e)
 	}()
-	n.pool.ended(r)
+	n.pool.rejectThrottled(r)
 	if e.Result == gateway.Passed && !r.closed {
 		r.closed = true
 		r.answer.Passed(value)
--- a/internal/pooler/client.go
+++ b/internal/pooler/client.go
@@ -8,84 +8,101 @@
 	"ravensill/pool"
 )
 
-// Client speaks for a holder with the voters. All its fields but the socket belong to the loop that do brings work to.
+// maxUnanswered is the number of reports that a voter may leave unanswered before the next one is asked.
+const maxUnanswered = 2
+
+// Client exchanges reports and grants with the voters for a lease holder. Its fields but the socket belong to the event loop, to
+// which runOnLoop brings work from other goroutines.
 type Client struct {
-	cfg    *config.Pool
-	do     func(func())
-	socket *net.UDPConn
-	ask    int // the voter that leads, as far as is known
-	missed int // reports since its last answer
-	last   *pool.Report
-	again  bool // that one was sent a second time, to another voter
+	cfg        *config.Pool
+	runOnLoop  func(func())
+	socket     *net.UDPConn
+	leader     int // index of the voter that leads, as far as is known
+	unanswered int // reports since the last answer
+	lastReport *pool.Report
+	resent     bool // whether lastReport was sent again, to another voter
 
-	Told, Heard, Dropped int // datagrams
+	Sent     int // datagrams
+	Received int // valid datagrams
+	Dropped  int // invalid datagrams
 }
 
-// Dial opens the socket.
-func Dial(cfg *config.Pool, do func(func())) (*Client, error) {
+// Dial opens the client's socket. runOnLoop runs a function on the event loop.
+func Dial(cfg *config.Pool, runOnLoop func(func())) (*Client, error) {
 	socket, err := net.ListenUDP("udp4", nil)
 	if err != nil {
 		return nil, err
 	}
-	return &Client{cfg: cfg, do: do, socket: socket}, nil
+	return &Client{cfg: cfg, runOnLoop: runOnLoop, socket: socket}, nil
 }
 
+// Close closes the socket and ends Listen.
 func (c *Client) Close() { c.socket.Close() }
 
-// Tell sends a report to the leader. Who does not answer is not asked a third time in a row.
-func (c *Client) Tell(r *pool.Report) {
-	if c.missed++; c.missed > 2 {
-		c.ask, c.missed = (c.ask+1)%len(c.cfg.Voters), 1
+// Send sends a report to the voter that leads. If that voter left too many unanswered, it sends to the next voter.
+func (c *Client) Send(report *pool.Report) {
+	c.unanswered++
+	if c.unanswered > maxUnanswered {
+		c.leader = (c.leader + 1) % len(c.cfg.Voters)
+		c.unanswered = 1
 	}
-	c.last, c.again = r, false
-	c.send()
+	c.lastReport = report
+	c.resent = false
+	c.sendLastReport()
 }
 
-func (c *Client) send() {
-	if b, err := Encode(c.cfg.Key, &Word{Report: c.last}); err == nil {
-		c.Told++
-		c.socket.WriteToUDPAddrPort(b, c.cfg.Voters[c.ask])
+func (c *Client) sendLastReport() {
+	datagram, err := Encode(c.cfg.Key, &Message{Report: c.lastReport})
+	if err != nil {
+		return
 	}
+	c.Sent++
+	c.socket.WriteToUDPAddrPort(datagram, c.cfg.Voters[c.leader])
 }
 
-// Listen hands on each grant, in the loop, until the socket is closed.
+// Listen calls grant on the event loop for each grant received, until Close.
 func (c *Client) Listen(grant func(*pool.Grant)) {
-	buf := make([]byte, most+1)
+	buffer := make([]byte, maxDatagramBytes+1)
 	for {
-		n, from, err := c.socket.ReadFromUDPAddrPort(buf)
+		n, from, err := c.socket.ReadFromUDPAddrPort(buffer)
+		if isClosed(err) {
+			return
+		}
 		if err != nil {
-			if errIsClosed(err) {
-				return
-			}
 			continue
 		}
-		w, err := Decode(c.cfg.Key, buf[:n])
-		c.do(func() {
-			switch {
-			case err != nil || w.Grant == nil && w.Leader == nil:
-				c.Dropped++
-			case w.Grant != nil:
-				c.Heard++
-				c.missed = 0
-				c.from(from)
-				grant(w.Grant)
-			case *w.Leader >= 0 && *w.Leader < len(c.cfg.Voters):
-				c.Heard++
-				if c.ask != *w.Leader && !c.again && c.last != nil {
-					c.ask, c.again = *w.Leader, true
-					c.send()
-				}
-			default:
-				c.Dropped++
-			}
-		})
+		message, err := Decode(c.cfg.Key, buffer[:n])
+		c.runOnLoop(func() { c.receive(message, err, from, grant) })
+	}
+}
+
+// receive handles a datagram. err is that of its decoding.
+func (c *Client) receive(message *Message, err error, from netip.AddrPort, grant func(*pool.Grant)) {
+	switch {
+	case err != nil || message.Grant == nil && message.Leader == nil:
+		c.Dropped++
+	case message.Grant != nil:
+		c.Received++
+		c.unanswered = 0
+		c.setLeader(from)
+		grant(message.Grant)
+	case *message.Leader >= 0 && *message.Leader < len(c.cfg.Voters):
+		c.Received++
+		if c.leader != *message.Leader && !c.resent && c.lastReport != nil {
+			c.leader = *message.Leader
+			c.resent = true
+			c.sendLastReport()
+		}
+	default:
+		c.Dropped++
 	}
 }
 
-func (c *Client) from(addr netip.AddrPort) {
-	for i, v := range c.cfg.Voters {
-		if v == addr {
-			c.ask = i
+// setLeader sends further reports to the voter with the address.
+func (c *Client) setLeader(address netip.AddrPort) {
+	for i, voter := range c.cfg.Voters {
+		if voter == address {
+			c.leader = i
 		}
 	}
 }
--- a/internal/pooler/codec.go
+++ b/internal/pooler/codec.go
@@ -1,5 +1,5 @@
-// Package pooler carries the negotiation of package pool between gateways: datagrams between holders and the voter that
-// lends, and the agreement of the voters by a library. It decides nothing.
+// Package pooler is the I/O of package pool: datagrams between lease holders and the raft voter that leads, and the replicated log
+// of the voters.
 package pooler
 
 import (
@@ -12,51 +12,53 @@
 )
 
 const (
-	most   = 1024                    // bytes of a datagram
-	signed = consensus.SignatureSize // of these its signature
+	maxDatagramBytes = 1024                    // of a datagram, its signature included
+	signatureBytes   = consensus.SignatureSize // at its beginning
 )
 
 var errForged = errors.New("not signed with the pool's key")
 
-// Word is one datagram: one of its parts is there.
-type Word struct {
-	Report *pool.Report `json:"r,omitempty"`
-	Grant  *pool.Grant  `json:"g,omitempty"`
-	Leader *int         `json:"l,omitempty"` // the voter to ask
+// Message is the content of a datagram. Exactly one field is set.
+type Message struct {
+	Report *pool.Report `json:"r,omitempty"` // of a lease holder
+	Grant  *pool.Grant  `json:"g,omitempty"` // of the voter that leads
+	Leader *int         `json:"l,omitempty"` // of another voter: the index of the one to send reports to
 }
 
-// Encode gives the datagram of a word.
-func Encode(key []byte, w *Word) ([]byte, error) {
-	text, err := json.Marshal(w)
+// Encode returns the signed datagram of a message.
+func Encode(key []byte, message *Message) ([]byte, error) {
+	text, err := json.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
-	if len(text)+signed > most {
+	if len(text)+signatureBytes > maxDatagramBytes {
 		return nil, errors.New("word too long")
 	}
 	return append(consensus.Sign(key, text), text...), nil
 }
 
-// Decode reads a datagram; the error tells what is wrong with it.
-func Decode(key, b []byte) (*Word, error) {
-	if len(b) <= signed || len(b) > most {
+// Decode checks the signature of a datagram and returns its message.
+func Decode(key, datagram []byte) (*Message, error) {
+	if len(datagram) <= signatureBytes || len(datagram) > maxDatagramBytes {
 		return nil, errors.New("not a datagram's size")
 	}
-	if !hmac.Equal(b[:signed], consensus.Sign(key, b[signed:])) {
+	signature := datagram[:signatureBytes]
+	text := datagram[signatureBytes:]
+	if !hmac.Equal(signature, consensus.Sign(key, text)) {
 		return nil, errForged
 	}
-	w := &Word{}
-	if err := json.Unmarshal(b[signed:], w); err != nil {
+	message := &Message{}
+	if err := json.Unmarshal(text, message); err != nil {
 		return nil, err
 	}
-	n := 0
-	for _, there := range []bool{w.Report != nil, w.Grant != nil, w.Leader != nil} {
-		if there {
-			n++
+	parts := 0
+	for _, set := range []bool{message.Report != nil, message.Grant != nil, message.Leader != nil} {
+		if set {
+			parts++
 		}
 	}
-	if n != 1 {
+	if parts != 1 {
 		return nil, errors.New("not one part")
 	}
-	return w, nil
+	return message, nil
 }
--- a/internal/pooler/voter.go
+++ b/internal/pooler/voter.go
@@ -17,15 +17,17 @@
 )
 
 const (
-	lineEach       = 5 * time.Second
-	proposeTimeout = 5 * time.Second
+	statusInterval  = 5 * time.Second // between two status lines in the log
+	proposeTimeout  = 5 * time.Second
+	minTickInterval = 10 * time.Millisecond
+	inboxSize       = 4096
 )
 
-// Voter is one of the gateways that write down what is lent: a task that owns the lender, where it leads, and all
-// datagrams. The agreement is package consensus's.
+// Voter is one of the raft voters, which replicate the ledger with package consensus. Its task owns the lease grantor while the
+// voter leads, and sends all datagrams. The fields below epoch belong to the task.
 type Voter struct {
 	cfg     *config.Pool
-	me      int
+	index   int
 	replica *consensus.Replica
 	socket  *net.UDPConn
 	inbox   chan func()
@@ -33,24 +35,27 @@
 	ended   chan struct{}
 	epoch   time.Time
 
-	lender *pool.Lender // nil: does not lead
-	office int          // numbers the times it led
-	leads  bool
-	addrs  []netip.AddrPort // of holders by seat
-	lineAt int64
-	counts struct{ In, Out, Dropped, Batches int }
+	grantor     *pool.Grantor    // nil unless the voter leads and has read the ledger
+	term        int              // counts changes of leadership and of the grantor
+	leading     bool             // as raft says
+	memberAddrs []netip.AddrPort // of lease holders, by member index
+	lastStatus  int64            // time of the last status line, in ns
+	received    int              // datagrams
+	sent        int              // datagrams
+	dropped     int              // invalid datagrams
+	batches     int              // proposed
 }
 
-// Start opens a voter's sockets and its log.
-func Start(cfg *config.Pool, me int) (*Voter, error) {
+// StartVoter opens the sockets and the log of the voter with the index, and starts its task.
+func StartVoter(cfg *config.Pool, index int) (*Voter, error) {
 	v := &Voter{
-		cfg:   cfg,
-		me:    me,
-		inbox: make(chan func(), 4096),
-		done:  make(chan struct{}),
-		ended: make(chan struct{}),
-		epoch: time.Now(),
-		addrs: make([]netip.AddrPort, cfg.Terms.Seats),
+		cfg:         cfg,
+		index:       index,
+		inbox:       make(chan func(), inboxSize),
+		done:        make(chan struct{}),
+		ended:       make(chan struct{}),
+		epoch:       time.Now(),
+		memberAddrs: make([]netip.AddrPort, cfg.Terms.Members),
 	}
 	var err error
 	v.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Listen))
@@ -59,13 +64,13 @@
 	}
 	v.replica, err = consensus.Open(consensus.Config{
 		Name:      "pool",
-		Index:     me,
+		Index:     index,
 		Addresses: cfg.Streams,
 		Listen:    cfg.Listen,
 		Dir:       cfg.Dir,
 		Key:       cfg.Key,
 		Election:  cfg.Election,
-	}, &book{ledger: pool.NewLedger(&cfg.Terms)})
+	}, &ledgerMachine{ledger: pool.NewLedger(&cfg.Terms)})
 	if err != nil {
 		v.socket.Close()
 		return nil, err
@@ -75,7 +80,7 @@
 	return v, nil
 }
 
-// Close ends the task, the agreement and the sockets.
+// Close ends the task, then closes the replica and the socket.
 func (v *Voter) Close() {
 	close(v.done)
 	<-v.ended
@@ -83,193 +88,207 @@
 	v.socket.Close()
 }
 
+// now returns the time since the start, in nanoseconds and above 0.
 func (v *Voter) now() int64 { return int64(time.Since(v.epoch)) + 1 }
 
-// do brings work to the task; after its end it is dropped.
-func (v *Voter) do(f func()) {
+// runInTask has the task run f. It drops f after Close.
+func (v *Voter) runInTask(f func()) {
 	select {
 	case v.inbox <- f:
 	case <-v.done:
 	}
 }
 
+// read passes datagrams to the task until the socket is closed.
 func (v *Voter) read() {
-	buf := make([]byte, most+1)
+	buffer := make([]byte, maxDatagramBytes+1)
 	for {
-		n, from, err := v.socket.ReadFromUDPAddrPort(buf)
+		n, from, err := v.socket.ReadFromUDPAddrPort(buffer)
+		if isClosed(err) {
+			return
+		}
 		if err != nil {
-			if errIsClosed(err) {
-				return
-			}
 			continue
 		}
-		w, err := Decode(v.cfg.Key, buf[:n])
-		v.do(func() {
-			if v.counts.In++; err != nil {
-				v.counts.Dropped++
+		message, err := Decode(v.cfg.Key, buffer[:n])
+		v.runInTask(func() {
+			v.received++
+			if err != nil {
+				v.dropped++
 				return
 			}
-			v.hear(w, from)
+			v.receive(message, from)
 		})
 	}
 }
 
+// run is the voter's task.
 func (v *Voter) run() {
 	defer close(v.ended)
-	tick := time.NewTicker(time.Duration(max(v.cfg.Terms.Tell/3, int64(10*time.Millisecond))))
+	tick := time.NewTicker(max(time.Duration(v.cfg.Terms.ReportInterval/3), minTickInterval))
 	defer tick.Stop()
 	for {
 		select {
 		case f := <-v.inbox:
 			f()
-		case leads := <-v.replica.Leadership():
-			v.leads = leads
-			v.lender = nil
-			v.office++
-			log.Printf("event=pool_leads yes=%t", leads)
-			if leads {
-				v.takeOffice()
+		case leading := <-v.replica.Leadership():
+			v.leading = leading
+			v.grantor = nil
+			v.term++
+			log.Printf("event=pool_leads yes=%t", leading)
+			if leading {
+				v.startLeading()
 			}
 		case <-tick.C:
 			now := v.now()
-			if v.lender != nil {
-				v.act(v.lender.Step(now, pool.Tick{}))
+			if v.grantor != nil {
+				v.execute(v.grantor.Step(now, pool.Tick{}))
 			}
-			v.line(now)
+			v.logStatus(now)
 		case <-v.done:
 			return
 		}
 	}
 }
 
-// takeOffice reads the ledger by writing to it: what the answer holds is all that was agreed on before.
-func (v *Voter) takeOffice() {
-	v.propose(&pool.Batch{}, func(l *pool.Ledger) { v.lender = pool.NewLender(&v.cfg.Terms, v.now(), l) })
+// startLeading reads the ledger by proposing an empty batch: once that is committed, so is all that was committed before.
+func (v *Voter) startLeading() {
+	v.propose(&pool.Batch{}, func(ledger *pool.Ledger) {
+		v.grantor = pool.NewGrantor(&v.cfg.Terms, v.now(), ledger)
+	})
 }
 
-// propose has a batch agreed on. An outcome that is not sure ends the lender; where this voter still leads, it takes
-// office anew.
-func (v *Voter) propose(b *pool.Batch, then func(*pool.Ledger)) {
-	text, err := json.Marshal(b)
+// propose proposes a batch and calls committed in the task with the ledger that has it applied. If the outcome is uncertain it drops
+// the grantor and starts leading again.
+func (v *Voter) propose(batch *pool.Batch, committed func(*pool.Ledger)) {
+	text, err := json.Marshal(batch)
 	if err != nil {
 		log.Printf("event=pool_failed error=%q", err)
 		return
 	}
-	office := v.office
-	v.counts.Batches++
+	term := v.term
+	v.batches++
 	proposal := v.replica.Propose(text, proposeTimeout)
 	go func() {
 		ledger, err := proposal.Wait()
-		v.do(func() {
-			if v.office != office {
-				return
+		v.runInTask(func() {
+			switch {
+			case v.term != term:
+			case err == nil:
+				committed(ledger.(*pool.Ledger))
+			default:
+				log.Printf("event=pool_unsure error=%q", err)
+				v.restartLeading()
 			}
-			if err == nil {
-				then(ledger.(*pool.Ledger))
-				return
-			}
-			log.Printf("event=pool_unsure error=%q", err)
-			v.lender = nil
-			v.office++
-			office := v.office
-			time.AfterFunc(v.cfg.Election/4, func() {
-				v.do(func() {
-					if v.leads && v.office == office {
-						v.takeOffice()
-					}
-				})
-			})
 		})
 	}()
 }
 
-func (v *Voter) act(out []any) {
-	for _, m := range out {
-		switch m := m.(type) {
+// restartLeading drops the grantor, and makes a new one after a pause if the voter still leads then.
+func (v *Voter) restartLeading() {
+	v.grantor = nil
+	v.term++
+	term := v.term
+	time.AfterFunc(v.cfg.Election/4, func() {
+		v.runInTask(func() {
+			if v.leading && v.term == term {
+				v.startLeading()
+			}
+		})
+	})
+}
+
+// execute carries out what the grantor returned.
+func (v *Voter) execute(actions []any) {
+	for _, action := range actions {
+		switch action := action.(type) {
 		case pool.Propose:
-			v.propose(&m.Batch, func(l *pool.Ledger) {
-				v.act(v.lender.Step(v.now(), pool.Written{Ledger: l}))
+			v.propose(&action.Batch, func(ledger *pool.Ledger) {
+				v.execute(v.grantor.Step(v.now(), pool.Committed{Ledger: ledger}))
 			})
 		case *pool.Grant:
-			v.send(v.addrs[m.Seat], &Word{Grant: m})
+			v.send(v.memberAddrs[action.Member], &Message{Grant: action})
 		case pool.Note:
-			log.Printf("event=pool_%s seat=%d life=%d units=%d", m.What, m.Seat, m.Life, m.Units)
+			log.Printf("event=pool_%s seat=%d life=%d units=%d", action.What, action.Member, action.Incarnation, action.Units)
 		}
 	}
 }
 
-func (v *Voter) send(to netip.AddrPort, w *Word) {
-	if b, err := Encode(v.cfg.Key, w); err == nil && to.IsValid() {
-		v.counts.Out++
-		v.socket.WriteToUDPAddrPort(b, to)
+// send sends a message, unless the address is not known yet.
+func (v *Voter) send(to netip.AddrPort, message *Message) {
+	datagram, err := Encode(v.cfg.Key, message)
+	if err != nil || !to.IsValid() {
+		return
 	}
+	v.sent++
+	v.socket.WriteToUDPAddrPort(datagram, to)
 }
 
-func (v *Voter) hear(w *Word, from netip.AddrPort) {
-	switch {
-	case w.Report != nil:
-		r := w.Report
-		if r.Seat < 0 || r.Seat >= len(v.addrs) {
-			v.counts.Dropped++
-			return
-		}
-		if v.lender != nil {
-			v.addrs[r.Seat] = from
-			v.lender.Step(v.now(), r)
-			return
-		}
-		leader := v.replica.Leader()
-		if leader >= 0 && leader != v.me {
-			v.send(from, &Word{Leader: &leader})
-		}
-	default:
-		v.counts.Dropped++
+// receive handles a report, or answers it with the voter that leads.
+func (v *Voter) receive(message *Message, from netip.AddrPort) {
+	report := message.Report
+	if report == nil || report.Member < 0 || report.Member >= len(v.memberAddrs) {
+		v.dropped++
+		return
+	}
+	if v.grantor != nil {
+		v.memberAddrs[report.Member] = from
+		v.grantor.Step(v.now(), report)
+		return
+	}
+	leader := v.replica.Leader()
+	if leader >= 0 && leader != v.index {
+		v.send(from, &Message{Leader: &leader})
 	}
 }
 
-// line tells the operators how things stand.
-func (v *Voter) line(now int64) {
-	if now-v.lineAt < int64(lineEach) {
+// logStatus logs a status line when one is due.
+func (v *Voter) logStatus(now int64) {
+	if now-v.lastStatus < int64(statusInterval) {
 		return
 	}
-	v.lineAt = now
-	c := &v.counts
-	dropped := c.Dropped + v.replica.Dropped()
-	if v.lender == nil {
-		log.Printf("event=pool_voter leads=false in=%d out=%d dropped=%d", c.In, c.Out, dropped)
+	v.lastStatus = now
+	dropped := v.dropped + v.replica.Dropped()
+	if v.grantor == nil {
+		log.Printf("event=pool_voter leads=false in=%d out=%d dropped=%d", v.received, v.sent, dropped)
 		return
 	}
-	log.Printf("event=pool_voter leads=true in=%d out=%d dropped=%d batches=%d %s", c.In, c.Out, dropped, c.Batches, v.lender)
+	log.Printf("event=pool_voter leads=true in=%d out=%d dropped=%d batches=%d %s", v.received, v.sent, dropped, v.batches,
+		v.grantor)
 }
 
-func errIsClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
 
-// book is the ledger at one voter, as the agreement changes it. It belongs to the library's task.
-type book struct{ ledger *pool.Ledger }
+// ledgerMachine is the raft state machine of one voter: its copy of the ledger. It belongs to the raft library's task.
+type ledgerMachine struct{ ledger *pool.Ledger }
 
-func (b *book) Apply(l *raft.Log) any {
+// Apply applies a committed batch and returns a copy of the ledger. One that can't be read is skipped, at all voters alike.
+func (m *ledgerMachine) Apply(entry *raft.Log) any {
 	var batch pool.Batch
-	if err := json.Unmarshal(l.Data, &batch); err != nil { // alike at all voters: none takes it in
+	if err := json.Unmarshal(entry.Data, &batch); err != nil {
 		log.Printf("event=pool_batch_dropped error=%q", err)
 	}
-	b.ledger.Apply(&batch)
-	return b.ledger.Clone()
+	m.ledger.Apply(&batch)
+	return m.ledger.Clone()
 }
 
-func (b *book) Snapshot() (raft.FSMSnapshot, error) {
-	ledger := b.ledger.Clone()
+// Snapshot returns the ledger as JSON.
+func (m *ledgerMachine) Snapshot() (raft.FSMSnapshot, error) {
+	ledger := m.ledger.Clone()
 	return consensus.SnapshotWriter(func(w io.Writer) error { return json.NewEncoder(w).Encode(ledger) }), nil
 }
 
-func (b *book) Restore(r io.ReadCloser) error {
-	defer r.Close()
-	l := &pool.Ledger{}
-	if err := json.NewDecoder(r).Decode(l); err != nil {
+// Restore reads a snapshot. One under other terms is an error.
+func (m *ledgerMachine) Restore(snapshot io.ReadCloser) error {
+	defer snapshot.Close()
+	ledger := &pool.Ledger{}
+	if err := json.NewDecoder(snapshot).Decode(ledger); err != nil {
 		return err
 	}
-	if len(l.Entries) != len(b.ledger.Entries) || l.Floor != b.ledger.Floor || l.Reserve != b.ledger.Reserve {
+	sameTerms := len(ledger.Entries) == len(m.ledger.Entries) && ledger.Floor == m.ledger.Floor && ledger.Reserve == m.ledger.Reserve
+	if !sameTerms {
 		return errors.New("snapshot of other terms")
 	}
-	b.ledger = l
+	m.ledger = ledger
 	return nil
 }
--- a/pool/grantor.go
+++ b/pool/grantor.go
@@ -7,40 +7,40 @@
 // Propose asks for a batch to be committed to the agreed ledger. The lease grantor waits for Written before it proposes again.
 type Propose struct{ Batch Batch }
 
-// Written tells that the last proposal is committed, and what the agreed ledger holds now.
-type Written struct{ Ledger *Ledger }
+// Committed tells that the last proposal is committed, and what the agreed ledger holds now.
+type Committed struct{ Ledger *Ledger }
 
 // Tick tells the time; the lease grantor proposes at ticks only.
 type Tick struct{}
 
 // Note is a message to the operators.
 type Note struct {
-	What  string // recall_overdue, not_given_back, stranded, capacity_refused
-	Seat  int    // member index
-	Life  uint64 // incarnation
-	Units int
+	What        string // recall_overdue, not_given_back, stranded, capacity_refused
+	Member      int    // index
+	Incarnation uint64
+	Units       int
 }
 
-// Lender is the lease grantor: it decides what is lent while its raft voter leads. Any doubt about a proposal ends it, and its
+// Grantor is the lease grantor: it decides what is lent while its raft voter leads. Any doubt about a proposal ends it, and its
 // voter makes a new one from the ledger, which counts every lease as granted at that moment.
 //
 // A renewal is sent only after a batch that was proposed after the report's arrival has been committed. So whoever leads next was
 // elected after the lease holder asked, and a full lease from its election on outlasts all that was granted before.
-type Lender struct {
+type Grantor struct {
 	terms         *Terms
 	ledger        *Ledger
 	members       []memberState
-	tookOffice    int64
-	pending       bool   // a proposal is not committed yet
-	answering     []int  // members whose reports the pending batch answers
-	wants         []Want // claims of the last plan
-	headroomIndex int    // of headroomMultiples, in force
-	notes         []any  // to be returned by the next proposal
+	electedAt     int64
+	pending       bool    // a proposal is not committed yet
+	answering     []int   // members whose reports the pending batch answers
+	claims        []Claim // claims of the last plan
+	headroomIndex int     // of headroomMultiples, in force
+	notes         []any   // to be returned by the next proposal
 }
 
 // memberState is what the lease grantor knows of one member. Times are its own, unless said otherwise.
 type memberState struct {
-	unwritten   *Report // goes into the next batch
+	unproposed  *Report // goes into the next batch
 	proposed    *Report // is in the pending batch
 	granted     int     // units of the last grant
 	echo        int64   // Sent of the last committed report, by the holder's clock
@@ -60,43 +60,43 @@
 	recallNoted     bool  // the operators were told about that
 }
 
-// NewLender takes office with the agreed ledger.
-func NewLender(terms *Terms, now int64, ledger *Ledger) *Lender {
-	l := &Lender{
-		terms:      terms,
-		ledger:     ledger,
-		members:    make([]memberState, terms.Seats),
-		tookOffice: now,
-		wants:      make([]Want, terms.Seats),
+// NewGrantor returns the grantor of a voter that was just elected, with the agreed ledger.
+func NewGrantor(terms *Terms, now int64, ledger *Ledger) *Grantor {
+	g := &Grantor{
+		terms:     terms,
+		ledger:    ledger,
+		members:   make([]memberState, terms.Members),
+		electedAt: now,
+		claims:    make([]Claim, terms.Members),
 	}
 	leaseEnd := now + terms.Outlasts(terms.Lease)
-	for i := range l.members {
+	for i := range g.members {
 		entry := ledger.Entries[i]
-		l.members[i] = memberState{
+		g.members[i] = memberState{
 			leaseEnd:      leaseEnd,
 			strandedUntil: leaseEnd,
 			target:        entry.Units,
 			weight:        1,
-			targetChanged: now - terms.Hold,
-			incarnation:   entry.Life,
+			targetChanged: now - terms.TargetHold,
+			incarnation:   entry.Incarnation,
 		}
 		if entry.Units > 0 { // until it reports
-			l.members[i].demand.level = float64(entry.Units + terms.Floor)
+			g.members[i].demand.level = float64(entry.Units + terms.Floor)
 		}
 	}
-	return l
+	return g
 }
 
 // Step handles a *Report, a Tick or a Written and returns what is to be done: Propose, *Grant, Note.
-func (l *Lender) Step(now int64, m any) []any {
+func (g *Grantor) Step(now int64, m any) []any {
 	switch m := m.(type) {
 	case *Report:
-		l.receive(now, m)
-	case Written:
-		return l.committed(m.Ledger)
+		g.receive(now, m)
+	case Committed:
+		return g.committed(m.Ledger)
 	case Tick:
-		if !l.pending {
-			return l.propose(now)
+		if !g.pending {
+			return g.propose(now)
 		}
 	}
 	return nil
@@ -104,33 +104,33 @@
 
 // valid reports whether a report's figures are in their ranges.
 func (r *Report) valid() bool {
-	return r.Demand >= 0 && r.Demand < 1e6 && r.Weight > 0 && r.Weight <= 1e3 && r.Bound >= 0 && r.Held >= 0
+	return r.Demand >= 0 && r.Demand < 1e6 && r.Weight > 0 && r.Weight <= 1e3 && r.Bound >= 0 && r.Connections >= 0
 }
 
 // receive handles a report.
-func (l *Lender) receive(now int64, report *Report) {
-	if report.Seat < 0 || report.Seat >= len(l.members) || !report.valid() {
+func (g *Grantor) receive(now int64, report *Report) {
+	if report.Member < 0 || report.Member >= len(g.members) || !report.valid() {
 		return
 	}
-	member, entry := &l.members[report.Seat], &l.ledger.Entries[report.Seat]
-	if report.Life < max(member.incarnation, entry.Life) {
-		if member.unwritten == nil { // the answer tells it only that another incarnation is known
-			member.unwritten = report
+	member, entry := &g.members[report.Member], &g.ledger.Entries[report.Member]
+	if report.Incarnation < max(member.incarnation, entry.Incarnation) {
+		if member.unproposed == nil { // the answer tells it only that another incarnation is known
+			member.unproposed = report
 		}
 		return
 	}
-	if report.Life == member.incarnation && report.Sent <= member.lastSent {
+	if report.Incarnation == member.incarnation && report.Sent <= member.lastSent {
 		return
 	}
-	if report.Life > member.incarnation {
+	if report.Incarnation > member.incarnation {
 		member.demand = demandEstimate{}
 	}
-	member.incarnation = report.Life
+	member.incarnation = report.Incarnation
 	member.lastSent = report.Sent
 	member.lastReport = now
-	member.unwritten = report
+	member.unproposed = report
 	member.weight = report.Weight
-	member.connections = report.Held
+	member.connections = report.Connections
 	member.demand.add(report.Demand)
 }
 
@@ -142,73 +142,73 @@
 
 // add adds a change and applies it.
 func (p *proposal) add(change Change) {
-	change.Number = p.ledger.Entries[change.Seat].Number
+	change.Number = p.ledger.Entries[change.Member].Number
 	p.batch.Changes = append(p.batch.Changes, change)
 	p.ledger.Apply(&Batch{Changes: []Change{change}})
 }
 
 // propose proposes what has arrived since the last batch.
-func (l *Lender) propose(now int64) []any {
-	l.answering = l.answering[:0]
-	p := &proposal{ledger: l.ledger.Clone()}
-	for i := range l.members {
-		l.proposeMember(now, p, i)
+func (g *Grantor) propose(now int64) []any {
+	g.answering = g.answering[:0]
+	p := &proposal{ledger: g.ledger.Clone()}
+	for i := range g.members {
+		g.proposeMember(now, p, i)
 	}
-	l.plan(now, p)
-	out := l.notes
-	l.notes = nil
-	if len(l.answering) > 0 || len(p.batch.Changes) > 0 || p.batch.Serial > 0 {
-		l.pending = true
+	g.plan(now, p)
+	out := g.notes
+	g.notes = nil
+	if len(g.answering) > 0 || len(p.batch.Changes) > 0 || p.batch.Serial > 0 {
+		g.pending = true
 		out = append(out, Propose{p.batch})
 	}
 	return out
 }
 
 // proposeMember adds what one member's report gives back, and what its silence ends.
-func (l *Lender) proposeMember(now int64, p *proposal, i int) {
-	member, entry := &l.members[i], &p.ledger.Entries[i]
-	drained := l.terms.Outlasts(l.terms.Drain)
-	if member.unwritten != nil {
-		l.proposeReport(now, p, i)
+func (g *Grantor) proposeMember(now int64, p *proposal, i int) {
+	member, entry := &g.members[i], &p.ledger.Entries[i]
+	drained := g.terms.Outlasts(g.terms.Drain)
+	if member.unproposed != nil {
+		g.proposeReport(now, p, i)
 	} else if entry.Units > 0 && now > member.leaseEnd+drained {
-		l.notes = append(l.notes, Note{"not_given_back", i, entry.Life, entry.Units})
-		p.add(Change{Seat: i})
+		g.notes = append(g.notes, Note{"not_given_back", i, entry.Incarnation, entry.Units})
+		p.add(Change{Member: i})
 		member.target = 0
 	}
 	if entry.Stranded > 0 && now > member.strandedUntil+drained {
-		p.add(Change{Seat: i, Clear: true})
+		p.add(Change{Member: i, Clear: true})
 	}
 }
 
 // proposeReport adds what one member's report says.
-func (l *Lender) proposeReport(now int64, p *proposal, i int) {
-	terms := l.terms
-	member, entry := &l.members[i], &p.ledger.Entries[i]
-	report := member.unwritten
-	l.answering = append(l.answering, i)
+func (g *Grantor) proposeReport(now int64, p *proposal, i int) {
+	terms := g.terms
+	member, entry := &g.members[i], &p.ledger.Entries[i]
+	report := member.unproposed
+	g.answering = append(g.answering, i)
 	member.proposed = report
-	member.unwritten = nil
+	member.unproposed = nil
 	switch {
-	case report.Life > entry.Life:
+	case report.Incarnation > entry.Incarnation:
 		if entry.Units > 0 {
 			member.strandedUntil = max(member.strandedUntil, member.leaseEnd)
-			l.notes = append(l.notes, Note{"stranded", i, entry.Life, entry.Units})
+			g.notes = append(g.notes, Note{"stranded", i, entry.Incarnation, entry.Units})
 		}
-		p.add(Change{Seat: i, Life: report.Life})
+		p.add(Change{Member: i, Incarnation: report.Incarnation})
 		member.target = 0
 		member.overTargetSince = 0
 		member.echo = 0
-	case report.Life == entry.Life && report.Number == entry.Number && report.Bound < entry.Units:
-		p.add(Change{Seat: i, Units: report.Bound})
+	case report.Incarnation == entry.Incarnation && report.Number == entry.Number && report.Bound < entry.Units:
+		p.add(Change{Member: i, Units: report.Bound})
 	}
-	if report.Life == entry.Life {
+	if report.Incarnation == entry.Incarnation {
 		member.leaseEnd = now + terms.Outlasts(terms.Lease)
 	}
 	if report.Serial <= max(p.ledger.Serial, p.batch.Serial) {
 		return
 	}
-	if report.Capacity < terms.Floor*terms.Seats+terms.Reserve {
-		l.notes = append(l.notes, Note{"capacity_refused", i, report.Life, report.Capacity})
+	if report.Capacity < terms.Floor*terms.Members+terms.Reserve {
+		g.notes = append(g.notes, Note{"capacity_refused", i, report.Incarnation, report.Capacity})
 		return
 	}
 	p.batch.Serial = report.Serial
@@ -217,44 +217,44 @@
 }
 
 // alive reports whether a member has reported lately, or may after an election.
-func (l *Lender) alive(now int64, i int) bool {
-	member := &l.members[i]
-	if now-max(member.lastReport, l.tookOffice) >= 4*l.terms.Tell {
+func (g *Grantor) alive(now int64, i int) bool {
+	member := &g.members[i]
+	if now-max(member.lastReport, g.electedAt) >= 4*g.terms.ReportInterval {
 		return false
 	}
-	return member.lastReport > 0 || l.ledger.Entries[i].Units > 0
+	return member.lastReport > 0 || g.ledger.Entries[i].Units > 0
 }
 
 // committed answers the reports of the pending batch, and tells all whose units changed.
-func (l *Lender) committed(ledger *Ledger) []any {
-	if !l.pending {
+func (g *Grantor) committed(ledger *Ledger) []any {
+	if !g.pending {
 		return nil
 	}
-	l.ledger = ledger
-	l.pending = false
+	g.ledger = ledger
+	g.pending = false
 	var out []any
-	for _, i := range l.answering {
-		member := &l.members[i]
-		if member.proposed.Life == ledger.Entries[i].Life {
+	for _, i := range g.answering {
+		member := &g.members[i]
+		if member.proposed.Incarnation == ledger.Entries[i].Incarnation {
 			member.echo = member.proposed.Sent
 		}
-		out = append(out, l.grant(i, member.proposed.Life))
+		out = append(out, g.grant(i, member.proposed.Incarnation))
 		member.proposed = nil
 	}
 	for i, entry := range ledger.Entries { // changes by others' reports are told at once, within the lease in force
-		member := &l.members[i]
-		if member.echo > 0 && member.incarnation == entry.Life && member.granted != min(entry.Units, member.target) {
-			out = append(out, l.grant(i, entry.Life))
+		member := &g.members[i]
+		if member.echo > 0 && member.incarnation == entry.Incarnation && member.granted != min(entry.Units, member.target) {
+			out = append(out, g.grant(i, entry.Incarnation))
 		}
 	}
 	return out
 }
 
 // grant returns the grant for an incarnation of a member.
-func (l *Lender) grant(i int, incarnation uint64) *Grant {
-	member, entry := &l.members[i], l.ledger.Entries[i]
-	grant := &Grant{Seat: i, Life: incarnation, Sent: member.echo, Known: entry.Life, Serial: l.ledger.Serial}
-	if incarnation == entry.Life {
+func (g *Grantor) grant(i int, incarnation uint64) *Grant {
+	member, entry := &g.members[i], g.ledger.Entries[i]
+	grant := &Grant{Member: i, Incarnation: incarnation, Sent: member.echo, KnownIncarnation: entry.Incarnation, Serial: g.ledger.Serial}
+	if incarnation == entry.Incarnation {
 		grant.Number = entry.Number
 		grant.Units = min(entry.Units, member.target)
 		member.granted = grant.Units
@@ -263,35 +263,35 @@
 }
 
 // Targets returns what each member should come to hold above its floor, for figures and tests.
-func (l *Lender) Targets() []int {
-	targets := make([]int, len(l.members))
-	for i := range l.members {
-		targets[i] = l.members[i].target
+func (g *Grantor) Targets() []int {
+	targets := make([]int, len(g.members))
+	for i := range g.members {
+		targets[i] = g.members[i].target
 	}
 	return targets
 }
 
-// Wants returns the claims of the last plan.
-func (l *Lender) Wants() []Want { return l.wants }
+// Claims returns the claims of the last plan.
+func (g *Grantor) Claims() []Claim { return g.claims }
 
-// Holding returns the number of connections that the members have reported, for figures.
-func (l *Lender) Holding() (connections int) {
-	for i := range l.members {
-		connections += l.members[i].connections
+// Connections returns the number of connections that the members have reported, for figures.
+func (g *Grantor) Connections() (connections int) {
+	for i := range g.members {
+		connections += g.members[i].connections
 	}
 	return connections
 }
 
 // String returns the state, for the operators.
-func (l *Lender) String() string {
+func (g *Grantor) String() string {
 	lent, stranded, reporting := 0, 0, 0
-	for i, entry := range l.ledger.Entries {
+	for i, entry := range g.ledger.Entries {
 		lent += entry.Units
 		stranded += entry.Stranded
-		if l.members[i].lastReport > 0 {
+		if g.members[i].lastReport > 0 {
 			reporting++
 		}
 	}
-	return fmt.Sprintf("capacity=%d serial=%d lent=%d free=%d stranded=%d held=%d heard=%d", l.ledger.Capacity, l.ledger.Serial,
-		lent, l.ledger.Free(), stranded, l.Holding(), reporting)
+	return fmt.Sprintf("capacity=%d serial=%d lent=%d free=%d stranded=%d held=%d heard=%d", g.ledger.Capacity, g.ledger.Serial,
+		lent, g.ledger.Free(), stranded, g.Connections(), reporting)
 }
--- a/pool/leaseholder.go
+++ b/pool/leaseholder.go
@@ -1,34 +1,33 @@
 package pool
 
-// Report is what a lease holder sends to the lease grantor.
+// Report is what a lease holder sends to the lease grantor, as JSON with the names of earlier releases.
 type Report struct {
-	Seat     int     // member index
-	Life     uint64  // incarnation of the process
-	Sent     int64   // ns of the holder's clock
-	Number   uint64  // of the last grant received
-	Bound    int     // under that number the gateway will never again hold more connections than this above its floor
-	Held     int     // connections, dials included
-	Demand   float64 // connections in use and waited for, mean since the last report
-	Weight   float64
-	Serial   uint64 // of the capacity that its operators configured
-	Capacity int    // connections
+	Member      int     `json:"Seat"` // member index
+	Incarnation uint64  `json:"Life"` // incarnation of the process
+	Sent        int64   // ns of the holder's clock
+	Number      uint64  // of the last grant received
+	Bound       int     // under that number the gateway will never again hold more connections than this above its floor
+	Connections int     `json:"Held"` // connections, dials included
+	Demand      float64 // connections in use and waited for, mean since the last report
+	Weight      float64
+	Serial      uint64 // of the capacity that its operators configured
+	Capacity    int    // connections
 }
 
 // Grant is the lease grantor's answer. Units holds for one lease from Sent on, the holder's own time when it asked: the lease of a
-// delayed answer is shorter by the delay, never longer.
+// delayed answer is shorter by the delay, never longer. It is sent as JSON with the names of earlier releases.
 type Grant struct {
-	Seat   int    // member index
-	Life   uint64 // incarnation that it is for
-	Number uint64
-	Units  int    // connections above the floor
-	Sent   int64  // of the report that it answers
-	Known  uint64 // incarnation of the member that the ledger knows
-	Serial uint64 // of the capacity in force
+	Member           int    `json:"Seat"` // member index
+	Incarnation      uint64 `json:"Life"` // incarnation that it is for
+	Number           uint64
+	Units            int    // connections above the floor
+	Sent             int64  // of the report that it answers
+	KnownIncarnation uint64 `json:"Known"` // incarnation of the member that the ledger knows
+	Serial           uint64 // of the capacity in force
 }
 
-// Holder is the lease holder of one gateway: it keeps the gateway to its quota. A new one, as of a process that has just started,
-// has its floor only. Times are in nanoseconds of its clock.
-type Holder struct {
+// Leaseholder keeps one gateway to its quota. A new one, as of a process that has just started, has its floor only. Times are in nanoseconds of its clock.
+type Leaseholder struct {
 	terms       *Terms
 	member      int
 	incarnation uint64
@@ -53,9 +52,11 @@
 	averagedSince   int64
 }
 
-// NewHolder returns the lease holder of a process that starts now; its incarnation is above those of the member's earlier processes.
-func NewHolder(terms *Terms, member int, incarnation uint64, weight float64, serial uint64, capacity int, now int64) *Holder {
-	return &Holder{
+// NewLeaseholder returns the lease holder of a process that starts now. Its incarnation must be above those of the member's earlier
+// processes.
+func NewLeaseholder(terms *Terms, member int, incarnation uint64, weight float64, serial uint64, capacity int,
+	now int64) *Leaseholder {
+	return &Leaseholder{
 		terms:           terms,
 		member:          member,
 		incarnation:     incarnation,
@@ -64,23 +65,23 @@
 		capacity:        capacity,
 		integratedUntil: now,
 		averagedSince:   now,
-		lastReport:      now - terms.Tell,
+		lastReport:      now - terms.ReportInterval,
 		lastGrant:       now,
 	}
 }
 
 // Allowed returns the number of connections that may be open or dialed now. A gateway that holds more closes idle ones, and the
 // others as they become idle.
-func (h *Holder) Allowed(now int64) int {
+func (h *Leaseholder) Allowed(now int64) int {
 	if now >= h.leaseEnd {
 		h.limit = 0
 	}
 	return h.terms.Floor + h.limit
 }
 
-// Use sets the number of connections, dials included, and the number of requests that use one or wait for one. It is called after
-// each change.
-func (h *Holder) Use(now int64, connections, demand int) {
+// SetUsage sets the number of connections, dials included, and the number of requests that use one or wait for one. It is called
+// after each change.
+func (h *Leaseholder) SetUsage(now int64, connections, demand int) {
 	h.demandIntegral += float64(h.demand) * float64(now-h.integratedUntil)
 	h.integratedUntil = now
 	h.connections = connections
@@ -88,28 +89,29 @@
 	h.lowerBound(now)
 }
 
-// Turned counts a request that was rejected for want of a connection, which it would have used for so long.
-func (h *Holder) Turned(duration int64) { h.demandIntegral += float64(duration) }
+// AddRejected counts a request that was rejected for want of a connection, which it would have used for so long.
+func (h *Leaseholder) AddRejected(duration int64) { h.demandIntegral += float64(duration) }
 
 // lowerBound lowers the bound once the connections above it have been closed for long enough.
-func (h *Holder) lowerBound(now int64) {
+func (h *Leaseholder) lowerBound(now int64) {
 	h.Allowed(now)
 	bound := max(h.limit, h.connections-h.terms.Floor)
 	if bound >= h.bound {
 		h.boundReached = now
-	} else if now-h.boundReached >= h.terms.Rest {
+	} else if now-h.boundReached >= h.terms.CloseDelay {
 		h.bound = bound
 	}
 }
 
-// Hear handles a grant. One for another incarnation, or an older one, changes nothing.
-func (h *Holder) Hear(now int64, grant *Grant) {
-	if grant.Seat != h.member {
+// Receive handles a grant. One for another incarnation, or an older one, changes nothing.
+func (h *Leaseholder) Receive(now int64, grant *Grant) {
+	if grant.Member != h.member {
 		return
 	}
-	if grant.Life != h.incarnation {
-		if grant.Life < h.incarnation && grant.Known > h.incarnation { // the clock that numbers incarnations was set back
-			h.incarnation = grant.Known + 1
+	if grant.Incarnation != h.incarnation {
+		clockSetBack := grant.Incarnation < h.incarnation && grant.KnownIncarnation > h.incarnation // the one that numbers incarnations
+		if clockSetBack {
+			h.incarnation = grant.KnownIncarnation + 1
 		}
 		return
 	}
@@ -132,28 +134,28 @@
 }
 
 // Report returns the report to be sent now, or nil: one is due after each interval, or earlier if units can be given back.
-func (h *Holder) Report(now int64) *Report {
+func (h *Leaseholder) Report(now int64) *Report {
 	h.lowerBound(now)
 	sinceReport := now - h.lastReport
-	givesBack := h.bound < h.reportedBound && sinceReport >= h.terms.Tell/8
-	if sinceReport < h.terms.Tell && !givesBack {
+	givesBack := h.bound < h.reportedBound && sinceReport >= h.terms.ReportInterval/8
+	if sinceReport < h.terms.ReportInterval && !givesBack {
 		return nil
 	}
-	h.Use(now, h.connections, h.demand)
+	h.SetUsage(now, h.connections, h.demand)
 	report := &Report{
-		Seat:   h.member,
-		Life:   h.incarnation,
-		Sent:   now,
-		Number: h.grantNumber,
-		Bound:  h.bound,
-		Held:   h.connections,
-		Demand: float64(h.demand),
-		Weight: h.weight,
+		Member:      h.member,
+		Incarnation: h.incarnation,
+		Sent:        now,
+		Number:      h.grantNumber,
+		Bound:       h.bound,
+		Connections: h.connections,
+		Demand:      float64(h.demand),
+		Weight:      h.weight,
 	}
 	if now > h.averagedSince {
 		report.Demand = h.demandIntegral / float64(now-h.averagedSince)
 	}
-	if sinceReport >= h.terms.Tell { // a mean over less says little
+	if sinceReport >= h.terms.ReportInterval { // a mean over less says little
 		h.demandIntegral = 0
 		h.averagedSince = now
 	}
@@ -167,10 +169,10 @@
 }
 
 // Due returns when Report or Allowed must be called again at the latest.
-func (h *Holder) Due(now int64) int64 {
-	due := h.lastReport + h.terms.Tell
+func (h *Leaseholder) Due(now int64) int64 {
+	due := h.lastReport + h.terms.ReportInterval
 	if h.bound > max(h.limit, h.connections-h.terms.Floor) {
-		due = min(due, max(h.boundReached+h.terms.Rest, h.lastReport+h.terms.Tell/8))
+		due = min(due, max(h.boundReached+h.terms.CloseDelay, h.lastReport+h.terms.ReportInterval/8))
 	}
 	if h.limit > 0 {
 		due = min(due, h.leaseEnd)
@@ -178,11 +180,11 @@
 	return max(due, now)
 }
 
-// Heard returns the time of the last report that was answered.
-func (h *Holder) Heard() int64 { return h.lastGrant }
+// LastAnswered returns the time of the last report that was answered.
+func (h *Leaseholder) LastAnswered() int64 { return h.lastGrant }
 
-// Capacity sets the capacity that the operators configured; an older serial changes nothing.
-func (h *Holder) Capacity(serial uint64, capacity int) {
+// SetCapacity sets the capacity that the operators configured; an older serial changes nothing.
+func (h *Leaseholder) SetCapacity(serial uint64, capacity int) {
 	if serial > h.serial {
 		h.serial = serial
 		h.capacity = capacity
--- a/pool/plan.go
+++ b/pool/plan.go
@@ -11,7 +11,7 @@
 
 // plan is the state of planning one batch.
 type plan struct {
-	*Lender
+	*Grantor
 	*proposal
 	now    int64
 	free   int    // units that may be lent
@@ -20,8 +20,8 @@
 }
 
 // plan settles the target of each member, and lends what is free.
-func (l *Lender) plan(now int64, p *proposal) {
-	pl := &plan{Lender: l, proposal: p, now: now, free: p.ledger.Free()}
+func (g *Grantor) plan(now int64, p *proposal) {
+	pl := &plan{Grantor: g, proposal: p, now: now, free: p.ledger.Free()}
 	pl.computeShares()
 	shortage := pl.raiseTargets()
 	if shortage > 0 {
@@ -35,24 +35,24 @@
 func (p *plan) computeShares() {
 	terms := p.terms
 	lendable := p.free
-	wants := make([]Want, terms.Seats)
-	p.alive = make([]bool, terms.Seats)
+	wants := make([]Claim, terms.Members)
+	p.alive = make([]bool, terms.Members)
 	for i := range p.members {
 		member, entry := &p.members[i], p.proposal.ledger.Entries[i]
-		wants[i] = Want{Weight: member.weight, Has: entry.Units}
-		p.alive[i] = p.Lender.alive(p.now, i)
+		wants[i] = Claim{Weight: member.weight, Has: entry.Units}
+		p.alive[i] = p.Grantor.alive(p.now, i)
 		if p.alive[i] {
 			wants[i].Demand = int(math.Ceil(member.demand.level - 0.35))
 			lendable += entry.Units
 		}
 	}
-	p.addHeadroom(wants, lendable+terms.Floor*terms.Seats)
+	p.addHeadroom(wants, lendable+terms.Floor*terms.Members)
 	p.shares = Shares(wants, terms.Floor, max(lendable, 0))
-	p.wants = wants
+	p.claims = wants
 }
 
 // onHold reports whether a member's target changed too recently to change again.
-func (p *plan) onHold(i int) bool { return p.now-p.members[i].targetChanged < p.terms.Hold }
+func (p *plan) onHold(i int) bool { return p.now-p.members[i].targetChanged < p.terms.TargetHold }
 
 // setTarget sets a member's target.
 func (p *plan) setTarget(i, units int) {
@@ -119,7 +119,7 @@
 			member.overTargetSince = p.now
 		case !member.recallNoted && p.now-member.overTargetSince > p.terms.Drain+p.terms.Lease/2:
 			member.recallNoted = true
-			p.notes = append(p.notes, Note{"recall_overdue", i, entry.Life, entry.Units - member.target})
+			p.notes = append(p.notes, Note{"recall_overdue", i, entry.Incarnation, entry.Units - member.target})
 		}
 	}
 }
@@ -129,7 +129,7 @@
 	var receivers []int
 	for i := range p.members {
 		member, entry := &p.members[i], p.proposal.ledger.Entries[i]
-		if p.alive[i] && member.target > entry.Units && member.incarnation == entry.Life {
+		if p.alive[i] && member.target > entry.Units && member.incarnation == entry.Incarnation {
 			receivers = append(receivers, i)
 		}
 	}
@@ -144,40 +144,40 @@
 		units := p.proposal.ledger.Entries[i].Units
 		extra := min(p.members[i].target-units, p.free)
 		p.free -= extra
-		p.add(Change{Seat: i, Units: units + extra})
+		p.add(Change{Member: i, Units: units + extra})
 	}
 }
 
 // addHeadroom adds headroom to the claims if there is room for all of it: a mean demand of d varies by its root, so each member
 // gets the same multiple of that, as in square-root staffing (Halfin and Whitt, Operations Research 29, 1981).
-func (l *Lender) addHeadroom(wants []Want, units int) {
+func (g *Grantor) addHeadroom(wants []Claim, units int) {
 	for i, multiple := range headroomMultiples {
 		limit := units
-		if i < l.headroomIndex { // hysteresis
+		if i < g.headroomIndex { // hysteresis
 			limit = units * 19 / 20
 		}
-		headroom, total := l.headroom(wants, multiple)
+		headroom, total := g.headroom(wants, multiple)
 		if total > limit {
 			continue
 		}
-		l.headroomIndex = i
+		g.headroomIndex = i
 		for k := range wants {
 			wants[k].Demand += headroom[k]
 		}
 		return
 	}
-	l.headroomIndex = math.MaxInt
+	g.headroomIndex = math.MaxInt
 }
 
 // headroom returns the headroom of each claim, and the units that all would take with it.
-func (l *Lender) headroom(wants []Want, multiple float64) (headroom []int, total int) {
+func (g *Grantor) headroom(wants []Claim, multiple float64) (headroom []int, total int) {
 	for _, want := range wants {
 		extra := 0
 		if want.Demand > 0 {
 			extra = int(math.Ceil(multiple * math.Sqrt(float64(want.Demand))))
 		}
 		headroom = append(headroom, extra)
-		total += max(want.Demand+extra, l.terms.Floor)
+		total += max(want.Demand+extra, g.terms.Floor)
 	}
 	return headroom, total
 }
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// Want is one gateway's claim.
-type Want struct {
+// Claim is one gateway's claim.
+type Claim struct {
 	Demand int     // connections, those of its floor included
 	Weight float64 // above 0
 	Has    int     // connections above its floor now: of two equal claims to a last unit, the one that has it keeps it
@@ -17,9 +17,9 @@
 // and Gallager, Data Networks, 6.5.2). All levels rise together in proportion to weight; a gateway whose demand is met stops, and
 // its part goes to the others. The floor counts as a part of each level, so that a gateway with little demand leaves more. Units
 // are indivisible: what is left after rounding down goes to the largest fractions.
-func Shares(wants []Want, floor, units int) []int {
+func Shares(wants []Claim, floor, units int) []int {
 	shares := make([]int, len(wants))
-	aboveFloor := func(want Want, level float64) float64 {
+	aboveFloor := func(want Claim, level float64) float64 {
 		return max(min(float64(want.Demand), want.Weight*level)-float64(floor), 0)
 	}
 	sum, high := 0.0, 0.0
