--- a/lab/standin/clientconn.go
+++ b/lab/standin/clientconn.go
@@ -165,6 +165,8 @@
 		if ms, err := strconv.Atoi(strings.TrimPrefix(text, "BUSY ")); err == nil {
 			request.After = time.Duration(ms) * time.Millisecond
 		}
+	case kind == redcon.Error:
+		request.Text = text
 	}
 	clients.idle[c.gateway] = append(clients.idle[c.gateway], c)
 	clients.finish(request, result)
--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -38,6 +38,7 @@
 	Result   Result        // "": still open
 	Host     string        // the host that answered; "": none
 	After    time.Duration // retry-after time of a rejection
+	Text     string        // of an error that is no rejection
 	Twice    bool          // sent again after a close that crossed it
 
 	arguments string // names and values of its command
@@ -237,6 +238,7 @@
 	entry.Result = result
 	entry.Host = request.Host
 	entry.After = request.After
+	entry.Text = request.Text
 	c.inFlight--
 	c.notifyWhenIdle()
 }
