Publisher: sends no version while it replays its log

Cause: a publisher served followers as soon as it listened, while Raft still applied its log.

Change: consensus.Replica.CaughtUp tells whether an entry of the present leader's term, and all before it, has been carried out since the start; until then the sender holds versions back and sends heartbeats that tell nothing (Sender.Hold).

--- a/configsync/sender.go
+++ b/configsync/sender.go
@@ -30,6 +30,7 @@
 	state     *State
 	limiter   *rate.Limiter
 	current   bool
+	held      bool // no version is sent
 	followers map[FollowerID]*followerSession
 	members   map[int]*memberRecord
 	deltas    deltaCache
@@ -143,6 +144,10 @@
 // SetCurrent tells whether the publisher is in contact with a quorum of publishers.
 func (s *Sender) SetCurrent(current bool) { s.current = current }
 
+// Hold has followers get heartbeats alone, as long as the state may be an earlier one than was agreed on: a version of it
+// would lead a gateway back to what is no longer in force, and a follower of a later one would be sent away.
+func (s *Sender) Hold(held bool) { s.held = held }
+
 // Len is the number of connected followers.
 func (s *Sender) Len() int { return len(s.followers) }
 
@@ -279,6 +284,9 @@
 	if follower == nil {
 		return Action{Close: true}
 	}
+	if s.held {
+		return s.heartbeatAlone(now, follower)
+	}
 	if farewell := s.farewell(follower); farewell != nil {
 		return Action{Frame: Encode(farewell), Close: true}
 	}
@@ -298,6 +306,14 @@
 	return s.startSnapshot(now, follower)
 }
 
+// heartbeatAlone sends a heartbeat where one is due.
+func (s *Sender) heartbeatAlone(now time.Time, follower *followerSession) Action {
+	if now.Before(follower.heartbeat) {
+		return Action{Wake: follower.heartbeat}
+	}
+	return s.sendHeartbeat(now, follower)
+}
+
 // farewell is what a follower is told that can't be served, or nil.
 func (s *Sender) farewell(follower *followerSession) Message {
 	log := s.state.document.log
@@ -317,6 +333,9 @@
 		Latest:  s.state.document.version,
 		Current: s.current,
 	}
+	if s.held {
+		heartbeat = &Heartbeat{}
+	}
 	return Action{Frame: Encode(heartbeat), Wake: follower.heartbeat}
 }
 
--- a/configsync/sender_test.go
+++ b/configsync/sender_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// A sender whose state may be an earlier one sends heartbeats that tell nothing of it, to followers of earlier and of later
+// versions, and goes on from there.
+func TestSenderHold(t *testing.T) {
+	r := newSenderRig(t, 2, SenderLimits{})
+	r.sender.Hold(true)
+	earlier := r.connect(start, r.hello(1, 1))
+	later := r.connect(start, &Hello{Protocol: Protocol, Member: 2, Log: testLog, Held: 9})
+	for _, id := range []FollowerID{earlier, later} {
+		action := r.sender.Next(start, id)
+		message, err := Decode(action.Frame)
+		if err != nil || action.Close || !reflect.DeepEqual(message, &Heartbeat{}) {
+			t.Errorf("%+v, %v", message, err)
+		}
+		action = r.sender.Next(start, id)
+		if action.Frame != nil || action.Close || !action.Wake.Equal(start.Add(HeartbeatInterval)) {
+			t.Errorf("after the heartbeat: %+v", action)
+		}
+	}
+	r.sender.Hold(false)
+	if delta, ok := r.next(start, earlier).(*Delta); !ok || delta.To != 2 {
+		t.Errorf("%+v", delta)
+	}
+	if _, ok := r.next(start, later).(*Behind); !ok {
+		t.Error("a follower of a later version stays")
+	}
+}
+
 func TestSenderChoosesDeltaOrSnapshot(t *testing.T) { // at version 5, with a history from version 2 on
 	for name, test := range map[string]struct {
 		held   Version
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -62,6 +62,8 @@
 	membership *membership
 	dropped    atomic.Int64
 	caughtUp   atomic.Uint64 // the last term in which CatchUp succeeded
+	machine    *tracked
+	replayed   atomic.Bool // CaughtUp has been true
 }
 
 // Open starts a replica of the state machine. It listens, opens the log and takes part in elections from then on.
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{cfg: cfg}
+	r := &Replica{cfg: cfg, machine: &tracked{FSM: machine}}
 	r.id, err = identity(cfg.Dir, cfg.Index)
 	if err != nil {
 		return nil, err
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	err = r.openRaft(machine)
+	err = r.openRaft()
 	if err != nil {
 		r.release()
 		return nil, err
@@ -90,7 +92,7 @@
 }
 
 // openRaft opens the log and the snapshots, restores the state machine and starts the library.
-func (r *Replica) openRaft(machine raft.FSM) (err error) {
+func (r *Replica) openRaft() (err error) {
 	r.store, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(r.cfg.Dir, logFile)})
 	if err != nil {
 		return err
@@ -101,7 +103,7 @@
 		return err
 	}
 	network := raft.NewNetworkTransportWithLogger(r.transport, connectionPool, r.cfg.Election, quiet)
-	r.raft, err = raft.NewRaft(r.options(quiet), machine, r.store, r.store, snapshots, network)
+	r.raft, err = raft.NewRaft(r.options(quiet), r.machine, r.store, r.store, snapshots, network)
 	return err
 }
 
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -195,6 +195,53 @@
 	g.same("a", "b", "c", "d")
 }
 
+// A replica has caught up once it carried out what was agreed on before it started, from its log, from a snapshot of its own
+// disk, or from one of the leader's; never without a leader.
+func TestCaughtUp(t *testing.T) {
+	g := newGroup(t)
+	g.propose("a")
+	for _, r := range g.replicas {
+		eventually(t, "all to be caught up", r.CaughtUp)
+	}
+	g.same("a")
+	err := g.replicas[0].Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.propose("b")
+	g.same("a", "b")
+	for i := range g.replicas {
+		g.close(i)
+	}
+	g.open(0)
+	alone := g.replicas[0]
+	eventually(t, "the replica to call for an election", func() bool { return alone.raft.State() == raft.Candidate })
+	if alone.CaughtUp() {
+		t.Errorf("caught up alone, with %v", g.lists[0].get())
+	}
+	g.open(1)
+	eventually(t, "two to be caught up", func() bool { return g.replicas[0].CaughtUp() && g.replicas[1].CaughtUp() })
+	for i := range 2 {
+		if got := g.lists[i].get(); !slices.Equal(got, []string{"a", "b"}) {
+			t.Errorf("replica %d is caught up with %v", i, got)
+		}
+	}
+	for _, entry := range []string{"c", "d", "e", "f", "g", "h"} { // beyond the entries kept behind a snapshot
+		g.propose(entry)
+	}
+	for _, r := range g.replicas[:2] {
+		err := r.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.open(2)
+	eventually(t, "the third to be caught up by a snapshot", g.replicas[2].CaughtUp)
+	if got := g.lists[2].get(); len(got) != 8 {
+		t.Errorf("caught up with %v", got)
+	}
+}
+
 // A minority neither agrees nor claims to be in contact.
 func TestMinority(t *testing.T) {
 	g := newGroup(t)
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -20,6 +20,7 @@
 
 const (
 	contactInterval = 200 * time.Millisecond // between looks whether the replica is in contact with a quorum
+	replayInterval  = 20 * time.Millisecond  // the same, as long as the replica replays its log
 	lineInterval    = 10 * time.Second       // between log lines on the replica's state
 	shutdownTimeout = 2 * time.Second        // for HTTP requests under way
 )
@@ -35,6 +36,7 @@
 	mu          sync.Mutex // guards the fields below
 	state       *configsync.State
 	sender      *configsync.Sender
+	holding     bool // the sender holds versions back, as the log is being replayed
 	connections map[configsync.FollowerID]*connection
 	lastID      configsync.FollowerID
 
@@ -63,10 +65,12 @@
 		cfg:         cfg,
 		state:       configsync.NewState(cfg.History),
 		connections: map[configsync.FollowerID]*connection{},
+		holding:     true,
 		mirror:      &mirror{},
 		done:        make(chan struct{}),
 	}
 	p.sender = configsync.NewSender(p.state, cfg.Snapshots)
+	p.sender.Hold(true)
 	admin, err := p.listen()
 	if err != nil {
 		return nil, err
@@ -120,7 +124,7 @@
 
 // run keeps an eye on the quorum and tells the log how the replica stands.
 func (p *Publisher) run() {
-	contact := time.NewTicker(contactInterval)
+	contact := time.NewTicker(replayInterval)
 	defer contact.Stop()
 	line := time.NewTicker(lineInterval)
 	defer line.Stop()
@@ -129,7 +133,10 @@
 		case leads := <-p.replica.Leadership():
 			log.Printf("event=publisher_leads yes=%t", leads)
 		case <-contact.C:
-			p.setCurrent(p.replica.InContact())
+			released := p.observe()
+			if released {
+				contact.Reset(contactInterval)
+			}
 		case <-line.C:
 			log.Printf("event=publisher %s", p.Status())
 		case <-p.done:
@@ -138,8 +145,18 @@
 	}
 }
 
-func (p *Publisher) setCurrent(current bool) {
+// observe tells the sender how the replica stands. released is true once, when the log has been replayed.
+func (p *Publisher) observe() (released bool) {
+	replayed := p.replica.CaughtUp()
+	current := p.replica.InContact()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sender.SetCurrent(current)
+	if !replayed || !p.holding {
+		return false
+	}
+	p.holding = false
+	p.sender.Hold(false)
+	p.wakeAll()
+	return true
 }
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -120,6 +120,46 @@
 	g.Agreed(g.SetRate(minority, "gold", 7))
 }
 
+// A replica that starts holds an earlier state until it hears from a leader how far its log was agreed on. It sends no
+// version of that, nor does it send away who holds a later one.
+func TestReplay(t *testing.T) {
+	g := publishertest.NewGroup(t, 3, nil)
+	g.Agreed(g.Put())
+	err := g.Replicas[0].TakeSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := g.SetRate(0, "gold", 99)
+	g.Agreed(last)
+	for i := range g.Replicas {
+		g.Close(i)
+	}
+	g.Open(0)
+	if version := g.Replicas[0].Status().Version; version != 1 {
+		t.Fatalf("the snapshot holds version %d", version)
+	}
+	empty := follow(t, g, 0, hello(1))
+	later := hello(2)
+	later.Log = last.Log
+	later.Held = last.Version
+	ahead := follow(t, g, 0, later)
+	for range 2 {
+		for _, f := range []*follower{empty, ahead} {
+			message := f.next()
+			heartbeat, ok := message.(*configsync.Heartbeat)
+			if !ok || heartbeat.Latest != 0 || heartbeat.Current {
+				t.Fatalf("%T %+v", message, message)
+			}
+		}
+	}
+	g.Open(1)
+	g.Open(2)
+	version, _ := empty.version()
+	if version != last.Version {
+		t.Errorf("version %d comes first, the latest is %d", version, last.Version)
+	}
+}
+
 // follower is a connection as a gateway's.
 type follower struct {
 	t      *testing.T
