--- a/lab/rollout/hollow/hollow_test.go
+++ b/lab/rollout/hollow/hollow_test.go
@@ -89,6 +89,9 @@
 		for _, fault := range result.Faults {
 			t.Errorf("%s: %s", test.What, fault)
 		}
+		if test.Alone && result.Old > 0 {
+			t.Errorf("%s: an older version than the latest came in force %d times", test.What, result.Old)
+		}
 		if result.FromDisk != test.fromDisk || result.Snapshots != test.snapshots {
 			t.Errorf("%s: %d began from their disks, not %d; %d snapshots, not %d", test.What, result.FromDisk, test.fromDisk,
 				result.Snapshots, test.snapshots)
--- a/lab/rollout/hollow/report.go
+++ b/lab/rollout/hollow/report.go
@@ -181,12 +181,12 @@
 }
 
 func (r *Report) stormsText(w io.Writer) {
-	fmt.Fprint(w, "\n## Restarts at once\n\n| what | followers | configuration | versions missed | s until in force everywhere | from disk | snapshots | deltas | "+
+	fmt.Fprint(w, "\n## Restarts at once\n\n| what | followers | configuration | versions missed | s until in force everywhere | from disk | snapshots | deltas | older versions in force | "+
 		"put off | bytes of publishers | processor s, followers | processor s, publishers |\n"+
-		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, s := range r.Storms {
-		fmt.Fprintf(w, "| %s | %d | %s | %d | %.2f | %d | %d | %d | %d | %.4g | %.2f | %.2f |\n", s.What, s.Followers, s.Content.text(),
-			s.Missed, s.Seconds, s.FromDisk, s.Snapshots, s.Deltas, s.Deferred, s.BytesOut, s.Processor, s.Publishers)
+		fmt.Fprintf(w, "| %s | %d | %s | %d | %.2f | %d | %d | %d | %d | %d | %.4g | %.2f | %.2f |\n", s.What, s.Followers, s.Content.text(),
+			s.Missed, s.Seconds, s.FromDisk, s.Snapshots, s.Deltas, s.Old, s.Deferred, s.BytesOut, s.Processor, s.Publishers)
 	}
 }
 
--- a/lab/rollout/hollow/storm.go
+++ b/lab/rollout/hollow/storm.go
@@ -1,6 +1,10 @@
 package hollow
 
-import "context"
+import (
+	"context"
+
+	"ravensill/configsync"
+)
 
 // Storm is many followers restarted at once, and what it took until the latest version was in force at all of them.
 type Storm struct {
@@ -12,6 +16,7 @@
 	FromDisk   int      `json:"from_disk"`  // followers that began with the version of their disk
 	Snapshots  int      `json:"snapshots"`  // documents that came as a whole
 	Deltas     int      `json:"deltas"`     // put in force
+	Old        int      `json:"old"`        // versions put in force that were older than the latest at the restart
 	Deferred   int      `json:"deferred"`   // snapshots put off
 	BytesOut   float64  `json:"bytes_out"`  // of all publishers
 	Processor  float64  `json:"processor"`  // seconds, all followers
@@ -44,6 +49,7 @@
 	}
 	g.Fleet.Take()
 	result := &Storm{What: s.What, Followers: s.Followers, Content: g.content, Missed: s.Missed}
+	latest := g.last.Version
 	begin := g.begin
 	if s.Alone {
 		begin = g.beginAlone
@@ -52,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result.measure(g, w)
+	result.measure(g, w, latest)
 	result.Faults, err = g.Faults(ctx)
 	return result, err
 }
@@ -88,10 +94,13 @@
 	})
 }
 
-// measure takes in what happened.
-func (s *Storm) measure(g *Group, w window) {
+// measure takes in what happened since the restart, at which a version was the latest.
+func (s *Storm) measure(g *Group, w window, latest configsync.Version) {
 	for _, history := range g.Fleet.Take() {
 		for _, applied := range history {
+			if applied.To < latest {
+				s.Old++
+			}
 			if applied.Snapshot {
 				s.Snapshots++
 			} else {
--- /dev/null
+++ b/lab/rollout/hollow/verdict_test.go
@@ -0,0 +1,46 @@
+package hollow
+
+import (
+	"slices"
+	"testing"
+)
+
+// growing gives an axis whose figures are as they must be, but for a change.
+func growing(change func(point *Point)) Axis {
+	var points []*Point
+	for _, followers := range []int{25, 50, 100, 200, 400} {
+		point := &Point{Followers: followers, Figures: map[string]float64{
+			ChangeDeltas:      1,
+			ChangeBytes:       169,
+			StartBytes:        9500,
+			PublisherBytesOut: 169 * float64(followers),
+		}}
+		change(point)
+		points = append(points, point)
+	}
+	return NewAxis(points)
+}
+
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(point *Point)
+		want   []string
+	}{
+		{"none", func(*Point) {}, nil},
+		{"bytes that grow with the fleet", func(p *Point) { p.Figures[ChangeBytes] += float64(p.Followers) / 10 },
+			[]string{"change_bytes is 171.5 to 209, depending on the number of followers"}},
+		{"publishers' bytes that are quadratic", func(p *Point) { p.Figures[PublisherBytesOut] *= float64(p.Followers) },
+			[]string{"publisher_change_bytes grows with the number of followers to the power 2.00"}},
+		{"a change twice", func(p *Point) { p.Figures[ChangeDeltas] = max(1, float64(p.Followers)/200) },
+			[]string{"400 followers: 2 deltas a change"}},
+		{"a fault of a follower", func(p *Point) { p.Faults = map[int][]string{50: {"g1: version 1 after 2"}}[p.Followers] },
+			[]string{"g1: version 1 after 2"}},
+	} {
+		axis := growing(test.change)
+		got := axis.Faults()
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%s: %q, want %q", test.name, got, test.want)
+		}
+	}
+}
