--- a/lab/rollout/admin.go
+++ b/lab/rollout/admin.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 
 const (
 	adminTimeout = 8 * time.Second        // of one request; a publisher's own limits are shorter
+	slowAnswer   = time.Second            // an answer that takes longer is noted
 	adminPause   = 100 * time.Millisecond // before a request that no publisher could carry out is repeated
 )
 
@@ -65,7 +67,9 @@
 func (p *Publishers) Change(ctx context.Context, first int, request Request) (publisher.Publication, error) {
 	for i := first; ; i++ {
 		var publication publisher.Publication
+		began := time.Now()
 		err := p.ask(ctx, i%p.Count(), request, &publication)
+		p.noteSlow(i%p.Count(), time.Since(began), err)
 		if err == nil {
 			return publication, nil
 		}
@@ -81,6 +85,25 @@
 	}
 }
 
+// noteSlow notes an answer that took long, with what it was and the publisher's last log lines.
+func (p *Publishers) noteSlow(i int, took time.Duration, err error) {
+	if took < slowAnswer {
+		return
+	}
+	text := fmt.Sprintf("%s answered after %.1f s: %v; its last lines:\n%s", publisherName(i), took.Seconds(), err,
+		p.processes[i].Tail(shownFaults))
+	p.slowMu.Lock()
+	defer p.slowMu.Unlock()
+	p.slow = append(p.slow, text)
+}
+
+// Slow gives what noteSlow noted.
+func (p *Publishers) Slow() []string {
+	p.slowMu.Lock()
+	defer p.slowMu.Unlock()
+	return slices.Clone(p.slow)
+}
+
 // Status asks one publisher how it stands.
 func (p *Publishers) Status(ctx context.Context, i int) (publisher.Status, error) {
 	var status publisher.Status
--- a/lab/rollout/changes.go
+++ b/lab/rollout/changes.go
@@ -57,7 +57,7 @@
 	}
 	publication, err := c.publishers.Change(ctx, first, request)
 	if err == nil {
-		c.published = append(c.published, Published{publication.Version, sent})
+		c.published = append(c.published, Published{publication.Version, sent, time.Now()})
 	}
 	return publication, err
 }
--- a/lab/rollout/faults.go
+++ b/lab/rollout/faults.go
@@ -38,6 +38,9 @@
 // KillPublishers is the step that ends publishers by SIGKILL.
 func KillPublishers(indices ...int) Step {
 	return Step{fmt.Sprintf("kill publishers %v", indices), func(_ context.Context, r *Run) error {
+		if len(indices) == r.Publishers.Count() {
+			r.leave(r.members())
+		}
 		return r.Publishers.each(func(process *fleet.Process) error {
 			if !slices.Contains(indices, process.Index) {
 				return nil
@@ -50,12 +53,14 @@
 // StartPublishers is the step that starts all publishers that are down.
 func StartPublishers(disk Disk) Step {
 	return Step{"start publishers on " + diskNames[disk], func(ctx context.Context, r *Run) error {
-		return r.Publishers.each(func(process *fleet.Process) error {
+		err := r.Publishers.each(func(process *fleet.Process) error {
 			if process.Running() {
 				return nil
 			}
 			return r.startPublisher(ctx, process, disk)
 		})
+		r.comeBack(r.members())
+		return err
 	}}
 }
 
@@ -96,12 +101,7 @@
 func Heal(name string) Step {
 	return Step{"heal " + name, func(_ context.Context, r *Run) error {
 		r.Fleet.Relay.Set(name)
-		now := time.Now()
-		for _, history := range r.Record.Histories {
-			if n := len(history.Absences); n > 0 && history.Absences[n-1].To.IsZero() {
-				history.comeBack(now)
-			}
-		}
+		r.comeBack(r.members())
 		return nil
 	}}
 }
@@ -149,6 +149,7 @@
 // reads nothing, and its connections stay open.
 func StopLink(name string, member int) Step {
 	return Step{fmt.Sprintf("hold the links of gateway %d still", member), func(_ context.Context, r *Run) error {
+		r.leave([]int{member})
 		r.fromPublishers(name, member, relay.Way{Cut: true})
 		return nil
 	}}
@@ -156,7 +157,6 @@
 
 // fromPublishers sets what happens to all that publishers send to a gateway.
 func (r *Run) fromPublishers(name string, member int, way relay.Way) {
-	r.leave([]int{member})
 	r.Fleet.Relay.Set(name, relay.Rule{
 		From: publisherNames(r.Publishers.Count()),
 		To:   namesOf([]int{member}),
@@ -175,10 +175,7 @@
 		if err != nil {
 			return err
 		}
-		now := time.Now()
-		for _, member := range members {
-			r.Record.Histories[member].comeBack(now)
-		}
+		r.comeBack(members)
 		r.Fleet.Clients.Avoid(false, members...)
 		if disk == DiskEmpty {
 			return nil
@@ -200,6 +197,14 @@
 	return nil
 }
 
+// comeBack notes that gateways have a way to a publisher from now on.
+func (r *Run) comeBack(members []int) {
+	now := time.Now()
+	for _, member := range members {
+		r.Record.Histories[member].comeBack(now)
+	}
+}
+
 // leave notes that gateways have no way to any publisher from now on.
 func (r *Run) leave(members []int) {
 	now := time.Now()
@@ -264,10 +269,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	for _, member := range members {
-		r.Record.Histories[member].comeBack(now)
-	}
+	r.comeBack(members)
 	r.Fleet.Clients.Avoid(false, members...)
 	return nil
 }
--- a/lab/rollout/publishers.go
+++ b/lab/rollout/publishers.go
@@ -50,6 +50,9 @@
 	processes []*fleet.Process
 	addresses []publisherAddresses
 	dir       string // holds a folder for each publisher, and copies of them
+
+	slowMu sync.Mutex
+	slow   []string // answers that took long
 }
 
 // publisherName is a publisher's name, in the relay's rules too.
@@ -184,6 +187,15 @@
 
 func (p *Publishers) copyOf(i int) string { return filepath.Join(p.dir, "copy-"+publisherName(i)) }
 
+// usage reads what each publisher has used; zero for one that is down.
+func (p *Publishers) usage() (all []fleet.Usage) {
+	for _, process := range p.processes {
+		used, _ := process.Usage()
+		all = append(all, used)
+	}
+	return all
+}
+
 // Close ends all processes.
 func (p *Publishers) Close() {
 	p.each(func(process *fleet.Process) error {
--- a/lab/rollout/record.go
+++ b/lab/rollout/record.go
@@ -31,8 +31,9 @@
 
 // Published is a change that the publishers agreed on.
 type Published struct {
-	Version configsync.Version
-	Sent    time.Time // the first attempt of the request
+	Version  configsync.Version
+	Sent     time.Time // the first attempt of the request
+	Answered time.Time
 }
 
 // Absence is a time in which a gateway was down or had no way to any publisher, by no fault of the program.
@@ -45,12 +46,30 @@
 	Applied  []Applied
 	Refused  []Refused
 	Absences []Absence
+	Counters []Counters // of its status lines, in order
 
 	life    int
 	damaged bool // the present life found its file torn or altered
 	mark    int  // in the log, up to which it was read
 }
 
+// Counters are what a gateway's status line tells of the bytes that it exchanged with publishers since its start.
+type Counters struct {
+	At       time.Time
+	BytesIn  int
+	BytesOut int
+}
+
+// countersOf reads status lines.
+func countersOf(lines []string) (all []Counters) {
+	for _, line := range lines {
+		in, _ := strconv.Atoi(field(line, "bytes_in"))
+		out, _ := strconv.Atoi(field(line, "bytes_out"))
+		all = append(all, Counters{timeOf(line), in, out})
+	}
+	return all
+}
+
 // read takes in the log lines that came since the last call.
 func (h *History) read(g *fleet.Gateway) {
 	lines, next := g.LinesAfter(h.mark)
@@ -96,8 +115,15 @@
 // leave notes that an absence begins.
 func (h *History) leave(now time.Time) { h.Absences = append(h.Absences, Absence{From: now}) }
 
-// comeBack notes that the last absence is over.
-func (h *History) comeBack(now time.Time) { h.Absences[len(h.Absences)-1].To = now }
+// comeBack notes that the absence that began last is over.
+func (h *History) comeBack(now time.Time) {
+	for i := len(h.Absences) - 1; i >= 0; i-- {
+		if h.Absences[i].To.IsZero() {
+			h.Absences[i].To = now
+			return
+		}
+	}
+}
 
 // field gives the value of name=value in a log line, without quotes.
 func field(line, name string) string {
--- a/lab/rollout/rollout.go
+++ b/lab/rollout/rollout.go
@@ -61,7 +61,9 @@
 	Record     Record
 	Load       *fleet.Report // what came of the clients' requests
 	Stages     []Stage
-	Notes      []string // figures that steps measured
+
+	publishersBefore []fleet.Usage // as the first version was published
+	publishersAfter  []fleet.Usage // as the load ended
 
 	links   [][]*relay.Stream // by member index and publisher
 	changes *changes
@@ -218,6 +220,10 @@
 		r.read()
 		r.Record.Published = r.changes.list()
 		r.Record.Unhealthy = r.Publishers.Unhealthy()
+		r.publishersAfter = r.Publishers.usage()
+		for member, g := range r.Fleet.Gateways() {
+			r.Record.Histories[member].Counters = countersOf(g.Lines("event=configuration "))
+		}
 		var err error
 		r.Record.Publishers, err = r.Publishers.states(ctx)
 		if err != nil {
--- a/lab/rollout/rollout_test.go
+++ b/lab/rollout/rollout_test.go
@@ -34,10 +34,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, answer := range run.Publishers.Slow() {
+		t.Log(answer)
+	}
 	for _, fault := range broken {
 		t.Error(fault)
 	}
 	t.Log(run.Load.Summary())
+	t.Log(run.Figures())
 	return run
 }
 
--- a/lab/rollout/steps.go
+++ b/lab/rollout/steps.go
@@ -31,6 +31,7 @@
 // firstVersion is the step that publishes the first version to a fleet that serves by its files.
 func firstVersion() Step {
 	return Step{"first version", func(ctx context.Context, r *Run) error {
+		r.publishersBefore = r.Publishers.usage()
 		r.changes = &changes{publishers: r.Publishers, pace: r.Scenario.Size.Pace, preferred: anyPublisher}
 		content, err := wholeContent(map[string]map[string]any{
 			"team":      quotaPlan(unbounded, unbounded),
