Scale: an axis of hosts as each gateway of a fleet of 6,000 meets them

Cause: two gateways hold all hosts between them; in a fleet of 6,000 a gateway's subset is small, and that is what it walks. Change: the configuration may list members that run nowhere.

--- a/lab/scale/deployment.go
+++ b/lab/scale/deployment.go
@@ -24,6 +24,7 @@
 // Deployment is the size of what a gateway serves: what an axis varies.
 type Deployment struct {
 	Gateways             int
+	Members              int // that the configuration lists, where more than Gateways: the others run nowhere
 	Hosts                int
 	HostGroups           int     // stand-in for services: cells that the hosts are listed in
 	Plans                int     // quota plans
@@ -95,6 +96,9 @@
 	Price int     `json:"worth_factor"`
 }
 
+// members is the size of the fleet as the configuration tells it.
+func (d Deployment) members() int { return max(d.Members, d.Gateways) }
+
 // shared is what the configuration files of all gateways have in common, encoded once.
 type shared struct {
 	classes, plans, peers, known json.RawMessage
@@ -121,7 +125,7 @@
 
 func (d Deployment) shared() (s shared, err error) {
 	var peers []string
-	for i := range d.Gateways {
+	for i := range d.members() {
 		address := netip.AddrFrom4([4]byte{10, 255, byte(i >> 8), byte(i)})
 		peers = append(peers, netip.AddrPortFrom(address, 7000).String())
 	}
@@ -144,9 +148,9 @@
 		"seed": strconv.FormatUint(seed*1000003+uint64(index)+1, 16), "known": s.known,
 		"peer_listen": "127.0.0.1:0", "peers": s.peers,
 		"settings": map[string]any{
-			"balancers": d.Gateways, "position": index, "zones": []string{"a"}, "skus": []string{"m"},
+			"balancers": d.members(), "position": index, "zones": []string{"a"}, "skus": []string{"m"},
 			"limits": map[string]any{"max_attempts": 3, "cancelling": true, "retry_after": true,
-				"peer_messages": d.Gateways > 1},
+				"peer_messages": d.members() > 1},
 			"profiles": s.classes, "plans": s.plans,
 			"report":      map[string]any{"how": "inline", "names": []string{"utilization"}},
 			"family_info": map[string]any{"mail_per_s": messagesPerSecond}}}
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -15,7 +15,8 @@
 		"request classes": {16, 64, 256, 1024}, "customers": {32, 128, 512, 2048}, "requests a second": {4, 16, 64, 256},
 		"membership changes a second": {0.5, 2, 8, 32}, "configuration changes a second": {0.5, 2, 8, 32},
 		"restarts a second":                   {0.5, 2, 8, 32},
-		"live configuration changes a second": {0.5, 2, 8, 32}, "live quota plans": {16, 64, 256, 1024}, "gateways restarted at once": {1, 2, 4, 8}, "services": {4, 16, 64, 256}}
+		"live configuration changes a second": {0.5, 2, 8, 32}, "live quota plans": {16, 64, 256, 1024}, "gateways restarted at once": {1, 2, 4, 8},
+		"hosts before a fleet of 6000": {128, 512, 2048, 8192}, "services": {4, 16, 64, 256}}
 	var some []Axis
 	for _, axis := range Axes() {
 		axis.Sizes, axis.Lengths = sizes[axis.Name], brief
--- a/lab/scale/simulation.go
+++ b/lab/scale/simulation.go
@@ -107,6 +107,9 @@
 
 // Send carries a message to a peer.
 func (s *Simulation) Send(from *Hollow, peer int, body []byte) {
+	if peer >= len(s.gateways) { // it runs nowhere
+		return
+	}
 	sender := from.Index()
 	s.after(networkDelay, func() {
 		to := s.gateways[peer]
