--- a/configsync/sender.go
+++ b/configsync/sender.go
@@ -48,7 +48,6 @@
 	whole     bool // wants a snapshot whatever it holds
 	inFlight  *transfer
 	heartbeat time.Time // when the next one is due
-	nextDelta time.Time // no delta goes out before
 }
 
 // transfer is a version on its way to a follower.
@@ -297,12 +296,7 @@
 	if !s.wantsNext(follower) {
 		return Action{Wake: follower.heartbeat}
 	}
-	delta, ok := s.deltaFor(follower)
-	if ok && now.Before(follower.nextDelta) {
-		return Action{Wake: earlier(follower.nextDelta, follower.heartbeat)}
-	}
-	if ok {
-		follower.nextDelta = now.Add(DeltaInterval)
+	if delta, ok := s.deltaFor(follower); ok {
 		follower.inFlight = &transfer{version: delta.to, digest: delta.digest, deadline: now.Add(AcknowledgeTimeout)}
 		return Action{Frame: delta.frame, Wake: follower.heartbeat}
 	}
@@ -317,13 +311,6 @@
 	return s.sendHeartbeat(now, follower)
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // farewell is what a follower is told that can't be served, or nil.
 func (s *Sender) farewell(follower *followerSession) Message {
 	log := s.state.document.log
