--- /dev/null
+++ b/lab/rollout/baseline.go
@@ -0,0 +1,85 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"ravensill/lab/fleet"
+	"ravensill/lab/standin"
+)
+
+// Baseline is what a fleet does without this: each change goes into the gateways' files, and every process is restarted by
+// SIGTERM, some at a time.
+type Baseline struct {
+	Size    Size
+	Batch   int // gateways restarted at one time
+	Changes int
+}
+
+// Rollouts are the times of a baseline's changes.
+type Rollouts struct {
+	Each     Latencies // until a change was in force at one gateway
+	Changes  Latencies // until it was in force at all
+	Requests string    // what became of the clients' requests
+	Lost     int       // refused, reset, unanswered
+	Broken   []string
+}
+
+// Play makes the changes one after the other, under the clients' load.
+func (b *Baseline) Play(ctx context.Context) (*Rollouts, error) {
+	result := &Rollouts{}
+	scenario := fleet.Scenario{
+		Name:  "restart on each change",
+		Plan:  fleet.Plan{Gateways: b.Size.Gateways, Hosts: b.Size.Hosts, Seed: b.Size.Seed},
+		Loads: []standin.Load{b.Size.load()},
+		Holds: fleet.Usual,
+	}
+	for i := range b.Changes {
+		scenario.Steps = append(scenario.Steps, fleet.Step{
+			What: fmt.Sprintf("change %d", i),
+			Do:   func(ctx context.Context, f *fleet.Fleet) error { return b.change(ctx, f, i, result) },
+		})
+	}
+	report, err := scenario.Play(ctx)
+	if err != nil {
+		return nil, err
+	}
+	counts := report.Results()
+	result.Lost = counts[standin.Refused] + counts[standin.Reset] + counts[standin.Unheard] + counts[standin.Crossing]
+	result.Requests = report.Summary()
+	result.Broken = report.Broken
+	return result, nil
+}
+
+// change writes one change into all files and restarts the gateways, a batch at a time.
+func (b *Baseline) change(ctx context.Context, f *fleet.Fleet, number int, result *Rollouts) error {
+	sent := time.Now()
+	for from := 0; from < b.Size.Gateways; from += b.Batch {
+		batch := fleet.Seats(from, min(from+b.Batch, b.Size.Gateways))
+		err := restartWith(ctx, f, batch, number)
+		if err != nil {
+			return err
+		}
+		for range batch {
+			result.Each = append(result.Each, time.Since(sent))
+		}
+	}
+	result.Changes = append(result.Changes, time.Since(sent))
+	return nil
+}
+
+// restartWith restarts some gateways as planned, with another burst of a quota plan in their files.
+func restartWith(ctx context.Context, f *fleet.Fleet, batch []int, number int) error {
+	for _, member := range batch {
+		f.Clients.Lame(true, member)
+	}
+	err := f.Each(batch, func(g *fleet.Gateway) error {
+		plans := g.Config["settings"].(map[string]any)["plans"].([]any)
+		plans[1].(map[string]any)["burst"] = float64(41 + number)
+		return errors.Join(g.Term(), g.WaitExit(ctx), g.Restart(ctx, false))
+	})
+	f.Clients.Lame(false, batch...)
+	return err
+}
