--- a/lab/rollout/cases.go
+++ b/lab/rollout/cases.go
@@ -30,7 +30,8 @@
 	rest := fleet.Seats(third, 2*third)
 	holds := []Check{Digests(), Refusals("")}
 	return []Scenario{
-		{Name: "steady and a burst", Size: z, Holds: holds, Steps: []Step{More(6), Effects(), Burst(), More(2)}},
+		{Name: "steady and a burst", Size: z, Holds: holds, Steps: []Step{More(6), Effects(), Drain(0), Burst(),
+			Undrain(0), More(2)}},
 
 		{Name: "a zone cut off and healed", Size: z, Holds: holds, Steps: []Step{More(2), CutZone("zone", zone...),
 			More(4, zone...), Hold(z.Outage), Heal("zone"), More(2)}},
--- a/lab/rollout/effects.go
+++ b/lab/rollout/effects.go
@@ -100,7 +100,8 @@
 }
 
 // Effects is the step that changes quota plans in one version and wants each gateway to decide by it: a plan that was
-// added is served, one that was removed is answered by an error that says so, a lowered burst binds customers who had more.
+// added is served, one that was removed is answered by an error that says so, a lowered burst binds customers who had more,
+// and a raised one gives nothing at once to those who had used theirs up.
 func Effects() Step {
 	return Step{"quota plans added, removed and lowered", func(ctx context.Context, r *Run) error {
 		err := r.each(ctx, r.beforeEffects)
@@ -110,6 +111,7 @@
 		set := map[string]any{
 			planResource(planAdded):   quotaPlan(unbounded, unbounded),
 			planResource(planLowered): quotaPlan(slowRate, loweredTo),
+			planResource(planRaised):  quotaPlan(2*slowRate, highBurst),
 		}
 		publication, err := r.changes.patch(ctx, set, planResource(planRemoved))
 		if err != nil {
@@ -125,14 +127,12 @@
 
 // beforeEffects looks how a gateway decides under the first version.
 func (r *Run) beforeEffects(ctx context.Context, member int) error {
-	err := r.wantServed(ctx, member, planRemoved)
-	if err != nil {
-		return err
-	}
-	for range beforeLower {
-		err = r.wantServed(ctx, member, planLowered)
-		if err != nil {
-			return err
+	for plan, requests := range map[string]int{planRemoved: 1, planLowered: beforeLower, planRaised: lowBurst} {
+		for range requests {
+			err := r.wantServed(ctx, member, plan)
+			if err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -148,11 +148,18 @@
 	if err != nil {
 		return err
 	}
+	admitted, err := r.passed(member, planRaised, afterRaise)
+	if err == nil && admitted > 0 {
+		err = fmt.Errorf("%s: %d requests admitted by a burst that was used up and then raised", fleet.Name(member), admitted)
+	}
+	if err != nil {
+		return err
+	}
 	err = r.wantServed(ctx, member, planLowered)
 	if err != nil {
 		return err
 	}
-	admitted, err := r.passed(member, planLowered, afterLower)
+	admitted, err = r.passed(member, planLowered, afterLower)
 	if err == nil && admitted+1 > loweredTo {
 		err = fmt.Errorf("%s: %d of %d requests admitted after the burst was lowered to %d", fleet.Name(member), admitted+1,
 			afterLower+1, loweredTo)
--- a/lab/rollout/faults.go
+++ b/lab/rollout/faults.go
@@ -106,6 +106,31 @@
 	}}
 }
 
+// Drain is the step that tells all gateways that a host leaves, and waits until each has logged it: from then on nothing may
+// go there, whatever version comes. Undrain ends it.
+func Drain(host int) Step {
+	return Step{fmt.Sprintf("drain host %d", host), func(ctx context.Context, r *Run) error {
+		marks := make([]int, r.Scenario.Size.Gateways)
+		for member := range marks {
+			marks[member] = r.Fleet.Gateway(member).Mark()
+		}
+		h := r.Fleet.Host(host)
+		r.Fleet.Agent.Push(h.Entry("leaving"))
+		return r.Fleet.Each(r.members(), func(g *fleet.Gateway) error {
+			_, err := g.WaitAfter(ctx, marks[g.Index], "event=host id="+h.ID+" ")
+			return err
+		})
+	}}
+}
+
+// Undrain is the step that tells all gateways that a host takes requests again.
+func Undrain(host int) Step {
+	return Step{fmt.Sprintf("host %d is back", host), func(_ context.Context, r *Run) error {
+		r.Fleet.Agent.Push(r.Fleet.Host(host).Entry("active"))
+		return nil
+	}}
+}
+
 // CutZone is the step that cuts gateways off from all publishers and all other gateways, and waits until each of those that
 // were connected has noticed.
 func CutZone(name string, members ...int) Step {
--- a/lab/rollout/steps.go
+++ b/lab/rollout/steps.go
@@ -16,7 +16,8 @@
 	planKept    = "kept"    // stays as it is
 	planLowered = "lowered" // its burst is lowered
 	planRemoved = "removed"
-	planAdded   = "added" // by a later version
+	planAdded   = "added"  // by a later version
+	planRaised  = "raised" // its burst and rate are raised
 )
 
 const (
@@ -26,6 +27,8 @@
 	loweredTo   = 3
 	beforeLower = 2 // requests of a customer before the burst is lowered
 	afterLower  = 6 // and after
+	lowBurst    = 2 // used up before it is raised
+	afterRaise  = 3 // requests of a customer after that
 )
 
 // firstVersion is the step that publishes the first version to a fleet that serves by its files.
@@ -39,6 +42,7 @@
 			planKept:    quotaPlan(unbounded, unbounded),
 			planLowered: quotaPlan(slowRate, highBurst),
 			planRemoved: quotaPlan(unbounded, unbounded),
+			planRaised:  quotaPlan(slowRate, lowBurst),
 		})
 		if err != nil {
 			return err
