--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,48 +1,48 @@
-// Package gateway is the interface of the decision module in package logic: what a round hands in, where
-// decisions are written, and the settings a gateway starts with. It decides nothing.
+// Package gateway is the interface of the policy in package logic: the events that it handles, the writer of its decisions, and its
+// settings. Times and durations are in nanoseconds.
 package gateway
 
-// Kind tells what an Event reports.
+// Kind is the kind of an Event.
 type Kind int
 
 const (
-	Arrived Kind = iota // a req came in
-	Ended               // a dispatch ended
-	Started             // a streamed answer began
-	Left                // the client of a req is gone
-	Listed              // news of the host list
-	Heard               // a message of another gateway
-	Probed              // a probe ended
-	Woke                // a wake-up fell due
-	Counted             // the shared counter answered a call, or did not
+	Arrived     Kind = iota // a request came in
+	Ended                   // an attempt ended
+	Started                 // a streamed answer began
+	Left                    // the client of a request is gone
+	HostsListed             // an update of the host list
+	Received                // a gossip message of another gateway
+	Probed                  // a probe ended
+	Tick                    // a timer set with Wake fired
+	Counted                 // a call of the shared counter ended
 )
 
-// Result tells how a dispatch, a probe or a call of the counter ended.
+// Result is how an attempt, a probe or a call of the counter ended.
 type Result int
 
 const (
-	Passed    Result = iota // answered well
+	Succeeded Result = iota // answered with success
 	Errored                 // the host answered with an error; it may have run
-	Busy                    // turned away unseen; it never ran
+	Busy                    // the host rejected it; it never ran
 	TimedOut                // no answer in time; it may have run
 	Unreached               // no connection; it never ran
 	Broken                  // the connection broke; it may have run
-	Canceled                // called off; it may have run
+	Canceled                // canceled by the gateway; it may have run
 	Skipped                 // never sent
-	Spoilt                  // the answer can't be made out; it may have run
+	Spoilt                  // the answer is malformed; it may have run
 )
 
-// NeverRan tells whether the result proves that the host did not run the req.
+// NeverRan reports whether the result proves that the host did not run the request.
 func (r Result) NeverRan() bool { return r == Busy || r == Unreached || r == Skipped }
 
-// List tells what a Listed event holds.
+// List is what a HostsListed event holds.
 type List int
 
 const (
-	Changes  List = iota // changed hosts only
-	Complete             // all hosts
-	Old                  // all hosts as this gateway last had them, perhaps long ago
-	Lost                 // asking for the list failed
+	Changes     List = iota // changed hosts only
+	Complete                // all hosts
+	Cached                  // all hosts as this gateway last received them, perhaps long ago
+	Unavailable             // a request for the list failed
 )
 
 // State is a host's state in the list.
@@ -66,66 +66,66 @@
 	Since      int64 // last start; 0 long ago
 }
 
-// Event is one thing that came in; Kind tells which fields hold.
+// Event is an event at a gateway. Which fields are set depends on Kind.
 type Event struct {
 	Kind     Kind
 	Req      string
 	Customer string
-	Frontend int
+	Class    int
 	Plan     int
-	Until    int64   // the client gives this try up then
-	Units    float64 // of the quota; on a passed Ended the settled units, 0 if unsettled
-	Spread   int     // the customer's reqs come in at this many gateways,
-	First    int     // from this one on, counted round
+	Until    int64   // deadline of the client
+	Units    float64 // of the quota; for an Ended with success the settled units, 0 if unsettled
+	Spread   int     // the customer's requests come in at this many gateways,
+	First    int     // from this member index on, cyclically
 	Again    bool    // marked by the client as a repeat
-	Closed   bool    // the req is over
+	Closed   bool    // the request is over
 	Host     uint32
 	Dispatch int
 	Result   Result
 	Lag      int64
-	Used     int       // 1 + the customer's metered use in percent; 0 none
-	Load     []float64 // as Report.Fields; nil none
+	Used     int       // 1 + the customer's metered use in percent; 0: not reported
+	Load     []float64 // as Report.Fields; nil: not reported
 	List     List
 	Hosts    []Listing
 	Peer     int
 	Body     []byte
-	Name     uint64  // of a Counted: the number's,
-	Total    float64 // and what it holds after the call; Result Passed only
+	Name     uint64  // for a Counted: name of the number
+	Total    float64 // for a Counted with success: the number after the call
 }
 
-// Round is all that came in at one gateway at one time, in order. Times are nanoseconds of the gateway's clock.
+// Round is a batch of the events at one gateway, in order. Now and the events' times are of the gateway's monotonic clock.
 type Round struct {
 	Now    int64
 	Events []Event
 }
 
-// Writer takes the decisions of a round. Each carries the req or host it concerns.
+// Writer receives the decisions on a batch of events.
 type Writer interface {
-	Dispatch(req string, host uint32, timeout int64) // timeout 0: until the client gives up
-	Cancel(req string, dispatch int)
-	Deny(req string, after int64) // final; a repeat is harmless, after this long
-	Abort(req string)             // final; promises nothing
-	Tell(peer int, body []byte)   // at most gossip.MaxMessageBytes
-	Probe(host uint32)
-	Wake(after int64)
-	Follow()          // asks for the list and its changes
-	Note(text string) // a line for the operators
-
-	// Count adds an amount, 0 or below 0 too, to a number that all gateways share; it ends in one Counted. One that
-	// is new starts at 0 and is forgotten after life.
+	Dispatch(req string, host uint32, timeout int64) // sends an attempt; timeout 0: until the deadline
+	Cancel(req string, dispatch int)                 // cancels an attempt
+	Reject(req string, after int64)                  // ends a request; the client may retry safely after so long
+	Fail(req string)                                 // ends a request, which may have run
+	Send(peer int, body []byte)                      // sends gossip, at most gossip.MaxMessageBytes
+	Probe(host uint32)                               // asks a host for its load
+	Wake(after int64)                                // sets the timer for a Tick
+	Follow()                                         // asks for the host list and its changes
+	Note(text string)                                // logs a line for the operators
+
+	// Count adds an amount, which may be 0 or negative, to a number that all gateways share. A Counted event follows. A new
+	// number starts at 0 and expires after life.
 	Count(name uint64, amount float64, life int64)
 }
 
-// Effect tells whether a frontend's reqs may run again.
+// Effect says whether the requests of a class may run more than once.
 type Effect int
 
 const (
-	Replayable Effect = iota
-	Uniqued           // repeats are dropped within the group, for a while
-	NonReplayable
+	Idempotent   Effect = iota
+	Deduplicated        // hosts of the group drop repeats within the window
+	NonIdempotent
 )
 
-// Group is the set of hosts that drop each other's repeats.
+// Group is the set of hosts that deduplicate requests together.
 type Group int
 
 const (
@@ -134,57 +134,57 @@
 	SameCell
 )
 
-// Frontend is one kind of req.
-type Frontend struct {
+// RequestClass is the settings of a class of requests.
+type RequestClass struct {
 	Effect  Effect
 	Group   Group
-	Window  int64 // uniqued: repeats are dropped this long after the first dispatch
-	Target  int64 // response target
-	Timeout int64 // client timeout, all tries together
+	Window  int64 // deduplicated: repeats are dropped for so long after the first attempt
+	Target  int64 // latency objective
+	Timeout int64 // client timeout, of all attempts together
 	Value   float64
-	Late    float64 // part of the value earned after the target
+	Late    float64 // part of the value that is earned after the latency objective
 	Stream  bool
 }
 
-// Plan is the quota of each customer on it, over all gateways together.
+// Plan is a quota plan: the quota of each customer on it, over all gateways together.
 type Plan struct {
 	ID                               uint32  // names the plan in gossip on all gateways alike; 0: named by its index
 	Rate, Burst                      float64 // units a second, units; rate 0: none
-	Open                             int     // dispatches out at once; 0: none
+	Open                             int     // attempts in flight at once; 0: no limit
 	CeilingRate, CeilingBurst, Slack float64 // hard ceiling; rate 0: none
 	Price, BeyondValue, BeyondCost   float64
 }
 
-// Seat is the gateway's place among its fellows.
-type Seat struct {
+// Membership is the gateway's place among the members of its fleet.
+type Membership struct {
 	Index, Count, Zone int
-	Messages           bool    // gateways may message each other
-	PerSecond          float64 // messages a gateway takes in
+	Messages           bool    // whether gateways exchange gossip
+	PerSecond          float64 // messages that a gateway can receive
 }
 
-// Limits are what the deployment allows.
+// Limits are the limits and features of the deployment.
 type Limits struct {
-	Dispatches    int  // for one req
-	Two           bool // of one req at once
+	Dispatches    int  // attempts for one request
+	Two           bool // whether two attempts of a request may be in flight
 	Cancel        bool
 	Probes        bool
 	RetryAfter    bool
-	LongestAdvice int64 // clients heed a retry-after up to this
-	MustAsk       bool  // the list comes only when asked for
+	LongestAdvice int64 // the longest retry-after that clients observe
+	MustAsk       bool  // the host list is sent only on request
 	Settles       bool  // units are settled by the answer
 	Counter       bool  // there is a shared counter
-	CounterWait   int64 // a call of it is given up after so long
+	CounterWait   int64 // timeout of its calls
 }
 
-// Cold are the figures for hosts that have just started.
+// Cold describes the slow start of hosts.
 type Cold struct {
-	From     float64 // part of its capacity a host starts with, at least
-	Warm     int64   // and is warm after this at the latest
-	Multiple float64 // sent more than this multiple of what it can do
-	Window   int64   // for so long, it falls over
+	From     float64 // part of its capacity that a host starts with, at least
+	Warm     int64   // time until it is warm, at most
+	Multiple float64 // a host that is sent more than this multiple of its capacity
+	Window   int64   // for so long fails
 }
 
-// Field names a figure of a load report.
+// Field is a field of a load report.
 type Field int
 
 const (
@@ -197,7 +197,7 @@
 	ErrorRate
 )
 
-// Report tells which load figures come, and how.
+// Report is the form of the load reports.
 type Report struct {
 	Fields  []Field
 	Answers bool // with answers; else with probes, if at all
--- a/gateway/update.go
+++ b/gateway/update.go
@@ -7,7 +7,7 @@
 	Plans   []PlanUpdate
 	Classes []ClassUpdate
 	Limits  *Limits // nil: unchanged
-	Members int     // gateways of the fleet from now on, Seat.Count; 0: unchanged
+	Members int     // gateways of the fleet from now on, Membership.Count; 0: unchanged
 }
 
 // PlanUpdate sets or removes the quota plan of an index. A removed plan admits nothing more.
@@ -20,5 +20,5 @@
 // ClassUpdate sets the request class of an index. One that is removed gets no more requests and needs no update.
 type ClassUpdate struct {
 	Index int
-	Class Frontend
+	Class RequestClass
 }
--- a/internal/clients/catalog.go
+++ b/internal/clients/catalog.go
@@ -172,9 +172,9 @@
 		return &RemovedError{"class"}
 	case plan.Removed:
 		return &RemovedError{"plan"}
-	case terms.ReadOnly != (class.Effect == gateway.Replayable):
+	case terms.ReadOnly != (class.Effect == gateway.Idempotent):
 		return fmt.Errorf("c: %s is not served by %s", class.Name, verb(terms.ReadOnly))
-	case class.Effect == gateway.Uniqued && !terms.Key:
+	case class.Effect == gateway.Deduplicated && !terms.Key:
 		return errNoKey
 	case plan.MaxUnits > 0 && terms.Units > plan.MaxUnits:
 		return fmt.Errorf("units: %g are more than %s ever grants", terms.Units, plan.Name)
--- a/internal/clients/catalog_test.go
+++ b/internal/clients/catalog_test.go
@@ -27,7 +27,7 @@
 		{},
 		{Plans: []PlanEdit{{Index: 0, Name: "basic", Removed: true}, {Index: 2, Name: "gold", MaxUnits: 3}}, Members: 4},
 		{Plans: []PlanEdit{{Index: 0, Name: "basic", MaxUnits: 9}, {Index: 2, Name: "gold"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true},
-			{Index: 2, Name: "pay", Effect: gateway.NonReplayable}}},
+			{Index: 2, Name: "pay", Effect: gateway.NonIdempotent}}},
 		{Members: 2},
 	} {
 		c.Apply(edit)
@@ -71,7 +71,7 @@
 	}{
 		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team", Removed: true}}}, "-ERR plan: removed"},
 		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team", MaxUnits: 1}}}, "-ERR units: 2 are more than team ever grants"},
-		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Effect: gateway.Uniqued}}},
+		{Edit{Plans: []PlanEdit{{Index: 1, Name: "team"}}, Classes: []ClassEdit{{Index: 0, Name: "lookup", Effect: gateway.Deduplicated}}},
 			"-ERR c: lookup is not served by CALL.GET"},
 		{Edit{Classes: []ClassEdit{{Index: 0, Name: "lookup", Removed: true}}}, "-ERR class: removed"},
 	} {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -11,7 +11,7 @@
 	"ravensill/internal/ring"
 )
 
-var startCatalog = CatalogConfig{Classes: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Replayable, gateway.Uniqued},
+var startCatalog = CatalogConfig{Classes: []string{"lookup", "order"}, Plans: []string{"basic", "team"}, Effects: []gateway.Effect{gateway.Idempotent, gateway.Deduplicated},
 	MaxUnits: []float64{8, 8}, Members: 3, Own: 1}
 
 // book writes down what commands say.
--- a/internal/config/class.go
+++ b/internal/config/class.go
@@ -12,11 +12,11 @@
 // DecodeRequestClass reads one request class from its own JSON object, by the same code as the list of a whole
 // configuration. path is its place among the settings, such as "profiles.3"; errors and adjustments name keys by it.
 // limits are those in force: of a class that must never run twice, parallel tries are taken out of them.
-func DecodeRequestClass(path, raw string, limits *gateway.Limits) (class gateway.Frontend, name string,
+func DecodeRequestClass(path, raw string, limits *gateway.Limits) (class gateway.RequestClass, name string,
 	adjusted []Adjustment, err error) {
 	item, err := newSettings(path, raw)
 	if err != nil {
-		return gateway.Frontend{}, "", nil, err
+		return gateway.RequestClass{}, "", nil, err
 	}
 	class, name = item.requestClass()
 	adjusted = item.shapeClass(&class, limits)
@@ -27,9 +27,9 @@
 }
 
 // requestClass reads the object as one request class, by its letter.
-func (s *settings) requestClass() (class gateway.Frontend, name string) {
+func (s *settings) requestClass() (class gateway.RequestClass, name string) {
 	name = s.text("name")
-	class = gateway.Frontend{
+	class = gateway.RequestClass{
 		Effect:  gateway.Effect(s.word("effect", "safe", "keyed", "unsafe")),
 		Group:   gateway.Group(s.word("group", "all", "zone", "cell")),
 		Window:  s.time("window_us"),
@@ -43,19 +43,19 @@
 }
 
 // shapeClass gives keys of a request class that contradict each other, or the limits, their one meaning.
-func (s *settings) shapeClass(class *gateway.Frontend, limits *gateway.Limits) (adjusted []Adjustment) {
+func (s *settings) shapeClass(class *gateway.RequestClass, limits *gateway.Limits) (adjusted []Adjustment) {
 	adjust := func(key, meaning string, args ...any) {
 		adjusted = append(adjusted, adjustment(key, meaning, args...))
 	}
-	if limits.Two && class.Effect == gateway.NonReplayable {
+	if limits.Two && class.Effect == gateway.NonIdempotent {
 		adjust("limits.parallel_tries", "as false: %seffect is unsafe", s.prefix)
 		limits.Two = false
 	}
-	if class.Effect == gateway.Uniqued && class.Window == 0 { // no host drops a repeat
+	if class.Effect == gateway.Deduplicated && class.Window == 0 { // no host drops a repeat
 		if s.get("window_us").Exists() {
 			adjust(s.prefix+"window_us", "0 is no window: as unsafe, what may have run is never sent again")
 		}
-		class.Effect = gateway.NonReplayable
+		class.Effect = gateway.NonIdempotent
 	}
 	if class.Late > 1 {
 		adjust(s.prefix+"late_worth", "as 1: a late answer earns no more than one in time")
@@ -76,7 +76,7 @@
 }
 
 // checkClass looks for what a gateway on sockets can't do without.
-func checkClass(name string, class gateway.Frontend) error {
+func checkClass(name string, class gateway.RequestClass) error {
 	if name == "" || class.Timeout <= 0 {
 		return errBareClass
 	}
--- a/internal/config/live.go
+++ b/internal/config/live.go
@@ -47,7 +47,7 @@
 // A Live belongs to one goroutine. Apply and Check cost what they change, except for a whole document.
 type Live struct {
 	plans           table[gateway.Plan]
-	classes         table[gateway.Frontend]
+	classes         table[gateway.RequestClass]
 	identities      map[uint32]string // names of quota plans by identity, removed ones too
 	members         members
 	limits          gateway.Limits // in force
@@ -120,7 +120,7 @@
 type ClassChange struct {
 	Name    string
 	Index   int
-	Class   gateway.Frontend // as it was last, where it is removed
+	Class   gateway.RequestClass // as it was last, where it is removed
 	Removed bool
 }
 
@@ -149,7 +149,7 @@
 // liveEdit is a change of all parts that is checked but not yet in force.
 type liveEdit struct {
 	plans      tableEdit[gateway.Plan]
-	classes    tableEdit[gateway.Frontend]
+	classes    tableEdit[gateway.RequestClass]
 	identities map[uint32]string // of new quota plans
 	members    memberEdit
 	limits     gateway.Limits // as given
@@ -268,12 +268,12 @@
 
 // unsafeChange tells by how many an edit that is not yet in force changes the number of request classes that must never
 // run twice.
-func (l *Live) unsafeChange(edit *tableEdit[gateway.Frontend]) (change int) {
+func (l *Live) unsafeChange(edit *tableEdit[gateway.RequestClass]) (change int) {
 	for _, staged := range edit.entries {
-		if staged.had && l.classes.entries[staged.index].value.Effect == gateway.NonReplayable {
+		if staged.had && l.classes.entries[staged.index].value.Effect == gateway.NonIdempotent {
 			change--
 		}
-		if !staged.removed && staged.value.Effect == gateway.NonReplayable {
+		if !staged.removed && staged.value.Effect == gateway.NonIdempotent {
 			change++
 		}
 	}
--- a/internal/config/live_test.go
+++ b/internal/config/live_test.go
@@ -352,7 +352,7 @@
 }
 
 func BenchmarkRestore(b *testing.B) {
-	base := &Config{Settings: &Settings{Seat: gateway.Seat{Count: 1}}}
+	base := &Config{Settings: &Settings{Seat: gateway.Membership{Count: 1}}}
 	changes := changesOf(`classes/lookup {"hard_limit_us":2500}`)
 	for i := range 54_000 {
 		changes = append(changes, changesOf(fmt.Sprintf(`plans/tenant-%d {"rate":2,"burst":4}`, i))...)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -126,8 +126,8 @@
 
 // Settings is what a deployment tells each of its gateways, on every wire.
 type Settings struct {
-	Seat   gateway.Seat
-	Fronts []gateway.Frontend
+	Seat   gateway.Membership
+	Fronts []gateway.RequestClass
 	Plans  []gateway.Plan
 	Limits gateway.Limits
 	Cold   gateway.Cold
@@ -163,7 +163,7 @@
 		d.PlanNames = append(d.PlanNames, name)
 		ofPlans = append(ofPlans, adjusted...)
 	})
-	d.Seat = gateway.Seat{
+	d.Seat = gateway.Membership{
 		Index: s.whole("position"), Count: s.whole("balancers"), Zone: s.whole("locality"),
 		Messages: s.yes("limits.peer_messages"), PerSecond: s.num("family_info.mail_per_s"),
 	}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -257,7 +257,7 @@
 	case kind == '-': // not executed
 		c.finish(call, gateway.Busy, 0)
 	case kind == '$':
-		c.finish(call, gateway.Passed, total)
+		c.finish(call, gateway.Succeeded, total)
 	default:
 		c.closeLink(link, errNotANumber.Error())
 		return
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -89,14 +89,14 @@
 		t.Errorf("sent %q, want %q", sent, want)
 	}
 	c.reply("$1\r\n3\r\n:1\r\n-OOM command not allowed\r\n:0\r\n")
-	c.expect(fmt.Sprint("7 ", int(gateway.Passed), " 3"), fmt.Sprint("8 ", int(gateway.Busy), " 0"))
+	c.expect(fmt.Sprint("7 ", int(gateway.Succeeded), " 3"), fmt.Sprint("8 ", int(gateway.Busy), " 0"))
 	c.counter.Count(9, 1, 1)
 	c.now += 60 * ms
 	c.counter.Expire(c.now)
 	c.expect(fmt.Sprint("9 ", int(gateway.TimedOut), " 0"))
 	c.counter.Count(10, 1, 1)
 	c.reply("$1\r\n1\r\n:1\r\n$1\r\n2\r\n:1\r\n") // late, and then in time
-	c.expect(fmt.Sprint("10 ", int(gateway.Passed), " 2"))
+	c.expect(fmt.Sprint("10 ", int(gateway.Succeeded), " 2"))
 }
 
 // TestLost checks that each call in flight is answered once, whatever ends the connection, and that later calls end at once.
--- a/internal/discovery/pace_test.go
+++ b/internal/discovery/pace_test.go
@@ -33,12 +33,12 @@
 func rest(losses int, took time.Duration) (longest time.Duration) {
 	for seed := range uint64(200) {
 		m := &module{}
-		g := logic.New(seed, gateway.Seat{Count: 1}, []gateway.Frontend{{Target: 1, Timeout: 1}}, []gateway.Plan{{}},
+		g := logic.New(seed, gateway.Membership{Count: 1}, []gateway.RequestClass{{Target: 1, Timeout: 1}}, []gateway.Plan{{}},
 			gateway.Limits{MustAsk: true}, gateway.Cold{}, gateway.Report{})
 		now := int64(1e9)
 		wake := func() {
 			now += m.wake
-			g.Round(&gateway.Round{Now: now, Events: []gateway.Event{{Kind: gateway.Woke}}}, m)
+			g.Round(&gateway.Round{Now: now, Events: []gateway.Event{{Kind: gateway.Tick}}}, m)
 		}
 		g.Round(&gateway.Round{Now: now}, m)
 		for i := range losses {
@@ -47,7 +47,7 @@
 			}
 			now++
 			lost := now
-			g.Round(&gateway.Round{Now: now, Events: []gateway.Event{{Kind: gateway.Listed, List: gateway.Lost}}}, m)
+			g.Round(&gateway.Round{Now: now, Events: []gateway.Event{{Kind: gateway.HostsListed, List: gateway.Unavailable}}}, m)
 			for m.asked = false; !m.asked; {
 				wake()
 			}
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -274,7 +274,7 @@
 		c.fail(errUnexpectedAnswer)
 		return
 	}
-	if a.event.Result == gateway.Passed && (a.value == nil) != attempt.probe {
+	if a.event.Result == gateway.Succeeded && (a.value == nil) != attempt.probe {
 		c.fail(fmt.Errorf("%w: %w", errInvalidAnswer, errMalformed))
 		return
 	}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -68,7 +68,7 @@
 func (n *Node) applyClasses(changes []config.ClassChange) {
 	for _, change := range changes {
 		if change.Index == len(n.classes) {
-			n.classes = append(n.classes, gateway.Frontend{})
+			n.classes = append(n.classes, gateway.RequestClass{})
 		}
 		n.classes[change.Index] = change.Class
 		n.pool.addClass(change.Index, change.Name)
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -278,7 +278,7 @@
 	for _, e := range in.Events {
 		if e.Kind == gateway.Arrived {
 			o.told <- e.Req
-			out.Deny(e.Req, 0)
+			out.Reject(e.Req, 0)
 		}
 	}
 }
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -50,7 +50,7 @@
 	}()
 	cfg := &config.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: "127.0.0.1:1", Sockets: 100,
 		Known: fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","state":"active","weight":1}]}`, r.at),
-		Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}}, FrontNames: []string{"lookup"},
+		Settings: &config.Settings{Seat: gateway.Membership{Count: 1}, Fronts: []gateway.RequestClass{{}}, FrontNames: []string{"lookup"},
 			Plans: []gateway.Plan{{}}, PlanNames: []string{"team"}, ConnectTimeout: 20e9, Limits: gateway.Limits{MustAsk: true}}}
 	r.Node = New(cfg, r)
 
@@ -99,7 +99,7 @@
 func (r *rig) Round(in *gateway.Round, out gateway.Writer) {
 	for _, e := range in.Events {
 		switch e.Kind {
-		case gateway.Listed:
+		case gateway.HostsListed:
 			for _, l := range e.Hosts {
 				r.told <- "told of " + l.State.String()
 				r.host, r.runs = l.Host, l.State == gateway.Running
@@ -114,8 +114,8 @@
 			switch {
 			case e.Result.NeverRan() && e.Dispatch == 0 && r.runs: // also where its client left: the module may not know yet
 				out.Dispatch(e.Req, r.host, 0)
-			case e.Result != gateway.Passed:
-				out.Deny(e.Req, 0)
+			case e.Result != gateway.Succeeded:
+				out.Reject(e.Req, 0)
 			}
 		}
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -126,7 +126,7 @@
 	}
 	n.lost = true
 	if n.cfg.Limits.MustAsk {
-		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: gateway.Unavailable})
 		return
 	}
 	time.AfterFunc(discovery.Again, func() {
@@ -155,7 +155,7 @@
 		log.Printf("event=list_older version=%d had=%d", n.book.Version, had)
 	}
 	if old {
-		kind = gateway.Old
+		kind = gateway.Cached
 	}
 	n.witness.listed(list)
 	for _, l := range list {
@@ -170,5 +170,5 @@
 			n.book.Forget(l.Host)
 		}
 	}
-	n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
+	n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: kind, Hosts: list})
 }
--- a/internal/node/left_test.go
+++ b/internal/node/left_test.go
@@ -50,7 +50,7 @@
 	}
 	defer l.Close()
 	m := &eager{}
-	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
+	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Membership{Count: 1}, Fronts: []gateway.RequestClass{{}},
 		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
 	n.transport.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 	arrive := func(id string) *clients.Answer {
@@ -132,9 +132,9 @@
 	}
 	defer l.Close()
 	m := &eager{}
-	for _, effect := range []gateway.Effect{gateway.Replayable, gateway.Uniqued} {
-		n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1},
-			Fronts: []gateway.Frontend{{Effect: effect, Window: 1}}, Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
+	for _, effect := range []gateway.Effect{gateway.Idempotent, gateway.Deduplicated} {
+		n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Membership{Count: 1},
+			Fronts: []gateway.RequestClass{{Effect: effect, Window: 1}}, Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
 		n.transport.SetAddress(1, netip.MustParseAddrPort(l.Addr().String()))
 		n.arrive(new(clients.Line).Add(), n.now(), "r", "c", 0, 0, n.now()+1e12, 1, 1, 0, false, nil, nil, nil, nil)
 		n.turn()
@@ -157,7 +157,7 @@
 	log.SetOutput(io.Discard)
 	defer log.SetOutput(os.Stderr)
 	m := &eager{}
-	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}},
+	n := New(&config.Config{Sockets: 100, Settings: &config.Settings{Seat: gateway.Membership{Count: 1}, Fronts: []gateway.RequestClass{{}},
 		Plans: []gateway.Plan{{}}, ConnectTimeout: 1e9}}, m)
 	n.transport.SetAddress(1, netip.MustParseAddrPort("127.0.0.1:1"))
 	arrive := func(id string) *clients.Answer {
@@ -168,7 +168,7 @@
 	arrive("answered")
 	n.step()
 	d := n.reqs["answered"].sends[0]
-	n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.Passed}, []byte("v"), n.now()) })
+	n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.Succeeded}, []byte("v"), n.now()) })
 	n.step()
 	fleet := n.transport
 	n.transport = nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 	wakeAt        int64 // 0: no wake-up is due
 	dueAt         int64 // when the first dispatch of open times out at the earliest
 	open          []*dispatch
-	classes       []gateway.Frontend // request classes by index, as they are in force
+	classes       []gateway.RequestClass // request classes by index, as they are in force
 	catalog       *clients.Catalog
 	clients       *clients.Server
 	transport     *hosts.Transport
@@ -180,7 +180,7 @@
 		n.listed(n.cfg.Known, true)
 		n.cfg.Known = "" // what it told is in the book, and the file's text need not be kept
 	} else {
-		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
+		n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: gateway.Cached})
 	}
 	n.step() // the first round
 	for _, start := range n.tasks {
@@ -188,7 +188,7 @@
 	}
 	if n.peerTransport != nil {
 		go n.peerTransport.Listen(func(member int, body []byte) {
-			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: member, Body: body}) })
+			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Received, Peer: member, Body: body}) })
 		}, func() { n.do(func() { n.strange++ }) })
 	}
 	n.start()
@@ -251,7 +251,7 @@
 			log.Printf("event=datagrams_dropped count=%d", n.strange)
 			n.strange, n.lineAt = 0, now
 		}
-		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
+		n.events = append(n.events, gateway.Event{Kind: gateway.Tick})
 		if t, ok := n.module.(Tallier); ok && now-n.tallyAt >= tallyEach {
 			n.tallyAt = now
 			log.Printf("event=decisions %s", t.Tally())
@@ -298,7 +298,7 @@
 				n.Wake(int64(retry))
 				for _, e := range n.round.Events {
 					if r := n.reqs[e.Req]; r != nil && r.out == 0 {
-						n.Abort(e.Req)
+						n.Fail(e.Req)
 					}
 				}
 				panic(p)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,12 +28,12 @@
 			case 'f':
 				panic("fault")
 			case 'b':
-				out.Deny("none such", 0)
+				out.Reject("none such", 0)
 				out.Dispatch("none such", 1, 0)
 				out.Cancel(e.Req, 7)
 			}
-			out.Deny(e.Req, 0)
-			out.Abort(e.Req) // too late: each req gets one answer
+			out.Reject(e.Req, 0)
+			out.Fail(e.Req) // too late: each req gets one answer
 		}
 	}
 }
@@ -44,7 +44,7 @@
 	log.SetOutput(w)
 	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	cfg := &config.Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: "127.0.0.1:1", Sockets: 100,
-		Settings: &config.Settings{Seat: gateway.Seat{Count: 1}, Fronts: []gateway.Frontend{{}}, FrontNames: []string{"lookup"},
+		Settings: &config.Settings{Seat: gateway.Membership{Count: 1}, Fronts: []gateway.RequestClass{{}}, FrontNames: []string{"lookup"},
 			Plans: []gateway.Plan{{}}, PlanNames: []string{"team"}, ConnectTimeout: 1e9}}
 	call, over := make(chan struct{}), make(chan error, 1)
 	n := New(cfg, m)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -14,8 +14,8 @@
 	node                      *Node
 	id                        string
 	answer                    *clients.Answer
-	front                     int              // frontend
-	class                     gateway.Frontend // the same, as it was when the request arrived
+	front                     int                  // frontend
+	class                     gateway.RequestClass // the same, as it was when the request arrived
 	until                     int64
 	head, before, after, tail []byte
 	sends                     []*dispatch // by their numbers
@@ -71,7 +71,7 @@
 		after: after, tail: tail, round: n.rounds, event: len(n.events)}
 	n.reqs[id] = r
 	a.Left = r.left
-	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Frontend: front,
+	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Class: front,
 		Plan: plan, Until: until, Units: units, Spread: spread, First: first, Again: again})
 }
 
@@ -145,7 +145,7 @@
 	}
 	n.pool.setUrgency(r)
 	by := d.due
-	if r.ranAt > 0 && r.class.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
+	if r.ranAt > 0 && r.class.Effect == gateway.Deduplicated { // hosts drop a repeat for so long: a connection may come up later
 		by = min(by, r.ranAt+r.class.Window)
 	}
 	d.send = n.transport.Send(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
@@ -194,7 +194,7 @@
 		n.events = append(n.events, e)
 	}()
 	n.pool.rejectThrottled(r)
-	if e.Result == gateway.Passed && !r.closed {
+	if e.Result == gateway.Succeeded && !r.closed {
 		r.closed = true
 		r.answer.Passed(value)
 	}
@@ -207,21 +207,21 @@
 	}
 }
 
-func (n *Node) Deny(id string, after int64) {
+func (n *Node) Reject(id string, after int64) {
 	if r := n.reqs[id]; r != nil && !r.closed {
 		r.answer.Denied(after)
 		r.close()
 	}
 }
 
-func (n *Node) Abort(id string) {
+func (n *Node) Fail(id string) {
 	if r := n.reqs[id]; r != nil && !r.closed {
 		r.answer.Aborted("aborted")
 		r.close()
 	}
 }
 
-func (n *Node) Tell(peer int, body []byte) {
+func (n *Node) Send(peer int, body []byte) {
 	if n.peerTransport != nil {
 		n.peerTransport.Send(peer, body)
 	}
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -107,7 +107,7 @@
 	switch e.Latency = lag; result {
 	case gateway.Skipped:
 		return
-	case gateway.Passed:
+	case gateway.Succeeded:
 	case gateway.TimedOut, gateway.Canceled:
 		e.End = counterfactual.Censored
 	default:
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -25,7 +25,7 @@
 }
 
 // Start begins a gateway that knows nothing but its settings.
-type Start func(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
+type Start func(seed uint64, seat gateway.Membership, fronts []gateway.RequestClass, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) Decider
 
 // instance is one hosted gateway; round is nil while it has no event in the batch.
@@ -142,7 +142,7 @@
 		return f.end()
 	case "ARRIVAL":
 		e.Kind, e.Req = gateway.Arrived, f.text("xid")
-		e.Frontend, e.Plan = f.whole("type", seat.fronts-1), f.whole("grade_of_service", seat.plans-1)
+		e.Class, e.Plan = f.whole("type", seat.fronts-1), f.whole("grade_of_service", seat.plans-1)
 		e.Customer, e.Until, e.Units = f.text("account"), f.time("deadline_us"), f.decimal("weight")
 		e.Spread, e.First = f.whole("n_entries", seat.seats), f.whole("first", seat.seats-1)
 		e.Again = f.whole("bits", math.MaxInt32)&2 != 0
@@ -158,27 +158,27 @@
 	case "CLIENT_GONE":
 		e.Kind, e.Req = gateway.Left, f.text("xid")
 	case "FROM_PEER":
-		e.Kind, e.Peer, e.Body = gateway.Heard, f.whole("sender", seat.seats-1), f.bytes("contents")
+		e.Kind, e.Peer, e.Body = gateway.Received, f.whole("sender", seat.seats-1), f.bytes("contents")
 	case "ECHO":
 		e.Kind, e.Host = gateway.Probed, uint32(f.whole("host", math.MaxUint32))
 		e.Lag, e.Result, e.Load = f.time("lag_us"), f.result("disposition"), f.row("pressure")
 	case "TIMER":
 		f.number("nonce")
-		e.Kind = gateway.Woke
+		e.Kind = gateway.Tick
 	case "COUNTER_REPLY":
 		e.Kind, e.Result, e.Name = gateway.Counted, f.result("disposition"), f.number("name")
 		e.Total, e.Lag = f.signed("total"), f.time("lag_us")
 	case "ANNOUNCE":
-		e.Kind = gateway.Listed
+		e.Kind = gateway.HostsListed
 		e.List = gateway.List(f.choice("kind", "incr", "total", "warm_copy", "lost"))
 		sheet := f.text("sheet")
 		f.text("gen")
 		if n, err := strconv.Atoi(sheet); err == nil && n >= 0 && n < len(h.sheets) {
 			e.Hosts = h.sheets[n]
-		} else if e.List != gateway.Lost {
+		} else if e.List != gateway.Unavailable {
 			return fmt.Errorf("ANNOUNCE: sheet: %.40q is no list number", sheet)
 		}
-		if e.List == gateway.Lost {
+		if e.List == gateway.Unavailable {
 			e.Hosts = nil
 		}
 		if seat.even { // a sheet is every instance's
@@ -274,8 +274,8 @@
 	w.line("PLACE %s %d %d", req, host, timeout/us)
 }
 func (w *writer) Cancel(req string, dispatch int) { w.line("CANCEL %s %d", req, dispatch) }
-func (w *writer) Deny(req string, after int64)    { w.line("BOUNCE %s %d", req, after/us) }
-func (w *writer) Abort(req string)                { w.line("GIVE_UP %s", req) }
+func (w *writer) Reject(req string, after int64)  { w.line("BOUNCE %s %d", req, after/us) }
+func (w *writer) Fail(req string)                 { w.line("GIVE_UP %s", req) }
 func (w *writer) Probe(host uint32)               { w.line("TEST %d", host) }
 func (w *writer) Wake(after int64)                { w.line("SCHEDULE %d 0", after/us) }
 func (w *writer) Follow()                         { w.line("WATCH 1") }
@@ -283,6 +283,6 @@
 	w.line("INCR %d %s %d", life/us, strconv.FormatFloat(amount, 'g', -1, 64), name)
 }
 func (w *writer) Note(text string) { w.line("NOTE_DOWN %s", text) }
-func (w *writer) Tell(peer int, body []byte) {
+func (w *writer) Send(peer int, body []byte) {
 	w.line("PUBLISH %d %s", peer, base64.StdEncoding.EncodeToString(body))
 }
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -24,22 +24,22 @@
 			out.Dispatch(e.Req, 7, 80_000_000)
 			out.Wake(500_000_000)
 		case gateway.Ended:
-			out.Deny(e.Req, 250_000_000)
-			out.Abort(e.Req)
+			out.Reject(e.Req, 250_000_000)
+			out.Fail(e.Req)
 			out.Cancel(e.Req, e.Dispatch)
-		case gateway.Listed:
+		case gateway.HostsListed:
 			out.Follow()
 			out.Probe(e.Hosts[0].Host)
 			out.Note("two hosts known")
-		case gateway.Heard:
-			out.Tell(e.Peer, e.Body)
+		case gateway.Received:
+			out.Send(e.Peer, e.Body)
 		}
 	}
 }
 
 func serve(in string, said *strings.Builder) (string, error) {
 	var out strings.Builder
-	err := Serve(strings.NewReader(in), &out, func(seed uint64, seat gateway.Seat, fronts []gateway.Frontend,
+	err := Serve(strings.NewReader(in), &out, func(seed uint64, seat gateway.Membership, fronts []gateway.RequestClass,
 		plans []gateway.Plan, limits gateway.Limits, cold gateway.Cold, report gateway.Report) Decider {
 		fmt.Fprintf(said, "start %d %+v\n%+v\n%+v\n%+v\n%+v\n%+v\n", seed, seat, fronts, plans, limits, cold, report)
 		return echo{said}
--- a/lab/coldsim/coldsim.go
+++ b/lab/coldsim/coldsim.go
@@ -59,7 +59,7 @@
 
 type event struct {
 	gw      int
-	e       gateway.Event // Ended, Woke, Heard, Listed; none is an arrival
+	e       gateway.Event // Ended, Tick, Received, HostsListed; none is an arrival
 	arrival bool
 }
 
@@ -105,17 +105,17 @@
 		}
 		return list
 	}
-	fronts := []gateway.Frontend{{Target: int64(time.Second), Timeout: int64(3 * time.Second), Value: 1}}
+	fronts := []gateway.RequestClass{{Target: int64(time.Second), Timeout: int64(3 * time.Second), Value: 1}}
 	plans := []gateway.Plan{{Rate: 1e9, Burst: 1e9, Price: 1}}
 	for i := range c.Gateways {
-		s.gws = append(s.gws, logic.New(s.rnd.Uint64(), gateway.Seat{Index: i, Count: c.Gateways, Messages: c.Gossip, PerSecond: perSec},
+		s.gws = append(s.gws, logic.New(s.rnd.Uint64(), gateway.Membership{Index: i, Count: c.Gateways, Messages: c.Gossip, PerSecond: perSec},
 			fronts, plans, gateway.Limits{Dispatches: 2}, c.Settings, gateway.Report{}))
-		s.round(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list(0)})
+		s.round(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete, Hosts: list(0)})
 	}
 	s.arrival()
 	for i := range s.gws {
 		at := s.since + int64(s.rnd.Float64()*float64(c.Apart))
-		s.q.Add(at, event{gw: i, e: gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]}})
+		s.q.Add(at, event{gw: i, e: gateway.Event{Kind: gateway.HostsListed, List: gateway.Changes, Hosts: list(s.since)[:c.Cold]}})
 	}
 	for end := s.since + int64(c.Length); s.q.Len() > 0; {
 		at, e := s.q.Next()
@@ -126,7 +126,7 @@
 			s.arrive()
 			s.arrival()
 		} else {
-			s.told[e.gw] = s.told[e.gw] || e.e.Kind == gateway.Listed
+			s.told[e.gw] = s.told[e.gw] || e.e.Kind == gateway.HostsListed
 			s.round(e.gw, e.e)
 		}
 	}
@@ -185,7 +185,7 @@
 			s.sent[host] = append(s.sent[host], call{s.now, s.told[s.turn]})
 		}
 	}
-	e.Lag, e.Closed = int64(lag), e.Result == gateway.Passed
+	e.Lag, e.Closed = int64(lag), e.Result == gateway.Succeeded
 	s.q.Add(s.now+int64(lag), event{gw: s.turn, e: e})
 }
 
@@ -194,19 +194,19 @@
 	return one != other && s.now >= s.since && s.now-s.since < int64(s.Cut)
 }
 
-func (s *sim) Tell(peer int, body []byte) {
+func (s *sim) Send(peer int, body []byte) {
 	if !s.cut(s.turn%3 == 0, peer%3 == 0) {
-		s.q.Add(s.now+int64(gossipDelay), event{gw: peer, e: gateway.Event{Kind: gateway.Heard, Peer: s.turn, Body: bytes.Clone(body)}})
+		s.q.Add(s.now+int64(gossipDelay), event{gw: peer, e: gateway.Event{Kind: gateway.Received, Peer: s.turn, Body: bytes.Clone(body)}})
 	}
 }
 
 func (s *sim) Wake(after int64) {
-	s.q.Add(s.now+max(after, int64(beat)), event{gw: s.turn, e: gateway.Event{Kind: gateway.Woke}})
+	s.q.Add(s.now+max(after, int64(beat)), event{gw: s.turn, e: gateway.Event{Kind: gateway.Tick}})
 }
 
 func (s *sim) Cancel(string, int)           {}
-func (s *sim) Deny(string, int64)           {}
-func (s *sim) Abort(string)                 {}
+func (s *sim) Reject(string, int64)         {}
+func (s *sim) Fail(string)                  {}
 func (s *sim) Probe(uint32)                 {}
 func (s *sim) Follow()                      {}
 func (s *sim) Note(string)                  {}
--- a/lab/fleetsim/sim.go
+++ b/lab/fleetsim/sim.go
@@ -78,8 +78,8 @@
 // addGateways adds the gateways, each with the host list.
 func (s *simulation) addGateways(list []gateway.Listing) {
 	config := &s.config
-	classes := []gateway.Frontend{{
-		Effect:  gateway.Replayable,
+	classes := []gateway.RequestClass{{
+		Effect:  gateway.Idempotent,
 		Target:  int64(config.Objective),
 		Timeout: int64(config.Deadline),
 		Value:   1,
@@ -89,7 +89,7 @@
 	warmUp := gateway.Cold{From: 0.3, Warm: 15 * second, Multiple: 3, Window: 3 * second}
 	loadReport := gateway.Report{Fields: []gateway.Field{gateway.BusyShare}, Answers: true}
 	for i := range config.Gateways {
-		member := gateway.Seat{
+		member := gateway.Membership{
 			Index:     i,
 			Count:     config.Gateways,
 			Messages:  config.GossipPerSecond > 0 && config.Gateways > 1,
@@ -97,7 +97,7 @@
 		}
 		module := logic.New(s.random.Uint64(), member, classes, s.plans, limits, warmUp, loadReport)
 		s.gateways = append(s.gateways, &gatewayModel{module: module, hostsUsed: map[int]bool{}})
-		s.runBatch(i, gateway.Event{Kind: gateway.Listed, List: gateway.Old, Hosts: list})
+		s.runBatch(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Cached, Hosts: list})
 	}
 }
 
@@ -177,7 +177,7 @@
 		return
 	}
 	g.timerAt = 0
-	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Woke})
+	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Tick})
 }
 
 // gossipArrives delivers a message, unless the receiver has had too many within the last second.
@@ -195,7 +195,7 @@
 	g.inbox = append(g.inbox, s.now)
 	s.report.Messages++
 	s.report.MessageBytes += len(e.body)
-	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Heard, Peer: e.sender, Body: e.body})
+	s.runBatch(e.gateway, gateway.Event{Kind: gateway.Received, Peer: e.sender, Body: e.body})
 }
 
 // attemptArrives serves an attempt at a host, queues it, or turns it away if the queue is full.
@@ -226,7 +226,7 @@
 		}
 	}
 	if a != nil && !a.ended {
-		s.endAttempt(a, gateway.Passed, float64(h.inService)/float64(s.config.Slots))
+		s.endAttempt(a, gateway.Succeeded, float64(h.inService)/float64(s.config.Slots))
 	}
 }
 
@@ -248,7 +248,7 @@
 	a.ended = true
 	r := a.request
 	r.customer.inFlight--
-	if result == gateway.Passed && !r.answered {
+	if result == gateway.Succeeded && !r.answered {
 		r.answered = true
 		s.report.Succeeded++
 		if s.now-r.arrived > int64(s.config.Objective) {
--- a/lab/fleetsim/writer.go
+++ b/lab/fleetsim/writer.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// Deny rejects a request, which its client may retry after the time that it is told.
-func (w writer) Deny(id string, after int64) {
+// Reject rejects a request, which its client may retry after the time that it is told.
+func (w writer) Reject(id string, after int64) {
 	s := w.sim
 	r := s.requests[id]
 	if r == nil || r.answered {
@@ -63,15 +63,15 @@
 	}
 }
 
-// Abort fails a request.
-func (w writer) Abort(id string) {
+// Fail fails a request.
+func (w writer) Fail(id string) {
 	if r := w.sim.requests[id]; r != nil {
 		r.answered = true
 	}
 }
 
-// Tell sends a message to a peer.
-func (w writer) Tell(peer int, body []byte) {
+// Send sends a message to a peer.
+func (w writer) Send(peer int, body []byte) {
 	s := w.sim
 	if peer < 0 || peer >= len(s.gateways) || s.random.Float64() < s.config.GossipLoss {
 		s.report.Dropped++
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if cached {
-		kind = gateway.Old
+		kind = gateway.Cached
 	}
 	for _, listing := range listings {
 		switch listing.State {
@@ -123,7 +123,7 @@
 			h.book.Forget(listing.Host)
 		}
 	}
-	h.lists = append(h.lists, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: listings})
+	h.lists = append(h.lists, gateway.Event{Kind: gateway.HostsListed, List: kind, Hosts: listings})
 }
 
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
@@ -138,14 +138,14 @@
 	}
 	h.MessagesIn++
 	h.BytesIn += len(body)
-	h.events = append(h.events, gateway.Event{Kind: gateway.Heard, Peer: peer, Body: body})
+	h.events = append(h.events, gateway.Event{Kind: gateway.Received, Peer: peer, Body: body})
 }
 
 // Request takes in a request of a simulated client.
 func (h *Hollow) Request(request Request) {
 	h.attempts[request.ID] = 0
 	h.events = append(h.events, gateway.Event{Kind: gateway.Arrived, Req: request.ID, Customer: request.Customer,
-		Frontend: request.Class, Plan: request.Plan, Until: request.Deadline, Units: 1,
+		Class: request.Class, Plan: request.Plan, Until: request.Deadline, Units: 1,
 		Spread: request.Spread, First: request.First})
 }
 
@@ -153,7 +153,7 @@
 func (h *Hollow) Answered(request string, host uint32, attempt int, after time.Duration) {
 	delete(h.attempts, request)
 	h.events = append(h.events, gateway.Event{Kind: gateway.Ended, Req: request, Host: host, Dispatch: attempt,
-		Result: gateway.Passed, Lag: int64(after), Closed: true, Load: []float64{hostUtilization}})
+		Result: gateway.Succeeded, Lag: int64(after), Closed: true, Load: []float64{hostUtilization}})
 }
 
 // Due is when the gateway's timer falls due; 0 never.
@@ -166,7 +166,7 @@
 		h.wakeAt = 0
 		h.Ticks++
 		h.connections.CloseIdle()
-		h.events = append(h.events, gateway.Event{Kind: gateway.Woke})
+		h.events = append(h.events, gateway.Event{Kind: gateway.Tick})
 	}
 	for len(h.lists)+len(h.events) > 0 {
 		h.round.Now = now
@@ -180,8 +180,8 @@
 	h.connections.Flush()
 }
 
-// Tell sends a message to a peer.
-func (h *Hollow) Tell(peer int, body []byte) {
+// Send sends a message to a peer.
+func (h *Hollow) Send(peer int, body []byte) {
 	h.MessagesOut++
 	h.BytesOut += len(body)
 	h.outside.Send(h, peer, body)
@@ -194,11 +194,11 @@
 	h.outside.Attempt(h, request, host, attempt)
 }
 
-// Deny rejects a request.
-func (h *Hollow) Deny(request string, _ int64) { h.close(request, Rejected) }
+// Reject rejects a request.
+func (h *Hollow) Reject(request string, _ int64) { h.close(request, Rejected) }
 
-// Abort fails a request.
-func (h *Hollow) Abort(request string) { h.close(request, Failed) }
+// Fail fails a request.
+func (h *Hollow) Fail(request string) { h.close(request, Failed) }
 
 func (h *Hollow) close(request string, outcome Outcome) {
 	delete(h.attempts, request)
--- a/lab/spreadsim/day.go
+++ b/lab/spreadsim/day.go
@@ -176,9 +176,9 @@
 
 // boot starts a gateway anew with the list as it is.
 func (w *world) boot(g *gw) {
-	fronts := []gateway.Frontend{{Target: int64(2 * time.Second), Timeout: int64(8 * time.Second), Value: 1, Late: 0.2}}
+	fronts := []gateway.RequestClass{{Target: int64(2 * time.Second), Timeout: int64(8 * time.Second), Value: 1, Late: 0.2}}
 	limits := gateway.Limits{Dispatches: 3, Cancel: true, RetryAfter: true, LongestAdvice: int64(2 * time.Second)}
-	g.g = logic.New(w.rnd.Uint64(), gateway.Seat{Index: g.i, Count: w.day.Gateways}, fronts, []gateway.Plan{{Price: 1}},
+	g.g = logic.New(w.rnd.Uint64(), gateway.Membership{Index: g.i, Count: w.day.Gateways}, fronts, []gateway.Plan{{Price: 1}},
 		limits, gateway.Cold{From: cold, Warm: int64(warmUp), Multiple: 3, Window: int64(3 * time.Second)},
 		gateway.Report{Fields: []gateway.Field{gateway.BusyShare}, Answers: true})
 	g.life, g.dead, g.out, g.knows = g.life+1, false, map[string]*try{}, map[uint32]bool{}
@@ -192,7 +192,7 @@
 }
 
 func (g *gw) listed(kind gateway.List, list []gateway.Listing) {
-	g.round(gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
+	g.round(gateway.Event{Kind: gateway.HostsListed, List: kind, Hosts: list})
 	for _, l := range list {
 		if delete(g.knows, l.Host); l.State == gateway.Running {
 			g.knows[l.Host] = true
@@ -358,7 +358,7 @@
 		w.at(w.now+int64(work), func() {
 			h.busy--
 			if w.now >= h.hushed {
-				t.end(gateway.Passed, float64(h.busy)/float64(h.slots))
+				t.end(gateway.Succeeded, float64(h.busy)/float64(h.slots))
 			}
 			w.work(h)
 		})
@@ -372,11 +372,11 @@
 	}
 	t.over = true
 	e := gateway.Event{Kind: gateway.Ended, Req: t.id, Host: t.host.id, Dispatch: t.n, Result: res, Lag: g.w.now - t.at,
-		Closed: res == gateway.Passed}
+		Closed: res == gateway.Succeeded}
 	if util >= 0 {
 		e.Load = []float64{util}
 	}
-	if res == gateway.Passed {
+	if res == gateway.Succeeded {
 		g.w.result.Passed++
 		g.w.result.lag += e.Lag
 		delete(g.out, t.id)
@@ -394,15 +394,15 @@
 	life := g.life
 	g.w.at(g.w.now+after, func() {
 		if g.life == life {
-			g.round(gateway.Event{Kind: gateway.Woke})
+			g.round(gateway.Event{Kind: gateway.Tick})
 		}
 	})
 }
 
-func (g *gw) Deny(id string, after int64)  { g.w.result.Denied++; delete(g.out, id) }
-func (g *gw) Abort(id string)              { delete(g.out, id) }
-func (g *gw) Tell(int, []byte)             {}
-func (g *gw) Probe(uint32)                 {}
-func (g *gw) Follow()                      {}
-func (g *gw) Count(uint64, float64, int64) {}
-func (g *gw) Note(string)                  {}
+func (g *gw) Reject(id string, after int64) { g.w.result.Denied++; delete(g.out, id) }
+func (g *gw) Fail(id string)                { delete(g.out, id) }
+func (g *gw) Send(int, []byte)              {}
+func (g *gw) Probe(uint32)                  {}
+func (g *gw) Follow()                       {}
+func (g *gw) Count(uint64, float64, int64)  {}
+func (g *gw) Note(string)                   {}
--- a/logic/gossip.go
+++ b/logic/gossip.go
@@ -88,7 +88,7 @@
 		}
 		t.sentTotal, t.queued, p.queue = c.total[p.total], false, p.queue[1:]
 	}
-	g.writer.Tell(p.member, msg)
+	g.writer.Send(p.member, msg)
 }
 
 // receive takes in a message of a peer.
--- a/logic/hosts.go
+++ b/logic/hosts.go
@@ -29,7 +29,7 @@
 // list takes in a list of hosts, or changes of it.
 func (f *hostPool) list(kind gateway.List, news []gateway.Listing) {
 	for _, h := range f.all {
-		if kind == gateway.Complete || kind == gateway.Old {
+		if kind == gateway.Complete || kind == gateway.Cached {
 			h.state = gateway.Gone
 		}
 	}
@@ -147,7 +147,7 @@
 		h.busy += (busy - h.busy) / 4
 	}
 	switch res {
-	case gateway.Passed:
+	case gateway.Succeeded:
 		fr.usual += (float64(lag) - fr.usual) / 64
 		of.lastGood, of.lastAnswer = now, now
 		of.unanswered /= 2
@@ -165,7 +165,7 @@
 	}
 	// Its silence is the customer's or the host's own; what was out over a stand-still tells nothing.
 	own := s.request.customer.unanswered > 0.5 || of.unanswered >= suspectShare
-	if s.at >= f.woke && (res == gateway.Passed || res == gateway.TimedOut && !own) {
+	if s.at >= f.woke && (res == gateway.Succeeded || res == gateway.TimedOut && !own) {
 		h.pace = max(h.pace+(float64(lag)/fr.usual-h.pace)/32, 0.2)
 		f.limit.Answered(lag, fr.Target, now, f.inFlight, busy)
 	}
--- a/logic/hosts_test.go
+++ b/logic/hosts_test.go
@@ -16,10 +16,10 @@
 // TestDrain: nothing new to a draining or removed host, from the round it is told.
 func TestDrain(t *testing.T) {
 	w := newSimulation(1, 2, nil)
-	w.deliver(0, gateway.Event{Kind: gateway.Listed, List: gateway.Changes,
+	w.deliver(0, gateway.Event{Kind: gateway.HostsListed, List: gateway.Changes,
 		Hosts: []gateway.Listing{{Host: 1, State: gateway.Draining}}})
 	w.arrive(0, "a", 2)
-	w.deliver(0, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: []gateway.Listing{{Host: 3}}})
+	w.deliver(0, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete, Hosts: []gateway.Listing{{Host: 3}}})
 	w.arrive(0, "b", 2)
 	golden.Check(t, w.trace.String())
 }
@@ -27,7 +27,7 @@
 // TestColdHost: a started host gets its part of all attempts, by its surely warm part.
 func TestColdHost(t *testing.T) {
 	w := newSimulation(1, 3, func(w *simulation) { w.plans[0].Rate, w.plans[0].Burst = 1000, 1000 })
-	w.deliver(0, gateway.Event{Kind: gateway.Listed, List: gateway.Changes,
+	w.deliver(0, gateway.Event{Kind: gateway.HostsListed, List: gateway.Changes,
 		Hosts: []gateway.Listing{{Host: 3, Since: w.now}}})
 	for s := range 6 {
 		w.trace.Reset()
@@ -50,7 +50,7 @@
 	w.arrive(0, "a", 4)
 	for range 2 {
 		w.advance(360*ms, true)
-		w.finishAttempt(0, 2, gateway.Passed, true)
+		w.finishAttempt(0, 2, gateway.Succeeded, true)
 	}
 	for range 2 {
 		w.finishAttempt(0, 1, gateway.Canceled, false)
@@ -78,7 +78,7 @@
 		w.arrive(0, "a", 2)
 		w.finishAttempt(0, 1, gateway.Errored, false)
 		w.advance(100*ms, true)
-		w.finishAttempt(0, 2, gateway.Passed, true)
+		w.finishAttempt(0, 2, gateway.Succeeded, true)
 	}
 	golden.Check(t, w.trace.String())
 }
@@ -95,15 +95,15 @@
 	tell()
 	w.arrive(0, "a", 1)
 	for i := range 200 {
-		w.deliver(0, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: uint32(i + 1), State: gateway.Gone}}})
-		w.deliver(0, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: uint32(i + 5)}}})
+		w.deliver(0, gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: uint32(i + 1), State: gateway.Gone}}})
+		w.deliver(0, gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: uint32(i + 5)}}})
 	}
 	tell()
-	w.deliver(0, gateway.Event{Kind: gateway.Ended, Req: "a0.0", Host: 1, Result: gateway.Passed, Lag: ms, Closed: true}) // by one that is gone
+	w.deliver(0, gateway.Event{Kind: gateway.Ended, Req: "a0.0", Host: 1, Result: gateway.Succeeded, Lag: ms, Closed: true}) // by one that is gone
 	fmt.Fprintf(&w.trace, "%d out\n", f.inFlight)
-	w.deliver(0, gateway.Event{Kind: gateway.Listed, List: gateway.Complete})
+	w.deliver(0, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete})
 	tell()
-	w.deliver(0, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 1}, {Host: 2}}})
+	w.deliver(0, gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: 1}, {Host: 2}}})
 	tell()
 	golden.Check(t, w.trace.String())
 }
@@ -158,7 +158,7 @@
 	lose := func() int64 {
 		for i, s := range w.gateways {
 			s.listRequestedAt = nil
-			w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+			w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Unavailable})
 		}
 		return w.now
 	}
@@ -172,7 +172,7 @@
 		w.advance(tickInterval, false)
 		for i, s := range w.gateways {
 			if len(s.listRequestedAt) > asked[i] {
-				w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+				w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Unavailable})
 			}
 		}
 	}
@@ -196,7 +196,7 @@
 		}
 	}
 	for i := range w.gateways { // a list comes: the next loss waits the shortest again
-		w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Changes})
+		w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Changes})
 	}
 	t0 = lose()
 	w.advance(450*ms+tickInterval, false)
@@ -207,7 +207,7 @@
 	}
 	lose()
 	for i := range w.gateways { // an ask is due, and a list comes after all (SIGHUP has its own watch): that one is not ended
-		w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete})
+		w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete})
 	}
 	w.advance(2000*ms, false)
 	for i, s := range w.gateways {
@@ -223,19 +223,19 @@
 	w := newSimulation(1, 4, func(w *simulation) {
 		w.plans[0].Rate, w.plans[0].Burst = 1000, 1000
 		w.classes = append(w.classes, w.classes[0])
-		w.classes[0].Effect = gateway.NonReplayable
+		w.classes[0].Effect = gateway.NonIdempotent
 	})
 	sent := func(rounds int) (n [2]int) { // to hosts 1 and 2, by class
 		for k := range rounds {
 			for f := range 6 {
 				w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("f%d.%d.%d", f, w.now, k), Customer: fmt.Sprint(k, f),
-					Until: w.now + 2500*ms, Units: 1, Spread: 1, Frontend: f % 2})
+					Until: w.now + 2500*ms, Units: 1, Spread: 1, Class: f % 2})
 			}
 			w.advance(80*ms, true)
 			for _, h := range w.gateways[0].gateway.pool.all {
 				for i := 0; i < len(h.inFlight); {
 					s := h.inFlight[i]
-					f, res, lag := s.request.class.index, gateway.Passed, 80*ms
+					f, res, lag := s.request.class.index, gateway.Succeeded, 80*ms
 					if h.id <= 2 {
 						n[f]++
 						if f == 0 {
@@ -243,7 +243,7 @@
 						}
 					}
 					w.deliver(0, gateway.Event{Kind: gateway.Ended, Req: s.request.id, Host: h.id, Dispatch: s.n, Result: res,
-						Lag: lag, Closed: res == gateway.Passed})
+						Lag: lag, Closed: res == gateway.Succeeded})
 				}
 			}
 		}
@@ -263,7 +263,7 @@
 	for k := range 8 {
 		w := newSimulation(1, 2, nil)
 		w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: "r", Customer: fmt.Sprint(k), Units: 1, Spread: 1, Until: w.now + second},
-			gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 1, State: gateway.Draining}}})
+			gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: 1, State: gateway.Draining}}})
 		if got := w.trace.String(); !strings.Contains(got, "to host 2,") {
 			t.Errorf("host 1 drains, yet: %s", got)
 		}
@@ -280,7 +280,7 @@
 	}
 	held, came := map[uint32]int{}, 0
 	for i, s := range w.gateways {
-		w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: all})
+		w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete, Hosts: all})
 		slices.Reverse(all)
 		was, n := map[uint32]bool{}, 0
 		for _, h := range s.gateway.pool.all {
@@ -292,7 +292,7 @@
 		if n != 8 {
 			t.Errorf("gateway %d holds %d hosts, want 12*180/300 or a little more", i, n)
 		}
-		w.deliver(i, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 40, State: gateway.Gone}}})
+		w.deliver(i, gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: 40, State: gateway.Gone}}})
 		for _, h := range s.gateway.pool.all {
 			if h.Held && !was[h.id] {
 				came++
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,12 +45,12 @@
 
 // repeatable tells whether a repeat now of what was sent first does no harm: all hosts drop it for a window.
 func (f *class) repeatable(first, now int64) bool {
-	return f.Effect == gateway.Replayable ||
-		f.Effect == gateway.Uniqued && f.Group == gateway.AllHosts && now <= first+f.Window-windowMargin
+	return f.Effect == gateway.Idempotent ||
+		f.Effect == gateway.Deduplicated && f.Group == gateway.AllHosts && now <= first+f.Window-windowMargin
 }
 
 // New makes a gateway that has neither hosts nor customers yet.
-func New(seed uint64, seat gateway.Seat, fronts []gateway.Frontend, plans []gateway.Plan,
+func New(seed uint64, seat gateway.Membership, fronts []gateway.RequestClass, plans []gateway.Plan,
 	limits gateway.Limits, cold gateway.Cold, report gateway.Report) *Gateway {
 	rnd := mwc(seed | 1)
 	g := &Gateway{start: -1, seat: seat, limits: limits, rnd: &rnd, byID: map[uint32]int{},
@@ -83,7 +83,7 @@
 	}
 	for i := range 2 * n { // what waited together is decided on all that lists and peers tell
 		e := &in.Events[i%n]
-		if news := e.Kind == gateway.Listed || e.Kind == gateway.Heard; news != (i < n) {
+		if news := e.Kind == gateway.HostsListed || e.Kind == gateway.Received; news != (i < n) {
 			continue
 		}
 		switch e.Kind {
@@ -95,8 +95,8 @@
 			if r := g.requests[e.Req]; r != nil {
 				g.close(r)
 			}
-		case gateway.Listed:
-			if g.pool.list(e.List, e.Hosts); e.List != gateway.Lost {
+		case gateway.HostsListed:
+			if g.pool.list(e.List, e.Hosts); e.List != gateway.Unavailable {
 				g.asks, g.nextAsk = 0, math.MaxInt64
 			} else { // by chance, pauses double from call to call: a fleet asks apart, each has news in 6 s
 				if g.asks = min(g.asks+1, 5); g.asks == 1 {
@@ -105,18 +105,18 @@
 				pause := min(int64((0.5+g.rnd.part())*float64(relistPause<<(g.asks-1))), 13*relistPause)
 				g.nextAsk = max(g.asked+pause, g.now+pause/8)
 			}
-		case gateway.Heard:
+		case gateway.Received:
 			g.receive(e.Peer, e.Body)
 		case gateway.Counted:
 			g.counted(e)
-		case gateway.Woke:
+		case gateway.Tick:
 			g.tick()
 		}
 	}
 }
 
 func (g *Gateway) arrive(e *gateway.Event, at int64) {
-	c, fr := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First), g.classes[e.Frontend]
+	c, fr := g.customer(hashText(e.Customer), e.Plan, e.Spread, e.First), g.classes[e.Class]
 	r := &request{id: e.Req, customer: c, class: fr, units: e.Units, arrived: at, deadline: e.Until}
 	g.requests[r.id] = r
 	fr.units += (e.Units - fr.units) / 64
@@ -220,7 +220,7 @@
 	case r.mayHaveRun == nil || fr.repeatable(r.mayHaveRun.at, g.now):
 		g.reject(r, ByFailure, fr.usual)
 	default:
-		g.writer.Abort(r.id)
+		g.writer.Fail(r.id)
 		g.close(r)
 	}
 }
@@ -248,7 +248,7 @@
 	if !g.limits.RetryAfter {
 		after = 0
 	}
-	g.writer.Deny(r.id, int64(after))
+	g.writer.Reject(r.id, int64(after))
 	g.close(r)
 }
 
@@ -278,7 +278,7 @@
 	if g.calls[e.Name] = calls[1:]; len(calls) == 1 {
 		delete(g.calls, e.Name)
 	}
-	if e.Result == gateway.Passed {
+	if e.Result == gateway.Succeeded {
 		g.unheard = 0
 	} else if g.unheard++; g.unheard >= 4 {
 		g.counterRetry = g.now + second
@@ -287,7 +287,7 @@
 		return
 	}
 	inCap := 0.0
-	if e.Result != gateway.Passed {
+	if e.Result != gateway.Succeeded {
 		r.slot, inCap = 0, r.customer.inCapChance(r.class)
 	} else if e.Total <= float64(r.customer.plan.Open) {
 		inCap = 1
--- a/logic/quota_test.go
+++ b/logic/quota_test.go
@@ -88,12 +88,12 @@
 func TestWorth(t *testing.T) {
 	w := newSimulation(1, 2, func(w *simulation) {
 		w.plans[0].Rate, w.plans[0].Burst = 1000, 1000
-		w.classes = append(w.classes, gateway.Frontend{Target: 800 * ms, Value: 5})
+		w.classes = append(w.classes, gateway.RequestClass{Target: 800 * ms, Value: 5})
 	})
 	for i := range 15 {
 		for f := range 2 {
 			w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: fmt.Sprintf("worth%.0f.%d", w.classes[f].Value, i),
-				Customer: "a", Until: w.now + 2500*ms, Units: 1, Spread: 1, Frontend: f})
+				Customer: "a", Until: w.now + 2500*ms, Units: 1, Spread: 1, Class: f})
 		}
 	}
 	golden.Check(t, w.trace.String())
@@ -171,9 +171,9 @@
 		w.limits.Counter, w.limits.CounterWait = true, 50*ms
 	})
 	w.arrive(0, "within", 1)
-	w.answerCounter(0, gateway.Passed, 2)
+	w.answerCounter(0, gateway.Succeeded, 2)
 	w.arrive(0, "beyond", 1)
-	w.answerCounter(0, gateway.Passed, 3)
+	w.answerCounter(0, gateway.Succeeded, 3)
 	w.arrive(0, "busy", 1)
 	w.answerCounter(0, gateway.Busy, 0)
 	w.arrive(0, "left", 1)
@@ -188,7 +188,7 @@
 	w.finishAll(0)
 	w.advance(second+tickInterval, true)
 	w.arrive(0, "again", 1)
-	w.answerCounter(0, gateway.Passed, 1) // a lower total than any before
+	w.answerCounter(0, gateway.Succeeded, 1) // a lower total than any before
 	w.finishAll(0)
 	g := w.gateways[0].gateway
 	fmt.Fprintf(&w.trace, "reqs still held: %d; copy of within holds %.1f units\n", len(g.requests), g.customer(hashText("within"), 0, 2, 0).level)
--- a/logic/reconfigure_test.go
+++ b/logic/reconfigure_test.go
@@ -77,9 +77,9 @@
 func TestTotalsNamePlansByID(t *testing.T) {
 	a, b := gateway.Plan{ID: 7, Rate: 0.1, Burst: 10, Price: 1}, gateway.Plan{ID: 9, Rate: 0.1, Burst: 10, Price: 1}
 	w := fleetOf(2, a, b)
-	w.gateways[1].gateway = New(2, gateway.Seat{Index: 1, Count: 2, Messages: true, PerSecond: 40}, w.classes,
+	w.gateways[1].gateway = New(2, gateway.Membership{Index: 1, Count: 2, Messages: true, PerSecond: 40}, w.classes,
 		[]gateway.Plan{b}, w.limits, w.cold, gateway.Report{})
-	w.deliver(1, gateway.Event{Kind: gateway.Listed, Hosts: []gateway.Listing{{Host: 1}}})
+	w.deliver(1, gateway.Event{Kind: gateway.HostsListed, Hosts: []gateway.Listing{{Host: 1}}})
 	w.advance(second, true)
 	w.request(0, "on-a", 0, 6)
 	w.request(0, "on-b", 1, 6)
@@ -107,11 +107,11 @@
 
 // What is in flight under a class keeps it: a class that becomes safe must not make a request repeat that was sent as unsafe.
 func TestInFlightKeepsClass(t *testing.T) {
-	w := newSimulation(1, 4, func(w *simulation) { w.classes[0].Effect = gateway.NonReplayable })
+	w := newSimulation(1, 4, func(w *simulation) { w.classes[0].Effect = gateway.NonIdempotent })
 	w.gateways[0].gateway.retryBudget = 5
 	w.arrive(0, "c", 1)
 	safe := w.classes[0]
-	safe.Effect = gateway.Replayable
+	safe.Effect = gateway.Idempotent
 	w.reconfigure(gateway.Update{Classes: []gateway.ClassUpdate{{Index: 0, Class: safe}, {Index: 1, Class: safe}}})
 	w.finishAttempt(0, 0, gateway.Broken, false)
 	if w.gateways[0].gateway.pool.inFlight != 0 {
@@ -124,7 +124,7 @@
 		t.Error("the class's new effect is not in force")
 	}
 	w.finishAll(0)
-	w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: "new class", Customer: "d", Frontend: 1, Until: w.now + second, Units: 1, Spread: 1})
+	w.deliver(0, gateway.Event{Kind: gateway.Arrived, Req: "new class", Customer: "d", Class: 1, Until: w.now + second, Units: 1, Spread: 1})
 	if w.gateways[0].gateway.pool.inFlight != 1 {
 		t.Error("the added class is not served")
 	}
@@ -141,7 +141,7 @@
 	}
 	w.request(0, "c", 0, 10) // not told when the change comes
 	w.gateways[0].gateway.Reconfigure(w.now, &gateway.Update{Members: 4})
-	w.deliver(0, gateway.Event{Kind: gateway.Woke})
+	w.deliver(0, gateway.Event{Kind: gateway.Tick})
 	for _, body := range w.gateways[0].messages {
 		sound := false
 		format := gossip.Format{Members: 3, ByID: true}
--- a/logic/requests_test.go
+++ b/logic/requests_test.go
@@ -13,12 +13,12 @@
 func TestRepeats(t *testing.T) {
 	for _, kind := range []struct {
 		name  string
-		front gateway.Frontend
+		front gateway.RequestClass
 	}{
-		{"replayable", gateway.Frontend{}},
-		{"uniqued_all", gateway.Frontend{Effect: gateway.Uniqued, Window: 600 * ms}},
-		{"uniqued_cell", gateway.Frontend{Effect: gateway.Uniqued, Group: gateway.SameCell, Window: 600 * ms}},
-		{"non_replayable", gateway.Frontend{Effect: gateway.NonReplayable}},
+		{"replayable", gateway.RequestClass{}},
+		{"uniqued_all", gateway.RequestClass{Effect: gateway.Deduplicated, Window: 600 * ms}},
+		{"uniqued_cell", gateway.RequestClass{Effect: gateway.Deduplicated, Group: gateway.SameCell, Window: 600 * ms}},
+		{"non_replayable", gateway.RequestClass{Effect: gateway.NonIdempotent}},
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			kind.front.Target, kind.front.Timeout = 2000*ms, 3000*ms
@@ -52,13 +52,13 @@
 	w := newSimulation(1, 1, nil)
 	w.arrive(0, "a", 1)
 	w.advance(100*ms, true)
-	w.finishAttempt(0, 0, gateway.Passed, true)
+	w.finishAttempt(0, 0, gateway.Succeeded, true)
 	w.arrive(0, "b", 1)
 	w.advance(800*ms, true)
 	w.finishAttempt(0, 0, gateway.TimedOut, false)
 	w.arrive(0, "c", 1)
 	w.deliver(0, gateway.Event{Kind: gateway.Left, Req: "c900.0"})
-	w.finishAttempt(0, 0, gateway.Passed, true)
+	w.finishAttempt(0, 0, gateway.Succeeded, true)
 	w.arrive(0, "d", 1)
 	w.finishAttempt(0, 0, gateway.Unreached, false)
 	fmt.Fprintf(&w.trace, "reqs still held: %d\n", len(w.gateways[0].gateway.requests))
@@ -76,9 +76,9 @@
 			for len(h.inFlight) > 0 {
 				res := gateway.TimedOut
 				if strings.HasPrefix(h.inFlight[0].request.id, "good") {
-					res = gateway.Passed
+					res = gateway.Succeeded
 				}
-				w.finishAttempt(0, h.id, res, res == gateway.Passed)
+				w.finishAttempt(0, h.id, res, res == gateway.Succeeded)
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 		w := newSimulation(1, 2, func(w *simulation) { w.classes[0].Late = x.late })
 		if x.stood {
 			w.now += 2 * second
-			w.deliver(0, gateway.Event{Kind: gateway.Woke})
+			w.deliver(0, gateway.Event{Kind: gateway.Tick})
 			w.now += 100 * ms
 		}
 		w.arrive(0, "a", 1) // its client gives up after 2.5 s
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -40,7 +40,7 @@
 type referee struct {
 	*testing.T
 	what    string
-	front   gateway.Frontend // as told
+	front   gateway.RequestClass // as told
 	limits  gateway.Limits
 	now     int64
 	rnd     *rand.Rand
@@ -82,9 +82,9 @@
 	case ran == nil && q.sent > 0:
 		r.again++
 	case ran == nil:
-	case f.Effect == gateway.NonReplayable:
+	case f.Effect == gateway.NonIdempotent:
 		r.foul(q, "may have run, and is sent again")
-	case f.Effect == gateway.Uniqued && (r.now > ran.at+f.Window || f.Group == gateway.SameZone && zone(host) != zone(ran.host) ||
+	case f.Effect == gateway.Deduplicated && (r.now > ran.at+f.Window || f.Group == gateway.SameZone && zone(host) != zone(ran.host) ||
 		f.Group == gateway.SameCell && cell(host) != cell(ran.host)):
 		r.foul(q, "may have run, and is sent again past its window or group")
 	default:
@@ -105,18 +105,18 @@
 	if q.done {
 		r.foul(q, "a second final answer")
 	}
-	if f := r.front; kind == 0 && (q.ran != nil || q.out != nil) && (f.Effect == gateway.NonReplayable ||
-		f.Effect == gateway.Uniqued && f.Group != gateway.AllHosts) {
+	if f := r.front; kind == 0 && (q.ran != nil || q.out != nil) && (f.Effect == gateway.NonIdempotent ||
+		f.Effect == gateway.Deduplicated && f.Group != gateway.AllHosts) {
 		r.foul(q, "may have run, and a repeat is told to be harmless")
 	}
-	if f := r.front; kind == 0 && q.ran != nil && f.Effect == gateway.Uniqued && r.now > q.ran.at+f.Window {
+	if f := r.front; kind == 0 && q.ran != nil && f.Effect == gateway.Deduplicated && r.now > q.ran.at+f.Window {
 		r.foul(q, "may have run, and a repeat is invited past its window")
 	}
 	q.done = true
 	r.finals[kind]++
 }
-func (r *referee) Deny(id string, _ int64) { r.final(id, 0) }
-func (r *referee) Abort(id string)         { r.final(id, 1) }
+func (r *referee) Reject(id string, _ int64) { r.final(id, 0) }
+func (r *referee) Fail(id string)            { r.final(id, 1) }
 func (r *referee) Cancel(id string, _ int) {
 	if q := r.find(id); q.out != nil {
 		q.out.called = true
@@ -125,7 +125,7 @@
 func (r *referee) Count(name uint64, _ float64, _ int64) {
 	r.calls = append(r.calls, call{name, r.now})
 }
-func (r *referee) Tell(int, []byte) {}
+func (r *referee) Send(int, []byte) {}
 func (r *referee) Probe(uint32)     { r.Fatal(r.what, ": probes") }
 func (r *referee) Wake(int64)       {}
 func (r *referee) Follow()          {}
@@ -133,7 +133,7 @@
 
 // ends gives how the attempt of a request ends now, if it does.
 func (r *referee) ends(q *asked) (e gateway.Event, ok bool) {
-	results := []gateway.Result{gateway.Passed, gateway.Passed, gateway.Errored, gateway.Busy, gateway.Unreached, gateway.Broken,
+	results := []gateway.Result{gateway.Succeeded, gateway.Succeeded, gateway.Errored, gateway.Busy, gateway.Unreached, gateway.Broken,
 		gateway.Spoilt, gateway.Skipped}
 	res := results[r.rnd.Intn(len(results))]
 	switch a := q.out; {
@@ -152,7 +152,7 @@
 	if q.out = nil; !res.NeverRan() && q.ran == nil {
 		q.ran = a
 	}
-	if res == gateway.Passed && !q.done {
+	if res == gateway.Succeeded && !q.done {
 		q.done = true
 		r.finals[2]++
 	}
@@ -163,7 +163,7 @@
 // play lets some 300 requests in over a few seconds with stalls, leaving clients, hosts that come and go.
 func (r *referee) play(g *logic.Gateway) {
 	const hosts = 6
-	list := gateway.Event{Kind: gateway.Listed, List: gateway.Complete}
+	list := gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete}
 	for h := range uint32(hosts) {
 		list.Hosts = append(list.Hosts, gateway.Listing{Host: h, Zone: int(h % 2), Cell: int(h % 3), Share: 1})
 		r.state[h] = gateway.Running
@@ -177,7 +177,7 @@
 			}
 		}
 		r.reqs = slices.DeleteFunc(r.reqs, func(q *asked) bool { return q.done && q.out == nil })
-		events = []gateway.Event{{Kind: gateway.Woke}}
+		events = []gateway.Event{{Kind: gateway.Tick}}
 		r.now += int64(r.rnd.Intn(20)) * ms
 		if r.rnd.Intn(25) == 0 { // a stall: past many a target, and some deadlines
 			r.now += int64(r.rnd.Intn(int(r.front.Timeout/ms))) * ms
@@ -201,14 +201,14 @@
 		for len(r.calls) > 0 && (r.rnd.Intn(2) == 0 || r.now-r.calls[0].at >= r.limits.CounterWait) {
 			e := gateway.Event{Kind: gateway.Counted, Name: r.calls[0].name, Result: gateway.TimedOut}
 			if r.rnd.Intn(3) > 0 {
-				e.Result, e.Total = gateway.Passed, float64(r.rnd.Intn(8))
+				e.Result, e.Total = gateway.Succeeded, float64(r.rnd.Intn(8))
 			}
 			events, r.calls = append(events, e), r.calls[1:]
 		}
 		if r.rnd.Intn(20) == 0 {
 			h := uint32(r.rnd.Intn(hosts))
 			r.state[h] = gateway.State(r.rnd.Intn(3))
-			events = append(events, gateway.Event{Kind: gateway.Listed, List: gateway.Changes, Hosts: []gateway.Listing{{Host: h,
+			events = append(events, gateway.Event{Kind: gateway.HostsListed, List: gateway.Changes, Hosts: []gateway.Listing{{Host: h,
 				Zone: int(h % 2), Cell: int(h % 3), Share: 1, State: r.state[h], Since: r.now * int64(r.rnd.Intn(2))}}})
 		}
 		for k := r.rnd.Intn(3); n < 300 && k > 0; k-- {
@@ -239,7 +239,7 @@
 		if err != nil {
 			t.Fatalf("%s: %v", text, err)
 		}
-		told := gateway.Frontend{Effect: gateway.Effect(slices.Index([]string{"safe", "keyed", "unsafe"}, effect)),
+		told := gateway.RequestClass{Effect: gateway.Effect(slices.Index([]string{"safe", "keyed", "unsafe"}, effect)),
 			Group:  gateway.Group(slices.Index([]string{"all", "zone", "cell"}, group)),
 			Window: int64(window) * 1000, Target: int64(target) * 1000, Timeout: int64(limit) * 1000, Value: 1, Late: 0.5}
 		if letter {
--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -14,7 +14,7 @@
 func TestWalksOnlyHostsNear(t *testing.T) {
 	const hosts = 5000
 	w := newSimulation(1, 1, func(w *simulation) { w.limits.Cancel = true })
-	seat := gateway.Seat{Count: 300, Messages: true, PerSecond: 40}
+	seat := gateway.Membership{Count: 300, Messages: true, PerSecond: 40}
 	g := New(1, seat, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
 	var list []gateway.Listing
 	for i := range hosts {
@@ -23,7 +23,7 @@
 	round := func(at int64, events ...gateway.Event) {
 		g.Round(&gateway.Round{Now: at, Events: events}, w.gateways[0])
 	}
-	round(second, gateway.Event{Kind: gateway.Listed, List: gateway.Complete, Hosts: list})
+	round(second, gateway.Event{Kind: gateway.HostsListed, List: gateway.Complete, Hosts: list})
 	if near := len(g.pool.near); near == 0 || near > hosts/10 {
 		t.Fatalf("%d of %d hosts are near", near, hosts)
 	}
@@ -36,7 +36,7 @@
 			h.classes = []health{{lastGood: 2 * second, unanswered: 0.2}} // a walk would tell peers of it, or heal it
 		}
 	}
-	round(2*second, gateway.Event{Kind: gateway.Woke}, gateway.Event{Kind: gateway.Arrived, Req: "a", Customer: "c", Spread: 1,
+	round(2*second, gateway.Event{Kind: gateway.Tick}, gateway.Event{Kind: gateway.Arrived, Req: "a", Customer: "c", Spread: 1,
 		Units: 1, Until: 10 * second})
 	if len(w.gateways[0].messages) == 0 {
 		t.Fatal("no message to a peer")
@@ -57,12 +57,12 @@
 // When all hosts near are busy the others serve: the first walk must not hide them.
 func TestBusyNearLeavesToOthers(t *testing.T) {
 	w := newSimulation(1, 1, nil)
-	g := New(1, gateway.Seat{Count: 300}, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
+	g := New(1, gateway.Membership{Count: 300}, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
 	var list []gateway.Listing
 	for i := range 1000 {
 		list = append(list, gateway.Listing{Host: uint32(i), Share: 1})
 	}
-	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.gateways[0])
+	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.HostsListed, Hosts: list}}}, w.gateways[0])
 	for _, h := range g.pool.near {
 		h.pace = 1000
 		h.of(g.classes[0]).lastAnswer = second
--- a/logic/simulation_test.go
+++ b/logic/simulation_test.go
@@ -14,7 +14,7 @@
 	now      int64
 	gateways []*simulatedGateway
 	trace    strings.Builder
-	classes  []gateway.Frontend
+	classes  []gateway.RequestClass
 	plans    []gateway.Plan
 	limits   gateway.Limits
 	cold     gateway.Cold
@@ -41,10 +41,10 @@
 }
 
 func (s *simulatedGateway) Cancel(req string, n int) { s.record("cancel dispatch %d of %s", n, req) }
-func (s *simulatedGateway) Deny(req string, after int64) {
+func (s *simulatedGateway) Reject(req string, after int64) {
 	s.record("deny %s, come back after %d ms", req, after/ms)
 }
-func (s *simulatedGateway) Abort(req string)  { s.record("abort %s", req) }
+func (s *simulatedGateway) Fail(req string)   { s.record("abort %s", req) }
 func (s *simulatedGateway) Probe(host uint32) { s.record("probe host %d", host) }
 func (s *simulatedGateway) Follow() {
 	s.record("follow the list")
@@ -57,14 +57,14 @@
 	s.counterNames = append(s.counterNames, name)
 }
 
-func (s *simulatedGateway) Tell(peer int, body []byte) {
+func (s *simulatedGateway) Send(peer int, body []byte) {
 	s.messages, s.receivers = append(s.messages, body), append(s.receivers, peer)
 }
 
 // newSimulation starts n gateways with one replayable class and a plan of 10 units a second and a burst of 10, unless set changes
 // these.
 func newSimulation(n, hosts int, set func(w *simulation)) *simulation {
-	w := &simulation{classes: []gateway.Frontend{{Target: 800 * ms, Timeout: 3000 * ms, Value: 1}},
+	w := &simulation{classes: []gateway.RequestClass{{Target: 800 * ms, Timeout: 3000 * ms, Value: 1}},
 		plans:  []gateway.Plan{{Rate: 10, Burst: 10, Price: 1, BeyondCost: 0.5}},
 		limits: gateway.Limits{Dispatches: 3, Cancel: true, RetryAfter: true},
 		cold:   gateway.Cold{From: 0.2, Warm: 10 * second, Multiple: 2, Window: 2 * second}, now: 100 * second}
@@ -86,9 +86,9 @@
 	}
 	s := w.gateways[i]
 	s.messages, s.receivers = nil, nil
-	s.gateway = New(uint64(i)+1, gateway.Seat{Index: i, Count: n, Messages: n > 1, PerSecond: 40}, w.classes, w.plans,
+	s.gateway = New(uint64(i)+1, gateway.Membership{Index: i, Count: n, Messages: n > 1, PerSecond: 40}, w.classes, w.plans,
 		w.limits, w.cold, gateway.Report{})
-	w.deliver(i, gateway.Event{Kind: gateway.Listed, List: gateway.Old, Hosts: list})
+	w.deliver(i, gateway.Event{Kind: gateway.HostsListed, List: gateway.Cached, Hosts: list})
 }
 
 // deliver has gateway i handle a batch of events.
@@ -119,7 +119,7 @@
 // finishAll ends all attempts of gateway i with success.
 func (w *simulation) finishAll(i int) {
 	for w.gateways[i].gateway.pool.inFlight > 0 {
-		w.finishAttempt(i, 0, gateway.Passed, true)
+		w.finishAttempt(i, 0, gateway.Succeeded, true)
 	}
 }
 
@@ -128,11 +128,11 @@
 	for end := w.now + t; w.now < end; {
 		w.now += tickInterval
 		for i, s := range w.gateways {
-			w.deliver(i, gateway.Event{Kind: gateway.Woke})
+			w.deliver(i, gateway.Event{Kind: gateway.Tick})
 			sent += len(s.messages)
 			for k, m := range s.messages {
 				if carry {
-					w.deliver(s.receivers[k], gateway.Event{Kind: gateway.Heard, Peer: i, Body: m})
+					w.deliver(s.receivers[k], gateway.Event{Kind: gateway.Received, Peer: i, Body: m})
 				}
 			}
 			s.messages, s.receivers = nil, nil
--- a/logic/state.go
+++ b/logic/state.go
@@ -93,7 +93,7 @@
 	rnd   *mwc
 
 	writer  gateway.Writer // of the round
-	seat    gateway.Seat
+	seat    gateway.Membership
 	limits  gateway.Limits
 	classes []*class
 	plans   []*gateway.Plan // by index; nil: removed
@@ -138,7 +138,7 @@
 
 // class is a request class, with what was learned of it.
 type class struct {
-	gateway.Frontend
+	gateway.RequestClass
 	index int
 	usual float64 // nanoseconds that its answers usually take
 	units float64 // that its requests usually ask
