--- a/lab/rollout/rollout.go
+++ b/lab/rollout/rollout.go
@@ -61,7 +61,9 @@
 	Record     Record
 	Load       *fleet.Report // what came of the clients' requests
 	Stages     []Stage
-	Notes      []string // figures that steps measured
+
+	publishersBefore []fleet.Usage // as the first version was published
+	publishersAfter  []fleet.Usage // as the load ended
 
 	links   [][]*relay.Stream // by member index and publisher
 	changes *changes
@@ -74,9 +76,6 @@
 	From, To time.Time
 }
 
-// groups counts the groups of publishers of this test process.
-var groups atomic.Int64
-
 // Play plays a scenario. The error is of the rig itself; what does not hold is in broken.
 func (s *Scenario) Play(ctx context.Context) (run *Run, broken []string, err error) {
 	run = &Run{Scenario: s}
@@ -109,8 +108,12 @@
 			r.Record.Histories = append(r.Record.Histories, &History{})
 		}
 		var err error
-		dir := filepath.Join(f.Dir, "publishers")
-		r.Publishers, err = startPublishers(ctx, f.Relay, dir, size.Publishers, int(groups.Add(1)), size.ElectionMS)
+		r.Publishers, err = NewPublishers(ctx, GroupPlan{
+			Count:      size.Publishers,
+			Dir:        filepath.Join(f.Dir, "publishers"),
+			Relay:      f.Relay,
+			ElectionMS: size.ElectionMS,
+		})
 		return err
 	}
 	plan.Config = func(f *fleet.Fleet, i int, cfg map[string]any) error {
@@ -218,6 +221,10 @@
 		r.read()
 		r.Record.Published = r.changes.list()
 		r.Record.Unhealthy = r.Publishers.Unhealthy()
+		r.publishersAfter = r.Publishers.usage()
+		for member, g := range r.Fleet.Gateways() {
+			r.Record.Histories[member].Counters = countersOf(g.Lines("event=configuration "))
+		}
 		var err error
 		r.Record.Publishers, err = r.Publishers.states(ctx)
 		if err != nil {
