--- a/logic/scale_test.go
+++ b/logic/scale_test.go
@@ -76,12 +76,12 @@
 // To a gateway by itself all hosts are near. At rest its ticks must not walk them: with 87,000 they took 4.7% of a core.
 func TestRestingTickWalksNoHost(t *testing.T) {
 	w := newSimulation(1, 1, nil)
-	g := New(1, gateway.Seat{Count: 1}, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
+	g := New(1, gateway.Membership{Count: 1}, w.classes, w.plans, w.limits, gateway.Cold{}, gateway.Report{})
 	var list []gateway.Listing
 	for i := range 1000 {
 		list = append(list, gateway.Listing{Host: uint32(i), Share: 1})
 	}
-	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.Listed, Hosts: list}}}, w.gateways[0])
+	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{{Kind: gateway.HostsListed, Hosts: list}}}, w.gateways[0])
 	arrival := gateway.Event{Kind: gateway.Arrived, Req: "a", Customer: "c", Spread: 1, Units: 1, Until: 10 * second}
 	g.Round(&gateway.Round{Now: second, Events: []gateway.Event{arrival}}, w.gateways[0])
 	for _, h := range g.pool.all {
@@ -89,7 +89,7 @@
 			h.inFlight = []*attempt{nil}
 		}
 	}
-	g.Round(&gateway.Round{Now: 2 * second, Events: []gateway.Event{{Kind: gateway.Woke}}}, w.gateways[0])
+	g.Round(&gateway.Round{Now: 2 * second, Events: []gateway.Event{{Kind: gateway.Tick}}}, w.gateways[0])
 	if len(g.pool.busyHosts) != 1 {
 		t.Errorf("%d hosts are walked by a tick, 1 has an attempt in flight", len(g.pool.busyHosts))
 	}
