Publisher: the versions of a burst wake the followers' writers together

Change: the first version wakes them at once, the next ones once together after VersionInterval (Publisher.announce).

Test: TestAnnounce.

--- a/internal/publisher/machine.go
+++ b/internal/publisher/machine.go
@@ -26,7 +26,7 @@
 	defer p.mu.Unlock()
 	delta, err := p.state.Apply(entry.Data)
 	if delta != nil {
-		p.wakeAll()
+		p.announce()
 	}
 	return outcome{delta, err}
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -39,6 +39,8 @@
 	holding     bool // the sender holds versions back, as the log is being replayed
 	connections map[configsync.FollowerID]*connection
 	lastID      configsync.FollowerID
+	woken       time.Time // when all writers were woken last
+	waking      bool      // they will be again, once the least time between versions is over
 
 	publishing sync.Mutex // held during one publication; guards mirror
 	mirror     *mirror    // of the state that the last publication found
--- a/internal/publisher/serve.go
+++ b/internal/publisher/serve.go
@@ -100,8 +100,33 @@
 	}
 }
 
+// announce has every writer look what its follower needs: at once, or, where that was a moment ago, once for all versions of
+// the moment. Thousands of writers that look at each change of a burst would hold up the next one. The lock is held by the
+// caller.
+func (p *Publisher) announce() {
+	if p.waking {
+		return
+	}
+	wait := p.cfg.Sending.VersionInterval - time.Since(p.woken)
+	if wait <= 0 {
+		p.wakeAll()
+		return
+	}
+	p.waking = true
+	time.AfterFunc(wait, p.announceLate)
+}
+
+// announceLate wakes the writers for the versions that came since they were woken last.
+func (p *Publisher) announceLate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waking = false
+	p.wakeAll()
+}
+
 // wakeAll has every writer look what its follower needs. The lock is held by the caller.
 func (p *Publisher) wakeAll() {
+	p.woken = time.Now()
 	for _, c := range p.connections {
 		c.signal()
 	}
--- /dev/null
+++ b/internal/publisher/serve_test.go
@@ -0,0 +1,41 @@
+package publisher
+
+import (
+	"testing"
+	"time"
+
+	"ravensill/configsync"
+	"ravensill/internal/config"
+)
+
+// The first version of a burst wakes the writers at once, the others once together.
+func TestAnnounce(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	c := &connection{wake: make(chan struct{}, 1)}
+	p := &Publisher{
+		cfg:         &config.Publisher{Sending: configsync.SenderLimits{VersionInterval: interval}},
+		connections: map[configsync.FollowerID]*connection{1: c},
+	}
+	announce := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.announce()
+	}
+	announce()
+	select {
+	case <-c.wake:
+	default:
+		t.Fatal("the first version wakes nobody")
+	}
+	p.mu.Lock()
+	first := p.woken
+	p.mu.Unlock()
+	announce()
+	announce()
+	<-c.wake
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if late := p.woken.Sub(first); late < interval {
+		t.Errorf("woken again after %v", late)
+	}
+}
--- a/lab/rollout/hollow/point.go
+++ b/lab/rollout/hollow/point.go
@@ -89,7 +89,7 @@
 		{BurstMedian, "s", "changes of a burst, from each request until in force: median", false, budgetSeconds},
 		{BurstTail, "s", "the same, 99 in 100", false, budgetSeconds},
 		{BurstLatest, "s", "the same, the latest", false, budgetSeconds},
-		{BurstSeconds, "s", "from the burst's first request until all is in force everywhere", false, 0},
+		{BurstSeconds, "s", "from the burst's first request until all is in force everywhere", false, budgetSeconds},
 		{BurstDeltas, "", "deltas by which a follower got the burst", true, 0},
 		{RestBytesIn, "bytes/s", "received by a follower at rest: heartbeats", true, budgetBytes},
 		{RestBytesOut, "bytes/s", "sent by a follower at rest", true, budgetBytes},
