--- a/lab/rollout/hollow/full_test.go
+++ b/lab/rollout/hollow/full_test.go
@@ -15,7 +15,7 @@
 	full  = flag.Bool("full", false, "the full-size measurement")
 	sizes = flag.String("sizes", "375,1000,2000,4000,6000", "numbers of followers of the full measurement")
 	parts = flag.String("parts", "followers,large,restarts,compare", "what the full measurement does")
-	into  = flag.String("into", "", "folder that rollout-scale.json and rollout-scale.md are written to; empty prints the text only")
+	into  = flag.String("into", "", "folder of rollout-scale.json and rollout-scale.md, of which the measured parts are replaced; empty prints the text only")
 )
 
 const (
@@ -56,7 +56,11 @@
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(heapLimit))
 	ctx, cancel := context.WithTimeout(context.Background(), fullTimeout)
 	defer cancel()
-	report := NewReport("go test " + strings.Join(os.Args[1:], " "))
+	report, err := NewReport(*into)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := "go test " + strings.Join(os.Args[1:], " ")
 	for _, part := range []struct {
 		name string
 		run  func(*testing.T, context.Context, *Report)
@@ -67,7 +71,9 @@
 		{"compare", measureComparison},
 	} {
 		if strings.Contains(*parts, part.name) {
+			report.Begin(part.name, command)
 			part.run(t, ctx, report)
+			report.End(part.name, &lines)
 			save(t, report)
 		}
 	}
@@ -78,7 +84,6 @@
 }
 
 func save(t *testing.T, report *Report) {
-	report.Finish(&lines)
 	if *into == "" {
 		return
 	}
@@ -121,10 +126,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	report.Large = append(report.Large, point)
+	report.Large = []*Point{point}
 }
 
 func measureRestarts(t *testing.T, ctx context.Context, report *Report) {
+	report.Storms = nil
 	limited := map[string]any{"snapshot_bytes_per_s": limitedRate, "snapshot_burst_bytes": limitedBurst}
 	for _, setup := range []Setup{
 		{Followers: zoneFollowers, Content: smallContent},
--- a/lab/rollout/hollow/report.go
+++ b/lab/rollout/hollow/report.go
@@ -2,21 +2,23 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 )
 
-// Report is all that a run measured.
+// Report is all that was measured, by one run or by runs of single parts.
 type Report struct {
-	Command  string         `json:"command"`
 	Go       string         `json:"go"`
 	Cores    int            `json:"cores"`
-	LoadFrom string         `json:"load_average_before"` // of the machine, other work included
-	LoadTo   string         `json:"load_average_after"`
+	Runs     map[string]Run `json:"runs"` // by part
 	Metrics  []Metric       `json:"metrics"`
 	Axis     Axis           `json:"by_followers"`
 	Large    []*Point       `json:"large_contents"`
@@ -25,15 +27,43 @@
 	Events   map[string]int `json:"log_events"` // of the followers' logs
 }
 
-// NewReport begins a report of a run by a command.
-func NewReport(command string) *Report {
-	return &Report{
-		Command:  command,
-		Go:       runtime.Version(),
-		Cores:    runtime.NumCPU(),
-		LoadFrom: loadAverage(),
-		Metrics:  Metrics(),
+// Run says how a part was measured.
+type Run struct {
+	Command  string `json:"command"`
+	LoadFrom string `json:"load_average_before"` // of the machine, other work included
+	LoadTo   string `json:"load_average_after"`
+}
+
+// fileName is the report's, without its ending.
+const fileName = "rollout-scale"
+
+// NewReport begins a report, or goes on with the one of a folder.
+func NewReport(folder string) (*Report, error) {
+	report := &Report{Runs: map[string]Run{}}
+	text, err := os.ReadFile(filepath.Join(folder, fileName+".json"))
+	if err == nil {
+		err = json.Unmarshal(text, report)
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
 	}
+	report.Go = runtime.Version()
+	report.Cores = runtime.NumCPU()
+	report.Metrics = Metrics()
+	return report, nil
+}
+
+// Begin notes that a part is measured by a command from now on.
+func (r *Report) Begin(part, command string) {
+	r.Runs[part] = Run{Command: command, LoadFrom: loadAverage()}
+}
+
+// End notes that a part is measured.
+func (r *Report) End(part string, lines *Lines) {
+	run := r.Runs[part]
+	run.LoadTo = loadAverage()
+	r.Runs[part] = run
+	r.Events = lines.Events()
 }
 
 // loadAverage gives the machine's load average over 1, 5 and 15 minutes.
@@ -47,33 +77,31 @@
 	return strings.Join(fields[:min(averages, len(fields))], " ")
 }
 
-// Finish takes in what is known at the end.
-func (r *Report) Finish(lines *Lines) {
-	r.LoadTo = loadAverage()
-	r.Events = lines.Events()
-}
-
 // Write writes the report as JSON and as text into a folder.
 func (r *Report) Write(folder string) error {
 	text, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
 		return err
 	}
-	err = os.WriteFile(filepath.Join(folder, "rollout-scale.json"), append(text, '\n'), 0o644)
+	err = os.WriteFile(filepath.Join(folder, fileName+".json"), append(text, '\n'), 0o644)
 	if err != nil {
 		return err
 	}
 	var page strings.Builder
 	r.Text(&page)
-	return os.WriteFile(filepath.Join(folder, "rollout-scale.md"), []byte(page.String()), 0o644)
+	return os.WriteFile(filepath.Join(folder, fileName+".md"), []byte(page.String()), 0o644)
 }
 
 // Text writes the report as tables.
 func (r *Report) Text(w io.Writer) {
-	fmt.Fprintf(w, "# Figures of the configuration's distribution by hollow followers\n\n`%s`, %s, %d cores, load average %s before "+
-		"and %s after: a machine shared with other runs. Three publishers. `docs/rollout-scale.md` tells how and what is left "+
-		"out. Figures of followers are means of one, in force is wall time under that load.\n", r.Command, r.Go, r.Cores, r.LoadFrom,
-		r.LoadTo)
+	fmt.Fprintf(w, "# Figures of the configuration's distribution by hollow followers\n\n%s, %d cores, a machine shared with other "+
+		"runs. Three publishers. `docs/rollout-scale.md` tells how and what is left out. Figures of followers are means of one, in "+
+		"force is wall time under the load average that is told.\n\n| part | load average before | after | command |\n"+
+		"| --- | --- | --- | --- |\n", r.Go, r.Cores)
+	for _, part := range slices.Sorted(maps.Keys(r.Runs)) {
+		run := r.Runs[part]
+		fmt.Fprintf(w, "| %s | %s | %s | `%s` |\n", part, run.LoadFrom, run.LoadTo, run.Command)
+	}
 	if len(r.Axis.Points) > 0 {
 		r.axisText(w)
 	}
@@ -86,7 +114,7 @@
 	if r.Compared != nil {
 		r.Compared.text(w)
 	}
-	fmt.Fprintf(w, "\nLog lines of all followers by event: %v.\n", r.Events)
+	fmt.Fprintf(w, "\nLog lines of the last run's followers by event: %v.\n", r.Events)
 	for _, fault := range r.Faults() {
 		fmt.Fprintf(w, "\nDoes not hold: %s.\n", fault)
 	}
