--- a/lab/rollout/refusals.go
+++ b/lab/rollout/refusals.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"ravensill/configsync"
 	"ravensill/internal/publisher"
@@ -159,12 +160,10 @@
 	}}
 }
 
-// wantRejected puts a wrong request to a publisher.
+// wantRejected puts a wrong request to a publisher, again where the group has no leader at the moment.
 func (p *Publishers) wantRejected(ctx context.Context, i int, bad badRequest) error {
-	var publication publisher.Publication
-	err := p.ask(ctx, i, bad.request, &publication)
-	var rejected *RejectedError
-	if !errors.As(err, &rejected) || rejected.Status >= http.StatusInternalServerError {
+	rejected, err := p.rejection(ctx, i, bad.request)
+	if err != nil {
 		return fmt.Errorf("%s: %s is not refused: %w", publisherName(i), bad.request.Body, err)
 	}
 	if !strings.HasPrefix(rejected.Text, bad.path) {
@@ -173,6 +172,32 @@
 	return nil
 }
 
+// rejection puts a request to a publisher until it is carried out, which is an error here, or refused for a fault of its own.
+func (p *Publishers) rejection(ctx context.Context, i int, request Request) (*RejectedError, error) {
+	for {
+		var publication publisher.Publication
+		err := p.ask(ctx, i, request, &publication)
+		if err == nil {
+			return nil, fmt.Errorf("published as version %d", publication.Version)
+		}
+		var rejected *RejectedError
+		if !errors.As(err, &rejected) {
+			return nil, err
+		}
+		if rejected.Status < http.StatusInternalServerError {
+			return rejected, nil
+		}
+		if rejected.Status != http.StatusServiceUnavailable {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", ctx.Err(), err)
+		case <-time.After(adminPause):
+		}
+	}
+}
+
 // Lines is the step that wants a number of log lines of an event from gateways, over all of their lives.
 func Lines(event string, count int, members ...int) Step {
 	return Step{fmt.Sprintf("%d lines of %s", count, event), func(_ context.Context, r *Run) error {
