--- a/lab/rollout/hollow/point.go
+++ b/lab/rollout/hollow/point.go
@@ -297,7 +297,9 @@
 		}
 		const fewest = 3
 		if len(sizes) >= fewest && slices.Min(figures) > 0 {
-			axis.Fits[metric.Name] = scale.NewFit(sizes, figures, metric.Counted)
+			fit := scale.NewFit(sizes, figures, metric.Counted)
+			fit.Top = 0 // told for sizes that grow by equal factors alone, and infinite for some others
+			axis.Fits[metric.Name] = fit
 		}
 	}
 	return axis
--- a/lab/rollout/hollow/verdict_test.go
+++ b/lab/rollout/hollow/verdict_test.go
@@ -6,9 +6,9 @@
 )
 
 // growing gives an axis whose figures are as they must be, but for a change.
-func growing(change func(point *Point)) Axis {
+func growing(sizes []int, change func(point *Point)) Axis {
 	var points []*Point
-	for _, followers := range []int{25, 50, 100, 200, 400} {
+	for _, followers := range sizes {
 		point := &Point{Followers: followers, Figures: map[string]float64{
 			ChangeDeltas:      1,
 			ChangeBytes:       169,
@@ -37,10 +37,30 @@
 		{"a fault of a follower", func(p *Point) { p.Faults = map[int][]string{50: {"g1: version 1 after 2"}}[p.Followers] },
 			[]string{"g1: version 1 after 2"}},
 	} {
-		axis := growing(test.change)
+		axis := growing([]int{25, 50, 100, 200, 400}, test.change)
 		got := axis.Faults()
 		if !slices.Equal(got, test.want) {
 			t.Errorf("%s: %q, want %q", test.name, got, test.want)
 		}
 	}
 }
+
+// A report can be written and read again, at the full form's sizes too.
+func TestReport(t *testing.T) {
+	folder := t.TempDir()
+	report, err := NewReport(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report.Begin("followers", "command")
+	report.Axis = growing([]int{375, 1000, 2000, 4000, 6000}, func(*Point) {})
+	report.End("followers", &lines)
+	err = report.Write(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := NewReport(folder)
+	if err != nil || len(again.Axis.Points) != 5 || again.Runs["followers"].Command != "command" {
+		t.Errorf("%+v, %v", again, err)
+	}
+}
