--- a/lab/knownred/knownred_test.go
+++ b/lab/knownred/knownred_test.go
@@ -25,7 +25,7 @@
 func run(t *testing.T, lines string, files map[string]string) (out string, failed bool) {
 	dir := t.TempDir()
 	all := map[string]string{"go.mod": "module m\n\ngo 1.26\n"}
-	for _, name := range []string{"clients", "hosts", "discovery", "node", "ring"} {
+	for _, name := range []string{"clients", "hosts", "discovery", "node", "ring", "consensus", "publisher", "subscriber"} {
 		all["internal/"+name+"/x.go"] = "package x\n"
 	}
 	if lines != "" {
