--- a/configsync/sender.go
+++ b/configsync/sender.go
@@ -87,7 +87,7 @@
 type preparedDelta struct {
 	to     Version
 	digest Digest
-	frame  []byte
+	frame  []byte // nil: no delta leads on, which takes as long to find out
 }
 
 // Action is what a publisher does for a follower.
@@ -396,16 +396,16 @@
 
 func (s *Sender) prepareDelta(held Version) (preparedDelta, bool) {
 	s.deltas.renew(s.state.document)
-	if prepared, found := s.deltas.byHeld[held]; found {
-		return prepared, true
+	prepared, found := s.deltas.byHeld[held]
+	if found {
+		return prepared, prepared.frame != nil
 	}
 	delta, ok := s.state.history.SinceWithin(held)
-	if !ok {
-		return preparedDelta{}, false
+	if ok {
+		prepared = preparedDelta{to: delta.To, digest: delta.Digest, frame: Encode(&delta)}
 	}
-	prepared := preparedDelta{to: delta.To, digest: delta.Digest, frame: Encode(&delta)}
 	s.deltas.add(held, prepared)
-	return prepared, true
+	return prepared, ok
 }
 
 func (c *deltaCache) add(held Version, prepared preparedDelta) {
--- a/configsync/sender_test.go
+++ b/configsync/sender_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 )
@@ -151,6 +152,31 @@
 	}
 }
 
+// That no delta fits is found out once for all followers that hold the same version: it takes a walk through all changes.
+func TestSenderRemembersThatNoDeltaFits(t *testing.T) {
+	r := newSenderRig(t, 0, SenderLimits{})
+	var changes []Change
+	for i := range 10 {
+		changes = append(changes, set(Resource(fmt.Sprintf("plans/%d", i)), strings.Repeat("1", MaxValueBytes)))
+	}
+	publish(t, r.state, changes...)
+	id := r.connect(start, &Hello{Protocol: Protocol, Member: 1})
+	message := r.next(start, id)
+	if _, ok := message.(*SnapshotPart); !ok {
+		t.Fatalf("%T", message)
+	}
+	search := func() {
+		_, fits := r.sender.deltaFor(r.sender.followers[id])
+		if fits {
+			t.Error("a delta fits")
+		}
+	}
+	const runs = 10
+	if allocations := testing.AllocsPerRun(runs, search); allocations > 0 {
+		t.Errorf("%v allocations where it is known that no delta fits", allocations)
+	}
+}
+
 func TestSenderChoosesDeltaOrSnapshot(t *testing.T) { // at version 5, with a history from version 2 on
 	for name, test := range map[string]struct {
 		held   Version
