--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -66,7 +66,7 @@
 				}
 				n.lost = false
 			})
-		}, func(list []byte) { newest(func() { n.listed(list, false) }) })
+		}, func(list string) { newest(func() { n.listed(list, false) }) })
 		stop()
 		n.do(func() { n.ended(w, err) })
 	}()
@@ -103,7 +103,7 @@
 		log.Printf("event=reloaded discovery=%s version=%d others_changed=%t", cfg.Discovery, n.book.Version,
 			n.cfg.Fixed != cfg.Fixed) // these count from the next start on
 		if cfg.Pool != nil {
-			n.pool.capacity(cfg.Pool.Serial, cfg.Pool.Capacity)
+			n.pool.setCapacity(cfg.Pool.Serial, cfg.Pool.Capacity)
 		}
 		if cfg.Discovery == n.cfg.Discovery {
 			return
@@ -126,7 +126,7 @@
 	}
 	n.lost = true
 	if n.cfg.Limits.MustAsk {
-		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Lost})
+		n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: gateway.Unavailable})
 		return
 	}
 	time.AfterFunc(discovery.Again, func() {
@@ -139,10 +139,10 @@
 }
 
 // listed takes in a list or changes of it.
-func (n *Node) listed(text []byte, old bool) {
+func (n *Node) listed(text string, old bool) {
 	n.told = n.told || !old
 	had := n.book.Version
-	kind, list, odd, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.fleet.Place(host, addr) })
+	kind, list, odd, err := n.book.Read(text, func(host uint32, addr netip.AddrPort) { n.transport.SetAddress(host, addr) })
 	if err != nil {
 		n.broken++
 		log.Printf("event=list_dropped error=%q count=%d", err, n.broken)
@@ -155,7 +155,7 @@
 		log.Printf("event=list_older version=%d had=%d", n.book.Version, had)
 	}
 	if old {
-		kind = gateway.Old
+		kind = gateway.Cached
 	}
 	n.witness.listed(list)
 	for _, l := range list {
@@ -163,12 +163,12 @@
 			log.Printf("event=host id=%s state=%s version=%d", n.book.Name(l.Host), l.State, n.book.Version)
 		}
 		if l.State == gateway.Draining {
-			n.fleet.Hold(l.Host)
+			n.transport.Drain(l.Host)
 		}
 		if l.State == gateway.Gone {
-			n.fleet.Drop(l.Host)
+			n.transport.Remove(l.Host)
 			n.book.Forget(l.Host)
 		}
 	}
-	n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: list})
+	n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: kind, Hosts: list})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,43 +44,43 @@
 
 // Node is one gateway. All its fields belong to the loop.
 type Node struct {
-	cfg     *config.Config
-	module  Decider
-	work    chan func()
-	epoch   time.Time // and its Unix time: now is counted from there and never runs back
-	unix    int64
-	reqs    map[string]*req
-	events  []gateway.Event // since the last round
-	news    []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
-	round   gateway.Round
-	rounds  int   // handed to the module
-	wakeAt  int64 // 0: no wake-up is due
-	dueAt   int64 // when the first dispatch of open times out at the earliest
-	open    []*dispatch
-	classes []gateway.Frontend // request classes by index, as they are in force
-	catalog *clients.Catalog
-	clients *clients.Server
-	fleet   *hosts.Fleet
-	book    *discovery.Book
-	post    *peers.Post
-	counter *counter.Counter // nil: none is configured
-	watch   *watch
-	witness *watching             // nil: off
-	pool    *pooling              // nil: off
-	waiting []revision            // of the configuration; each is in force after the turn at hand
-	over    chan struct{}         // closed when Run returns
-	tasks   []func() (end func()) // started once the gateway has its addresses
-	lost    bool                  // the watch broke, and none has brought anything since
-	told    bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
-	broken  int                   // lists dropped
-	strange int                   // datagrams dropped since the last line on them
-	lineAt  int64                 // of that line
-	tallyAt int64                 // of the last line of decisions
-	stopAt  int64                 // the next step to the end is due then; 0 none
-	leaveAt int64                 // what is taken has its answer by then; 0 not called to stop
-	serving bool                  // clients are taken in
-	stopped bool                  // no more are: the gateway ends with its last connection
-	retired bool                  // those that are owed nothing are closed
+	cfg           *config.Config
+	module        Decider
+	work          chan func()
+	epoch         time.Time // and its Unix time: now is counted from there and never runs back
+	unix          int64
+	reqs          map[string]*req
+	events        []gateway.Event // since the last round
+	news          []gateway.Event // of the list: they go first, so that no dispatch of the round passes by a drain
+	round         gateway.Round
+	rounds        int   // handed to the module
+	wakeAt        int64 // 0: no wake-up is due
+	dueAt         int64 // when the first dispatch of open times out at the earliest
+	open          []*dispatch
+	classes       []gateway.RequestClass // request classes by index, as they are in force
+	catalog       *clients.Catalog
+	clients       *clients.Server
+	transport     *hosts.Transport
+	book          *discovery.Book
+	peerTransport *peers.Transport
+	counter       *counter.Counter // nil: none is configured
+	watch         *watch
+	witness       *watching             // nil: off
+	pool          *connectionQuota      // nil: off
+	pending       []revision            // of the configuration; each is in force after the turn at hand
+	over          chan struct{}         // closed when Run returns
+	tasks         []func() (end func()) // started once the gateway has its addresses
+	lost          bool                  // the watch broke, and none has brought anything since
+	told          bool                  // clients may be taken in: discovery has answered once, or it was waited for long enough
+	broken        int                   // lists dropped
+	strange       int                   // datagrams dropped since the last line on them
+	lineAt        int64                 // of that line
+	tallyAt       int64                 // of the last line of decisions
+	stopAt        int64                 // the next step to the end is due then; 0 none
+	leaveAt       int64                 // what is taken has its answer by then; 0 not called to stop
+	serving       bool                  // clients are taken in
+	stopped       bool                  // no more are: the gateway ends with its last connection
+	retired       bool                  // those that are owed nothing are closed
 }
 
 // New makes a gateway that is not yet reachable.
@@ -89,10 +89,10 @@
 		classes: slices.Clone(cfg.Fronts), reqs: map[string]*req{}, book: discovery.NewBook(cfg.Zones, cfg.Machines)}
 	n.book.Even = cfg.Even
 	n.unix = n.epoch.UnixNano()
-	n.catalog = clients.NewCatalog(wordsOf(cfg))
+	n.catalog = clients.NewCatalog(catalogOf(cfg))
 	sockets := descriptors(cfg.Sockets)
 	n.clients = clients.NewServer(n.catalog, sockets/3, n.do, n.now, n.arrive)
-	n.fleet = hosts.NewFleet(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
+	n.transport = hosts.NewTransport(n.do, n.now, cfg.ReportNames, cfg.ConnectTimeout, int64(keep*float64(cfg.ConnIdle)),
 		sockets*2/5)
 	if cfg.Counter.IsValid() {
 		n.counter = counter.New(cfg.Counter, cfg.Limits.CounterWait, n.do, n.now, func(e gateway.Event) {
@@ -102,20 +102,27 @@
 	return n
 }
 
-// wordsOf lists what commands name.
-func wordsOf(cfg *config.Config) clients.Words {
-	words := clients.Words{Fronts: cfg.FrontNames, Plans: cfg.PlanNames, Seats: cfg.Seat.Count, Seat: cfg.Seat.Index}
-	for _, class := range cfg.Fronts {
-		words.Effects = append(words.Effects, class.Effect)
+// catalogOf lists what commands name.
+func catalogOf(cfg *config.Config) clients.CatalogConfig {
+	catalog := clients.CatalogConfig{
+		Classes:  cfg.FrontNames,
+		Effects:  make([]gateway.Effect, 0, len(cfg.Fronts)),
+		Plans:    cfg.PlanNames,
+		MaxUnits: make([]float64, 0, len(cfg.Plans)),
+		Members:  cfg.Seat.Count,
+		Own:      cfg.Seat.Index,
+	}
+	for i := range cfg.Fronts {
+		catalog.Effects = append(catalog.Effects, cfg.Fronts[i].Effect)
 	}
 	for i := range cfg.Plans {
-		words.Most = append(words.Most, mostUnits(&cfg.Plans[i]))
+		catalog.MaxUnits = append(catalog.MaxUnits, maxUnits(&cfg.Plans[i]))
 	}
-	return words
+	return catalog
 }
 
-// mostUnits gives the units that a request of a quota plan may ask for; 0: any.
-func mostUnits(plan *gateway.Plan) float64 {
+// maxUnits gives the units that a request of a quota plan may ask for; 0: any.
+func maxUnits(plan *gateway.Plan) float64 {
 	if plan.Rate == 0 {
 		return 0
 	}
@@ -146,8 +153,8 @@
 		}
 	}()
 	listener, err := n.addresses(stop)
-	if n.post != nil {
-		defer n.post.Close()
+	if n.peerTransport != nil {
+		defer n.peerTransport.Close()
 	}
 	if listener != nil {
 		defer listener.Close()
@@ -164,23 +171,24 @@
 		return err
 	}
 	defer unwatch()
-	unpool, err := n.poolUp(stop)
+	unpool, err := n.startPool(stop)
 	if err != nil {
 		return err
 	}
 	defer unpool()
 	if n.cfg.Known != "" {
-		n.listed([]byte(n.cfg.Known), true)
+		n.listed(n.cfg.Known, true)
+		n.cfg.Known = "" // what it told is in the book, and the file's text need not be kept
 	} else {
-		n.news = append(n.news, gateway.Event{Kind: gateway.Listed, List: gateway.Old})
+		n.news = append(n.news, gateway.Event{Kind: gateway.HostsListed, List: gateway.Cached})
 	}
 	n.step() // the first round
 	for _, start := range n.tasks {
 		ends = append(ends, start())
 	}
-	if n.post != nil {
-		go n.post.Listen(func(seat int, body []byte) {
-			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Heard, Peer: seat, Body: body}) })
+	if n.peerTransport != nil {
+		go n.peerTransport.Listen(func(member int, body []byte) {
+			n.do(func() { n.events = append(n.events, gateway.Event{Kind: gateway.Received, Peer: member, Body: body}) })
 		}, func() { n.do(func() { n.strange++ }) })
 	}
 	n.start()
@@ -190,7 +198,7 @@
 			n.serving = true
 			n.clients.Listen(listener)
 			log.Printf("event=serving name=%s listen=%s peer_listen=%s hosts=%d version=%d", n.cfg.Name, listener.Addr(),
-				n.post.Addr(), n.book.Count(), n.book.Version)
+				n.peerTransport.Addr(), n.book.Count(), n.book.Version)
 		}
 		select {
 		case f := <-n.work:
@@ -203,7 +211,7 @@
 		n.drain()
 		n.catchUp()
 		wait := n.step()
-		if n.putInForce() {
+		if n.applyPending() {
 			wait = n.step()
 		}
 		timer.Reset(wait)
@@ -237,13 +245,13 @@
 	countAt := int64(0)
 	if n.wakeAt > 0 && now >= n.wakeAt {
 		n.wakeAt = 0
-		n.fleet.Tidy()
+		n.transport.CloseIdle()
 		n.clients.Tidy()
 		if n.strange > 0 && now-n.lineAt > int64(time.Second) {
 			log.Printf("event=datagrams_dropped count=%d", n.strange)
 			n.strange, n.lineAt = 0, now
 		}
-		n.events = append(n.events, gateway.Event{Kind: gateway.Woke})
+		n.events = append(n.events, gateway.Event{Kind: gateway.Tick})
 		if t, ok := n.module.(Tallier); ok && now-n.tallyAt >= tallyEach {
 			n.tallyAt = now
 			log.Printf("event=decisions %s", t.Tally())
@@ -254,21 +262,23 @@
 		if len(n.events)+len(n.news) > 0 {
 			n.round.Now = n.now()
 			n.round.Events = append(append(n.round.Events[:0], n.news...), n.events...)
+			clear(n.news) // a whole list must not stay in memory until the next comes
 			n.news, n.events = n.news[:0], n.events[:0]
 			n.rounds++
 			n.decide()
 			n.forget()
+			clear(n.round.Events)
 		}
 		// Also when the module has nothing to decide: an answer to PING must not wait for its next wake-up.
 		left = n.clients.Flush()
-		left = n.fleet.Flush() || left
+		left = n.transport.Flush() || left
 		if n.counter != nil {
 			left = n.counter.Flush() || left
 			countAt = n.counter.Expire(n.now())
 		}
 	}
 	wait := time.Hour
-	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt, n.pool.turn()} {
+	for _, at := range []int64{n.wakeAt, n.dueAt, n.stopAt, countAt, n.pool.report()} {
 		if at > 0 {
 			wait = min(wait, time.Duration(at-n.now()))
 		}
@@ -288,7 +298,7 @@
 				n.Wake(int64(retry))
 				for _, e := range n.round.Events {
 					if r := n.reqs[e.Req]; r != nil && r.out == 0 {
-						n.Abort(e.Req)
+						n.Fail(e.Req)
 					}
 				}
 				panic(p)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -14,8 +14,8 @@
 	node                      *Node
 	id                        string
 	answer                    *clients.Answer
-	front                     int              // frontend
-	class                     gateway.Frontend // the same, as it was when the request arrived
+	front                     int                  // frontend
+	class                     gateway.RequestClass // the same, as it was when the request arrived
 	until                     int64
 	head, before, after, tail []byte
 	sends                     []*dispatch // by their numbers
@@ -32,7 +32,7 @@
 	host    uint32
 	n       int
 	at, due int64
-	send    *hosts.Send
+	send    *hosts.Attempt
 }
 
 // expire ends the dispatches whose time is up.
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, d := range due { // each ends at once, also one whose send a panic has swallowed
-		n.guard("loop", func() { d.send.Stop(hosts.ErrTimedOut) })
+		n.guard("loop", func() { d.send.Cancel(hosts.ErrTimedOut) })
 		if slices.Contains(n.open, d) {
 			n.guard("loop", func() { d.ended(gateway.Event{Result: gateway.TimedOut}, nil, now) })
 		}
@@ -71,7 +71,7 @@
 		after: after, tail: tail, round: n.rounds, event: len(n.events)}
 	n.reqs[id] = r
 	a.Left = r.left
-	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Frontend: front,
+	n.events = append(n.events, gateway.Event{Kind: gateway.Arrived, Req: id, Customer: customer, Class: front,
 		Plan: plan, Until: until, Units: units, Spread: spread, First: first, Again: again})
 }
 
@@ -98,8 +98,8 @@
 // withdraw gives up a dispatch that has not begun: it waits for a connection, or its last byte is not yet written. Its
 // connection may come up long after, and then carry a req whose client is gone.
 func (d *dispatch) withdraw() {
-	if !d.send.Sent() {
-		d.send.Stop(hosts.ErrCanceled)
+	if !d.send.Written() {
+		d.send.Cancel(hosts.ErrCanceled)
 	}
 }
 
@@ -143,12 +143,12 @@
 		d.ended(gateway.Event{Result: gateway.Skipped}, nil, n.now())
 		return
 	}
-	n.pool.next(r)
+	n.pool.setUrgency(r)
 	by := d.due
-	if r.ranAt > 0 && r.class.Effect == gateway.Uniqued { // hosts drop a repeat for so long: a connection may come up later
+	if r.ranAt > 0 && r.class.Effect == gateway.Deduplicated { // hosts drop a repeat for so long: a connection may come up later
 		by = min(by, r.ranAt+r.class.Window)
 	}
-	d.send = n.fleet.Dispatch(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
+	d.send = n.transport.Send(host, r.head, r.before, r.after, r.tail, wait, by, d.ended)
 	if r.closed { // it left meanwhile: the end of another may have ended its connection
 		d.withdraw()
 	}
@@ -156,12 +156,12 @@
 
 func (n *Node) Probe(host uint32) {
 	d := n.sent(nil, host, probeWait)
-	d.send = n.fleet.Probe(host, d.ended)
+	d.send = n.transport.Probe(host, d.ended)
 }
 
 // sent notes a dispatch that is to end within a time.
 func (n *Node) sent(r *req, host uint32, wait int64) *dispatch {
-	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.Never}
+	d := &dispatch{node: n, req: r, host: host, at: n.round.Now, due: n.round.Now + wait, send: hosts.NeverStarted}
 	if r != nil {
 		d.n = len(r.sends)
 	}
@@ -193,8 +193,8 @@
 		e.Req, e.Closed = r.id, r.closed
 		n.events = append(n.events, e)
 	}()
-	n.pool.ended(r)
-	if e.Result == gateway.Passed && !r.closed {
+	n.pool.rejectThrottled(r)
+	if e.Result == gateway.Succeeded && !r.closed {
 		r.closed = true
 		r.answer.Passed(value)
 	}
@@ -203,27 +203,27 @@
 
 func (n *Node) Cancel(id string, dispatch int) {
 	if r := n.reqs[id]; r != nil && uint(dispatch) < uint(len(r.sends)) {
-		r.sends[dispatch].send.Stop(hosts.ErrCanceled)
+		r.sends[dispatch].send.Cancel(hosts.ErrCanceled)
 	}
 }
 
-func (n *Node) Deny(id string, after int64) {
+func (n *Node) Reject(id string, after int64) {
 	if r := n.reqs[id]; r != nil && !r.closed {
 		r.answer.Denied(after)
 		r.close()
 	}
 }
 
-func (n *Node) Abort(id string) {
+func (n *Node) Fail(id string) {
 	if r := n.reqs[id]; r != nil && !r.closed {
 		r.answer.Aborted("aborted")
 		r.close()
 	}
 }
 
-func (n *Node) Tell(peer int, body []byte) {
-	if n.post != nil {
-		n.post.Tell(peer, body)
+func (n *Node) Send(peer int, body []byte) {
+	if n.peerTransport != nil {
+		n.peerTransport.Send(peer, body)
 	}
 }
 
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -15,8 +15,8 @@
 	"ravensill/gateway"
 	"ravensill/internal/config"
 	"ravensill/internal/discovery"
+	"ravensill/internal/gossip"
 	"ravensill/internal/hosts"
-	"ravensill/internal/mail"
 	"ravensill/logic"
 )
 
@@ -56,9 +56,9 @@
 	outside       Outside
 	configuration *config.Config
 	module        *logic.Gateway
-	form          mail.Form // of the messages that are taken in
+	form          gossip.Format // of the messages that are taken in
 	book          *discovery.Book
-	connections   *hosts.Fleet
+	connections   *hosts.Transport
 	lists         []gateway.Event // of the host list: they precede other events, as in package node
 	events        []gateway.Event
 	round         gateway.Round
@@ -80,19 +80,20 @@
 	h.book.Even = configuration.Even
 	run := func(work func()) { work() }
 	clock := func() int64 { return h.now }
-	h.connections = hosts.NewFleet(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
+	h.connections = hosts.NewTransport(run, clock, configuration.ReportNames, configuration.ConnectTimeout,
 		configuration.ConnIdle, int(connectionsPerSocket*float64(configuration.Sockets)))
 	if configuration.Configuration != nil {
 		h.follow()
 	}
-	h.List([]byte(configuration.Known), true)
+	h.List(configuration.Known, true)
+	configuration.Known = "" // as package node: the list is in the book
 	h.Turn(now)
 	return h
 }
 
 // messageForm is the form of the messages between gateways, as package node has it.
-func messageForm(c *config.Config) mail.Form {
-	return mail.Form{Plans: len(c.Plans), Members: len(c.Peers), ByID: c.Configuration != nil}
+func messageForm(c *config.Config) gossip.Format {
+	return gossip.Format{Plans: len(c.Plans), Members: len(c.Peers), ByID: c.Configuration != nil}
 }
 
 // Index is the gateway's member index.
@@ -103,32 +104,32 @@
 
 // List takes in a host list or changes of it, as discovery writes them. cached tells that it comes from the
 // configuration and may be out of date.
-func (h *Hollow) List(text []byte, cached bool) {
-	place := func(host uint32, address netip.AddrPort) { h.connections.Place(host, address) }
+func (h *Hollow) List(text string, cached bool) {
+	place := func(host uint32, address netip.AddrPort) { h.connections.SetAddress(host, address) }
 	kind, listings, _, err := h.book.Read(text, place)
 	if err != nil {
 		h.badLists++
 		return
 	}
 	if cached {
-		kind = gateway.Old
+		kind = gateway.Cached
 	}
 	for _, listing := range listings {
 		switch listing.State {
 		case gateway.Draining:
-			h.connections.Hold(listing.Host)
+			h.connections.Drain(listing.Host)
 		case gateway.Gone:
-			h.connections.Drop(listing.Host)
+			h.connections.Remove(listing.Host)
 			h.book.Forget(listing.Host)
 		}
 	}
-	h.lists = append(h.lists, gateway.Event{Kind: gateway.Listed, List: kind, Hosts: listings})
+	h.lists = append(h.lists, gateway.Event{Kind: gateway.HostsListed, List: kind, Hosts: listings})
 }
 
 // Receive takes in a message of a peer. An unsound one is dropped, as the program's socket drops it.
 func (h *Hollow) Receive(peer int, body []byte) {
 	sound := false
-	h.form.Read(body, func(uint64, uint64) bool {
+	h.form.Decode(body, func(uint64, uint64) bool {
 		sound = true
 		return false
 	}, nil, nil)
@@ -137,14 +138,14 @@
 	}
 	h.MessagesIn++
 	h.BytesIn += len(body)
-	h.events = append(h.events, gateway.Event{Kind: gateway.Heard, Peer: peer, Body: body})
+	h.events = append(h.events, gateway.Event{Kind: gateway.Received, Peer: peer, Body: body})
 }
 
 // Request takes in a request of a simulated client.
 func (h *Hollow) Request(request Request) {
 	h.attempts[request.ID] = 0
 	h.events = append(h.events, gateway.Event{Kind: gateway.Arrived, Req: request.ID, Customer: request.Customer,
-		Frontend: request.Class, Plan: request.Plan, Until: request.Deadline, Units: 1,
+		Class: request.Class, Plan: request.Plan, Until: request.Deadline, Units: 1,
 		Spread: request.Spread, First: request.First})
 }
 
@@ -152,7 +153,7 @@
 func (h *Hollow) Answered(request string, host uint32, attempt int, after time.Duration) {
 	delete(h.attempts, request)
 	h.events = append(h.events, gateway.Event{Kind: gateway.Ended, Req: request, Host: host, Dispatch: attempt,
-		Result: gateway.Passed, Lag: int64(after), Closed: true, Load: []float64{hostUtilization}})
+		Result: gateway.Succeeded, Lag: int64(after), Closed: true, Load: []float64{hostUtilization}})
 }
 
 // Due is when the gateway's timer falls due; 0 never.
@@ -164,21 +165,23 @@
 	if h.wakeAt > 0 && now >= h.wakeAt {
 		h.wakeAt = 0
 		h.Ticks++
-		h.connections.Tidy()
-		h.events = append(h.events, gateway.Event{Kind: gateway.Woke})
+		h.connections.CloseIdle()
+		h.events = append(h.events, gateway.Event{Kind: gateway.Tick})
 	}
 	for len(h.lists)+len(h.events) > 0 {
 		h.round.Now = now
 		h.round.Events = append(append(h.round.Events[:0], h.lists...), h.events...)
+		clear(h.lists) // a whole list must not stay in memory until the next comes
 		h.lists, h.events = h.lists[:0], h.events[:0]
 		h.Rounds++
 		h.module.Round(&h.round, h)
+		clear(h.round.Events)
 	}
 	h.connections.Flush()
 }
 
-// Tell sends a message to a peer.
-func (h *Hollow) Tell(peer int, body []byte) {
+// Send sends a message to a peer.
+func (h *Hollow) Send(peer int, body []byte) {
 	h.MessagesOut++
 	h.BytesOut += len(body)
 	h.outside.Send(h, peer, body)
@@ -191,11 +194,11 @@
 	h.outside.Attempt(h, request, host, attempt)
 }
 
-// Deny rejects a request.
-func (h *Hollow) Deny(request string, _ int64) { h.close(request, Rejected) }
+// Reject rejects a request.
+func (h *Hollow) Reject(request string, _ int64) { h.close(request, Rejected) }
 
-// Abort fails a request.
-func (h *Hollow) Abort(request string) { h.close(request, Failed) }
+// Fail fails a request.
+func (h *Hollow) Fail(request string) { h.close(request, Failed) }
 
 func (h *Hollow) close(request string, outcome Outcome) {
 	delete(h.attempts, request)
--- a/lab/standin/clients.go
+++ b/lab/standin/clients.go
@@ -38,7 +38,7 @@
 	Result   Result        // "": still open
 	Host     string        // the host that answered; "": none
 	After    time.Duration // retry-after time of a rejection
-	Text     string        // of an error that aborted it
+	Text     string        // of an error that is no rejection
 	Twice    bool          // sent again after a close that crossed it
 
 	arguments string // names and values of its command
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,7 +2,7 @@
 
 import (
 	"ravensill/gateway"
-	"ravensill/internal/mail"
+	"ravensill/internal/gossip"
 	"ravensill/limit"
 	"ravensill/spread"
 )
@@ -93,7 +93,7 @@
 	rnd   *mwc
 
 	writer  gateway.Writer // of the round
-	seat    gateway.Seat
+	seat    gateway.Membership
 	limits  gateway.Limits
 	classes []*class
 	plans   []*gateway.Plan // by index; nil: removed
@@ -105,7 +105,7 @@
 	calls     map[uint64][]*request // of the shared counter, by its number, in order
 	pool      hostPool
 
-	form       mail.Form
+	format     gossip.Format
 	rows       int     // of the grid that the gateways stand in
 	neighbours []*peer // the gateways that this one sends to or hears
 	peers      []*peer // by member index; nil: no neighbour
@@ -138,7 +138,7 @@
 
 // class is a request class, with what was learned of it.
 type class struct {
-	gateway.Frontend
+	gateway.RequestClass
 	index int
 	usual float64 // nanoseconds that its answers usually take
 	units float64 // that its requests usually ask
@@ -149,6 +149,7 @@
 	all       []*host // by id
 	near      []*host // those of all in this gateway's subset, or sent to
 	weighed   []*host // those whose loads pick has set last
+	busyHosts []*host // those with attempts in flight at the last tick, or sent to since
 	cold      gateway.Cold
 	rnd       *mwc
 	busyField int // place of the busy share in load reports; -1 none
@@ -163,16 +164,17 @@
 // host is one of the list.
 type host struct {
 	spread.Host
-	id       uint32
-	state    gateway.State
-	used     bool  // sent to since it is in the list
-	since    int64 // its last start
-	inFlight []*attempt
-	pace     float64 // its answers' time against the usual
-	busy     float64 // share told by itself
-	load     float64 // how long an answer would take, as pick weighed it
-	allow    float64 // attempts that it may get while cold
-	classes  []health
+	id         uint32
+	state      gateway.State
+	used       bool  // sent to since it is in the list
+	since      int64 // its last start
+	inFlight   []*attempt
+	listedBusy bool    // in busyHosts
+	pace       float64 // its answers' time against the usual
+	busy       float64 // share told by itself
+	load       float64 // how long an answer would take, as pick weighed it
+	allow      float64 // attempts that it may get while cold
+	classes    []health
 }
 
 // health is how a host serves a request class: it may fail one and serve the others.
