--- a/lab/rollout/hollow/full_test.go
+++ b/lab/rollout/hollow/full_test.go
@@ -144,19 +144,8 @@
 // restartAll restarts all followers of a group in each of the ways that there are.
 func restartAll(t *testing.T, ctx context.Context, report *Report, setup Setup) {
 	const missed = 5
-	g, err := NewGroup(ctx, setup)
-	if err != nil {
-		t.Fatal(err)
-	}
+	g := startGroup(ctx, t, setup)
 	defer g.Close()
-	err = g.Fleet.Start(g.Fleet.members())
-	if err != nil {
-		t.Fatal(err)
-	}
-	err = g.everywhere(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
 	for _, s := range []storm{
 		{What: "with their disks", Followers: setup.Followers, Missed: missed},
 		{What: "with empty disks", Followers: setup.Followers, Missed: missed, Empty: true},
--- a/lab/rollout/hollow/hollow_test.go
+++ b/lab/rollout/hollow/hollow_test.go
@@ -57,19 +57,8 @@
 	const followers = 200
 	const kept = 16 // deltas in the publishers' history
 	ctx := testContext(t)
-	g, err := NewGroup(ctx, Setup{Followers: followers, Content: smallContent, Settings: map[string]any{"history_deltas": kept}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	g := startGroup(ctx, t, Setup{Followers: followers, Content: smallContent, Settings: map[string]any{"history_deltas": kept}})
 	defer g.Close()
-	err = g.Fleet.Start(g.Fleet.members())
-	if err != nil {
-		t.Fatal(err)
-	}
-	err = g.everywhere(ctx)
-	if err != nil {
-		t.Fatal(err)
-	}
 	for _, test := range []struct {
 		storm
 		fromDisk, snapshots int
@@ -99,6 +88,24 @@
 	}
 }
 
+// startGroup gives a group whose followers all have the first version in force. The caller closes it.
+func startGroup(ctx context.Context, t *testing.T, setup Setup) *Group {
+	t.Helper()
+	g, err := NewGroup(ctx, setup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = g.Fleet.Start(g.Fleet.members())
+	if err == nil {
+		err = g.everywhere(ctx)
+	}
+	if err != nil {
+		g.Close()
+		t.Fatal(err)
+	}
+	return g
+}
+
 // A hollow follower receives, sends and puts in force what a process of the program does.
 func TestComparison(t *testing.T) {
 	const margin = 0.2
