Review case 2: answers that pile up behind a slow one end the client's connection

Seen: a gateway closes the connection of a client that reads at once, with client_fault "answers are read too slowly", when answers of more than 256 KiB become ready together. All requests open on that connection get no answer, though hosts have run them.

Shown: review/2/run.sh plays two gateways and eight hosts of which one hangs for 7.5 s; a client sends six commands at once every 150 ms on one connection to each gateway; values have 32 KiB.

The fault is in Answer.set and Conn.answerReady of internal/clients. Nothing is fixed.

--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -24,7 +24,8 @@
 }
 
 var cases = map[string]func(*scenario) (int, error){
-	"copies": playCopies,
+	"copies":   playCopies,
+	"pipeline": playPipeline,
 }
 
 // summary writes a line to the record and to standard output.
