--- a/review/testdata/standin/copies.go
+++ b/review/testdata/standin/copies.go
@@ -44,7 +44,7 @@
 	}
 	var voters []string
 	for range copiesGateways {
-		address, err := freeUDP()
+		address, err := freeAddress()
 		if err != nil {
 			return couldNotRun, err
 		}
--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -39,7 +39,7 @@
 	}
 	var peers []string
 	for range o.gateways {
-		address, err := freeUDP()
+		address, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -68,7 +68,7 @@
 		return err
 	}
 	f.agents = append(f.agents, agent)
-	listen, err := freeTCP()
+	listen, err := freeAddress()
 	if err != nil {
 		return err
 	}
--- a/review/testdata/standin/gateway.go
+++ b/review/testdata/standin/gateway.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -17,24 +18,25 @@
 // decimal returns a number as text.
 func decimal(n int) string { return strconv.Itoa(n) }
 
-// freeTCP returns a TCP address on loopback that nothing listens at.
-func freeTCP() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-// freeUDP returns a UDP address on loopback that nothing listens at.
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddress returns a loopback address at which nothing listens, neither on TCP nor on UDP. Its port lies below those
+// that the kernel gives to outgoing connections, so that none of them takes it before the process that it is for.
+func freeAddress() (string, error) {
+	const lowest, count, attempts = 12000, 18000, 100
+	for range attempts {
+		address := "127.0.0.1:" + decimal(lowest+rand.IntN(count))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		conn, err := net.ListenPacket("udp", address)
+		listener.Close()
+		if err != nil {
+			continue
+		}
+		conn.Close()
+		return address, nil
 	}
-	defer conn.Close()
-	return conn.LocalAddr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // gatewayProcess is one gateway, started with the deploy file's command.
@@ -43,6 +45,7 @@
 	listen string
 	config string // path of its configuration
 	dir    string
+	tmp    string // its $TMPDIR, which the platform empties at each start
 	root   string // of the repository
 	cmd    *exec.Cmd
 	ended  chan error
@@ -75,6 +78,7 @@
 		listen: config["listen"].(string),
 		config: filepath.Join(dir, name+".json"),
 		dir:    dir,
+		tmp:    tmpDir(dir, name),
 		root:   root,
 	}
 	if err := os.WriteFile(g.config, text, 0o600); err != nil {
@@ -83,12 +87,18 @@
 	return g, g.start()
 }
 
-// start starts the process, again if it has ended.
+// tmpDir returns the $TMPDIR of the gateway with a name.
+func tmpDir(dir, name string) string { return filepath.Join(dir, "tmp-"+name) }
+
+// start starts the process, again if it has ended. It starts from nothing, with an empty $TMPDIR.
 func (g *gatewayProcess) start() error {
 	command, err := runCommand(g.root)
 	if err != nil {
 		return err
 	}
+	if err := errors.Join(os.RemoveAll(g.tmp), os.MkdirAll(g.tmp, 0o700)); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(filepath.Join(g.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -96,7 +106,7 @@
 	defer log.Close()
 	g.cmd = exec.Command("/bin/sh", "-c", command)
 	g.cmd.Dir = g.root
-	g.cmd.Env = append(os.Environ(), "GW_CONFIG="+g.config, "TMPDIR="+g.dir)
+	g.cmd.Env = append(os.Environ(), "GW_CONFIG="+g.config, "TMPDIR="+g.tmp)
 	g.cmd.Stderr = log
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.cmd.Start(); err != nil {
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]func(*scenario) (int, error){
 	"copies":   playCopies,
+	"flights":  playFlights,
 	"pipeline": playPipeline,
 }
 
