Review case 2: voters that lose their folders lease units that others still hold

Seen: the voters of a connection pool are killed at once and come back with empty folders. They make a new cluster by themselves, with an empty ledger, and lease all units again while the gateways that went on still use theirs. Those gateways then stay at their floor.

--- a/review/testdata/standin/host.go
+++ b/review/testdata/standin/host.go
@@ -28,6 +28,7 @@
 	work       func(id string) time.Duration // time from the end of a command to its answer
 	linkDelay  time.Duration                 // time on the way between gateway and host, in each direction
 	secondCopy func(id string) time.Duration // time from an answer to a second copy of it, 0: none; may be nil
+	onOpen     func(change int)              // called with 1 for each new connection and with -1 at its end; may be nil
 }
 
 func newHost(id string, log *record, options hostOptions) (*host, error) {
@@ -62,6 +63,10 @@
 // serve reads the commands of one connection. A second goroutine writes the answers.
 func (h *host) serve(conn net.Conn) {
 	defer conn.Close()
+	if h.onOpen != nil {
+		h.onOpen(1)
+		defer h.onOpen(-1)
+	}
 	answers := make(chan pendingAnswer, 1024)
 	defer close(answers)
 	var waiting atomic.Int64 // commands that have come and are not answered
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*scenario) (int, error){
 	"copies":   playCopies,
 	"flights":  playFlights,
+	"leases":   playLeases,
 	"pipeline": playPipeline,
 }
 
