--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -24,10 +24,11 @@
 }
 
 var cases = map[string]func(*scenario) (int, error){
-	"copies":   playCopies,
-	"flights":  playFlights,
-	"leases":   playLeases,
-	"pipeline": playPipeline,
+	"copies":     playCopies,
+	"flights":    playFlights,
+	"leases":     playLeases,
+	"pipeline":   playPipeline,
+	"publishers": playPublishers,
 }
 
 // summary writes a line to the record and to standard output.
