--- a/review/testdata/standin/flights.go
+++ b/review/testdata/standin/flights.go
@@ -95,7 +95,7 @@
 		}
 	}
 	for i := range flightOthers {
-		if err := p.send("check-in", "standard", 2, 200+(round*flightOthers+i)%60); err != nil {
+		if err := p.send("check-in", "standard", flightUnits, 200+(round*flightOthers+i)%60); err != nil {
 			return err
 		}
 	}
