--- a/internal/clients/helpers_test.go
+++ b/internal/clients/helpers_test.go
@@ -67,15 +67,14 @@
 func newTestServerOn(t *testing.T, system sockets.System, maxConns int) *testServer {
 	s := &testServer{T: t, work: make(chan func(), 99), connected: map[*Conn]bool{}}
 	s.clock.Store(1)
-	onRequest := func(answer *Answer, request *Request) {
-		if request.ID == "panic" {
-			panic("fault")
-		}
-		s.requests = append(s.requests, answer)
-	}
-	runOnLoop := func(f func()) { s.work <- f }
-	now := func() clock.Instant { return clock.Instant(s.clock.Load()) }
-	s.Server = NewServer(system, NewCatalog(startCatalog), maxConns, runOnLoop, now, onRequest)
+	s.Server = NewServer(Options{
+		System:    system,
+		Catalog:   NewCatalog(startCatalog),
+		MaxConns:  maxConns,
+		RunOnLoop: func(f func()) { s.work <- f },
+		Now:       func() clock.Instant { return clock.Instant(s.clock.Load()) },
+		OnRequest: s.handleRequest,
+	})
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
@@ -86,6 +85,14 @@
 	return s
 }
 
+// handleRequest is the server's request handler.
+func (s *testServer) handleRequest(answer *Answer, request *Request) {
+	if request.ID == "panic" {
+		panic("fault")
+	}
+	s.requests = append(s.requests, answer)
+}
+
 // record adds a line to the trace.
 func (s *testServer) record(format string, values ...any) {
 	fmt.Fprintf(&s.trace, format+"\n", values...)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -67,24 +67,25 @@
 	connLimitLog logLimiter
 }
 
-// NewServer returns a server that keeps at most maxConns connections open and checks commands by the catalog. It makes
-// its system calls through system. runOnLoop queues a function for the event loop, on which onRequest is called for
-// each request, and now returns the current time; both are called on any goroutine.
-func NewServer(
-	system sockets.System,
-	catalog *Catalog,
-	maxConns int,
-	runOnLoop func(func()),
-	now func() clock.Instant,
-	onRequest RequestHandler,
-) *Server {
+// Options configure a Server. All fields must be set.
+type Options struct {
+	System    sockets.System       // makes the system calls
+	Catalog   *Catalog             // by which commands are checked
+	MaxConns  int                  // largest number of open connections
+	RunOnLoop func(func())         // queues a function for the event loop; called on any goroutine
+	Now       func() clock.Instant // returns the current time; called on any goroutine
+	OnRequest RequestHandler       // called on the event loop for each request
+}
+
+// NewServer returns a server that does not accept connections yet.
+func NewServer(options Options) *Server {
 	return &Server{
-		system:      system,
-		catalog:     catalog,
-		maxConns:    maxConns,
-		runOnLoop:   runOnLoop,
-		now:         now,
-		onRequest:   onRequest,
+		system:      options.System,
+		catalog:     options.Catalog,
+		maxConns:    options.MaxConns,
+		runOnLoop:   options.RunOnLoop,
+		now:         options.Now,
+		onRequest:   options.OnRequest,
 		conns:       map[*Conn]bool{},
 		slotReplies: make(chan bool, 1),
 		slotFreed:   make(chan struct{}, 1),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,14 @@
 	}
 	n.endpointList.EqualWeights = cfg.EqualWeights
 	maxClientConns, maxHostConns := descriptorShares(cfg.MaxDescriptors)
-	n.clients = clients.NewServer(n.system, n.catalog, maxClientConns, n.runOnLoop, n.now, n.handleRequest)
+	n.clients = clients.NewServer(clients.Options{
+		System:    n.system,
+		Catalog:   n.catalog,
+		MaxConns:  maxClientConns,
+		RunOnLoop: n.runOnLoop,
+		Now:       n.now,
+		OnRequest: n.handleRequest,
+	})
 	n.transport = hosts.NewTransport(hosts.Options{
 		System:         n.system,
 		RunOnLoop:      n.runOnLoop,
