--- a/cmd/ravensill/clients_test.go
+++ b/cmd/ravensill/clients_test.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// TestClientThatReadsNothingIsDisconnected guards against unbounded memory for answers that a client does not read. It
-// is disconnected once too many bytes wait for it, and other clients are served.
+// TestClientThatReadsNothingIsDisconnected guards against memory that is held without end for a client that reads no
+// answers. It is disconnected once it has read nothing for too long, and other clients are served.
 func TestClientThatReadsNothingIsDisconnected(t *testing.T) {
 	large := successReply(strings.Repeat("v", 60<<10))
 	gateway := startGateway(t, func(config *gatewayConfig) {
--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	link, err := bufconn.NewLink(s.system, conn, resp.MaxValueBytes, maxUnsentBytes)
+	link, err := bufconn.NewLink(s.system, conn, resp.MaxValueBytes, maxOutputBytes)
 	if err != nil {
 		conn.Close()
 		return nil, err
@@ -113,11 +113,11 @@
 	c := &Conn{
 		server:       s,
 		link:         link,
-		AnswerQueue:  AnswerQueue{out: link.Out},
+		AnswerQueue:  AnswerQueue{out: link.Out, memory: &s.memory},
 		commandQueue: commandQueue{hasSpace: make(chan struct{}, 1)},
 		done:         make(chan struct{}),
 	}
-	c.onReady = c.answerReady
+	c.AnswerQueue.conn = c
 	c.receiveFunc = c.receive
 	s.runOnLoop(c.register)
 	go c.readCommands()
--- a/internal/clients/answer.go
+++ b/internal/clients/answer.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"ravensill/internal/bufconn"
 	"ravensill/internal/resp"
 )
 
@@ -20,29 +17,20 @@
 	OnClientGone func() // called if the client leaves before the answer is set; may be nil
 }
 
-// AnswerQueue writes the answers of one connection in the order of its commands.
-type AnswerQueue struct {
-	out        *bufconn.Buffer
-	pending    []*Answer // answers that are not in out yet, in the order of the commands
-	overflowed bool      // whether an answer did not fit into out, because the client reads too slowly
-
-	// onReady is called each time an answer is set, with the number of answers that were written to out.
-	onReady func(count int)
-
-	// clientGone is set by the connection's reader at the end of the connection, before the event loop handles that end.
-	clientGone atomic.Bool
-}
-
-// Add appends an answer, to be set later, to the next command.
-func (q *AnswerQueue) Add() *Answer {
-	a := &Answer{queue: q}
-	q.pending = append(q.pending, a)
-	return a
+// Succeed sets the answer to the value that the request returned. If the value would have to wait for the client and
+// there is no memory for it, the answer is an error instead: the request has run, but its value is dropped.
+func (a *Answer) Succeed(value []byte) {
+	if a.done {
+		return
+	}
+	if !a.queue.hasMemoryFor(len(value) + maxReplyHeader) {
+		a.queue.conn.answerDropped()
+		a.Fail(errAnswerDropped.Error())
+		return
+	}
+	a.set(successReply(value))
 }
 
-// Succeed sets the answer to the value that the request returned.
-func (a *Answer) Succeed(value []byte) { a.set(successReply(value)) }
-
 // Reject sets the answer to a rejection: the request did not run and may be retried after the given time, 0 for at
 // once.
 func (a *Answer) Reject(retryAfter time.Duration) { a.set(rejection(retryAfter)) }
@@ -54,7 +42,7 @@
 // yet. No attempt must be made for such a client.
 func (a *Answer) IsClientGone() bool { return a.queue.clientGone.Load() }
 
-// set sets the answer to an encoded text, and writes all answers that have no unset answer before them.
+// set sets the answer to an encoded text.
 func (a *Answer) set(text []byte) {
 	if a.done {
 		return
@@ -62,36 +50,18 @@
 	a.text = text
 	a.done = true
 	a.OnClientGone = nil
-	q := a.queue
-	count := 0
-	for count < len(q.pending) && q.pending[count].done {
-		written := q.out.Write(q.pending[count].text)
-		q.overflowed = q.overflowed || !written
-		count++
-	}
-	q.pending = slices.Delete(q.pending, 0, count)
-	q.onReady(count)
-}
-
-// dropPending drops all answers that are not written, because the client is gone, and calls their OnClientGone.
-func (q *AnswerQueue) dropPending() {
-	waiting := q.pending
-	q.pending = nil
-	for _, a := range waiting {
-		a.done = true
-		if a.OnClientGone != nil {
-			a.OnClientGone()
-		}
-	}
+	a.queue.add(a)
 }
 
 // pongReply is the encoded answer to a PING.
 const pongReply = "+PONG\r\n"
 
+// maxReplyHeader is the largest number of bytes of an encoded value beside the value itself.
+const maxReplyHeader = 16
+
 // successReply returns the encoded answer with a value.
 func successReply(value []byte) []byte {
-	const maxHeader = 16 // bytes of the encoding beside the value
-	return resp.AppendBulk(make([]byte, 0, len(value)+maxHeader), value)
+	return resp.AppendBulk(make([]byte, 0, len(value)+maxReplyHeader), value)
 }
 
 // rejection returns the encoded answer to a request that did not run and may be retried after the given time, 0 for at
--- /dev/null
+++ b/internal/clients/answer_queue.go
@@ -0,0 +1,106 @@
+package clients
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"ravensill/internal/bufconn"
+)
+
+// AnswerQueue writes the answers of one connection in the order of its commands. A set answer waits in pending while an
+// earlier command is unanswered, and while the output buffer is full. Neither ends the connection: the client may read
+// as fast as it can, and a full buffer only shows that its socket was not offered the bytes yet.
+type AnswerQueue struct {
+	conn      answerConn
+	out       *bufconn.Buffer
+	pending   []*Answer     // answers that are not in out yet, in the order of the commands
+	memory    *answerMemory // the memory of the server's unsent answers
+	unsent    int           // bytes of set answers, in pending and out, that the socket has not accepted
+	sentTotal int64         // bytes that the socket has accepted
+
+	// clientGone is set by the connection's reader at the end of the connection, before the event loop handles that end.
+	clientGone atomic.Bool
+}
+
+// answerConn is the connection of an AnswerQueue. Its methods are called on the event loop.
+type answerConn interface {
+	// answerSet schedules a flush, because an answer was set.
+	answerSet()
+	// writeAnswers writes the next answers as far as the socket accepts them at once.
+	writeAnswers() error
+	// answerDropped records that a value was dropped because there is no memory in which it can wait.
+	answerDropped()
+}
+
+// Add appends an answer, to be set later, to the next command.
+func (q *AnswerQueue) Add() *Answer {
+	a := &Answer{queue: q}
+	q.pending = append(q.pending, a)
+	return a
+}
+
+// add counts the text of an answer that has just been set, and moves the answers that are next to the output buffer.
+func (q *AnswerQueue) add(a *Answer) {
+	q.unsent += len(a.text)
+	q.memory.used += len(a.text)
+	q.fillOutput()
+	q.conn.answerSet()
+}
+
+// fillOutput moves answers to the output buffer, as far as they fit and have no unset answer before them.
+func (q *AnswerQueue) fillOutput() {
+	count := 0
+	for count < len(q.pending) && q.pending[count].done && q.out.Write(q.pending[count].text) {
+		count++
+	}
+	q.pending = slices.Delete(q.pending, 0, count)
+}
+
+// writeTo writes answers through the link, whose output buffer is out, until the socket accepts no more or the next
+// answer is not set.
+func (q *AnswerQueue) writeTo(link *bufconn.Link) error {
+	for q.fillOutput(); q.out.Len() > 0; q.fillOutput() {
+		waiting := q.out.Len()
+		err := link.Flush()
+		q.countSent(waiting - q.out.Len())
+		if err != nil {
+			return err
+		}
+		if q.out.Len() > 0 {
+			return nil
+		}
+	}
+	return nil
+}
+
+// countSent releases the memory of bytes that the socket has accepted.
+func (q *AnswerQueue) countSent(count int) {
+	q.unsent -= count
+	q.memory.used -= count
+	q.sentTotal += int64(count)
+}
+
+// hasMemoryFor reports whether an answer of the given size may wait for the client. Before it returns false, it writes
+// what the socket accepts: an answer is dropped only if the client does not read, or if it has to wait for an earlier
+// answer.
+func (q *AnswerQueue) hasMemoryFor(size int) bool {
+	if q.memory.admits(q.unsent, size) {
+		return true
+	}
+	_ = q.conn.writeAnswers() // the scheduled flush gets the same error, and closes the connection
+	return q.memory.admits(q.unsent, size)
+}
+
+// dropPending drops all answers that are not written, because the client is gone, and calls their OnClientGone.
+func (q *AnswerQueue) dropPending() {
+	waiting := q.pending
+	q.pending = nil
+	q.memory.used -= q.unsent
+	q.unsent = 0
+	for _, a := range waiting {
+		a.done = true
+		if a.OnClientGone != nil {
+			a.OnClientGone()
+		}
+	}
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -22,8 +22,9 @@
 	partialSince  clock.Instant // readerPartialSince as last received by the loop
 	flushPending  bool          // whether the connection is in the server's list unflushed or stalled
 	commandCount  int           // commands that the loop has taken from the queue
-	lastAnswerAt  clock.Instant // when the latest answer was set, or when the client connected if there was none
-	stalledSince  clock.Instant // when the client last accepted some of the unsent bytes; 0: none are unsent
+	lastAnswerAt  clock.Instant // when an answer was last set or written in part, or when the client connected
+	stalledSince  clock.Instant // when the client last accepted some of the bytes in out; 0: out is empty
+	sentAtFlush   int64         // sentTotal after the latest flush
 	closing       bool          // whether commands are rejected and the connection ends once all are answered
 	halfClosed    bool          // whether the sending side is closed
 	closed        bool
@@ -50,10 +51,10 @@
 	c.halfCloseIfIdle()
 }
 
-// startCommands starts queued commands until maxInFlight commands are in flight. It starts none of a client that is
-// known to be gone.
+// startCommands starts queued commands until maxInFlight commands are in flight, or until there is no memory in which
+// further answers could wait. It starts none of a client that is known to be gone.
 func (c *Conn) startCommands() {
-	for !c.closed && !c.clientGone.Load() && len(c.pending) < maxInFlight {
+	for c.mayStartCommand() {
 		command, ok := c.dequeue()
 		if !ok {
 			return
@@ -69,6 +70,14 @@
 	}
 }
 
+// mayStartCommand reports whether another command may start.
+func (c *Conn) mayStartCommand() bool {
+	if c.closed || c.clientGone.Load() {
+		return false
+	}
+	return len(c.pending) < maxInFlight && c.memory.admits(c.unsent, 0)
+}
+
 // start runs one command. If that panics, the command is answered with an error: without an answer no later one could
 // ever be written.
 func (c *Conn) start(run func(*Answer)) {
@@ -82,14 +91,8 @@
 	run(answer)
 }
 
-// answerReady schedules a flush after an answer was set. It closes the connection if an answer did not fit into the
-// output buffer.
-func (c *Conn) answerReady(int) {
-	if c.overflowed {
-		c.closeOnFault(errSlowReader)
-		c.close()
-		return
-	}
+// answerSet implements answerConn.
+func (c *Conn) answerSet() {
 	c.lastAnswerAt = c.server.now()
 	if !c.flushPending {
 		c.flushPending = true
@@ -97,6 +100,23 @@
 	}
 }
 
+// writeAnswers implements answerConn.
+func (c *Conn) writeAnswers() error { return c.writeTo(c.link) }
+
+// answerDropped implements answerConn.
+func (c *Conn) answerDropped() {
+	s := c.server
+	now := s.now()
+	if s.dropLog.recordEvent(now) {
+		slog.Warn("answer_dropped",
+			"unsent", c.unsent,
+			"unsent_total", s.memory.used,
+			"limit", s.memory.limit,
+			"count", s.dropLog.takeCount(now),
+		)
+	}
+}
+
 // closeIfOverdue ends the connection if its client accepts no bytes, does not complete a command, or is idle for too
 // long.
 func (c *Conn) closeIfOverdue(now clock.Instant) {
@@ -129,29 +149,32 @@
 	return c.isIdle() && c.commandCount > 0 && c.partialSince == 0 && now.Sub(c.lastAnswerAt) > idleTimeout
 }
 
-// flush writes answers as far as the socket accepts them, and starts commands that waited because maxInFlight were in
-// flight.
+// flush writes answers as far as the socket accepts them, and starts commands that had to wait for that.
 func (c *Conn) flush() {
-	unsentBefore := c.out.Len()
-	if err := c.link.Flush(); err != nil {
+	if err := c.writeAnswers(); err != nil {
 		c.close()
 		return
 	}
-	c.updateStall(unsentBefore)
+	c.updateStall()
 	c.startCommands()
 	c.halfCloseIfIdle()
 }
 
-// updateStall records whether the latest flush, before which unsentBefore bytes were unsent, has left unsent bytes.
+// updateStall records whether the client has accepted bytes since the latest flush, and whether unsent bytes are left.
 // Those are written by the next Flush of the server.
-func (c *Conn) updateStall(unsentBefore int) {
-	unsent := c.out.Len()
-	if unsent == 0 {
+func (c *Conn) updateStall() {
+	progress := c.sentTotal > c.sentAtFlush
+	c.sentAtFlush = c.sentTotal
+	now := c.server.now()
+	if progress {
+		c.lastAnswerAt = now // the bytes are on their way to the client
+	}
+	if c.out.Len() == 0 {
 		c.stalledSince = 0
 		return
 	}
-	if unsent < unsentBefore || c.stalledSince == 0 {
-		c.stalledSince = c.server.now()
+	if progress || c.stalledSince == 0 {
+		c.stalledSince = now
 	}
 	c.flushPending = true
 	c.server.stalled = append(c.server.stalled, c)
--- a/internal/clients/helpers_test.go
+++ b/internal/clients/helpers_test.go
@@ -19,6 +19,10 @@
 // testTimeout is the time after which a test that waits fails.
 const testTimeout = 20 * time.Second
 
+// testAnswerMemory is the AnswerMemory of test servers. A connection can use half of it, more than maxInFlight of the
+// largest answers.
+const testAnswerMemory = 64 << 20
+
 // startCatalog is the initial content of the catalog of test servers.
 var startCatalog = CatalogConfig{
 	Classes:  []string{"lookup", "order"},
@@ -74,6 +78,8 @@
 		RunOnLoop: func(f func()) { s.work <- f },
 		Now:       func() clock.Instant { return clock.Instant(s.clock.Load()) },
 		OnRequest: s.handleRequest,
+
+		AnswerMemory: testAnswerMemory,
 	})
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -15,9 +15,9 @@
 
 // Limits of a connection.
 const (
-	maxInFlight    = 256       // commands that are started and not answered; later ones stay queued
+	maxInFlight    = 256       // commands that are started and whose answers wait; later ones stay queued
 	maxQueuedBytes = 512 << 10 // bytes of queued commands; beyond that all queued commands are rejected
-	maxUnsentBytes = 256 << 10 // bytes of answers that a slow client has not accepted; beyond that it is disconnected
+	maxOutputBytes = 128 << 10 // bytes of answers in the output buffer, which the largest answer fits into
 	maxMalformed   = 16        // number of malformed commands in a row that ends the connection
 )
 
@@ -39,6 +39,7 @@
 	errCommandTimeout   = errors.New("no whole command came in time")
 	errTooManyMalformed = errors.New("too many commands that can't be understood")
 	errSlowReader       = errors.New("answers are read too slowly")
+	errAnswerDropped    = errors.New("answer dropped: too many answers wait to be read")
 )
 
 // Server accepts client connections and serves them. Its methods must be called on the event loop, the goroutine that
@@ -52,6 +53,7 @@
 	onRequest RequestHandler
 
 	conns     map[*Conn]bool // the open connections
+	memory    answerMemory   // of the unsent answers of all connections
 	unflushed []*Conn        // connections with answers to write; nil: flushed during the current Flush
 	stalled   []*Conn        // connections whose client did not accept all bytes during the current Flush
 
@@ -65,6 +67,7 @@
 	lastSweep    clock.Instant // time of the latest CloseOverdue
 	faultLog     logLimiter
 	connLimitLog logLimiter
+	dropLog      logLimiter
 }
 
 // Options configure a Server. All fields must be set.
@@ -75,6 +78,10 @@
 	RunOnLoop func(func())         // queues a function for the event loop; called on any goroutine
 	Now       func() clock.Instant // returns the current time; called on any goroutine
 	OnRequest RequestHandler       // called on the event loop for each request
+
+	// AnswerMemory is the most memory for answers that wait for their clients, in bytes, beyond one answer for each
+	// connection.
+	AnswerMemory int
 }
 
 // NewServer returns a server that does not accept connections yet.
@@ -87,6 +94,7 @@
 		now:         options.Now,
 		onRequest:   options.OnRequest,
 		conns:       map[*Conn]bool{},
+		memory:      answerMemory{limit: options.AnswerMemory},
 		slotReplies: make(chan bool, 1),
 		slotFreed:   make(chan struct{}, 1),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 const (
 	inboxSize    = 1024 // functions that can wait for the loop; senders block while the inbox is full
 	idleFraction = 0.5  // an idle connection to a host is kept for this fraction of the host's idle timeout
+
+	answerMemoryDivisor = 8 // the memory limit divided by this may be used for answers that wait for their clients
 )
 
 // Decider is the decision module. The loop calls its methods, one call at a time.
@@ -141,6 +143,8 @@
 		RunOnLoop: n.runOnLoop,
 		Now:       n.now,
 		OnRequest: n.handleRequest,
+
+		AnswerMemory: int(cfg.MemoryLimit / answerMemoryDivisor),
 	})
 	n.transport = hosts.NewTransport(hosts.Options{
 		System:         n.system,
