--- a/internal/clients/answer.go
+++ b/internal/clients/answer.go
@@ -23,7 +23,7 @@
 	if a.done {
 		return
 	}
-	if !a.queue.hasMemoryFor(len(value) + maxReplyHeader) {
+	if !a.queue.hasMemoryFor(a, len(value)+maxReplyHeader) {
 		a.queue.conn.answerDropped()
 		a.Fail(errAnswerDropped.Error())
 		return
--- a/internal/clients/answer_queue.go
+++ b/internal/clients/answer_queue.go
@@ -80,17 +80,20 @@
 	q.sentTotal += int64(count)
 }
 
-// hasMemoryFor reports whether an answer of the given size may wait for the client. Before it returns false, it writes
-// what the socket accepts: an answer is dropped only if the client does not read, or if it has to wait for an earlier
-// answer.
-func (q *AnswerQueue) hasMemoryFor(size int) bool {
+// hasMemoryFor reports whether a value of the given size may be set as the answer. Before it returns false, it writes
+// what the socket accepts: a value is dropped only if it has to wait for an earlier answer or for the client to read.
+func (q *AnswerQueue) hasMemoryFor(a *Answer, size int) bool {
 	if q.memory.admits(q.unsent, size) {
 		return true
 	}
 	_ = q.conn.writeAnswers() // the scheduled flush gets the same error, and closes the connection
-	return q.memory.admits(q.unsent, size)
+	return q.isNext(a) || q.memory.admits(q.unsent, size)
 }
 
+// isNext reports whether the answer is to be written next and nothing is unsent before it. Such an answer is always
+// taken: it need not wait, and those behind it may wait for it.
+func (q *AnswerQueue) isNext(a *Answer) bool { return q.out.Len() == 0 && q.pending[0] == a }
+
 // dropPending drops all answers that are not written, because the client is gone, and calls their OnClientGone.
 func (q *AnswerQueue) dropPending() {
 	waiting := q.pending
--- a/internal/clients/command_queue.go
+++ b/internal/clients/command_queue.go
@@ -28,6 +28,7 @@
 	size     int           // bytes that it counts in the queue
 	run      func(*Answer) // starts the command, on the event loop; nil for rejected ones
 	rejected int           // number of rejected commands; 0: one command that is not rejected
+	endsConn bool          // whether the entry ends the connection, because of a fault of the client
 }
 
 // count returns the number of commands for which the entry stands.
@@ -35,11 +36,19 @@
 
 // enqueue adds a command whose text has size bytes. The reader calls it.
 func (q *commandQueue) enqueue(size int, run func(*Answer)) {
-	size += queuedOverhead
+	q.append(queuedCommand{size: size + queuedOverhead, run: run})
+}
+
+// enqueueEnd adds the end of the connection. The reader calls it.
+func (q *commandQueue) enqueueEnd(run func(*Answer)) {
+	q.append(queuedCommand{size: queuedOverhead, run: run, endsConn: true})
+}
+
+func (q *commandQueue) append(command queuedCommand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.commands = append(q.commands, queuedCommand{size: size, run: run})
-	q.queuedBytes += size
+	q.commands = append(q.commands, command)
+	q.queuedBytes += command.size
 }
 
 // postProgress stores how far the reader has come: the link's ReadCount, and the time since which a command is
@@ -107,23 +116,30 @@
 	}
 }
 
-// rejectOverflow rejects all queued commands if more than maxQueuedBytes are queued after the loop has started as many
-// commands as may be in flight. Otherwise the reader would wait until commands in flight are answered and would not
-// read the end of the stream behind the unread commands: attempts would be made for commands whose client is gone.
-func (q *commandQueue) rejectOverflow() {
+// rejectOver rejects all queued commands if more than maxBytes are queued; they take next to no memory then. An end of
+// the connection stays queued. The loop calls it after it has started all commands that it may start. If the commands
+// stayed queued instead, the reader would wait until earlier commands are answered and would not read the end of the
+// stream behind the unread commands: attempts would be made for commands whose client is gone.
+func (q *commandQueue) rejectOver(maxBytes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.queuedBytes <= maxQueuedBytes {
+	if q.queuedBytes <= maxBytes {
 		return
 	}
-	rejected := 0
+	kept := []queuedCommand{{size: queuedOverhead}}
 	for _, command := range q.commands[q.head:] {
-		rejected += command.count()
+		if command.endsConn {
+			kept = append(kept, command)
+		} else {
+			kept[0].rejected += command.count()
+		}
+	}
+	if kept[0].rejected == 0 {
+		kept = kept[1:]
 	}
-	clear(q.commands)
-	q.commands = append(q.commands[:0], queuedCommand{size: queuedOverhead, rejected: rejected})
+	q.commands = kept
 	q.head = 0
-	q.queuedBytes = queuedOverhead
+	q.queuedBytes = len(kept) * queuedOverhead
 	q.signalSpace()
 }
 
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -51,6 +51,16 @@
 	c.halfCloseIfIdle()
 }
 
+// rejectOverflow rejects the queued commands if they are too many, or if there is no memory in which their answers could
+// wait: it would come too late for most of them, and they would take more memory meanwhile.
+func (c *Conn) rejectOverflow() {
+	if c.hasAnswerMemory() {
+		c.rejectOver(maxQueuedBytes)
+	} else {
+		c.rejectOver(0)
+	}
+}
+
 // startCommands starts queued commands until maxInFlight commands are in flight, or until there is no memory in which
 // further answers could wait. It starts none of a client that is known to be gone.
 func (c *Conn) startCommands() {
@@ -75,9 +85,12 @@
 	if c.closed || c.clientGone.Load() {
 		return false
 	}
-	return len(c.pending) < maxInFlight && c.memory.admits(c.unsent, 0)
+	return len(c.pending) < maxInFlight && c.hasAnswerMemory()
 }
 
+// hasAnswerMemory reports whether there is memory in which further answers of the connection could wait.
+func (c *Conn) hasAnswerMemory() bool { return c.memory.admits(c.unsent, 0) }
+
 // start runs one command. If that panics, the command is answered with an error: without an answer no later one could
 // ever be written.
 func (c *Conn) start(run func(*Answer)) {
--- a/internal/clients/reader.go
+++ b/internal/clients/reader.go
@@ -97,7 +97,8 @@
 
 // enqueueFault queues the end of the connection because of a fault of the client, with an error as the last answer.
 func (c *Conn) enqueueFault(err error) {
-	c.enqueueCommand(0, func(a *Answer) {
+	c.readerPartialSince = 0
+	c.enqueueEnd(func(a *Answer) {
 		a.set(errorReply(err.Error()))
 		c.closeOnFault(err)
 	})
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -79,7 +79,7 @@
 	Now       func() clock.Instant // returns the current time; called on any goroutine
 	OnRequest RequestHandler       // called on the event loop for each request
 
-	// AnswerMemory is the most memory for answers that wait for their clients, in bytes, beyond one answer for each
+	// AnswerMemory is the most memory for answers that wait for their clients, in bytes, beyond two answers for each
 	// connection.
 	AnswerMemory int
 }
