--- a/internal/hosts/answer_test.go
+++ b/internal/hosts/answer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -60,3 +62,36 @@
 	f.Add("-ERR failed used=1 utilization=0.1\r\n")
 	f.Fuzz(func(t *testing.T, answer string) { parseTrace(answer) })
 }
+
+// TestConnKeepsNoMemoryOfLargeAnswer guards against idle connections that each hold as much memory as their latest
+// answer took.
+func TestConnKeepsNoMemoryOfLargeAnswer(t *testing.T) {
+	value := strings.Repeat("v", resp.MaxBulkBytes)
+	addr := serveConns(t, func(_ int, c *net.TCPConn) {
+		answerEach(c, func(string) bool {
+			fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+			return true
+		})
+	})
+	loop := newTestLoop(t, addr, manyConns)
+	c := &conn{pool: &hostPool{transport: loop.Transport}, addr: netip.MustParseAddrPort(addr)}
+	link, err := c.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	var parser resp.Parser
+	for range 2 {
+		link.Out.Write([]byte("*1\r\n$4\r\nPING\r\n"))
+		if err := link.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.readAnswer(link, &parser)
+		if err != nil || string(got.value) != value || got.hasTrailingBytes {
+			t.Fatalf("a value of %d bytes, trailing %t, %v", len(got.value), got.hasTrailingBytes, err)
+		}
+		if free := len(link.In.FreeSpace()); free > 4<<10 { // what a buffer without memory allocates at first
+			t.Errorf("the connection holds %d bytes after its answer", free)
+		}
+	}
+}
--- a/internal/hosts/conn_reader.go
+++ b/internal/hosts/conn_reader.go
@@ -120,6 +120,7 @@
 		}
 		a.value = slices.Clone(a.value)
 		a.hasTrailingBytes = parser.More(link.In)
+		parser.Release(link.In) // an idle connection must not keep the memory of a large value
 		return a, nil
 	}
 }
--- a/internal/resp/parser.go
+++ b/internal/resp/parser.go
@@ -62,11 +62,7 @@
 // Next returns the next value in the buffer, or false if not all of it has arrived. The value is valid until the next
 // call or until the buffer changes. The buffer must be the same in all calls.
 func (p *Parser) Next(in *bufconn.Buffer) (value Value, ok bool, err error) {
-	if p.consumed > 0 {
-		in.Drop(p.consumed)
-		p.consumed = 0
-	}
-	in.ReleaseSpans()
+	p.Release(in)
 	if p.kind == 0 {
 		line, ok, err := p.parseStart(in)
 		if ok || err != nil {
@@ -84,6 +80,16 @@
 	return p.value(in), true, nil
 }
 
+// Release ends the validity of the value that Next returned last, and drops its bytes. A buffer that is empty after
+// that releases its memory, which otherwise stays allocated until the next call of Next.
+func (p *Parser) Release(in *bufconn.Buffer) {
+	if p.consumed > 0 {
+		in.Drop(p.consumed)
+		p.consumed = 0
+	}
+	in.ReleaseSpans()
+}
+
 // More reports whether the buffer holds bytes behind the value that Next returned last.
 func (p *Parser) More(in *bufconn.Buffer) bool { return in.Len() > p.consumed }
 
