--- a/internal/clients/accept.go
+++ b/internal/clients/accept.go
@@ -113,8 +113,8 @@
 	c := &Conn{
 		server:       s,
 		link:         link,
-		AnswerQueue:  AnswerQueue{out: link.Out, memory: &s.memory},
-		commandQueue: commandQueue{hasSpace: make(chan struct{}, 1)},
+		AnswerQueue:  AnswerQueue{out: link.Out, memory: &s.answerMemory},
+		commandQueue: commandQueue{memory: &s.commandMemory, hasSpace: make(chan struct{}, 1)},
 		done:         make(chan struct{}),
 	}
 	c.AnswerQueue.conn = c
--- a/internal/clients/answer_memory_test.go
+++ b/internal/clients/answer_memory_test.go
@@ -18,10 +18,10 @@
 			waiting += len(answer.text)
 		}
 	}
-	if s.memory.used != waiting {
-		s.Errorf("%d bytes are counted, but %d wait", s.memory.used, waiting)
+	if s.answerMemory.used != waiting {
+		s.Errorf("%d bytes are counted, but %d wait", s.answerMemory.used, waiting)
 	}
-	if limit := s.memory.limit + len(s.conns)*2*(resp.MaxBulkBytes+maxReplyHeader); waiting > limit {
+	if limit := s.answerMemory.limit + len(s.conns)*2*(resp.MaxBulkBytes+maxReplyHeader); waiting > limit {
 		s.Errorf("%d bytes of answers wait, over the limit of %d", waiting, limit)
 	}
 }
@@ -32,7 +32,7 @@
 func TestAnswerMemoryIsBounded(t *testing.T) {
 	const size, perClient = resp.MaxBulkBytes, 40
 	server := newTestServer(t, 9)
-	server.memory.limit = 1 << 20
+	server.answerMemory.limit = 1 << 20
 	var blocked []*testClient
 	for range 4 {
 		client := server.connect()
@@ -77,8 +77,8 @@
 		}
 	}
 	server.checkAnswerMemory()
-	if server.memory.used != 0 {
-		t.Errorf("%d bytes are counted after all answers were read", server.memory.used)
+	if server.answerMemory.used != 0 {
+		t.Errorf("%d bytes are counted after all answers were read", server.answerMemory.used)
 	}
 }
 
@@ -87,7 +87,7 @@
 func TestAnswerIsOfferedToSocketBeforeItIsDropped(t *testing.T) {
 	const size, count = resp.MaxBulkBytes, 12
 	server := newTestServer(t, 9)
-	server.memory.limit = 4 * size
+	server.answerMemory.limit = 4 * size
 	client := server.connect()
 	client.send(requestIDs(count)...)
 	server.runUntilRequests(count)
@@ -101,7 +101,7 @@
 func TestCommandsAreRejectedWithoutAnswerMemory(t *testing.T) {
 	const size, started, rejected = resp.MaxBulkBytes, 3, 300
 	server := newTestServer(t, 9)
-	server.memory.limit = 4 * size // two answers of one connection
+	server.answerMemory.limit = 4 * size // two answers of one connection
 	client := server.connect()
 	for round := range 3 {
 		first := round * started
@@ -148,7 +148,7 @@
 		client.runUntilClosed()
 		server.checkAnswerMemory()
 	}
-	if server.memory.used != 0 {
-		t.Errorf("%d bytes are counted without a connection", server.memory.used)
+	if server.answerMemory.used != 0 {
+		t.Errorf("%d bytes are counted without a connection", server.answerMemory.used)
 	}
 }
--- a/internal/clients/command_queue.go
+++ b/internal/clients/command_queue.go
@@ -13,14 +13,16 @@
 // queued for the loop. So a client that sends very many commands neither fills the loop's queue of functions nor keeps
 // the reader from seeing the end of the connection; commands that are not started by then never start.
 type commandQueue struct {
-	mu                 sync.Mutex      // guards the other fields except hasSpace
+	memory             *commandMemory  // the memory of all queues of the server
+	mu                 sync.Mutex      // guards the following fields except hasSpace
 	commands           []queuedCommand // commands[head:] are not started
 	head               int             // index of the next command to start
 	queuedBytes        int             // total size of commands[head:]
 	postedReads        int64           // the link's ReadCount when the reader last called postProgress
 	postedPartialSince clock.Instant   // the reader's readerPartialSince at that time
 	notified           bool            // whether a notification is on its way to the loop
-	hasSpace           chan struct{}   // holds a value after queuedBytes has fallen to maxQueuedBytes or less
+	released           bool            // whether the connection has ended and nothing may be queued
+	hasSpace           chan struct{}   // holds a value after the loop has taken or rejected commands
 }
 
 // queuedCommand is one command that waits to be started, or stands for several commands in a row that are rejected.
@@ -47,8 +49,27 @@
 func (q *commandQueue) append(command queuedCommand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.released {
+		return
+	}
 	q.commands = append(q.commands, command)
-	q.queuedBytes += command.size
+	q.addBytes(command.size)
+}
+
+// addBytes changes the number of queued bytes. The caller holds mu.
+func (q *commandQueue) addBytes(count int) {
+	q.queuedBytes += count
+	q.memory.used.Add(int64(count))
+}
+
+// release drops all queued commands, because the connection has ended. Nothing is queued after that.
+func (q *commandQueue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.released = true
+	q.commands = nil
+	q.head = 0
+	q.addBytes(-q.queuedBytes)
 }
 
 // postProgress stores how far the reader has come: the link's ReadCount, and the time since which a command is
@@ -73,15 +94,8 @@
 	return q.postedReads, q.postedPartialSince
 }
 
-// loadQueuedBytes returns the number of queued bytes. It may be called on any goroutine.
-func (q *commandQueue) loadQueuedBytes() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.queuedBytes
-}
-
-// dequeue removes and returns the first queued command; ok is false if there is none. It wakes the reader if the queue
-// has space then.
+// dequeue removes and returns the first queued command; ok is false if there is none. It wakes the reader, which may
+// wait for space.
 func (q *commandQueue) dequeue() (command queuedCommand, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -99,10 +113,8 @@
 	if q.head == len(q.commands) {
 		q.resetCommands()
 	}
-	q.queuedBytes -= command.size
-	if q.queuedBytes <= maxQueuedBytes {
-		q.signalSpace()
-	}
+	q.addBytes(-command.size)
+	q.signalSpace()
 	return command, true
 }
 
@@ -119,10 +131,11 @@
 // rejectOver rejects all queued commands if more than maxBytes are queued; they take next to no memory then. An end of
 // the connection stays queued. The loop calls it after it has started all commands that it may start. If the commands
 // stayed queued instead, the reader would wait until earlier commands are answered and would not read the end of the
-// stream behind the unread commands: attempts would be made for commands whose client is gone.
+// stream behind the unread commands: attempts would be made for commands whose client is gone. It wakes the reader.
 func (q *commandQueue) rejectOver(maxBytes int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	defer q.signalSpace()
 	if q.queuedBytes <= maxBytes {
 		return
 	}
@@ -139,8 +152,7 @@
 	}
 	q.commands = kept
 	q.head = 0
-	q.queuedBytes = len(kept) * queuedOverhead
-	q.signalSpace()
+	q.addBytes(len(kept)*queuedOverhead - q.queuedBytes)
 }
 
 // signalSpace wakes the reader if it waits for space in the queue.
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -51,11 +51,11 @@
 	c.halfCloseIfIdle()
 }
 
-// rejectOverflow rejects the queued commands if they are too many, or if there is no memory in which their answers could
-// wait: it would come too late for most of them, and they would take more memory meanwhile.
+// rejectOverflow rejects the queued commands if they are too many, or if there is no memory in which their answers
+// could wait: it would come too late for most of them, and they would take more memory meanwhile.
 func (c *Conn) rejectOverflow() {
 	if c.hasAnswerMemory() {
-		c.rejectOver(maxQueuedBytes)
+		c.rejectOver(c.commandQueue.memory.share())
 	} else {
 		c.rejectOver(0)
 	}
@@ -89,7 +89,7 @@
 }
 
 // hasAnswerMemory reports whether there is memory in which further answers of the connection could wait.
-func (c *Conn) hasAnswerMemory() bool { return c.memory.admits(c.unsent, 0) }
+func (c *Conn) hasAnswerMemory() bool { return c.AnswerQueue.memory.admits(c.unsent, 0) }
 
 // start runs one command. If that panics, the command is answered with an error: without an answer no later one could
 // ever be written.
@@ -123,8 +123,8 @@
 	if s.dropLog.recordEvent(now) {
 		slog.Warn("answer_dropped",
 			"unsent", c.unsent,
-			"unsent_total", s.memory.used,
-			"limit", s.memory.limit,
+			"unsent_total", s.answerMemory.used,
+			"limit", s.answerMemory.limit,
 			"count", s.dropLog.takeCount(now),
 		)
 	}
@@ -262,5 +262,6 @@
 	case c.server.slotFreed <- struct{}{}:
 	default:
 	}
+	c.commandQueue.release()
 	c.AnswerQueue.dropPending()
 }
--- a/internal/clients/helpers_test.go
+++ b/internal/clients/helpers_test.go
@@ -23,6 +23,9 @@
 // largest answers.
 const testAnswerMemory = 64 << 20
 
+// testCommandMemory is the CommandMemory of test servers. A few connections can use maxQueuedBytes each.
+const testCommandMemory = 64 << 20
+
 // startCatalog is the initial content of the catalog of test servers.
 var startCatalog = CatalogConfig{
 	Classes:  []string{"lookup", "order"},
@@ -79,7 +82,8 @@
 		Now:       func() clock.Instant { return clock.Instant(s.clock.Load()) },
 		OnRequest: s.handleRequest,
 
-		AnswerMemory: testAnswerMemory,
+		AnswerMemory:  testAnswerMemory,
+		CommandMemory: testCommandMemory,
 	})
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -249,3 +253,10 @@
 	}
 	return ids
 }
+
+// loadQueuedBytes returns the number of queued bytes. It may be called on any goroutine.
+func (q *commandQueue) loadQueuedBytes() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queuedBytes
+}
--- a/internal/clients/reader.go
+++ b/internal/clients/reader.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// floodPause is the pause of the reader each time more than maxQueuedBytes were queued, because the client sends faster
-// than the loop starts its commands.
+// floodPause is the pause of the reader each time more was queued than the connection may queue, because the client
+// sends faster than the loop starts its commands.
 const floodPause = 2 * time.Millisecond
 
 // readCommands reads the connection until it ends and queues its commands for the event loop. It is the connection's
@@ -110,20 +110,23 @@
 	c.enqueue(size, run)
 }
 
-// notifyLoop notifies the event loop of queued commands and of the reader's progress. While more than maxQueuedBytes
-// are queued, it waits until the loop has taken commands from the queue or the connection has ended.
+// notifyLoop notifies the event loop of queued commands and of the reader's progress. While more bytes are queued than
+// the connection may queue, it waits until the loop has taken or rejected commands, or the connection has ended, and
+// notifies the loop again.
 func (c *Conn) notifyLoop() {
-	notify, queuedBytes := c.postProgress(c.link.ReadCount(), c.readerPartialSince)
-	if notify {
-		c.server.runOnLoop(c.receiveFunc)
-	}
-	for queuedBytes > maxQueuedBytes {
+	for {
+		notify, queuedBytes := c.postProgress(c.link.ReadCount(), c.readerPartialSince)
+		if notify {
+			c.server.runOnLoop(c.receiveFunc)
+		}
+		if queuedBytes <= c.commandQueue.memory.share() {
+			return
+		}
 		select {
 		case <-c.hasSpace:
 		case <-c.done:
 			return
 		}
 		time.Sleep(floodPause)
-		queuedBytes = c.loadQueuedBytes()
 	}
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -16,7 +16,7 @@
 // Limits of a connection.
 const (
 	maxInFlight    = 256       // commands that are started and whose answers wait; later ones stay queued
-	maxQueuedBytes = 512 << 10 // bytes of queued commands; beyond that all queued commands are rejected
+	maxQueuedBytes = 512 << 10 // bytes of queued commands, at most; beyond that all queued commands are rejected
 	maxOutputBytes = 128 << 10 // bytes of answers in the output buffer, which the largest answer fits into
 	maxMalformed   = 16        // number of malformed commands in a row that ends the connection
 )
@@ -52,10 +52,11 @@
 	now       func() clock.Instant
 	onRequest RequestHandler
 
-	conns     map[*Conn]bool // the open connections
-	memory    answerMemory   // of the unsent answers of all connections
-	unflushed []*Conn        // connections with answers to write; nil: flushed during the current Flush
-	stalled   []*Conn        // connections whose client did not accept all bytes during the current Flush
+	conns         map[*Conn]bool // the open connections
+	answerMemory  answerMemory   // of the unsent answers of all connections
+	commandMemory commandMemory  // of the queued commands of all connections
+	unflushed     []*Conn        // connections with answers to write; nil: flushed during the current Flush
+	stalled       []*Conn        // connections whose client did not accept all bytes during the current Flush
 
 	listener     *net.TCPListener
 	slotReplies  chan bool     // one value per replySlotAvailable: whether a slot is free
@@ -82,21 +83,25 @@
 	// AnswerMemory is the most memory for answers that wait for their clients, in bytes, beyond two answers for each
 	// connection.
 	AnswerMemory int
+	// CommandMemory is the most memory for commands that are not started, in bytes, beyond minQueueShare and one command
+	// for each connection.
+	CommandMemory int
 }
 
 // NewServer returns a server that does not accept connections yet.
 func NewServer(options Options) *Server {
 	return &Server{
-		system:      options.System,
-		catalog:     options.Catalog,
-		maxConns:    options.MaxConns,
-		runOnLoop:   options.RunOnLoop,
-		now:         options.Now,
-		onRequest:   options.OnRequest,
-		conns:       map[*Conn]bool{},
-		memory:      answerMemory{limit: options.AnswerMemory},
-		slotReplies: make(chan bool, 1),
-		slotFreed:   make(chan struct{}, 1),
+		system:        options.System,
+		catalog:       options.Catalog,
+		maxConns:      options.MaxConns,
+		runOnLoop:     options.RunOnLoop,
+		now:           options.Now,
+		onRequest:     options.OnRequest,
+		conns:         map[*Conn]bool{},
+		answerMemory:  answerMemory{limit: options.AnswerMemory},
+		commandMemory: commandMemory{limit: int64(options.CommandMemory)},
+		slotReplies:   make(chan bool, 1),
+		slotFreed:     make(chan struct{}, 1),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,9 @@
 	inboxSize    = 1024 // functions that can wait for the loop; senders block while the inbox is full
 	idleFraction = 0.5  // an idle connection to a host is kept for this fraction of the host's idle timeout
 
-	answerMemoryDivisor = 8 // the memory limit divided by this may be used for answers that wait for their clients
+	// The memory limit divided by this may be used for commands of clients that are not started, and as much for answers
+	// that wait to be read.
+	clientMemoryDivisor = 8
 )
 
 // Decider is the decision module. The loop calls its methods, one call at a time.
@@ -144,7 +146,8 @@
 		Now:       n.now,
 		OnRequest: n.handleRequest,
 
-		AnswerMemory: int(cfg.MemoryLimit / answerMemoryDivisor),
+		AnswerMemory:  int(cfg.MemoryLimit / clientMemoryDivisor),
+		CommandMemory: int(cfg.MemoryLimit / clientMemoryDivisor),
 	})
 	n.transport = hosts.NewTransport(hosts.Options{
 		System:         n.system,
