--- a/cmd/ravensill/answers_test.go
+++ b/cmd/ravensill/answers_test.go
@@ -217,3 +217,30 @@
 		})
 	}
 }
+
+// flood sends requests as fast as the gateway takes them, and reads no answer, until the connection ends.
+func (c *testClient) flood(customer int) {
+	for n, err := 0, error(nil); err == nil; n++ {
+		id := fmt.Sprintf("flood%d-%d", customer, n)
+		arguments := "c=lookup,t=team,d=3000,units=1,spread=1,first=0"
+		_, err = c.Conn.Write([]byte(respArray("CALL.GET", fmt.Sprintf("%016x", customer), id, arguments)))
+	}
+}
+
+// TestFloodDelaysNoOtherClientForever guards against an event loop that handles nothing but the commands of clients
+// that send them faster than they are rejected: no other client got an answer for as long as the flood lasted.
+func TestFloodDelaysNoOtherClientForever(t *testing.T) {
+	const floodingClients = 60
+	host := newLargeValueHost(t)
+	gateway := startGateway(t, configureAmpleBurst, host.testHost)
+	other := gateway.connect()
+	for i := range floodingClients {
+		go gateway.connect().flood(blockedCustomers + i)
+	}
+	gateway.waitUntil("the flood is served", func() bool { return host.receivedCount() > floodingClients })
+	for range 5 {
+		if a := other.roundTrip(respArray("PING")); a != "+PONG" {
+			t.Fatalf("another client reads %s", a)
+		}
+	}
+}
--- a/internal/clients/answer_queue_test.go
+++ b/internal/clients/answer_queue_test.go
@@ -180,3 +180,31 @@
 		t.Error("the idle connection is not evicted")
 	}
 }
+
+// TestFlushEndsDespiteNewCommands guards against an event loop that never gets to other connections, because a client's
+// commands are answered at once and its reader adds further ones meanwhile.
+func TestFlushEndsDespiteNewCommands(t *testing.T) {
+	const endless = 100 * maxInFlight
+	server := newTestServer(t, 9)
+	client := server.connect()
+	started := 0
+	var run func(*Answer)
+	run = func(a *Answer) {
+		a.Reject(0)
+		started++
+		if started < endless {
+			client.conn.enqueue(0, run)
+		}
+	}
+	client.conn.enqueue(0, run)
+	client.conn.receive()
+	for calls := 1; started < endless; calls++ {
+		if limit := (calls + 1) * maxInFlight; started > limit {
+			t.Fatalf("%d commands are started after %d calls of Flush, over %d", started, calls, limit)
+		}
+		if !server.FlushDue() {
+			t.Fatal("commands are queued that may start, but no flush is due")
+		}
+		server.Flush()
+	}
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -54,6 +54,9 @@
 // rejectOverflow rejects the queued commands if they are too many, or if there is no memory in which their answers
 // could wait: it would come too late for most of them, and they would take more memory meanwhile.
 func (c *Conn) rejectOverflow() {
+	if c.mayStartCommand() { // the next Flush starts them
+		return
+	}
 	if c.hasAnswerMemory() {
 		c.rejectOver(c.commandQueue.memory.share())
 	} else {
@@ -62,9 +65,13 @@
 }
 
 // startCommands starts queued commands until maxInFlight commands are in flight, or until there is no memory in which
-// further answers could wait. It starts none of a client that is known to be gone.
+// further answers could wait. It starts none of a client that is known to be gone. After maxInFlight commands that were
+// answered at once, it leaves the others to the next Flush: the reader may add commands as fast as they are started.
 func (c *Conn) startCommands() {
-	for c.mayStartCommand() {
+	for range maxInFlight {
+		if !c.mayStartCommand() {
+			return
+		}
 		command, ok := c.dequeue()
 		if !ok {
 			return
@@ -78,6 +85,7 @@
 			c.start(command.run)
 		}
 	}
+	c.scheduleFlush()
 }
 
 // mayStartCommand reports whether another command may start.
@@ -107,6 +115,11 @@
 // answerSet implements answerConn.
 func (c *Conn) answerSet() {
 	c.lastAnswerAt = c.server.now()
+	c.scheduleFlush()
+}
+
+// scheduleFlush has the next Flush of the server include the connection.
+func (c *Conn) scheduleFlush() {
 	if !c.flushPending {
 		c.flushPending = true
 		c.server.unflushed = append(c.server.unflushed, c)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"ravensill/internal/clock"
@@ -56,7 +57,7 @@
 	answerMemory  answerMemory   // of the unsent answers of all connections
 	commandMemory commandMemory  // of the queued commands of all connections
 	unflushed     []*Conn        // connections with answers to write; nil: flushed during the current Flush
-	stalled       []*Conn        // connections whose client did not accept all bytes during the current Flush
+	stalled       []*Conn        // connections whose client did not accept all bytes during the latest Flush
 
 	listener     *net.TCPListener
 	slotReplies  chan bool     // one value per replySlotAvailable: whether a slot is free
@@ -122,9 +123,14 @@
 }
 
 // Flush writes all answers set since the previous call, with one write per connection, and starts commands that waited
-// because too many were in flight. It reports whether some bytes could not be written yet.
+// because too many were in flight. It reports whether some bytes could not be written yet. Answers that are set by
+// commands that it starts are left to the next call, so that clients that send commands as fast as they are answered
+// can't keep the event loop here.
 func (s *Server) Flush() bool {
-	for i := 0; i < len(s.unflushed); i++ { // starting commands may append to the list
+	s.unflushed = append(s.unflushed, s.stalled...)
+	s.stalled = s.stalled[:0]
+	count := len(s.unflushed)
+	for i := range count {
 		c := s.unflushed[i]
 		if c == nil {
 			continue
@@ -135,11 +141,13 @@
 			c.flush()
 		}
 	}
-	s.unflushed = append(s.unflushed[:0], s.stalled...)
-	s.stalled = s.stalled[:0]
-	return len(s.unflushed) > 0
+	s.unflushed = slices.Delete(s.unflushed, 0, count)
+	return len(s.stalled) > 0
 }
 
+// FlushDue reports whether answers were set since the latest Flush, or by commands that it started.
+func (s *Server) FlushDue() bool { return len(s.unflushed) > 0 }
+
 // Drain ends each connection once all its commands are answered. A command that arrives after the close of the sending
 // side gets no answer.
 func (s *Server) Drain() {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -43,14 +43,15 @@
 	if n.timerAt > 0 && now >= n.timerAt {
 		n.timerFired(now)
 	}
-	unsent := false
-	counterDue := gateway.Time(0)
-	for more := true; more; more = n.hasEvents() { // a failed write adds an event
-		if n.hasEvents() {
-			n.decide()
-		}
-		// Needed without a decision, too: an answer to PING must not wait for a timer.
-		unsent, counterDue = n.flush()
+	if n.hasEvents() {
+		n.decide()
+	}
+	// Needed without a decision, too: an answer to PING must not wait for a timer.
+	unsent, counterDue := n.flush()
+	if n.hasEvents() || n.clients.FlushDue() {
+		// The next iteration first takes what has arrived meanwhile. Otherwise, clients that send commands as fast as a
+		// flush starts them would keep the loop here.
+		return 0
 	}
 	return n.timeUntilDue(unsent, counterDue)
 }
