--- a/cmd/ravensill/answers_test.go
+++ b/cmd/ravensill/answers_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/prometheus/procfs"
 )
 
 // blockedCustomers is the number of customers to whom a largeValueHost does not answer before its release.
@@ -165,11 +163,7 @@
 
 // checkMemory fails the test if the gateway has ever used more resident memory than it may.
 func (w *waitingAnswers) checkMemory() {
-	process, err := procfs.NewProc(w.cmd.Process.Pid)
-	if err != nil {
-		w.Fatal(err)
-	}
-	status, err := process.NewStatus()
+	status, err := w.proc().NewStatus()
 	if err != nil {
 		w.Fatal(err)
 	}
--- a/cmd/ravensill/harness_test.go
+++ b/cmd/ravensill/harness_test.go
@@ -264,13 +264,18 @@
 	return "exit 0"
 }
 
-// descriptorTargets returns what the process's open descriptors refer to, such as a file's path or socket:[INODE].
-func (g *gatewayProcess) descriptorTargets() []string {
+// proc returns the process's entry in /proc.
+func (g *gatewayProcess) proc() procfs.Proc {
 	process, err := procfs.NewProc(g.cmd.Process.Pid)
 	if err != nil {
 		g.Fatal(err)
 	}
-	targets, err := process.FileDescriptorTargets()
+	return process
+}
+
+// descriptorTargets returns what the process's open descriptors refer to, such as a file's path or socket:[INODE].
+func (g *gatewayProcess) descriptorTargets() []string {
+	targets, err := g.proc().FileDescriptorTargets()
 	if err != nil {
 		g.Fatal(err)
 	}
--- a/internal/clients/answer_memory_test.go
+++ b/internal/clients/answer_memory_test.go
@@ -38,7 +38,7 @@
 		client := server.connect()
 		first := len(server.requests)
 		client.send(requestIDs(perClient)...)
-		server.runLoop("started", func() bool { return len(server.requests) == first+perClient })
+		server.runUntilRequests(first + perClient)
 		for _, answer := range server.requests[first+1:] { // the first one is missing
 			answer.Succeed(valueOf(0, size))
 			server.checkAnswerMemory()
@@ -49,7 +49,7 @@
 	reading := server.connect()
 	first := len(server.requests)
 	reading.send(requestIDs(perClient)...)
-	server.runLoop("started", func() bool { return len(server.requests) == first+perClient })
+	server.runUntilRequests(first + perClient)
 	for i, answer := range server.requests[first:] {
 		answer.Succeed(valueOf(i, size))
 		server.checkAnswerMemory()
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Flush writes all answers set since the previous call, with one write per connection, and starts commands that waited
+// Flush writes all answers set since the previous call, as far as sockets accept them, and starts commands that waited
 // because too many were in flight. It reports whether some bytes could not be written yet. Answers that are set by
 // commands that it starts are left to the next call, so that clients that send commands as fast as they are answered
 // can't keep the event loop here.
