--- a/review/rigs-2/testdata/main.go
+++ b/review/rigs-2/testdata/main.go
@@ -29,11 +29,10 @@
 // cases are the cases by the name on the command line. Each returns whether the rule was broken.
 var cases = map[string]func(r *rig) bool{
 	"growth": playGrowth,
-	"voters": playVoters,
 	"late":   playLate,
 	"gone":   playGone,
 	"window": playWindow,
-	"sets":   playSets,
+	"cap":    playCap,
 }
 
 // cannotRun is the value of the panic by which a case ends that can't run.
--- a/review/rigs-2/testdata/standins.go
+++ b/review/rigs-2/testdata/standins.go
@@ -27,10 +27,7 @@
 	mu       sync.Mutex
 	accepted int
 	conns    map[int]net.Conn // connections that are open
-	peak     int              // most connections open at a time
-	peakAt   time.Time
 	calls    []call
-	onChange func(open int, at time.Time) // called with the lock held; nil: nothing
 }
 
 // newHost starts a host at a free loopback address.
@@ -55,30 +52,15 @@
 
 func (h *host) address() string { return h.listener.Addr().String() }
 
-// countConn counts a connection that begins, or that ends if conn is nil.
-func (h *host) countConn(number int, conn net.Conn) {
+// keepConn keeps a connection that begins, or that ends if conn is nil.
+func (h *host) keepConn(number int, conn net.Conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
 	if conn != nil {
 		h.conns[number] = conn
 	} else {
 		delete(h.conns, number)
 	}
-	if len(h.conns) > h.peak {
-		h.peak = len(h.conns)
-		h.peakAt = now
-	}
-	if h.onChange != nil {
-		h.onChange(len(h.conns), now)
-	}
-}
-
-// openCount returns the number of open connections.
-func (h *host) openCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.conns)
 }
 
 // serve serves one connection until it ends.
@@ -88,8 +70,8 @@
 	h.accepted++
 	number := h.accepted
 	h.mu.Unlock()
-	h.countConn(number, conn)
-	defer h.countConn(number, nil)
+	h.keepConn(number, conn)
+	defer h.keepConn(number, nil)
 	var writing sync.Mutex
 	write := func(text string) {
 		writing.Lock()
