hosts: a command that was begun is never sent again under a connection quota

Cause: a BUSY as the first answer on a connection counted as the store's refusal of the connection, and ConnectionLimiter.requeueRefused put the attempt back into its queue, from where the command was written again. Whether the client is there and whether the host drains is checked for the first writing only. internal/hosts so decided that a request is sent again, which belongs to logic.

TestBegunCommandIsNotSentAgain failed in its three cases (BUSY after the command, BUSY and a reset after a part of it): no result, and a second dial.

BUSY as the first answer still pauses dials: it may mean a full queue or a drain, but nothing on the wire tells these apart, and a needless pause costs less than pressing a store at its limit.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -11,7 +11,8 @@
 	// RequestArrived is a new request of a client: RequestID, Customer, Class, Plan, Deadline, StopAt, Units,
 	// Spread, FirstGateway, Retry.
 	RequestArrived EventKind = iota
-	// AttemptEnded is the end of an attempt: RequestID, Host, Attempt, Result, Latency, Units, Usage, LoadReport, Closed.
+	// AttemptEnded is the end of an attempt: RequestID, Host, Attempt, Result, Latency, RetryAfter, Units, Usage,
+	// LoadReport, Closed.
 	AttemptEnded
 	// StreamStarted is the beginning of a streamed answer: RequestID, Host, Attempt, Latency.
 	StreamStarted
@@ -106,6 +107,7 @@
 	Attempt      int    // position among the request's attempts, from 0 on
 	Result       Result
 	Latency      time.Duration // time since the start of the attempt, probe or call
+	RetryAfter   time.Duration // expected time until the connection quota allows an attempt; 0: nothing is known of that
 	Usage        int           // the customer's metered use in percent, plus 1; 0: not reported
 	LoadReport   []float64     // values of LoadReportFormat.Fields, in that order; nil: not reported
 	ListKind     ListKind
--- a/internal/hosts/attempt.go
+++ b/internal/hosts/attempt.go
@@ -17,7 +17,7 @@
 type Attempt struct {
 	pool     *hostPool
 	conn     *conn    // the connection that carries the attempt; nil until one is assigned
-	command  *Command // nil once written, unless a connection quota may require that it is written again
+	command  *Command // nil once begun: it is never written again
 	onResult ResultHandler
 	probe    bool // whether it asks for a load report
 	urgent   bool // whether its request class is urgent
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -146,9 +146,7 @@
 	attempt.startedAt = now
 	c.commandWritten = true
 	attempt.command.write(c.link.Out, attempt.deadline.Sub(now))
-	if c.pool.transport.limiter == nil { // under a quota, a refused attempt writes its command again elsewhere
-		attempt.command = nil
-	}
+	attempt.command = nil // it is never written again
 }
 
 // noInputSinceAnswer reports whether neither bytes nor the end of the stream have arrived since the latest answer, or
@@ -185,7 +183,7 @@
 // handleAnswer completes the connection's attempt with an answer. It fails the connection if the answer can't belong to
 // that attempt: no attempt was assigned or fully written, the answer was received before the attempt started, or it has
 // a value where a load report is expected or the reverse. Under a connection quota, a BUSY as the first answer on a
-// connection means that the store refused the connection; the attempt then returns to the queue.
+// connection counts as a refusal of the connection (handleRefusal).
 func (c *conn) handleAnswer(a answer) {
 	attempt := c.attempt
 	limiter := c.pool.transport.limiter
@@ -193,9 +191,7 @@
 	c.answerCount++
 	refusedByStore := c.answerCount == 1 && a.event.Result == gateway.Busy
 	if limiter != nil && attempt != nil && refusedByStore {
-		c.unassign(false)
-		c.close()
-		limiter.requeueRefused(attempt, errStoreRefused)
+		c.handleRefusal(a)
 		return
 	}
 	if attempt == nil || attempt.stage() != Sent || a.received < attempt.startedAt {
@@ -217,6 +213,23 @@
 	attempt.onResult(a.event, a.value, a.received)
 }
 
+// handleRefusal handles a BUSY as the first answer on a connection under a connection quota: it closes the connection
+// and pauses dials. The store may also mean that its queue is full or that it drains. Nothing in the answer tells these
+// apart, and a pause without need costs less than dials to a store at its connection limit. The attempt ends as busy,
+// except that it returns to the queue if its command was not begun.
+func (c *conn) handleRefusal(a answer) {
+	attempt := c.attempt
+	limiter := c.pool.transport.limiter
+	c.unassign(false)
+	c.close()
+	if limiter.requeueRefused(attempt, errStoreRefused) {
+		return
+	}
+	a.event.RetryAfter = limiter.untilAvailable(c.pool.transport.now())
+	attempt.done = true
+	attempt.onResult(a.event, nil, a.received)
+}
+
 // fail closes the connection and fails the attempt that it carries, or one that waits for its dial. It has no effect on
 // a closed connection.
 func (c *conn) fail(err error) {
@@ -238,13 +251,12 @@
 	c.close()
 	limiter := c.pool.transport.limiter
 	if limiter != nil && !c.commandWritten {
-		limiter.RefusedConnections++
-		limiter.backOff()
+		limiter.observeRefusal(errStoreRefused)
 	}
 }
 
-// failAttempt closes the connection and fails its attempt. Under a connection quota, an attempt whose new connection
-// fails before the whole command was written may return to the queue instead.
+// failAttempt closes the connection and fails its attempt. Under a connection quota, a new connection that fails before
+// the whole command was written may have been refused: its attempt returns to the queue if its command was not begun.
 func (c *conn) failAttempt(err error) {
 	attempt := c.attempt
 	stage := attempt.stage()
--- a/internal/hosts/limiter.go
+++ b/internal/hosts/limiter.go
@@ -36,8 +36,9 @@
 // ConnectionLimiter keeps the connections of a transport, dials in progress included, within a quota that applies to
 // all hosts together, because they share one store. Attempts that get no connection wait in a queue. Urgent attempts go
 // first while fewer of them than the urgent floor are in flight. An attempt that is expected to wait for too long is
-// rejected at once, with a time to retry after. If the store refuses a connection, the attempt stays in the queue and
-// no dial starts for a while. Its methods must be called on the event loop of the transport.
+// rejected at once, with a time to retry after. If the store refuses a connection, no dial starts for a while. The
+// attempt stays in the queue if its command was not begun, and ends otherwise. Its methods must be called on the event
+// loop of the transport.
 type ConnectionLimiter struct {
 	transport *Transport
 	// quotaAt returns the number of connections that may be open at a time.
@@ -128,18 +129,24 @@
 }
 
 // reject removes an attempt from the queue and fails it with errQueueTimeout. While its ResultHandler runs, RetryAfter
-// returns the expected time until the queue is empty and dials may start, within its bounds.
+// returns the time of untilAvailable.
 func (l *ConnectionLimiter) reject(attempt *Attempt) {
 	now := l.transport.now()
 	l.dequeue(attempt)
 	l.RejectedAttempts++
 	l.onRejected(time.Duration(l.serviceTime))
-	drainTime := time.Duration(float64(len(l.queue)+1) * l.serviceTime / float64(max(l.quotaAt(now), 1)))
-	l.retryAfter = min(max(drainTime, l.nextDial.Sub(now), minRetryAfter), maxRetryAfter)
+	l.retryAfter = l.untilAvailable(now)
 	attempt.fail(Connecting, errQueueTimeout)
 	l.retryAfter = 0
 }
 
+// untilAvailable returns the expected time until the queue is empty and dials may start, within the bounds of the time
+// to retry after.
+func (l *ConnectionLimiter) untilAvailable(now clock.Instant) time.Duration {
+	drainTime := time.Duration(float64(len(l.queue)+1) * l.serviceTime / float64(max(l.quotaAt(now), 1)))
+	return min(max(drainTime, l.nextDial.Sub(now), minRetryAfter), maxRetryAfter)
+}
+
 // dequeue removes an attempt from the queue, if it is there.
 func (l *ConnectionLimiter) dequeue(attempt *Attempt) {
 	l.queue = slices.DeleteFunc(l.queue, func(other *Attempt) bool { return other == attempt })
@@ -279,20 +286,17 @@
 	return slices.ContainsFunc(l.queue, func(attempt *Attempt) bool { return attempt.pool == pool })
 }
 
-// requeueRefused handles an attempt whose connection failed with err before the attempt could run. If err means that
-// the store refused the connection, or that this machine lacks a resource for a dial, it pauses dials, puts the attempt
-// back at the head of the queue, or rejects it past its queue deadline, and returns true. It returns false for other
-// errors, which are failures of the host.
+// requeueRefused handles an attempt whose connection failed with err before the attempt could run, and reports whether
+// the attempt is dealt with. If err means that the store refused the connection, or that this machine lacks a resource
+// for a dial, it pauses dials and puts the attempt back at the head of the queue, or rejects it past its queue
+// deadline. It returns false for other errors, which are failures of the host, and for an attempt whose command was
+// begun. That one has to end: its client may have left since, or its host may drain, and only the decision module may
+// send a request again.
 func (l *ConnectionLimiter) requeueRefused(attempt *Attempt, err error) bool {
-	switch {
-	case isStoreRefusal(err):
-		l.RefusedConnections++
-	case !sockets.IsResourceExhausted(err):
+	if !l.observeRefusal(err) || attempt.started {
 		return false
 	}
-	l.backOff()
 	attempt.conn = nil
-	attempt.started = false
 	if l.transport.now() >= attempt.queueDeadline {
 		l.reject(attempt)
 		return true
@@ -302,6 +306,19 @@
 	return true
 }
 
+// observeRefusal reports whether err means that the store refused a connection, or that this machine lacks a resource
+// for a dial. It pauses dials then.
+func (l *ConnectionLimiter) observeRefusal(err error) bool {
+	switch {
+	case isStoreRefusal(err):
+		l.RefusedConnections++
+	case !sockets.IsResourceExhausted(err):
+		return false
+	}
+	l.backOff()
+	return true
+}
+
 // isStoreRefusal reports whether err means that the store, as it is at its own connection limit, refused a connection.
 func isStoreRefusal(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, errStoreRefused)
--- a/internal/hosts/limiter_test.go
+++ b/internal/hosts/limiter_test.go
@@ -69,3 +69,56 @@
 	golden.Check(t, fmt.Sprintf("%sstore received %.3s... first, %d refused, %d rejected, %d open\n",
 		loop.trace(), <-commands, limiter.RefusedConnections, limiter.RejectedAttempts, open))
 }
+
+// Guards against sending a request on after its client left or its host began to drain (incident 0016). A command that
+// was begun is never sent again: its attempt ends as one that never ran, and the decision module decides what follows.
+func TestBegunCommandIsNotSentAgain(t *testing.T) {
+	const bodyBeyondBuffers = 100 << 10
+	for _, test := range []struct {
+		name       string
+		bodySize   int
+		refuse     func(h *scriptedHost, c *net.TCPConn)
+		result     gateway.Result
+		retryAfter bool // whether the result has the time until the next dial
+	}{
+		{"busy after the command", 0, func(h *scriptedHost, c *net.TCPConn) {
+			h.readCommand(c)
+			io.WriteString(c, "-BUSY\r\n")
+		}, gateway.Busy, true},
+		{"busy after a part of the command", bodyBeyondBuffers, func(_ *scriptedHost, c *net.TCPConn) {
+			io.WriteString(c, "-BUSY\r\n")
+		}, gateway.Busy, true},
+		{"reset after a part of the command", bodyBeyondBuffers, func(_ *scriptedHost, c *net.TCPConn) {
+			reset(c)
+		}, gateway.Unreachable, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newScriptedHost(t)
+			limiter := h.LimitConnections(0, attemptTimeout, func(clock.Instant) int { return manyConns },
+				func(time.Duration) {})
+			var ended []gateway.Event
+			deadline := h.Transport.now().Add(attemptTimeout)
+			command := Command{Head: []byte("a "), Tail: make([]byte, test.bodySize)}
+			h.Send(1, command, deadline, deadline, func(event gateway.Event, _ []byte, _ clock.Instant) {
+				ended = append(ended, event)
+			})
+			h.runUntilConnected()
+			h.advance(limitedReuseDelay)
+			h.Flush()
+			test.refuse(h, <-h.conns)
+			h.runWork(1)
+			h.advance(maxDialBackoff) // dials may start again
+			h.Flush()
+			if len(ended) != 1 || ended[0].Result != test.result || (ended[0].RetryAfter > 0) != test.retryAfter {
+				t.Errorf("ended as %+v, want one result %d, with a time to retry after: %t",
+					ended, test.result, test.retryAfter)
+			}
+			if limiter.Dials != 1 || len(limiter.queue) > 0 {
+				t.Errorf("%d dials and %d attempts in the queue, want 1 and 0", limiter.Dials, len(limiter.queue))
+			}
+			if limiter.RefusedConnections != 1 {
+				t.Errorf("%d refusals counted, want 1", limiter.RefusedConnections)
+			}
+		})
+	}
+}
--- a/internal/hosts/transport.go
+++ b/internal/hosts/transport.go
@@ -1,6 +1,6 @@
 // Package hosts sends attempts to hosts over pooled RESP connections and parses the answers. It is the only package
 // that knows the names of the protocol between gateway and host. It makes no routing decisions and never sends a
-// command twice if the command may have run.
+// command twice: whether a request is sent again is decided by its caller.
 package hosts
 
 import (
--- a/internal/node/connecting_test.go
+++ b/internal/node/connecting_test.go
@@ -33,6 +33,9 @@
 	hostRunning bool        // whether the host is neither draining nor gone
 	events      chan string // each event that the module decides on
 
+	// refuse, if not nil, makes the host turn its first command away: it calls refuse, then answers BUSY.
+	refuse func()
+
 	mu       sync.Mutex
 	received []string // ids of the requests that the host received
 }
@@ -84,11 +87,13 @@
 	}
 }
 
-// serveAtHost answers each command on a connection with the value "v" and records the request's id.
+// serveAtHost answers each command on a connection with the value "v", unless it turns it away, and records the
+// request's id.
 func (g *testGateway) serveAtHost(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
+		isFirst := false
 		for i := range requestLines {
 			line, err := in.ReadString('\n')
 			if err != nil {
@@ -96,10 +101,16 @@
 			}
 			if i == requestIDLine {
 				g.mu.Lock()
+				isFirst = len(g.received) == 0
 				g.received = append(g.received, strings.TrimSpace(line))
 				g.mu.Unlock()
 			}
 		}
+		if isFirst && g.refuse != nil {
+			g.refuse()
+			io.WriteString(conn, "-BUSY\r\n")
+			continue
+		}
 		io.WriteString(conn, "*1\r\n$1\r\nv\r\n")
 	}
 }
--- a/logic/request.go
+++ b/logic/request.go
@@ -95,7 +95,7 @@
 		g.closeRequest(r)
 	case event.Result != gateway.TimedOut && g.retry(r, ended.endpoint):
 	case r.mayHaveRun == nil || r.class.repeatable(r.mayHaveRun.startedAt, g.now):
-		g.reject(r, AttemptFailed, r.class.typicalLatency)
+		g.reject(r, AttemptFailed, g.retryAfter(r, event))
 	default:
 		g.actions.Fail(r.id)
 		g.closeRequest(r)
@@ -115,6 +115,19 @@
 	return ended
 }
 
+// retryAfter returns the time, in nanoseconds, after which the client of a request should repeat it once an attempt has
+// ended: what the connection quota expects, if it limits attempts, and else the typical latency of the class.
+func (g *Gateway) retryAfter(r *request, ended *gateway.Event) float64 {
+	if ended.RetryAfter == 0 {
+		return r.class.typicalLatency
+	}
+	expected := ended.RetryAfter
+	if g.limits.MaxRetryAfter > 0 {
+		expected = min(expected, g.limits.MaxRetryAfter)
+	}
+	return float64(expected)
+}
+
 // reject ends a request with the answer that the client may safely repeat it after retryAfter, in nanoseconds.
 func (g *Gateway) reject(r *request, reason Reason, retryAfter float64) {
 	g.rejected[reason]++
--- a/logic/request_test.go
+++ b/logic/request_test.go
@@ -40,6 +40,25 @@
 	}
 }
 
+// Guards against rejections that tell clients to come back while no connection can be opened (incident 0016). The time
+// that the connection quota expects is told, up to the longest time that clients wait.
+func TestRejectionTellsTimeUntilConnection(t *testing.T) {
+	for _, test := range []struct {
+		expected, longest time.Duration
+		want              string
+	}{
+		{300 * ms, 0, "retry after 300 ms"},
+		{300 * ms, 200 * ms, "retry after 200 ms"},
+	} {
+		sim := newSimulation(1, 1, func(sim *simulation) { sim.limits.MaxRetryAfter = test.longest })
+		sim.arrive(0, "a", 1)
+		sim.finishAttemptWith(0, 0, gateway.Event{Result: gateway.Busy, RetryAfter: test.expected})
+		if got := sim.trace.String(); !strings.Contains(got, test.want) {
+			t.Errorf("expected %v, longest wait %v: %q, want %s", test.expected, test.longest, got, test.want)
+		}
+	}
+}
+
 // Late answers lower the limit on attempts in flight. Requests beyond the limit are rejected at once.
 func TestOverloadIsShed(t *testing.T) {
 	sim := newSimulation(1, 2, func(sim *simulation) { sim.setQuota(1000) })
--- a/logic/simulation_test.go
+++ b/logic/simulation_test.go
@@ -133,18 +133,20 @@
 
 // finishAttempt ends the first attempt that gateway i has in flight at a host, or at any host if host is 0.
 func (sim *simulation) finishAttempt(i int, host uint32, result gateway.Result, closed bool) {
+	sim.finishAttemptWith(i, host, gateway.Event{Result: result, Closed: closed})
+}
+
+// finishAttemptWith ends the attempt that finishAttempt ends, with an event whose other fields it sets.
+func (sim *simulation) finishAttemptWith(i int, host uint32, end gateway.Event) {
 	for _, e := range sim.gateways[i].gateway.endpoints.all {
 		if len(e.inFlight) > 0 && (host == 0 || e.number == host) {
 			a := e.inFlight[0]
-			sim.deliver(i, gateway.Event{
-				Kind:      gateway.AttemptEnded,
-				RequestID: a.request.id,
-				Host:      e.number,
-				Attempt:   a.number,
-				Result:    result,
-				Latency:   sim.now.Add(sim.gateways[i].clockOffset).Sub(a.startedAt),
-				Closed:    closed,
-			})
+			end.Kind = gateway.AttemptEnded
+			end.RequestID = a.request.id
+			end.Host = e.number
+			end.Attempt = a.number
+			end.Latency = sim.now.Add(sim.gateways[i].clockOffset).Sub(a.startedAt)
+			sim.deliver(i, end)
 			return
 		}
 	}
