logic: a rejection needs the client's repeat to be safe when it is told to come

Cause: the retry waits for a connection, and at the end of its time in the queue connectionQuota.rejectThrottled rejected the request before the module saw the end of the attempt. Only logic knows whether an earlier attempt may have run, and until when hosts discard a repeat. The same promise was wrong on a second way, in all deployments: attemptEnded asked whether a repeat is safe now, and told the client to come after a time that may lead past the window.

With the former condition in attemptEnded, TestThrottledRequestIsRejectedOnlyWithinWindow fails in the case of a late repeat, and so does TestRulesHoldForAllSettings, whose check of a rejection now includes the time that is told, with and without throttled attempts; a throttled attempt that is retried fails the former, too.

Change: an attempt without a connection ends like every other, as Throttled with the time until one is expected; logic rejects with that time if a repeat is safe then, else fails the request. It does not retry: the quota is one for all hosts. The rejections are counted (no_connection in event=decisions). rejectThrottled and ConnectionLimiter.RetryAfter are gone. No golden trace of logic changes.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -44,10 +44,13 @@
 	Canceled                   // canceled by the gateway; it may have run
 	NotSent                    // the gateway did not send it; it never ran
 	Malformed                  // the answer is malformed; it may have run
+	Throttled                  // the connection quota left it no connection in time; it never ran
 )
 
 // NeverRan reports whether the result proves that the endpoint did not run the request.
-func (r Result) NeverRan() bool { return r == Busy || r == Unreachable || r == NotSent }
+func (r Result) NeverRan() bool {
+	return r == Busy || r == Unreachable || r == NotSent || r == Throttled
+}
 
 // ListKind says which part of the endpoint list an EndpointsListed event has.
 type ListKind int
--- a/internal/hosts/attempt.go
+++ b/internal/hosts/attempt.go
@@ -76,7 +76,6 @@
 	if a.done {
 		return
 	}
-	a.done = true
 	failure := &Failure{stage, err}
 	pool := a.pool
 	if !pool.failing && !pool.removed && failure.isHostFault() {
@@ -87,5 +86,11 @@
 		pool.transport.dialResourcesExhausted = true
 		slog.Warn("dial_resources_exhausted", "error", failure.Err)
 	}
-	a.onResult(gateway.Event{Result: failure.Result()}, nil, pool.transport.now())
+	a.end(gateway.Event{Result: failure.Result()}, nil, pool.transport.now())
+}
+
+// end passes the attempt's result to onResult.
+func (a *Attempt) end(event gateway.Event, value []byte, received clock.Instant) {
+	a.done = true
+	a.onResult(event, value, received)
 }
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -226,8 +226,7 @@
 		return
 	}
 	a.event.RetryAfter = limiter.untilAvailable(c.pool.transport.now())
-	attempt.done = true
-	attempt.onResult(a.event, nil, a.received)
+	attempt.end(a.event, nil, a.received)
 }
 
 // fail closes the connection and fails the attempt that it carries, or one that waits for its dial. It has no effect on
--- a/internal/hosts/failure.go
+++ b/internal/hosts/failure.go
@@ -61,11 +61,10 @@
 	return gateway.Disconnected
 }
 
-// isHostFault reports whether the failure is logged as one of the host. Timeouts, cancellations, rejections by the
-// connection quota and failures for lack of resources on this machine are not.
+// isHostFault reports whether the failure is logged as one of the host. Timeouts, cancellations and failures for lack
+// of resources on this machine are not.
 func (f *Failure) isHostFault() bool {
-	switch {
-	case errors.Is(f.Err, ErrTimedOut), errors.Is(f.Err, ErrCanceled), errors.Is(f.Err, errQueueTimeout):
+	if errors.Is(f.Err, ErrTimedOut) || errors.Is(f.Err, ErrCanceled) {
 		return false
 	}
 	return !f.isResourceExhausted()
@@ -74,7 +73,7 @@
 // isCausedByGateway reports whether the cause of the failure is the gateway or its machine. Such a failure must not
 // count against the host: a gateway that lacks ports would treat all hosts as outliers.
 func (f *Failure) isCausedByGateway() bool {
-	for _, cause := range []error{ErrCanceled, errConnectionLimit, errHostRemoved, errQueueTimeout} {
+	for _, cause := range []error{ErrCanceled, errConnectionLimit, errHostRemoved} {
 		if errors.Is(f.Err, cause) {
 			return true
 		}
--- a/internal/hosts/limiter.go
+++ b/internal/hosts/limiter.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"ravensill/gateway"
 	"ravensill/internal/clock"
 	"ravensill/internal/sockets"
 )
@@ -19,7 +20,7 @@
 	minDialBackoff = 50 * time.Millisecond
 	maxDialBackoff = 400 * time.Millisecond
 
-	// Bounds of the time that RetryAfter returns for a rejected attempt.
+	// Bounds of the time to retry after that the end of an attempt reports.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 
@@ -27,11 +28,7 @@
 	serviceTimeWeight = 1.0 / 16
 )
 
-var (
-	// errQueueTimeout is the error of an attempt that the ConnectionLimiter rejects. The attempt never ran.
-	errQueueTimeout = errors.New("no connection within the quota by the queue deadline")
-	errStoreRefused = errors.New("the store refused the connection")
-)
+var errStoreRefused = errors.New("the store refused the connection")
 
 // ConnectionLimiter keeps the connections of a transport, dials in progress included, within a quota that applies to
 // all hosts together, because they share one store. Attempts that get no connection wait in a queue. Urgent attempts go
@@ -54,7 +51,6 @@
 	dialBackoff    time.Duration // latest pause after a refusal; 0 once an attempt was answered
 	nextDial       clock.Instant // no dial starts before this time
 	timerRunning   bool          // whether a timer for serveQueue is running
-	retryAfter     time.Duration // what RetryAfter returns
 
 	// Cumulative counters.
 	QueuedAttempts     int // attempts that got no connection at once, including those rejected for that
@@ -86,10 +82,6 @@
 // SetUrgent sets whether the attempts made from now on are of an urgent request class.
 func (l *ConnectionLimiter) SetUrgent(urgent bool) { l.transport.nextUrgent = urgent }
 
-// RetryAfter returns the time after which a rejected attempt may be retried. It is set while the ResultHandler of that
-// attempt runs, and 0 otherwise.
-func (l *ConnectionLimiter) RetryAfter() time.Duration { return l.retryAfter }
-
 // Usage returns the number of open connections, dials in progress included, and the number of attempts that are
 // assigned to a connection or wait for one.
 func (l *ConnectionLimiter) Usage() (open, demand int) {
@@ -128,16 +120,13 @@
 	return time.Duration(ahead * l.serviceTime / float64(max(quota, 1)))
 }
 
-// reject removes an attempt from the queue and fails it with errQueueTimeout. While its ResultHandler runs, RetryAfter
-// returns the time of untilAvailable.
+// reject removes an attempt from the queue and ends it as throttled, with the time until a connection is expected.
 func (l *ConnectionLimiter) reject(attempt *Attempt) {
 	now := l.transport.now()
 	l.dequeue(attempt)
 	l.RejectedAttempts++
 	l.onRejected(time.Duration(l.serviceTime))
-	l.retryAfter = l.untilAvailable(now)
-	attempt.fail(Connecting, errQueueTimeout)
-	l.retryAfter = 0
+	attempt.end(gateway.Event{Result: gateway.Throttled, RetryAfter: l.untilAvailable(now)}, nil, now)
 }
 
 // untilAvailable returns the expected time until the queue is empty and dials may start, within the bounds of the time
--- a/internal/hosts/limiter_test.go
+++ b/internal/hosts/limiter_test.go
@@ -44,7 +44,7 @@
 		command := Command{Head: []byte("*2\r\n"), BeforeTimeLeft: []byte(name)}
 		onResult := func(event gateway.Event, value []byte, _ clock.Instant) {
 			loop.results = append(loop.results, fmt.Sprintf("%s: result %d, value %q, retry later %t",
-				name, event.Result, value, limiter.RetryAfter() > 0))
+				name, event.Result, value, event.RetryAfter > 0))
 		}
 		loop.Send(1, command, loop.Transport.now().Add(wait), noWriteDeadline, onResult)
 		loop.Flush()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -134,7 +134,6 @@
 		event.Closed = r.closed
 		n.events = append(n.events, event)
 	}()
-	n.quota.rejectThrottled(r)
 	if event.Result == gateway.Succeeded && !r.closed {
 		r.closed = true
 		r.answer.Succeed(value)
--- a/internal/node/observed_actions.go
+++ b/internal/node/observed_actions.go
@@ -146,7 +146,7 @@
 	delete(o.pending, ended)
 	entry.Latency = latency
 	switch result {
-	case gateway.NotSent:
+	case gateway.NotSent, gateway.Throttled:
 		return
 	case gateway.Succeeded:
 	case gateway.TimedOut, gateway.Canceled:
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -130,23 +130,6 @@
 	}
 }
 
-// rejectThrottled rejects an open request whose attempt has ended because the limiter gave it no connection. The answer
-// has the time to retry after, unless the configuration omits it. A request with another attempt in flight goes on.
-func (q *connectionQuota) rejectThrottled(r *request) {
-	if q == nil || r.closed || r.inFlight > 0 || q.limiter.RetryAfter() == 0 {
-		return
-	}
-	after := q.limiter.RetryAfter()
-	if !q.node.cfg.Limits.RetryAfter {
-		after = 0
-	}
-	if maxRetryAfter := q.node.cfg.Limits.MaxRetryAfter; maxRetryAfter > 0 {
-		after = min(after, maxRetryAfter)
-	}
-	r.answer.Reject(after)
-	r.closed = true
-}
-
 // setCapacity sets the capacity of the store from a reloaded configuration file. A serial older than the known one is
 // ignored.
 func (q *connectionQuota) setCapacity(serial uint64, capacity int) {
--- a/logic/admission.go
+++ b/logic/admission.go
@@ -19,6 +19,7 @@
 	OverConcurrencyCap               // the customer is at its plan's cap on requests in flight
 	NoEndpoint                       // the limit on attempts in flight is reached, or no endpoint is available
 	AttemptFailed                    // an attempt failed, and the client may safely repeat the request
+	NoConnection                     // the connection quota left its attempt no connection in time
 	ReasonCount                      // number of rejection reasons
 )
 
@@ -30,6 +31,7 @@
 	OverConcurrencyCap: "over_concurrency_cap",
 	NoEndpoint:         "no_endpoint",
 	AttemptFailed:      "attempt_failed",
+	NoConnection:       "no_connection",
 }
 
 // String returns the name of the reason in log lines, such as "over_quota".
--- a/logic/request.go
+++ b/logic/request.go
@@ -78,8 +78,8 @@
 }
 
 // attemptEnded handles the end of an attempt. A request that has no final answer yet is retried where that is
-// allowed and may help. Else it is rejected if the client may safely repeat it, and failed if not. Events for any
-// attempt but the current one are ignored.
+// allowed and may help. Else it is rejected if the client may safely repeat it at the time that it is told, and failed
+// if not. Events for any attempt but the current one are ignored.
 func (g *Gateway) attemptEnded(event *gateway.Event) {
 	r := g.requests[event.RequestID]
 	if r == nil || r.current == nil || r.current.number != event.Attempt {
@@ -90,12 +90,13 @@
 		r.mayHaveRun = ended
 	}
 	g.endpoints.observeResult(ended, event, g.now)
+	retryAfter := g.retryAfter(r, event)
 	switch {
 	case r.closed || event.Closed:
 		g.closeRequest(r)
-	case event.Result != gateway.TimedOut && g.retry(r, ended.endpoint):
-	case r.mayHaveRun == nil || r.class.repeatable(r.mayHaveRun.startedAt, g.now):
-		g.reject(r, AttemptFailed, g.retryAfter(r, event))
+	case retryMayHelp(event.Result) && g.retry(r, ended.endpoint):
+	case r.repeatableAt(g.now.Add(time.Duration(retryAfter))):
+		g.reject(r, failureReason(event.Result), retryAfter)
 	default:
 		g.actions.Fail(r.id)
 		g.closeRequest(r)
@@ -115,6 +116,20 @@
 	return ended
 }
 
+// retryMayHelp reports whether another attempt may succeed after one with a result. After a timeout no time is left.
+// The connection quota is one for all endpoints, so that another attempt would wait in the same queue.
+func retryMayHelp(result gateway.Result) bool {
+	return result != gateway.TimedOut && result != gateway.Throttled
+}
+
+// failureReason returns the reason of a rejection that follows the end of an attempt.
+func failureReason(result gateway.Result) Reason {
+	if result == gateway.Throttled {
+		return NoConnection
+	}
+	return AttemptFailed
+}
+
 // retryAfter returns the time, in nanoseconds, after which the client of a request should repeat it once an attempt has
 // ended: what the connection quota expects, if it limits attempts, and else the typical latency of the class.
 func (g *Gateway) retryAfter(r *request, ended *gateway.Event) float64 {
--- a/logic/request_test.go
+++ b/logic/request_test.go
@@ -59,6 +59,43 @@
 	}
 }
 
+// Guards against a rejection that calls a repeat harmless once hosts no longer discard it (incident 0017). A request
+// whose retry gets no connection is rejected only if a repeat at the time that the client is told is still safe.
+func TestThrottledRequestIsRejectedOnlyWithinWindow(t *testing.T) {
+	deduplicated := gateway.RequestClass{Effect: gateway.Deduplicated, DedupWindow: 1000 * ms}
+	for _, test := range []struct {
+		name       string
+		class      gateway.RequestClass
+		first      gateway.Result // of the first attempt
+		waited     time.Duration  // by the second attempt
+		retryAfter time.Duration
+		want       string
+	}{
+		{"within the window", deduplicated, gateway.Disconnected, 400 * ms, 100 * ms, "reject a0.0, retry after 100 ms"},
+		{"to be repeated after the window", deduplicated, gateway.Disconnected, 400 * ms, 500 * ms, "fail a0.0"},
+		{"after the window", deduplicated, gateway.Disconnected, 1200 * ms, 50 * ms, "fail a0.0"},
+		{"after the window, an error", deduplicated, gateway.Errored, 1200 * ms, 50 * ms, "fail a0.0"},
+		{"never ran", deduplicated, gateway.Busy, 1200 * ms, 50 * ms, "reject a0.0, retry after 50 ms"},
+		{"idempotent", gateway.RequestClass{}, gateway.Disconnected, 1200 * ms, 50 * ms, "reject a0.0, retry after 50 ms"},
+		{"non-idempotent, never ran", gateway.RequestClass{Effect: gateway.NonIdempotent}, gateway.Busy, 1200 * ms, 50 * ms,
+			"reject a0.0, retry after 50 ms"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.class.LatencyObjective, test.class.Timeout = 2000*ms, 3000*ms
+			sim := newSimulation(1, 4, func(sim *simulation) { sim.classes[0] = test.class })
+			sim.gateways[0].gateway.retryBudget = maxRetryBudget
+			sim.arrive(0, "a", 1)
+			sim.finishAttempt(0, 0, test.first, false)
+			sim.now = sim.now.Add(test.waited)
+			sim.trace.Reset()
+			sim.finishAttemptWith(0, 0, gateway.Event{Result: gateway.Throttled, RetryAfter: test.retryAfter})
+			if got := sim.trace.String(); !strings.HasSuffix(got, test.want+"\n") || strings.Count(got, "\n") != 1 {
+				t.Errorf("%q, want only %s", got, test.want)
+			}
+		})
+	}
+}
+
 // Late answers lower the limit on attempts in flight. Requests beyond the limit are rejected at once.
 func TestOverloadIsShed(t *testing.T) {
 	sim := newSimulation(1, 2, func(sim *simulation) { sim.setQuota(1000) })
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -13,19 +13,25 @@
 	maxRetryBudget        = 10              // retries that the budget holds at most
 )
 
-// repeatable reports whether a request that may have run may safely be sent again now. It is safe in an idempotent
-// class, and in a deduplicated class if all hosts deduplicate together and the window is not about to end. first is
-// when the first attempt that may have run started.
-func (c *class) repeatable(first, now gateway.Time) bool {
+// repeatable reports whether a request that may have run may safely be sent again at a time. It is safe in an
+// idempotent class, and in a deduplicated class if all hosts deduplicate together and the window is not about to end
+// then. first is when the first attempt that may have run started.
+func (c *class) repeatable(first, at gateway.Time) bool {
 	switch c.Effect {
 	case gateway.Idempotent:
 		return true
 	case gateway.Deduplicated:
-		return c.Group == gateway.AllHosts && now <= first.Add(c.DedupWindow-dedupWindowMargin)
+		return c.Group == gateway.AllHosts && at <= first.Add(c.DedupWindow-dedupWindowMargin)
 	}
 	return false
 }
 
+// repeatableAt reports whether a request may safely be sent again at a time, by the gateway or by its client: whether
+// none of its attempts may have run, or its class allows a repeat then.
+func (r *request) repeatableAt(at gateway.Time) bool {
+	return r.mayHaveRun == nil || r.class.repeatable(r.mayHaveRun.startedAt, at)
+}
+
 // addRetryBudget adds the part of a retry that an admitted request allows to the retry budget.
 func (g *Gateway) addRetryBudget() {
 	g.retryBudget = min(g.retryBudget+retryBudgetPerRequest, maxRetryBudget)
@@ -48,7 +54,7 @@
 	if r.attempts >= g.limits.MaxAttempts || g.now >= g.answerDeadline(r) {
 		return false
 	}
-	if r.mayHaveRun != nil && (g.retryBudget < 1 || !r.class.repeatable(r.mayHaveRun.startedAt, g.now)) {
+	if !r.repeatableAt(g.now) || r.mayHaveRun != nil && g.retryBudget < 1 {
 		return false
 	}
 	target := g.endpoints.choose(r.customer, r.class, g.now, 1, last)
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -141,15 +141,12 @@
 	if request.done {
 		r.violated(request, "a second final answer")
 	}
-	if answer == rejected {
-		r.checkRejection(request)
-	}
 	request.done = true
 	r.answers[answer]++
 }
 
-// checkRejection checks that the client may safely repeat a rejected request.
-func (r *ruleChecker) checkRejection(request *clientRequest) {
+// checkRejection checks that the client may safely repeat a rejected request once retryAfter has passed.
+func (r *ruleChecker) checkRejection(request *clientRequest, retryAfter time.Duration) {
 	first := request.mayHaveRun
 	unsafe := r.class.Effect == gateway.NonIdempotent ||
 		r.class.Effect == gateway.Deduplicated && r.class.Group != gateway.AllHosts
@@ -157,12 +154,17 @@
 		r.violated(request, "may have run and is rejected, though a repeat is not safe")
 	}
 	deduplicated := r.class.Effect == gateway.Deduplicated
-	if first != nil && deduplicated && r.now > first.startedAt.Add(r.class.DedupWindow) {
-		r.violated(request, "may have run and is rejected after its deduplication window")
+	if first != nil && deduplicated && r.now.Add(retryAfter) > first.startedAt.Add(r.class.DedupWindow) {
+		r.violated(request, "may have run and is rejected, to be repeated after its deduplication window")
 	}
 }
 
-func (r *ruleChecker) Reject(id string, _ time.Duration) { r.end(id, rejected) }
+func (r *ruleChecker) Reject(id string, retryAfter time.Duration) {
+	if request := r.find(id); !request.clientGoneInBatch && !request.done {
+		r.checkRejection(request, retryAfter)
+	}
+	r.end(id, rejected)
+}
 
 func (r *ruleChecker) Fail(id string) { r.end(id, failed) }
 
@@ -195,6 +197,7 @@
 	gateway.Disconnected,
 	gateway.Malformed,
 	gateway.NotSent,
+	gateway.Throttled,
 }
 
 // drawResult draws whether the attempt in flight of a request ends now, and how.
@@ -232,7 +235,7 @@
 		request.done = true
 		r.answers[succeeded]++
 	}
-	return gateway.Event{
+	event = gateway.Event{
 		Kind:      gateway.AttemptEnded,
 		RequestID: request.id,
 		Host:      attempt.host,
@@ -240,7 +243,11 @@
 		Result:    result,
 		Latency:   r.now.Sub(attempt.startedAt),
 		Closed:    request.done,
-	}, true
+	}
+	if result == gateway.Throttled {
+		event.RetryAfter = time.Duration(50+r.random.Intn(1000)) * ms
+	}
+	return event, true
 }
 
 const (
