hosts: an attempt leaves the queue for a connection at its write deadline

Callers saw: with the section pool, a request that may have run and whose retry waited for a connection got its answer late; others lost a healthy connection, and its host counted as unreachable. A suspect that was read; not seen at operators.

Cause: the queue of the ConnectionLimiter knew only its own deadline. conn.flush checks the write deadline once the attempt has a connection, and fails it by failing that connection.

Evidence, by a forced order on the code before: TestQueuedAttemptEndsAtWriteDeadline failed: no result at the write deadline, then result 4 (Unreachable), and 0 connections open where the healthy one should be.

Change: an attempt's queue deadline is never after its write deadline, so it ends as Throttled then and takes no connection.

--- a/internal/hosts/limiter.go
+++ b/internal/hosts/limiter.go
@@ -92,10 +92,11 @@
 }
 
 // enqueue adds an attempt to the queue and serves the queue. If the attempt gets no connection at once, it is rejected
-// if it is expected to wait past its queue deadline. Otherwise the queue is served again at that deadline.
+// if it is expected to wait past its queue deadline, which is never after its write deadline. Otherwise the queue is
+// served again at that deadline.
 func (l *ConnectionLimiter) enqueue(attempt *Attempt) {
 	now := l.transport.now()
-	attempt.queueDeadline = now.Add(min(l.maxWait, attempt.deadline.Sub(now)/2))
+	attempt.queueDeadline = min(now.Add(min(l.maxWait, attempt.deadline.Sub(now)/2)), attempt.writeDeadline)
 	l.queue = append(l.queue, attempt)
 	l.serveQueue()
 	if attempt.done || attempt.conn != nil || !slices.Contains(l.queue, attempt) {
--- a/internal/hosts/limiter_test.go
+++ b/internal/hosts/limiter_test.go
@@ -122,3 +122,30 @@
 		})
 	}
 }
+
+// Guards against an attempt that holds a place in the queue after its write deadline, and then ends a healthy
+// connection in the host's name (incident 0018).
+func TestQueuedAttemptEndsAtWriteDeadline(t *testing.T) {
+	const writeTime = 10 * time.Millisecond
+	h := newScriptedHost(t)
+	h.LimitConnections(0, attemptTimeout, func(clock.Instant) int { return 1 }, func(time.Duration) {})
+	h.schedule("a", 0)
+	h.runUntilConnected()
+	h.advance(limitedReuseDelay)
+	h.Flush()
+	c := <-h.conns
+	now := h.Transport.now()
+	h.Send(1, Command{Head: []byte("b ")}, now.Add(attemptTimeout), now.Add(writeTime), h.recordResult("b: result"))
+	h.advance(writeTime)
+	h.Flush()
+	if want := fmt.Sprintf("b: result %d, value \"\"", gateway.Throttled); len(h.results) != 1 || h.results[0] != want {
+		t.Errorf("at its write deadline: %q, want %s", h.results, want)
+	}
+	h.answerCommand(c)
+	h.runWork(1)
+	h.advance(limitedReuseDelay)
+	h.Flush()
+	if open, _ := h.limiter.Usage(); open != 1 {
+		t.Errorf("%d connections are open, want the healthy one: results %q", open, h.results)
+	}
+}
