--- a/lab/emulator/clientconn.go
+++ b/lab/emulator/clientconn.go
@@ -48,7 +48,7 @@
 }
 
 // send sends a request and fails it as unanswered if its timeout and the clients' grace period end before an answer
-// arrives.
+// arrives. A client that leaves closes the connection before, at its time.
 func (c *clientConn) send(request *pendingRequest) {
 	c.current = request
 	c.commands <- request.encode() // does not block, because the previous request was answered
@@ -57,6 +57,13 @@
 			c.fail(Unanswered)
 		}
 	})
+	if request.leaveTime > 0 {
+		c.clients.After(request.leaveTime, func() {
+			if c.current == request {
+				c.fail(GaveUp)
+			}
+		})
+	}
 }
 
 // writeCommands writes the queued commands. It ignores errors, because a connection that cannot be written also fails
--- a/lab/emulator/clients.go
+++ b/lab/emulator/clients.go
@@ -26,6 +26,7 @@
 	ConnectionRefused Result = "refused"     // no connection could be opened, so no gateway received the request
 	LocalLimit        Result = "local limit" // this process had no descriptor or local address left for a connection
 	ClosedInFlight    Result = "closed"      // the gateway closed the connection, and that of the retry too
+	GaveUp            Result = "gave up"     // the client closed its connection before an answer
 )
 
 // answerGrace is how long after a request's timeout its answer is still accepted.
@@ -48,6 +49,7 @@
 
 	arguments string // such as c=lookup,t=team,d=1000
 	timeout   time.Duration
+	leaveTime time.Duration // after which the client closes the connection; 0: it waits for the answer
 	post      bool
 	body      string // of CALL.POST
 }
--- a/lab/emulator/hostconn.go
+++ b/lab/emulator/hostconn.go
@@ -22,10 +22,11 @@
 // pendingCommand is a command that was not answered yet. Its embedded Command is filled in only for calls.
 type pendingCommand struct {
 	Command
-	index int // in the host's log; -1: not logged
-	conn  *hostConn
-	reply []byte      // nil until the command has ended
-	timer *time.Timer // fires when the response time is over
+	index   int // in the host's log; -1: not logged
+	conn    *hostConn
+	reply   []byte      // nil until the command has ended
+	timer   *time.Timer // fires when the response time is over
+	counted bool        // whether it is in the host's inFlight
 }
 
 // writeReplies writes the replies. After a write has failed, it discards the remaining ones until the channel is
@@ -123,8 +124,8 @@
 	return (len(args) == 4 || len(args) == 5) && len(args[1]) == 16 && args[2] != "" && ArgumentValue(args[3], "c") != ""
 }
 
-// beginCall logs a call and sets a timer for its response time. A host with MaxInFlight calls in flight rejects it; a
-// hanging host withholds it.
+// beginCall logs a call and sets a timer for its response time. A host with MaxInFlight calls in flight turns it away
+// at once, and others as the model says; a hanging host withholds it.
 func (c *pendingCommand) beginCall(args []string) {
 	h := c.conn.host
 	c.Command = Command{
@@ -143,10 +144,14 @@
 	c.index = len(h.log.Commands)
 	h.log.Commands = append(h.log.Commands, c.Command)
 	if h.Model.MaxInFlight > 0 && h.inFlight >= h.Model.MaxInFlight {
-		h.log.BusyReplies++
-		c.endWith(OutcomeBusy, []byte("-BUSY\r\n"))
+		c.turnAway()
 		return
 	}
+	if after, turnedAway := h.Model.TurnsAway(c.ID); turnedAway {
+		c.timer = h.After(after, c.turnAway)
+		return
+	}
+	c.counted = true
 	h.inFlight++
 	h.recordLoad()
 	if h.hanging {
@@ -156,6 +161,15 @@
 	c.timer = h.After(c.ResponseTime, c.finishCall)
 }
 
+// turnAway ends a call with BUSY, unless it has ended.
+func (c *pendingCommand) turnAway() {
+	if c.reply != nil || c.Outcome != "" {
+		return
+	}
+	c.conn.host.log.BusyReplies++
+	c.endWith(OutcomeBusy, []byte("-BUSY\r\n"))
+}
+
 // finishCall ends a call whose response time is over with a value or an error. A hanging host withholds it.
 func (c *pendingCommand) finishCall() {
 	h := c.conn.host
@@ -190,7 +204,7 @@
 		entry := &h.log.Commands[c.index]
 		entry.Outcome = outcome
 		entry.EndedAt = actor.Now()
-		if outcome != OutcomeBusy {
+		if c.counted {
 			h.inFlight--
 			h.recordLoad()
 		}
--- a/lab/emulator/hostlog.go
+++ b/lab/emulator/hostlog.go
@@ -13,7 +13,7 @@
 	RefusedConns      int     // connections beyond MaxConns
 	AcceptedConns     int     // number of accepted connections
 	PeakConns         int     // highest number of connections open at once
-	BusyReplies       int     // calls rejected beyond MaxInFlight
+	BusyReplies       int     // calls turned away, beyond MaxInFlight or by the model
 	MalformedCommands int     // calls with arguments that no gateway sends
 }
 
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -35,6 +35,17 @@
 	Classes        []Class         // none: only class lookup, with a timeout of 3 s
 	GatewayWeights map[int]float64 // relative share of the requests by gateway within a customer's subset; 1 if absent
 	Body           string          // payload of CALL.POST
+	LeaveFraction  float64         // fraction of the clients that leave before the answer
+	LeaveTime      time.Duration   // longest time after which a client leaves
+}
+
+// leaveTime returns the time after which the client of a request leaves, 0 if it waits for the answer. It depends only
+// on the request's id.
+func (l *Load) leaveTime(id string) time.Duration {
+	if l.LeaveFraction == 0 || UniformHash(id, "leave") >= l.LeaveFraction {
+		return 0
+	}
+	return time.Duration(UniformHash(id, "leave time") * float64(l.LeaveTime))
 }
 
 // LoadRun is a load that is being sent. Its fields belong to the actor of its Clients.
@@ -124,13 +135,14 @@
 	gateway := r.chooseGateway(first, spread, gateways)
 	id := fmt.Sprintf("%08x%08x", uint32(load.Seed), r.sent)
 	request := &pendingRequest{Request: Request{
-		ID:       id,
-		Customer: customerID,
-		Class:    class.Name,
-		Gateway:  gateway,
-		timeout:  class.Timeout,
-		post:     class.Post,
-		body:     load.Body,
+		ID:        id,
+		Customer:  customerID,
+		Class:     class.Name,
+		Gateway:   gateway,
+		timeout:   class.Timeout,
+		leaveTime: load.leaveTime(id),
+		post:      class.Post,
+		body:      load.Body,
 	}}
 	request.arguments = fmt.Sprintf("c=%s,t=%s,d=%d", class.Name, load.QuotaPlan, class.Timeout.Milliseconds())
 	if class.Idempotent {
--- a/lab/emulator/model.go
+++ b/lab/emulator/model.go
@@ -28,8 +28,12 @@
 	MaxInFlight int
 	// WarmUpFactor multiplies the response time right after a start and falls linearly to 1 over WarmUpTime. A factor of 1
 	// or less means no warm-up.
-	WarmUpFactor  float64
-	WarmUpTime    time.Duration
+	WarmUpFactor float64
+	WarmUpTime   time.Duration
+	// BusyFraction is the fraction of the requests that a host turns away with BUSY, each after a time of up to BusyTime,
+	// as a host with a full queue does.
+	BusyFraction  float64
+	BusyTime      time.Duration
 	ErrorFraction float64            // fraction of the requests that end in an error
 	ClassFactors  map[string]float64 // factor of the response time by request class; 1 if absent
 }
@@ -63,6 +67,14 @@
 	return m.ErrorFraction > 0 && UniformHash(id, "errors") < m.ErrorFraction
 }
 
+// TurnsAway reports whether a request is turned away, and after which time. Both depend only on the request's id.
+func (m *Model) TurnsAway(id string) (after time.Duration, turnsAway bool) {
+	if m.BusyFraction == 0 || UniformHash(id, "busy") >= m.BusyFraction {
+		return 0, false
+	}
+	return time.Duration(UniformHash(id, "busy time") * float64(m.BusyTime)), true
+}
+
 // warmUpFactor returns the factor by which the warm-up multiplies response times at a time after the start.
 func (m *Model) warmUpFactor(age time.Duration) float64 {
 	if m.WarmUpFactor <= 1 || age >= m.WarmUpTime {
--- a/lab/fleet/checks.go
+++ b/lab/fleet/checks.go
@@ -25,6 +25,7 @@
 	OnlyListedHosts,
 	NothingToDrainedHosts,
 	NonIdempotentAtMostOnce,
+	NothingAfterClientLeft,
 	NoCrash,
 }
 
@@ -246,6 +247,66 @@
 	return summarizeViolations(violations)
 }}
 
+const (
+	afterClientLeft = 100 * time.Millisecond // in which attempts may begin after their client has left
+	socketSlack     = 50 * time.Millisecond  // by which each time limit grows on sockets
+)
+
+// NothingAfterClientLeft requires that no attempt begins after its client has left.
+var NothingAfterClientLeft = Check{"no attempt after its client left", func(r *Report) string {
+	limit := afterClientLeft + socketSlack + r.Clients.MaxDelay
+	var violations []string
+	for _, host := range r.Hosts {
+		for _, command := range host.Commands {
+			request, _ := r.Request(command.ID)
+			late := time.Duration(command.ReceivedAt - request.EndedAt)
+			if request.Result == emulator.GaveUp && late > limit {
+				attempt := formatAttempt(command, request.Gateway, host.ID)
+				violations = append(violations, fmt.Sprintf("%s, %v after", attempt, late))
+			}
+		}
+	}
+	return summarizeViolations(violations)
+}}
+
+// RejectedWithinWindow returns the check that a request of a class that a host may have run is rejected only if a
+// repeat, at the time that the client was told, comes within the deduplication window.
+func RejectedWithinWindow(class string, window time.Duration) Check {
+	return Check{"no rejection after the deduplication window", func(r *Report) string {
+		limit := window + socketSlack + r.Clients.MaxDelay
+		ranAt := r.firstRuns()
+		var violations []string
+		for _, request := range r.Clients.Requests {
+			at, ran := ranAt[request.ID]
+			if request.Class != class || request.Result != emulator.Rejected || !ran {
+				continue
+			}
+			if late := time.Duration(request.EndedAt-at) + request.RetryAfter; late > limit {
+				violations = append(violations, fmt.Sprintf("%s at %s: to be repeated %v after its run",
+					request.ID, GatewayName(request.Gateway), late))
+			}
+		}
+		return summarizeViolations(violations)
+	}}
+}
+
+// firstRuns returns when each request first reached a host that did not turn it away, by the request's id. Times are in
+// nanoseconds of actor.Now.
+func (r *Report) firstRuns() map[string]int64 {
+	ranAt := map[string]int64{}
+	for _, host := range r.Hosts {
+		for _, command := range host.Commands {
+			if command.Outcome == emulator.OutcomeBusy {
+				continue
+			}
+			if at, known := ranAt[command.ID]; !known || command.ReceivedAt < at {
+				ranAt[command.ID] = command.ReceivedAt
+			}
+		}
+	}
+	return ranAt
+}
+
 // panicEvent is the event of the log line that a gateway writes when it recovers from a panic.
 const panicEvent = "panic"
 
--- a/lab/fleet/checks_test.go
+++ b/lab/fleet/checks_test.go
@@ -64,6 +64,20 @@
 			r.addCommand(0, emulator.Command{ID: lastRequest.ID, ReceivedAt: lastRequest.SentAt + 1})
 		}},
 		{"second run", NonIdempotentAtMostOnce, func(r *Report) { r.addCommand(1, nonIdempotent) }},
+		{"attempt after the client left", NothingAfterClientLeft, func(r *Report) {
+			r.Clients.MaxDelay = 0
+			r.Clients.Requests[last].Result = emulator.GaveUp
+			r.addCommand(1, emulator.Command{
+				ID:         lastRequest.ID,
+				ReceivedAt: lastRequest.EndedAt + int64(afterClientLeft+socketSlack) + 1,
+			})
+		}},
+		{"late rejection", RejectedWithinWindow(lastRequest.Class, time.Second), func(r *Report) {
+			r.Clients.MaxDelay = 0
+			r.Clients.Requests[last].Result = emulator.Rejected
+			r.Clients.Requests[last].RetryAfter = time.Second + socketSlack
+			r.addCommand(1, emulator.Command{ID: lastRequest.ID, ReceivedAt: lastRequest.EndedAt - 1})
+		}},
 		{"panic", NoCrash, func(r *Report) { r.Gateways[1].EventCounts = map[string]int{panicEvent: 1} }},
 		{"unexpected exit", NoCrash, func(r *Report) {
 			r.Gateways[1].Events = append(slices.Clone(r.Gateways[1].Events), ProcessEvent{Kind: Exited})
--- a/lab/pools/cases.go
+++ b/lab/pools/cases.go
@@ -123,6 +123,29 @@
 		g.StartMembers(22*second, false, all...))
 }
 
+// CrashStore returns steps that kill the store's processes, so that their connections are reset and new ones are
+// refused, and start them again after a time.
+func CrashStore(at, down time.Duration) []fleet.Step {
+	kill := func(ctx context.Context, f *fleet.Fleet) error {
+		for _, host := range f.Hosts() {
+			host.Kill()
+		}
+		return nil
+	}
+	start := func(ctx context.Context, f *fleet.Fleet) error {
+		for _, host := range f.Hosts() {
+			if _, err := host.Start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return []fleet.Step{
+		{At: at, Description: "the store crashes", Run: kill},
+		{At: at + down, Description: "the store is back", Run: start},
+	}
+}
+
 // FreezePastLease returns steps that freeze one gateway in twelve, and at least one, for longer than the lease and the
 // quarantine.
 func (g *Group) FreezePastLease(at time.Duration) []fleet.Step {
--- a/lab/pools/pools_test.go
+++ b/lab/pools/pools_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"ravensill/lab/emulator"
 	"ravensill/lab/figures"
 	"ravensill/lab/fleet"
+	"ravensill/lab/gatewayconfig"
 )
 
 // full makes the tests run at full size and write their figures to figuresFile.
@@ -37,6 +39,7 @@
 	figuresFrom time.Duration // offset from the start at which the figures begin
 	checks      []fleet.Check
 	steps       func(*Group) []fleet.Step // may be nil
+	load        *emulator.Load            // nil: that of the size
 	// changeOptions changes the options of the fleet; may be nil.
 	changeOptions func(*fleet.Options)
 }
@@ -59,6 +62,9 @@
 		Duration: r.duration,
 		Checks:   append(r.checks, measure),
 	}
+	if r.load != nil {
+		scenario.Loads = []emulator.Load{*r.load}
+	}
 	if r.steps != nil {
 		scenario.Steps = r.steps(group)
 	}
@@ -257,3 +263,49 @@
 		"%d units not returned; %s", size.Gateways, peak, size.Capacity, size.Reserve, units,
 		strings.TrimSpace(report.Summary())))
 }
+
+// Guards against requests that are sent on after their clients left, and against rejections that call a repeat harmless
+// after the deduplication window (incidents 0016 and 0017). The store turns requests away after a drawn time, clients
+// leave after a drawn time, and the store crashes under requests that have begun.
+func TestTurnedAwayAndLeavingRequestsKeepRules(t *testing.T) {
+	const (
+		window = second // of class order
+		down   = 1500 * time.Millisecond
+	)
+	size := SmallSize()
+	size.Gateways = 8
+	size.Capacity = 60
+	size.Rate = 80
+	size.HotGateways = 0
+	load := size.Load()
+	load.LeaveFraction = 0.3
+	load.LeaveTime = 400 * time.Millisecond
+	testRun{
+		name:        "turned away and leaving",
+		size:        size,
+		load:        &load,
+		duration:    13 * second,
+		figuresFrom: 3 * second,
+		checks:      append([]fleet.Check{fleet.RejectedWithinWindow("order", window)}, fleet.CommonChecks...),
+		steps: func(*Group) []fleet.Step {
+			return slices.Concat(CrashStore(4*second, down), CrashStore(7*second, down), CrashStore(10*second, down))
+		},
+		changeOptions: func(options *fleet.Options) {
+			options.Hosts = 2 // addresses of the store
+			configure := options.ConfigureHost
+			options.ConfigureHost = func(i int, store *emulator.HostOptions) {
+				configure(i, store)
+				store.Model.BusyFraction = 0.3
+				store.Model.BusyTime = 400 * time.Millisecond
+				store.Model.ClassFactors = map[string]float64{"order": 2}
+			}
+			change := options.ChangeSettings
+			options.ChangeSettings = func(settings *gatewayconfig.Settings) {
+				change(settings)
+				for i := range settings.Classes {
+					settings.Classes[i].DedupWindowUS = window.Microseconds()
+				}
+			}
+		},
+	}.run(t)
+}
