--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -213,22 +213,6 @@
 	attempt.onResult(a.event, a.value, a.received)
 }
 
-// handleRefusal handles a BUSY as the first answer on a connection under a connection quota: it closes the connection
-// and pauses dials. The store may also mean that its queue is full or that it drains. Nothing in the answer tells these
-// apart, and a pause without need costs less than dials to a store at its connection limit. The attempt ends as busy,
-// except that it returns to the queue if its command was not begun.
-func (c *conn) handleRefusal(a answer) {
-	attempt := c.attempt
-	limiter := c.pool.transport.limiter
-	c.unassign(false)
-	c.close()
-	if limiter.requeueRefused(attempt, errStoreRefused) {
-		return
-	}
-	a.event.RetryAfter = limiter.untilAvailable(c.pool.transport.now())
-	attempt.end(a.event, nil, a.received)
-}
-
 // fail closes the connection and fails the attempt that it carries, or one that waits for its dial. It has no effect on
 // a closed connection.
 func (c *conn) fail(err error) {
--- a/internal/hosts/limiter.go
+++ b/internal/hosts/limiter.go
@@ -1,14 +1,11 @@
 package hosts
 
 import (
-	"errors"
 	"slices"
-	"syscall"
 	"time"
 
 	"ravensill/gateway"
 	"ravensill/internal/clock"
-	"ravensill/internal/sockets"
 )
 
 const (
@@ -16,10 +13,6 @@
 	// quota idle for too long.
 	limitedReuseDelay = time.Millisecond
 
-	// Bounds of the pause between dials after a refusal. The pause doubles with each refusal in a row.
-	minDialBackoff = 50 * time.Millisecond
-	maxDialBackoff = 400 * time.Millisecond
-
 	// Bounds of the time to retry after that the end of an attempt reports.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -28,8 +21,6 @@
 	serviceTimeWeight = 1.0 / 16
 )
 
-var errStoreRefused = errors.New("the store refused the connection")
-
 // ConnectionLimiter keeps the connections of a transport, dials in progress included, within a quota that applies to
 // all hosts together, because they share one store. Attempts that get no connection wait in a queue. Urgent attempts go
 // first while fewer of them than the urgent floor are in flight. An attempt that is expected to wait for too long is
@@ -276,51 +267,6 @@
 	return slices.ContainsFunc(l.queue, func(attempt *Attempt) bool { return attempt.pool == pool })
 }
 
-// requeueRefused handles an attempt whose connection failed with err before the attempt could run, and reports whether
-// the attempt is dealt with. If err means that the store refused the connection, or that this machine lacks a resource
-// for a dial, it pauses dials and puts the attempt back at the head of the queue, or rejects it past its queue
-// deadline. It returns false for other errors, which are failures of the host, and for an attempt whose command was
-// begun. That one has to end: its client may have left since, or its host may drain, and only the decision module may
-// send a request again.
-func (l *ConnectionLimiter) requeueRefused(attempt *Attempt, err error) bool {
-	if !l.observeRefusal(err) || attempt.started {
-		return false
-	}
-	attempt.conn = nil
-	if l.transport.now() >= attempt.queueDeadline {
-		l.reject(attempt)
-		return true
-	}
-	l.requeue(attempt)
-	l.serveQueue()
-	return true
-}
-
-// observeRefusal reports whether err means that the store refused a connection, or that this machine lacks a resource
-// for a dial. It pauses dials then.
-func (l *ConnectionLimiter) observeRefusal(err error) bool {
-	switch {
-	case isStoreRefusal(err):
-		l.RefusedConnections++
-	case !sockets.IsResourceExhausted(err):
-		return false
-	}
-	l.backOff()
-	return true
-}
-
-// isStoreRefusal reports whether err means that the store, as it is at its own connection limit, refused a connection.
-func isStoreRefusal(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, errStoreRefused)
-}
-
-// backOff pauses dials. The pause doubles with each call until an attempt is answered, between minDialBackoff and
-// maxDialBackoff.
-func (l *ConnectionLimiter) backOff() {
-	l.dialBackoff = min(max(2*l.dialBackoff, minDialBackoff), maxDialBackoff)
-	l.nextDial = l.transport.now().Add(l.dialBackoff)
-}
-
 // requeuePending is called when a dial has succeeded. It moves the host's longest pending attempt back to the queue, so
 // that the new connection is idle for the reuse delay before it is used: a store at its connection limit may accept a
 // connection and close it at once, and a request that was already written to it might have run.
