logic: the time that a rejection tells ends with the deduplication window

Callers would see: since a request that may have run failed, where it was rejected before, if the class's typical latency led past the window (less its margin of 0.2 s).

Cause: without a connection quota the time to retry after is a guess, and treated it as a fact.

Evidence: TestRejectionTellsTimeWithinWindow failed on ("fail a0.0", want "reject a0.0, retry after 200 ms").

Change: class.repeatDeadline and request.repeatDeadline give the latest time at which a repeat is safe, in place of the two questions whether it is safe at a time. The guess is shortened to it. A time that the connection quota expects is no guess: where that leads past the window, the request fails as before.

No golden trace of logic changes; TestRulesHoldForAllSettings, with its check of the told time, passes.

--- a/logic/request.go
+++ b/logic/request.go
@@ -95,8 +95,8 @@
 	case r.closed || event.Closed:
 		g.closeRequest(r)
 	case retryMayHelp(event.Result) && g.retry(r, ended.endpoint):
-	case r.repeatableAt(g.now.Add(time.Duration(retryAfter))):
-		g.reject(r, failureReason(event.Result), retryAfter)
+	case g.now.Add(retryAfter) <= r.repeatDeadline():
+		g.reject(r, failureReason(event.Result), float64(retryAfter))
 	default:
 		g.actions.Fail(r.id)
 		g.closeRequest(r)
@@ -130,17 +130,18 @@
 	return AttemptFailed
 }
 
-// retryAfter returns the time, in nanoseconds, after which the client of a request should repeat it once an attempt has
-// ended: what the connection quota expects, if it limits attempts, and else the typical latency of the class.
-func (g *Gateway) retryAfter(r *request, ended *gateway.Event) float64 {
+// retryAfter returns the time after which the client of a request should repeat it once an attempt has ended. It is
+// what the connection quota expects, if that limits attempts: no connection is free earlier. Else it is the typical
+// latency of the class, but not after the repeat deadline.
+func (g *Gateway) retryAfter(r *request, ended *gateway.Event) time.Duration {
 	if ended.RetryAfter == 0 {
-		return r.class.typicalLatency
+		left := max(r.repeatDeadline().Sub(g.now), 0)
+		return min(time.Duration(r.class.typicalLatency), left)
 	}
-	expected := ended.RetryAfter
 	if g.limits.MaxRetryAfter > 0 {
-		expected = min(expected, g.limits.MaxRetryAfter)
+		return min(ended.RetryAfter, g.limits.MaxRetryAfter)
 	}
-	return float64(expected)
+	return ended.RetryAfter
 }
 
 // reject ends a request with the answer that the client may safely repeat it after retryAfter, in nanoseconds.
--- a/logic/request_test.go
+++ b/logic/request_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// Guards against rejections that tell clients to repeat a request after its deduplication window (incident 0017). Where
+// no connection quota sets the time, the time that is told ends with the window, less its margin.
+func TestRejectionTellsTimeWithinWindow(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		first gateway.Result
+		want  string
+	}{
+		{"may have run", gateway.Disconnected, "reject a0.0, retry after 200 ms"},
+		{"never ran", gateway.Busy, "reject a0.0, retry after 333 ms"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(1, 1, func(sim *simulation) {
+				sim.classes[0] = gateway.RequestClass{
+					Effect:           gateway.Deduplicated,
+					DedupWindow:      1000 * ms,
+					LatencyObjective: 2000 * ms, // a typical latency of 333 ms at the start
+					Timeout:          3000 * ms,
+				}
+			})
+			sim.arrive(0, "a", 1)
+			sim.now = sim.now.Add(600 * ms)
+			sim.finishAttempt(0, 0, test.first, false)
+			if got := sim.trace.String(); !strings.HasSuffix(got, test.want+"\n") {
+				t.Errorf("%q, want %s at the end", got, test.want)
+			}
+		})
+	}
+}
+
 // Late answers lower the limit on attempts in flight. Requests beyond the limit are rejected at once.
 func TestOverloadIsShed(t *testing.T) {
 	sim := newSimulation(1, 2, func(sim *simulation) { sim.setQuota(1000) })
--- a/logic/retry.go
+++ b/logic/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"ravensill/gateway"
@@ -13,23 +14,26 @@
 	maxRetryBudget        = 10              // retries that the budget holds at most
 )
 
-// repeatable reports whether a request that may have run may safely be sent again at a time. It is safe in an
-// idempotent class, and in a deduplicated class if all hosts deduplicate together and the window is not about to end
-// then. first is when the first attempt that may have run started.
-func (c *class) repeatable(first, at gateway.Time) bool {
-	switch c.Effect {
-	case gateway.Idempotent:
-		return true
-	case gateway.Deduplicated:
-		return c.Group == gateway.AllHosts && at <= first.Add(c.DedupWindow-dedupWindowMargin)
+// repeatDeadline returns the latest time at which a request that may have run may safely be sent again: no limit in an
+// idempotent class, shortly before the end of the window in a deduplicated class if all hosts deduplicate together, and
+// else never, which is 0. first is when the first attempt that may have run started.
+func (c *class) repeatDeadline(first gateway.Time) gateway.Time {
+	switch {
+	case c.Effect == gateway.Idempotent:
+		return math.MaxInt64
+	case c.Effect == gateway.Deduplicated && c.Group == gateway.AllHosts:
+		return first.Add(c.DedupWindow - dedupWindowMargin)
 	}
-	return false
+	return 0
 }
 
-// repeatableAt reports whether a request may safely be sent again at a time, by the gateway or by its client: whether
-// none of its attempts may have run, or its class allows a repeat then.
-func (r *request) repeatableAt(at gateway.Time) bool {
-	return r.mayHaveRun == nil || r.class.repeatable(r.mayHaveRun.startedAt, at)
+// repeatDeadline returns the latest time at which a request may safely be sent again, by the gateway or by its client:
+// no limit if none of its attempts may have run, and else that of its class.
+func (r *request) repeatDeadline() gateway.Time {
+	if r.mayHaveRun == nil {
+		return math.MaxInt64
+	}
+	return r.class.repeatDeadline(r.mayHaveRun.startedAt)
 }
 
 // addRetryBudget adds the part of a retry that an admitted request allows to the retry budget.
@@ -54,7 +58,7 @@
 	if r.attempts >= g.limits.MaxAttempts || g.now >= g.answerDeadline(r) {
 		return false
 	}
-	if !r.repeatableAt(g.now) || r.mayHaveRun != nil && g.retryBudget < 1 {
+	if g.now > r.repeatDeadline() || r.mayHaveRun != nil && g.retryBudget < 1 {
 		return false
 	}
 	target := g.endpoints.choose(r.customer, r.class, g.now, 1, last)
@@ -89,5 +93,5 @@
 	r := a.request
 	first := cmp.Or(r.mayHaveRun, a)
 	return g.limits.Cancellation && g.retryBudget >= 1 && !r.closed && r.attempts < g.limits.MaxAttempts &&
-		r.class.repeatable(first.startedAt, g.now)
+		g.now <= r.class.repeatDeadline(first.startedAt)
 }
