--- a/lab/fleet/checks.go
+++ b/lab/fleet/checks.go
@@ -270,7 +270,7 @@
 }}
 
 // RejectedWithinWindow returns the check that a request of a class that a host may have run is rejected only if a
-// repeat, at the time that the client was told, comes within the deduplication window.
+// repeat, after the retry-after time in the answer, comes within the deduplication window.
 func RejectedWithinWindow(class string, window time.Duration) Check {
 	return Check{"no rejection after the deduplication window", func(r *Report) string {
 		limit := window + socketSlack + r.Clients.MaxDelay
--- a/logic/request.go
+++ b/logic/request.go
@@ -78,7 +78,7 @@
 }
 
 // attemptEnded handles the end of an attempt. A request that has no final answer yet is retried where that is
-// allowed and may help. Else it is rejected if the client may safely repeat it at the time that it is told, and failed
+// allowed and may help. Else it is rejected if the client may safely repeat it after the retry-after time, and failed
 // if not. Events for any attempt but the current one are ignored.
 func (g *Gateway) attemptEnded(event *gateway.Event) {
 	r := g.requests[event.RequestID]
--- a/logic/request_test.go
+++ b/logic/request_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against rejections that tell clients to come back while no connection can be opened (incident 0016). The time
-// that the connection quota expects is told, up to the longest time that clients wait.
+// that the connection quota expects is the retry-after time, up to the longest time that clients wait.
 func TestRejectionTellsTimeUntilConnection(t *testing.T) {
 	for _, test := range []struct {
 		expected, longest time.Duration
@@ -60,7 +60,7 @@
 }
 
 // Guards against a rejection that calls a repeat harmless once hosts no longer discard it (incident 0017). A request
-// whose retry gets no connection is rejected only if a repeat at the time that the client is told is still safe.
+// whose retry gets no connection is rejected only if a repeat after the retry-after time is still safe.
 func TestThrottledRequestIsRejectedOnlyWithinWindow(t *testing.T) {
 	deduplicated := gateway.RequestClass{Effect: gateway.Deduplicated, DedupWindow: 1000 * ms}
 	for _, test := range []struct {
@@ -97,7 +97,7 @@
 }
 
 // Guards against rejections that tell clients to repeat a request after its deduplication window (incident 0017). Where
-// no connection quota sets the time, the time that is told ends with the window, less its margin.
+// no connection quota sets it, the retry-after time ends with the window, less its margin.
 func TestRejectionTellsTimeWithinWindow(t *testing.T) {
 	for _, test := range []struct {
 		name  string
