Tests: one accept loop in node, one draw of an event and its time in the emulator

Change: acceptConns and drawTime serve both. The draws, the assertions and the bounds are the same; no product code changes.

--- a/internal/node/connecting_test.go
+++ b/internal/node/connecting_test.go
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	g.hostAddr = host.Addr().String()
-	go g.acceptAtHost(host)
+	go acceptConns(host, g.serveAtHost)
 	settings := testSettings()
 	settings.ConnectTimeout = connectionLimit
 	settings.Limits = gateway.Limits{PollEndpoints: true}
@@ -77,16 +77,6 @@
 	return len(line), nil
 }
 
-func (g *testGateway) acceptAtHost(host net.Listener) {
-	for {
-		conn, err := host.Accept()
-		if err != nil {
-			return
-		}
-		go g.serveAtHost(conn)
-	}
-}
-
 // serveAtHost answers each command on a connection with the value "v", unless it turns it away, and records the
 // request's id.
 func (g *testGateway) serveAtHost(conn net.Conn) {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -61,6 +61,18 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// acceptConns runs serve for each connection that a listener accepts, on a goroutine of its own, until the listener is
+// closed.
+func acceptConns(listener net.Listener, serve func(conn net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
 // steppedNode is a node with one host that does not run: the test calls the steps of its loop.
 type steppedNode struct {
 	*Node
--- a/internal/node/late_rejection_test.go
+++ b/internal/node/late_rejection_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,22 +48,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var serving sync.WaitGroup
-	serving.Go(func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			serving.Go(func() { s.serve(c.(*net.TCPConn)) })
-		}
-	})
 	t.Cleanup(func() { listener.Close() })
+	go acceptConns(listener, s.serve)
 	return listener.Addr().String()
 }
 
-func (s *mortalStore) serve(c *net.TCPConn) {
+// serve answers the commands on a connection until either side ends it.
+func (s *mortalStore) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
@@ -76,7 +66,7 @@
 		select {
 		case end := <-s.ends:
 			s.quota.Store(0)
-			end(c)
+			end(c.(*net.TCPConn))
 			return
 		default:
 			io.WriteString(c, "*1\r\n$1\r\nv\r\n")
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -42,10 +42,8 @@
 // leaveTime returns the time after which the client of a request leaves, 0 if it waits for the answer. It depends only
 // on the request's id.
 func (l *Load) leaveTime(id string) time.Duration {
-	if l.LeaveFraction == 0 || UniformHash(id, "leave") >= l.LeaveFraction {
-		return 0
-	}
-	return time.Duration(UniformHash(id, "leave time") * float64(l.LeaveTime))
+	after, _ := drawTime(id, "leave", l.LeaveFraction, l.LeaveTime)
+	return after
 }
 
 // LoadRun is a load that is being sent. Its fields belong to the actor of its Clients.
--- a/lab/emulator/model.go
+++ b/lab/emulator/model.go
@@ -69,10 +69,16 @@
 
 // TurnsAway reports whether a request is turned away, and after which time. Both depend only on the request's id.
 func (m *Model) TurnsAway(id string) (after time.Duration, turnsAway bool) {
-	if m.BusyFraction == 0 || UniformHash(id, "busy") >= m.BusyFraction {
+	return drawTime(id, "busy", m.BusyFraction, m.BusyTime)
+}
+
+// drawTime draws whether an event happens to a request, with the given probability, and after which time of at most
+// longest. Both depend only on the request's id and the event's name. The time is 0 if the event does not happen.
+func drawTime(id, event string, probability float64, longest time.Duration) (after time.Duration, happens bool) {
+	if UniformHash(id, event) >= probability {
 		return 0, false
 	}
-	return time.Duration(UniformHash(id, "busy time") * float64(m.BusyTime)), true
+	return time.Duration(UniformHash(id, event+" time") * float64(longest)), true
 }
 
 // warmUpFactor returns the factor by which the warm-up multiplies response times at a time after the start.
